--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,153 @@
+/*
+ * Shared plain things: errors, log lines, buffers, tables of handles,
+ * addresses, counters and time units.
+ */
+#ifndef BASE_BASE_H
+#define BASE_BASE_H
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <syslog.h>
+
+#define USEC_PER_MSEC INT64_C(1000)
+#define USEC_PER_SEC INT64_C(1000000)
+
+#define NAME_SIZE 64	   /* service, route, account, host; with NUL */
+#define REQUEST_ID_SIZE 65 /* request identity; with NUL */
+
+enum error_code {
+	ERROR_NONE,
+	ERROR_INPUT,
+	ERROR_LIMIT,
+	ERROR_IO,
+	ERROR_AUTH,
+	ERROR_TIMEOUT,
+	ERROR_CONFLICT,
+	ERROR_NOT_FOUND,
+	ERROR_MEMORY,
+	ERROR_STATE,
+};
+
+/* step names the operation that failed, peer the other end or file. */
+struct error {
+	enum error_code code;
+	char step[32];
+	char peer[64];
+	char text[320];
+};
+
+int error_set(struct error *err, enum error_code code, const char *step,
+	      const char *peer, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+const char *error_code_name(enum error_code code);
+
+#define LOG_LINE_SIZE 1024
+
+struct log_line {
+	int priority;
+	size_t len;
+	char text[LOG_LINE_SIZE];
+};
+
+void log_set_level(int priority);
+bool log_enabled(int priority);
+void log_start(struct log_line *line, int priority, const char *event);
+void log_str(struct log_line *line, const char *key, const char *value);
+void log_int(struct log_line *line, const char *key, int64_t value);
+void log_emit(struct log_line *line);
+void log_error(int priority, const char *event, const struct error *err);
+
+/* A byte string that grows up to a limit given with each append. */
+struct buffer {
+	uint8_t *data;
+	size_t len;
+	size_t size;
+};
+
+int buffer_append(struct buffer *b, const void *data, size_t len, size_t limit);
+int buffer_printf(struct buffer *b, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+void buffer_free(struct buffer *b);
+
+/* A handle is a generation and an index; zero names nothing. */
+struct table {
+	size_t item_size;
+	uint32_t size;
+	uint32_t max;
+	uint32_t count;
+	uint32_t free_head;
+	uint8_t *items;
+};
+
+void table_init(struct table *t, size_t item_size, uint32_t max);
+void table_free(struct table *t);
+int table_copy(struct table *to, const struct table *from);
+uint64_t table_add(struct table *t, void **item);
+void *table_get(const struct table *t, uint64_t handle);
+void table_remove(struct table *t, uint64_t handle);
+uint64_t table_next(const struct table *t, uint64_t after, void **item);
+
+/* IPv4 or IPv6 number with port; v4 is kept as a mapped v6 number. */
+struct addr {
+	uint8_t ip[16];
+	uint16_t port;
+};
+
+#define ADDR_TEXT_SIZE 64
+
+int addr_parse(struct addr *a, const char *text);
+void addr_format(const struct addr *a, char text[ADDR_TEXT_SIZE]);
+void addr_host(const struct addr *a, char text[ADDR_TEXT_SIZE]);
+bool addr_equal(const struct addr *a, const struct addr *b);
+bool addr_is_set(const struct addr *a);
+
+uint64_t name_hash(const char *name);
+uint64_t pair_hash(uint64_t a, uint64_t b);
+int copy_name(char *to, size_t size, const char *from);
+
+int64_t clock_monotonic_us(void);
+int64_t clock_wall_us(void);
+void format_wall_time(int64_t wall_us, char text[32]);
+
+void random_token(char *text, size_t size);
+
+/* Counters of the process; one row each in counter_names. */
+enum counter {
+	COUNTER_REQUESTS,
+	COUNTER_SUB_CALLS,
+	COUNTER_ANSWERED,
+	COUNTER_REFUSED,
+	COUNTER_SHED,
+	COUNTER_OVER_RATE,
+	COUNTER_RETRIES,
+	COUNTER_CANCELLED,
+	COUNTER_WASTED,
+	COUNTER_UPSTREAM_RUNS,
+	COUNTER_UPSTREAM_CONNECTIONS,
+	COUNTER_UPSTREAM_FAILURES,
+	COUNTER_LINKS_OPENED,
+	COUNTER_LINK_FRAMES,
+	COUNTER_LINK_BYTES,
+	COUNTER_CONTROL_MESSAGES,
+	COUNTER_CONTROL_BYTES,
+	COUNTER_DATAGRAMS,
+	COUNTER_AUTH_FAILURES,
+	COUNTER_STORE_READS,
+	COUNTER_STORE_WRITES,
+	COUNTER_STORE_UNKNOWN,
+	COUNTER_STORE_DENIED,
+	COUNTER_LOANS_ASKED,
+	COUNTER_LOANS_GRANTED,
+	COUNTER_CLAIMS,
+	COUNTER_NOTES_APPLIED,
+	COUNTER_LOG_LINES,
+	COUNTER_COUNT
+};
+
+void counter_add(enum counter c, uint64_t n);
+uint64_t counter_get(enum counter c);
+int counters_write(struct buffer *out);
+
+#endif
--- /dev/null
+++ b/src/base/buffer.c
@@ -0,0 +1,69 @@
+#include "base/base.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BUFFER_MIN 256
+
+static int grow(struct buffer *b, size_t need)
+{
+	size_t size = b->size ? b->size : BUFFER_MIN;
+	uint8_t *p;
+
+	if (need <= b->size)
+		return 0;
+	while (size < need) {
+		if (size > SIZE_MAX / 2)
+			return -1;
+		size *= 2;
+	}
+	p = realloc(b->data, size);
+	if (!p)
+		return -1;
+	b->data = p;
+	b->size = size;
+	return 0;
+}
+
+/*
+ * Appends len bytes. Returns -1 and leaves the buffer as it was when the
+ * result would pass limit or memory is short.
+ */
+int buffer_append(struct buffer *b, const void *data, size_t len, size_t limit)
+{
+	if (len > limit || b->len > limit - len)
+		return -1;
+	if (!len)
+		return 0;
+	if (grow(b, b->len + len) < 0)
+		return -1;
+	memcpy(b->data + b->len, data, len);
+	b->len += len;
+	return 0;
+}
+
+/* Appends formatted text; a NUL follows the text but is not counted. */
+int buffer_printf(struct buffer *b, const char *fmt, ...)
+{
+	va_list ap;
+	int n;
+
+	va_start(ap, fmt);
+	n = vsnprintf(NULL, 0, fmt, ap);
+	va_end(ap);
+	if (n < 0 || grow(b, b->len + (size_t)n + 1) < 0)
+		return -1;
+	va_start(ap, fmt);
+	vsnprintf((char *)b->data + b->len, (size_t)n + 1, fmt, ap);
+	va_end(ap);
+	b->len += (size_t)n;
+	return 0;
+}
+
+/* Frees the bytes and leaves an empty buffer that may be used again. */
+void buffer_free(struct buffer *b)
+{
+	free(b->data);
+	memset(b, 0, sizeof(*b));
+}
--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,37 @@
+#include "base/base.h"
+
+#include <stdio.h>
+#include <time.h>
+
+static int64_t read_clock(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* Microseconds that never step; CLOCK_BOOTTIME so that suspends count. */
+int64_t clock_monotonic_us(void)
+{
+	return read_clock(CLOCK_BOOTTIME);
+}
+
+/* Microseconds since 1970 UTC, for people to read; never for decisions. */
+int64_t clock_wall_us(void)
+{
+	return read_clock(CLOCK_REALTIME);
+}
+
+/* Writes RFC 3339 time in UTC with milliseconds. */
+void format_wall_time(int64_t wall_us, char text[32])
+{
+	time_t sec = (time_t)(wall_us / USEC_PER_SEC);
+	char date[24];
+	struct tm tm;
+
+	gmtime_r(&sec, &tm);
+	strftime(date, sizeof(date), "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(text, 32, "%s.%03dZ", date,
+		 (int)(wall_us % USEC_PER_SEC / USEC_PER_MSEC));
+}
--- /dev/null
+++ b/src/conf/conf.h
@@ -0,0 +1,186 @@
+/*
+ * Settings of one process, release notes, and the configuration that the
+ * notes add up to. Nothing here does I/O but settings_load.
+ */
+#ifndef CONF_CONF_H
+#define CONF_CONF_H
+
+#include <uthash.h>
+
+#include "base/base.h"
+
+#define SECRET_SIZE 32
+#define KEY_HASH_SIZE 32
+#define SEEDS_MAX 16
+#define METHOD_SIZE 16
+#define PATTERN_SIZE 256
+
+/* Order in which requests are shed: first goes first, last goes last. */
+enum shed_class {
+	SHED_FIRST,
+	SHED_MIDDLE,
+	SHED_LAST,
+};
+#define SHED_CLASSES 3
+
+enum overload_mode {
+	OVERLOAD_ENFORCE,
+	OVERLOAD_OBSERVE, /* decide and log, refuse nothing */
+	OVERLOAD_OFF,	  /* first in first out, three blind retries */
+};
+
+enum store_kind {
+	STORE_NONE,
+	STORE_ETCD,   /* JSON gateway of etcd v3 over HTTP */
+	STORE_MEMORY, /* inside the process: single node trials and tests */
+};
+
+/* Settings of one node, read once at start. */
+struct settings {
+	char host[NAME_SIZE];
+	char data_centre[NAME_SIZE];
+	char region[NAME_SIZE];
+	struct addr callers;
+	struct addr services;
+	struct addr nodes;
+	struct addr admin;
+	struct addr seeds[SEEDS_MAX];
+	size_t seed_count;
+	enum store_kind store_kind;
+	struct addr store;
+	uint32_t store_calls_s; /* budget of this node, calls per second */
+	uint8_t secret[SECRET_SIZE];
+	size_t body_limit;	  /* bytes of one request or answer body */
+	size_t memory_limit;	  /* bytes of all bodies held at once */
+	uint32_t requests_max;	  /* requests held at once */
+	uint32_t connections_max; /* connections of callers */
+	int64_t stop_grace_us;	  /* how long a planned stop may wait */
+	int log_priority;
+};
+
+int settings_load(struct settings *s, const char *path, struct error *err);
+int settings_parse(struct settings *s, const char *text, const char *name,
+		   struct error *err);
+
+struct service {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE];
+	uint32_t retry_percent; /* retries allowed per hundred calls */
+	UT_hash_handle hh;
+};
+
+struct route {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE];
+	char method[METHOD_SIZE];
+	char pattern[PATTERN_SIZE]; /* /a/{x}/b, a last ** takes the rest */
+	char service[NAME_SIZE];
+	enum shed_class shed;
+	bool once; /* at most one execution per idempotency key */
+	bool open; /* needs no key */
+	int64_t deadline_us;
+	uint32_t retries; /* allowance of a root for its whole chain */
+};
+
+struct account {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE];
+	double rate;  /* requests per second over all hosts */
+	double burst; /* requests */
+	uint32_t weight;
+	int64_t refuse_stale_us; /* refuse with a configuration older; 0 off */
+	UT_hash_handle hh;
+};
+
+/* Only the BLAKE2b hash of a key is known to the system. */
+struct access_key {
+	char id[NAME_SIZE];
+	char account[NAME_SIZE];
+	uint8_t hash[KEY_HASH_SIZE];
+	UT_hash_handle hh;    /* by hash */
+	UT_hash_handle hh_id; /* by id */
+};
+
+struct operator_key {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE]; /* empty: every team */
+	uint8_t hash[KEY_HASH_SIZE];
+	bool read_only;
+	UT_hash_handle hh; /* by hash */
+	UT_hash_handle hh_name;
+};
+
+/*
+ * The configuration after release note `number`. A config is never changed
+ * once it is in force: a note makes a new one. Pointers into it live until
+ * config_put drops the last reference, so a request keeps a reference.
+ */
+struct config;
+
+struct config *config_new(void);
+struct config *config_get(struct config *c);
+void config_put(struct config *c);
+
+uint64_t config_number(const struct config *c);
+const char *config_release(const struct config *c);
+enum overload_mode config_overload_mode(const struct config *c);
+
+/* Lookups return NULL when there is no such thing. */
+const struct service *config_service(const struct config *c, const char *name);
+const struct account *config_account(const struct config *c, const char *name);
+const struct route *config_route(const struct config *c, const char *name);
+const struct route *config_match(const struct config *c, const char *method,
+				 const char *path);
+const struct access_key *config_key(const struct config *c,
+				    const uint8_t hash[KEY_HASH_SIZE]);
+const struct operator_key *config_operator(const struct config *c,
+					   const uint8_t hash[KEY_HASH_SIZE]);
+
+/* Walks all accounts or services in a fixed order; NULL starts and ends. */
+const struct account *config_next_account(const struct config *c,
+					  const struct account *after);
+const struct service *config_next_service(const struct config *c,
+					  const struct service *after);
+const struct route *config_next_route(const struct config *c,
+				      const struct route *after);
+
+void key_hash(uint8_t hash[KEY_HASH_SIZE], const char *key);
+const char *shed_class_name(enum shed_class cls);
+const char *overload_mode_name(enum overload_mode mode);
+
+/* Faults of a note, each with the path of the member, "added.routes[2].path" */
+struct note_fault {
+	char path[160];
+	char text[200];
+};
+
+struct note_faults {
+	struct note_fault *items;
+	size_t n;
+};
+
+void note_faults_free(struct note_faults *f);
+
+/* What a note says of itself; the text is kept as the operator wrote it. */
+struct note_head {
+	char release[NAME_SIZE];
+	bool has_after;
+	uint64_t after;
+};
+
+int note_read_head(struct note_head *head, const char *text, size_t len,
+		   struct error *err);
+
+/*
+ * Applies a note to c as number, and returns the new configuration, or NULL
+ * with every fault named. team limits what may be touched; NULL does not.
+ */
+struct config *config_apply(const struct config *c, uint64_t number,
+			    const char *text, size_t len, const char *team,
+			    struct note_faults *faults);
+
+/* Snapshots: the whole configuration as msgpack bytes, and back. */
+int config_pack(const struct config *c, struct buffer *out);
+struct config *config_unpack(const void *data, size_t len, struct error *err);
+
+#endif
--- /dev/null
+++ b/src/control/control.h
@@ -0,0 +1,219 @@
+/*
+ * Controllers keep the state that many nodes share. They reach the outside
+ * only through struct control_io and the store, so tests hand them fakes.
+ */
+#ifndef CONTROL_CONTROL_H
+#define CONTROL_CONTROL_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "store/store.h"
+#include "wire/wire.h"
+
+/* Both fill in the sender and return -1 when nothing was sent. */
+struct control_io {
+	void *ctx;
+	int (*send)(void *ctx, const struct addr *to, struct peer_msg *msg,
+		    int64_t now);
+	int (*datagram)(void *ctx, const struct addr *to, struct peer_msg *msg);
+};
+
+/* Members: who is there, and which upstreams they announced. */
+struct members;
+
+struct members_options {
+	struct member_info self;
+	const struct addr *seeds; /* from the settings */
+	size_t seed_count;
+	struct control_io io;
+	struct store *store;
+	uint64_t seed; /* of the random choices */
+	void *ctx;
+	/* A member or its upstreams changed. */
+	void (*changed)(void *ctx, const struct member_info *m, int64_t now);
+};
+
+struct members *members_new(const struct members_options *o, int64_t now);
+void members_free(struct members *m);
+void members_tick(struct members *m, int64_t now); /* every 50 ms */
+void members_receive(struct members *m, const struct peer_msg *msg,
+		     int64_t now);
+/* Replaces what this host announces, and tells at once. */
+void members_set_upstreams(struct members *m, const struct upstream_info *u,
+			   size_t n, int64_t now);
+void members_leave(struct members *m, int64_t now);
+const struct member_info *members_find(const struct members *m,
+				       const struct addr *nodes);
+/* Walks all known members, self included; NULL starts and ends. */
+const struct member_info *members_next(const struct members *m,
+				       const struct member_info *after);
+const struct member_info *members_self(const struct members *m);
+size_t members_count(const struct members *m, enum member_state state);
+/* A reachable peer to ask, in the own data centre or elsewhere. */
+const struct member_info *members_random(struct members *m, bool elsewhere);
+/* Whether self is among the first k of its data centre for a topic. */
+bool members_chosen(const struct members *m, uint64_t topic, size_t k);
+
+/* Notes: keeps the newest configuration, and passes notes on. */
+struct notes;
+
+struct notes_options {
+	struct control_io io;
+	struct store *store;
+	struct members *members;
+	uint64_t seed;
+	void *ctx;
+	void (*in_force)(void *ctx, struct config *c, int64_t now);
+};
+
+enum append_status {
+	APPEND_ACCEPTED,
+	APPEND_REPEATED, /* this release is in force already */
+	APPEND_CONFLICT, /* somebody was first; text says what differs */
+	APPEND_INVALID,	 /* faults are named in the text */
+	APPEND_STORE_OUT,
+	APPEND_UNKNOWN, /* the store never said; send it again */
+};
+
+struct append_done {
+	void *ctx;
+	uint64_t tag;
+	void (*fn)(void *ctx, uint64_t tag, enum append_status status,
+		   uint64_t number, const char *text, int64_t now);
+};
+
+struct notes *notes_new(const struct notes_options *o, int64_t now);
+void notes_free(struct notes *n);
+void notes_tick(struct notes *n, int64_t now); /* every 50 ms */
+void notes_receive(struct notes *n, const struct peer_msg *msg, int64_t now);
+/* A higher number was seen on any message of a peer. */
+void notes_heard(struct notes *n, const struct addr *peer, uint64_t number,
+		 int64_t now);
+void notes_append(struct notes *n, const char *text, size_t len,
+		  const char *operator_name, const char *team,
+		  const struct append_done *done, int64_t now);
+/* NULL until there is one. */
+struct config *notes_config(const struct notes *n);
+/* Time since the platform, or a peer that reaches it, was heard. */
+int64_t notes_stale_us(const struct notes *n, int64_t now);
+
+/* Quota: account limits over all hosts. */
+struct quota;
+
+struct quota_options {
+	struct control_io io;
+	struct store *store;
+	struct members *members;
+	uint64_t seed;
+	void *ctx;
+	/* Tokens of this account came in; waiting requests may try again. */
+	void (*wake)(void *ctx, const char *account, int64_t now);
+};
+
+enum quota_verdict {
+	QUOTA_TAKEN,
+	QUOTA_WAIT, /* a loan was asked for; try again on wake */
+	QUOTA_REFUSED,
+};
+
+struct quota *quota_new(const struct quota_options *o, int64_t now);
+void quota_free(struct quota *q);
+void quota_config(struct quota *q, struct config *c, int64_t now);
+void quota_tick(struct quota *q, int64_t now); /* every 5 ms */
+void quota_receive(struct quota *q, const struct peer_msg *msg, int64_t now);
+/* Spends one token. first is false when a waiting request tries again. */
+enum quota_verdict quota_take(struct quota *q, const char *account, bool first,
+			      int64_t now, int64_t *retry_after_us);
+/* Gives back the token of a request that was then refused not run. */
+void quota_give_back(struct quota *q, const char *account, int64_t now);
+/* A planned stop: returns slices; idle once nothing is left to return. */
+void quota_leave(struct quota *q, int64_t now);
+bool quota_idle(const struct quota *q);
+int quota_status(const struct quota *q, struct buffer *json, int64_t now);
+
+/* Claims: at most one execution per idempotency key. */
+struct claims;
+
+struct claims_options {
+	struct store *store;
+	struct members *members;
+	struct addr self;
+	uint64_t incarnation;
+};
+
+enum claim_state {
+	CLAIM_FRESH,	  /* ours: run it, then finish, release or abandon */
+	CLAIM_DONE,	  /* ran before; the first answer is given */
+	CLAIM_RUNNING,	  /* another holds it and lives */
+	CLAIM_UNRESOLVED, /* its holder is gone; nobody knows */
+	CLAIM_MISMATCH,	  /* same key, another request body */
+	CLAIM_STORE_OUT,  /* not claimed, so not run */
+};
+
+struct claim_done {
+	void *ctx;
+	uint64_t tag;
+	/* answer is set with CLAIM_DONE when it was small enough to keep. */
+	void (*fn)(void *ctx, uint64_t tag, enum claim_state state,
+		   uint64_t claim, const struct message *answer, int64_t now);
+};
+
+struct claims *claims_new(const struct claims_options *o, int64_t now);
+void claims_free(struct claims *c);
+void claims_tick(struct claims *c, int64_t now); /* every 5 ms */
+/* fingerprint is a hash of method, target and body. */
+void claims_begin(struct claims *c, const char *account, const char *route,
+		  const char *key, uint64_t fingerprint, const char *request,
+		  int64_t deadline_us, const struct claim_done *done,
+		  int64_t now);
+/* The requester no longer waits; a claim still won is released. */
+void claims_forget(struct claims *c, uint64_t tag);
+void claims_finish(struct claims *c, uint64_t claim,
+		   const struct message *answer, int64_t now);
+void claims_release(struct claims *c, uint64_t claim, int64_t now);
+void claims_abandon(struct claims *c, uint64_t claim, int64_t now);
+bool claims_idle(const struct claims *c);
+/* Lists claims without an outcome as JSON, when the store answers. */
+void claims_list(struct claims *c, void *ctx, uint64_t tag,
+		 void (*done)(void *ctx, uint64_t tag, const char *json,
+			      const struct error *err),
+		 int64_t now);
+
+/* Explain: what was decided, kept in a ring, and counts by the minute. */
+struct explain;
+
+enum decision_kind {
+	DECISION_ADMITTED,
+	DECISION_REFUSED,
+	DECISION_PLACED, /* entry chose an upstream */
+	DECISION_RETRIED,
+	DECISION_QUEUED,  /* at a gate */
+	DECISION_RUN,	  /* gate gave it to the upstream */
+	DECISION_DROPPED, /* gate */
+	DECISION_ANSWERED,
+	DECISION_CANCELLED,
+	DECISION_OBSERVED, /* would have been refused */
+};
+
+struct decision {
+	int64_t wall_us;
+	enum decision_kind kind;
+	enum reason reason;
+	enum outcome outcome;
+	char request[REQUEST_ID_SIZE];
+	char root[REQUEST_ID_SIZE];
+	char account[NAME_SIZE];
+	char route[NAME_SIZE];
+	char service[NAME_SIZE];
+	char peer[ADDR_TEXT_SIZE]; /* upstream or node that it concerns */
+	uint8_t attempt;
+	int status;
+	int64_t took_us; /* queueing time, or time to the answer */
+};
+
+struct explain *explain_new(uint32_t ring_size);
+void explain_free(struct explain *e);
+/* Records, counts and logs one decision. */
+void explain_add(struct explain *e, const struct decision *d);
+
+#endif
--- /dev/null
+++ b/src/net/net.h
@@ -0,0 +1,174 @@
+/*
+ * The loop and everything that touches a socket: HTTP server and client,
+ * links and datagrams between nodes. All of it on one libwebsockets context
+ * and one thread.
+ */
+#ifndef NET_NET_H
+#define NET_NET_H
+
+#include "base/base.h"
+#include "wire/wire.h"
+
+struct net;
+
+/* Opens the loop; returns NULL with err set. */
+struct net *net_open(struct error *err);
+void net_close(struct net *net);
+/* Runs until net_stop. */
+void net_run(struct net *net);
+void net_stop(struct net *net);
+/* Calls tick(ctx, now) every period until the loop is closed. */
+int net_every(struct net *net, int64_t period_us,
+	      void (*tick)(void *ctx, int64_t now), void *ctx);
+/* Calls fire(ctx, now) once, not before at_us. */
+int net_at(struct net *net, int64_t at_us, void (*fire)(void *ctx, int64_t now),
+	   void *ctx);
+
+/*
+ * HTTP server. An exchange is one request and its answer; its handle stays
+ * good until the answer is given or gone was called. msg is the server's:
+ * the handler may move its parts out and leave it zeroed.
+ */
+struct http_server;
+
+struct http_server_options {
+	struct addr listen; /* port 0: the kernel chooses */
+	size_t body_limit;
+	uint32_t connections_max;
+	void *ctx;
+	void (*request)(void *ctx, uint64_t exchange, struct message *msg,
+			const char *peer, int64_t now);
+	/* The caller went away before the answer. */
+	void (*gone)(void *ctx, uint64_t exchange, int64_t now);
+};
+
+struct http_server *http_server_open(struct net *net,
+				     const struct http_server_options *o,
+				     struct error *err);
+void http_server_addr(const struct http_server *s, struct addr *a);
+/*
+ * Gives the whole answer, with Content-Length. Moves nothing: m is copied.
+ * Returns -1 when the exchange is gone.
+ */
+int http_server_answer(struct http_server *s, uint64_t exchange,
+		       const struct message *m);
+/* Stops accepting; answers from now on say Connection: close. */
+void http_server_drain(struct http_server *s);
+uint32_t http_server_connections(const struct http_server *s);
+
+/*
+ * HTTP client: a pool of connections to one address, one call at a time on
+ * each connection, further calls waiting in order.
+ */
+struct http_pool;
+
+struct http_pool_options {
+	struct addr addr;
+	uint32_t connections_max;
+	size_t body_limit;
+	int64_t keep_warm_us;
+};
+
+enum http_call_status {
+	HTTP_ANSWERED,
+	HTTP_NOT_SENT,	/* certain: no byte left this process */
+	HTTP_BROKEN,	/* a byte may have left; no whole answer came */
+	HTTP_GARBAGE,	/* sent; the answer was malformed */
+	HTTP_TOO_LARGE, /* sent; the answer passed body_limit */
+	HTTP_TIMED_OUT, /* sent; no whole answer by the deadline */
+};
+
+struct http_call_result {
+	enum http_call_status status;
+	struct message *answer; /* HTTP_ANSWERED; the handler may take parts */
+	struct error err;
+};
+
+struct http_call {
+	const struct message *request; /* copied */
+	int64_t deadline_us;
+	void *ctx;
+	uint64_t tag;
+	void (*done)(void *ctx, uint64_t tag, struct http_call_result *r,
+		     int64_t now);
+	/* If set, each piece of the body as it comes, and no body at done. */
+	void (*piece)(void *ctx, uint64_t tag, const void *data, size_t len,
+		      int64_t now);
+};
+
+struct http_pool *http_pool_open(struct net *net,
+				 const struct http_pool_options *o,
+				 struct error *err);
+/* Every call still open is reported before this returns. */
+void http_pool_close(struct http_pool *p);
+/* done is never called before http_call_start returns; 0 with err set. */
+uint64_t http_call_start(struct http_pool *p, const struct http_call *c,
+			 int64_t now, struct error *err);
+/* Gives up without a report; closes the connection if bytes went out. */
+void http_call_cancel(struct http_pool *p, uint64_t call);
+uint32_t http_pool_connections(const struct http_pool *p);
+
+/*
+ * Links: one TCP connection per pair of nodes, opened when first needed,
+ * authenticated and sealed with the cluster secret, closed when idle.
+ */
+struct links;
+
+struct links_options {
+	struct addr listen;
+	uint8_t secret[SECRET_SIZE];
+	size_t body_limit;
+	void *ctx;
+	/* A call came in; answer with links_answer(stream). msg may be moved */
+	void (*call)(void *ctx, uint64_t stream, const struct addr *peer,
+		     const struct call_head *head, struct message *msg,
+		     int64_t now);
+	/* The caller of an incoming stream cancelled, or its link broke. */
+	void (*cancelled)(void *ctx, uint64_t stream, int64_t now);
+	/* A control message, from a link or a datagram. */
+	void (*peer)(void *ctx, const struct peer_msg *msg, int64_t now);
+};
+
+enum link_status {
+	LINK_ANSWERED,
+	LINK_NOT_SENT, /* certain: the call's head never left */
+	LINK_LOST,     /* sent; the link broke before the whole answer */
+};
+
+struct link_result {
+	enum link_status status;
+	const struct answer_head *head;
+	struct message *answer; /* the handler may take parts */
+	struct error err;
+};
+
+struct link_call {
+	struct addr to;
+	const struct call_head *head;
+	const struct message *message; /* copied */
+	void *ctx;
+	uint64_t tag;
+	void (*done)(void *ctx, uint64_t tag, struct link_result *r,
+		     int64_t now);
+};
+
+struct links *links_open(struct net *net, const struct links_options *o,
+			 struct error *err);
+void links_close(struct links *l);
+/* The address listened on, UDP and TCP alike. */
+void links_addr(const struct links *l, struct addr *a);
+/* done is never called before links_call returns; 0 with err set. */
+uint64_t links_call(struct links *l, const struct link_call *c, int64_t now,
+		    struct error *err);
+/* Tells the gate and gives up without a report. */
+void links_cancel(struct links *l, uint64_t call);
+int links_answer(struct links *l, uint64_t stream,
+		 const struct answer_head *head, const struct message *m);
+/* Control messages: on a link, or as one datagram if it fits. */
+int links_send(struct links *l, const struct addr *to, struct peer_msg *msg,
+	       int64_t now);
+int links_datagram(struct links *l, const struct addr *to,
+		   struct peer_msg *msg);
+uint32_t links_count(const struct links *l);
+
+#endif
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,297 @@
+/*
+ * What nodes say to each other, and its msgpack form. Encoders append to a
+ * buffer; decoders check every length before memory is taken and return -1
+ * for anything malformed.
+ */
+#ifndef WIRE_WIRE_H
+#define WIRE_WIRE_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+
+#define FRAME_PAYLOAD_MAX (16 * 1024) /* body bytes in one frame */
+#define FRAME_MAX (64 * 1024)	      /* any one frame, sealed */
+#define HEADERS_MAX 100
+#define HEADER_BYTES_MAX (32 * 1024)
+#define DATAGRAM_MAX 1200
+
+/* One HTTP message; names are lower case. */
+struct header {
+	char *name;
+	char *value;
+};
+
+struct message {
+	char method[METHOD_SIZE]; /* requests */
+	char *target;		  /* path and query; requests */
+	int status;		  /* answers */
+	struct header *headers;
+	size_t header_count;
+	struct buffer body;
+};
+
+int message_add_header(struct message *m, const char *name, const char *value);
+const char *message_header(const struct message *m, const char *name);
+void message_remove_header(struct message *m, const char *name);
+int message_copy(struct message *to, const struct message *from);
+void message_free(struct message *m);
+
+/* What became of a request; "not run" is said only when it is certain. */
+enum outcome {
+	OUTCOME_DONE,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN,
+};
+
+const char *outcome_name(enum outcome o);
+
+/* Why a request was refused, shed, stopped or failed. */
+enum reason {
+	REASON_NONE,
+	REASON_BAD_REQUEST,
+	REASON_BODY_TOO_LARGE,
+	REASON_NO_ROUTE,
+	REASON_NO_KEY,
+	REASON_BAD_KEY,
+	REASON_NOT_CONFIGURED,
+	REASON_STALE_CONFIG,
+	REASON_OVER_RATE,
+	REASON_SHED,
+	REASON_QUEUE_FULL,
+	REASON_QUEUE_TIMEOUT,
+	REASON_DEADLINE,
+	REASON_NO_UPSTREAM,
+	REASON_UPSTREAM_FAILED,
+	REASON_UPSTREAM_GARBAGE,
+	REASON_LINK_LOST,
+	REASON_NO_IDEMPOTENCY_KEY,
+	REASON_IDEMPOTENCY_MISMATCH,
+	REASON_CLAIM_RUNNING,
+	REASON_CLAIM_UNKNOWN,
+	REASON_STORE_OUT,
+	REASON_DUPLICATE,
+	REASON_BAD_CONTEXT,
+	REASON_CANCELLED,
+	REASON_STOPPING,
+	REASON_OVERLOADED, /* too many requests or bytes held by this node */
+	REASON_COUNT
+};
+
+const char *reason_code(enum reason r);	    /* "over-rate" */
+const char *reason_sentence(enum reason r); /* plain words for a person */
+int reason_status(enum reason r);	    /* HTTP status */
+
+/* Share of each class that is admitted, 0 to ADMIT_ALL. */
+#define ADMIT_ALL UINT16_MAX
+struct admission {
+	uint16_t open[SHED_CLASSES];
+};
+
+/* Entry to gate, ahead of the HTTP message. */
+struct call_head {
+	char request[REQUEST_ID_SIZE]; /* of this hop */
+	char root[REQUEST_ID_SIZE];    /* of the whole chain */
+	char service[NAME_SIZE];
+	char route[NAME_SIZE];
+	char account[NAME_SIZE]; /* empty on open routes */
+	struct addr upstream;	 /* the one chosen by the entry */
+	enum shed_class cls;
+	uint16_t lot;	      /* the root's place in its class, see policy */
+	uint32_t deadline_ms; /* left when sent */
+	uint8_t allowance;    /* retries lent to this call */
+	uint8_t depth;
+	uint8_t attempt;
+	bool once;
+	/* Calls of this account that were shed unseen by this gate. */
+	uint32_t shed_unseen[SHED_CLASSES];
+};
+
+/* Gate to entry, ahead of the answer. */
+struct answer_head {
+	enum outcome outcome;
+	enum reason reason;
+	uint8_t allowance_left;
+	uint16_t runs; /* upstream executions at and below this hop */
+	struct admission admission;
+	uint32_t queue_us;   /* newest measured queueing time */
+	uint32_t service_us; /* time at the upstream */
+	uint32_t in_flight;  /* at the gate for this upstream */
+	uint32_t retry_after_ms;
+	bool leaving;
+};
+
+enum frame_kind {
+	FRAME_CALL = 1,
+	FRAME_ANSWER,
+	FRAME_BODY,
+	FRAME_CREDIT,
+	FRAME_CANCEL,
+	FRAME_PEER, /* a peer_msg */
+};
+
+/*
+ * The head of a call or an answer says how long the body will be; BODY
+ * frames follow until that many bytes have come.
+ */
+struct frame {
+	enum frame_kind kind;
+	uint32_t stream;
+	union {
+		struct {
+			struct call_head head;
+			struct message message; /* body empty */
+			uint32_t body_len;
+		} call;
+		struct {
+			struct answer_head head;
+			struct message message;
+			uint32_t body_len;
+		} answer;
+		struct {
+			const uint8_t *data; /* into the decoded bytes */
+			size_t len;
+		} body;
+		uint32_t credit; /* bytes */
+		struct peer_msg *peer;
+	};
+};
+
+int frame_encode(const struct frame *f, struct buffer *out);
+int frame_decode(struct frame *f, const uint8_t *data, size_t len,
+		 struct error *err);
+void frame_free(struct frame *f);
+
+/* One upstream as announced on its host. */
+enum upstream_state {
+	UPSTREAM_READY,
+	UPSTREAM_LEAVING,
+	UPSTREAM_GONE,
+};
+
+struct upstream_info {
+	char service[NAME_SIZE];
+	struct addr addr;
+	uint32_t slots;
+	uint32_t connections;
+	enum upstream_state state;
+};
+
+#define UPSTREAMS_PER_HOST_MAX 8
+
+enum member_state {
+	MEMBER_ALIVE,
+	MEMBER_SUSPECT,
+	MEMBER_LEAVING, /* planned stop: no new work */
+	MEMBER_LEFT,
+	MEMBER_DEAD,
+};
+
+/* One node as others know it; the newest incarnation, then version, wins. */
+struct member_info {
+	char host[NAME_SIZE];
+	char data_centre[NAME_SIZE];
+	char region[NAME_SIZE];
+	struct addr nodes; /* identity of a member */
+	struct addr admin;
+	uint64_t incarnation; /* of the process: wall clock at start */
+	uint32_t version;     /* raised by the member with each change */
+	enum member_state state;
+	struct upstream_info upstreams[UPSTREAMS_PER_HOST_MAX];
+	uint8_t upstream_count;
+};
+
+enum peer_msg_kind {
+	PEER_PROBE = 1,
+	PEER_PROBE_ACK,
+	PEER_PROBE_FOR, /* ask another to probe a target */
+	PEER_MEMBERS_PULL,
+	PEER_MEMBERS,
+	PEER_NOTES_PULL,
+	PEER_NOTE,
+	PEER_SNAPSHOT,
+	PEER_LOAN_ASK,
+	PEER_LOAN_GRANT,
+	PEER_LOAN_SPENT,
+	PEER_QUERY,
+	PEER_QUERY_ANSWER,
+};
+
+#define MEMBERS_DIGESTS 256
+
+struct loan_ask {
+	uint64_t id; /* unique at the borrower, so a repeat is known */
+	char account[NAME_SIZE];
+	uint64_t config_number;
+	uint32_t tokens;
+	uint32_t spare; /* what the asker itself could lend */
+};
+
+struct loan_grant {
+	uint64_t id;
+	char account[NAME_SIZE];
+	uint64_t config_number;
+	uint32_t tokens; /* 0: none to spare */
+	uint32_t spare;	 /* left at the lender, a hint */
+};
+
+/*
+ * A message of one controller to its like on another node. Each carries
+ * the sender's address and configuration number; probes also carry changes
+ * of members.
+ */
+struct peer_msg {
+	enum peer_msg_kind kind;
+	struct addr from; /* the sender's nodes address */
+	uint64_t incarnation;
+	uint64_t config_number;
+	union {
+		struct {
+			uint64_t sequence;
+			struct addr target; /* PROBE_FOR */
+			struct member_info *changes;
+			size_t change_count;
+		} probe;
+		struct {
+			uint64_t digests[MEMBERS_DIGESTS]; /* of the asker */
+		} members_pull;
+		struct {
+			struct member_info *items;
+			size_t n;
+			bool more;
+		} members;
+		struct {
+			uint64_t after;
+		} notes_pull;
+		struct {
+			uint64_t number;
+			int64_t age_ms; /* since it was accepted */
+			struct buffer text;
+		} note;
+		struct {
+			uint64_t number;
+			uint32_t part;
+			uint32_t parts;
+			struct buffer bytes;
+		} snapshot;
+		struct loan_ask loan_ask;
+		struct loan_grant loan_grant;
+		struct loan_ask loan_spent;
+		struct {
+			uint64_t id;
+			struct buffer text; /* JSON */
+		} query;
+	};
+};
+
+int peer_msg_encode(const struct peer_msg *m, struct buffer *out);
+int peer_msg_decode(struct peer_msg *m, const uint8_t *data, size_t len,
+		    struct error *err);
+void peer_msg_free(struct peer_msg *m);
+
+/* Sealing with the cluster secret. */
+int datagram_seal(const uint8_t secret[SECRET_SIZE], const void *data,
+		  size_t len, struct buffer *out);
+int datagram_open(const uint8_t secret[SECRET_SIZE], const void *data,
+		  size_t len, struct buffer *out);
+
+#endif
--- /dev/null
+++ b/test/test_base.c
@@ -0,0 +1,81 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "base/base.h"
+
+static void stale_handles_name_nothing(void **state)
+{
+	struct table t;
+	void *item;
+	uint64_t first, second;
+
+	(void)state;
+	table_init(&t, sizeof(int), 1);
+	first = table_add(&t, &item);
+	assert_non_null(table_get(&t, first));
+	assert_int_equal(table_add(&t, &item), 0);
+	table_remove(&t, first);
+	assert_null(table_get(&t, first));
+	second = table_add(&t, &item);
+	assert_null(table_get(&t, first));
+	assert_non_null(table_get(&t, second));
+	table_free(&t);
+}
+
+static void addresses_round_trip(void **state)
+{
+	static const char *const good[] = {"127.0.0.1:80", "[::1]:65535"};
+	static const char *const bad[] = {
+		"",	    "host:1",	     "1.2.3.4",
+		"1.2.3.4:", "1.2.3.4:70000", "1.2.3.4:-1"};
+	char text[ADDR_TEXT_SIZE];
+	struct addr a;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(good) / sizeof(*good); i++) {
+		assert_int_equal(addr_parse(&a, good[i]), 0);
+		addr_format(&a, text);
+		assert_string_equal(text, good[i]);
+	}
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++)
+		assert_int_equal(addr_parse(&a, bad[i]), -1);
+}
+
+static void log_values_cannot_forge_pairs(void **state)
+{
+	struct log_line line;
+
+	(void)state;
+	log_start(&line, LOG_ERR, "test");
+	log_str(&line, "path", "/a b=\"c\"\n");
+	line.text[line.len] = 0;
+	assert_non_null(strstr(line.text, "path=\"/a b=\\\"c\\\"\\x0a\""));
+}
+
+static void buffers_keep_their_limit(void **state)
+{
+	struct buffer b = {0};
+
+	(void)state;
+	assert_int_equal(buffer_append(&b, "abcd", 4, 4), 0);
+	assert_int_equal(buffer_append(&b, "e", 1, 4), -1);
+	assert_int_equal(b.len, 4);
+	buffer_free(&b);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(stale_handles_name_nothing),
+		cmocka_unit_test(addresses_round_trip),
+		cmocka_unit_test(log_values_cannot_forge_pairs),
+		cmocka_unit_test(buffers_keep_their_limit),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
