--- /dev/null
+++ b/src/net/net.c
@@ -0,0 +1,195 @@
+#include "net/net_impl.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define HEADER_DATA_MAX (8 * 1024) /* bytes of one received header block */
+#define HEADER_WAIT_SECS 10	   /* for a whole header block to arrive */
+
+struct net_part {
+	struct net_part *next;
+	void (*release)(void *part);
+	void *part;
+};
+
+struct net_vhost {
+	struct net_vhost *next;
+	char iface[ADDR_TEXT_SIZE];
+};
+
+static void log_library(int level, const char *text)
+{
+	struct log_line line;
+	char copy[256];
+	size_t n = strcspn(text, "\n");
+
+	if (!(level & LLL_ERR))
+		return;
+	if (n >= sizeof(copy))
+		n = sizeof(copy) - 1;
+	memcpy(copy, text, n);
+	copy[n] = 0;
+	log_start(&line, LOG_ERR, "net-library");
+	log_str(&line, "text", copy);
+	log_emit(&line);
+}
+
+/* Returns microseconds that never step. */
+int64_t net_now(void)
+{
+	return clock_monotonic_us();
+}
+
+/*
+ * Opens the loop. Broken connections are told by callbacks, so SIGPIPE is
+ * ignored in the whole process.
+ */
+struct net *net_open(struct error *err)
+{
+	struct lws_context_creation_info info;
+	struct net *net = calloc(1, sizeof(*net));
+
+	if (!net) {
+		error_set(err, ERROR_MEMORY, "net-open", NULL, "out of memory");
+		return NULL;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	lws_set_log_level(LLL_ERR, log_library);
+	memset(&info, 0, sizeof(info));
+	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+	info.gid = (gid_t)-1;
+	info.uid = (uid_t)-1;
+	info.pt_serv_buf_size = NET_IO_SIZE;
+	info.max_http_header_data = HEADER_DATA_MAX;
+	info.timeout_secs = HEADER_WAIT_SECS;
+	info.user = net;
+	net->context = lws_create_context(&info);
+	if (!net->context) {
+		error_set(err, ERROR_IO, "net-open", NULL,
+			  "no libwebsockets context");
+		free(net);
+		return NULL;
+	}
+	return net;
+}
+
+/* Closes every connection without a report and frees all parts. */
+void net_close(struct net *net)
+{
+	struct net_vhost *vhost;
+	struct net_part *part;
+
+	if (!net)
+		return;
+	net->closing = true;
+	net_free_timers(net);
+	lws_context_destroy(net->context);
+	while ((part = net->parts)) {
+		net->parts = part->next;
+		part->release(part->part);
+		free(part);
+	}
+	while ((vhost = net->vhosts)) {
+		net->vhosts = vhost->next;
+		free(vhost);
+	}
+	free(net);
+}
+
+/* Serves until net_stop, which may come first. */
+void net_run(struct net *net)
+{
+	while (!net->stopping)
+		if (lws_service(net->context, 0) < 0)
+			break;
+	net->stopping = false;
+}
+
+/* Makes net_run return; may be called from a signal handler. */
+void net_stop(struct net *net)
+{
+	net->stopping = true;
+	lws_cancel_service(net->context);
+}
+
+/* Registers a part; the newest is released first. Returns -1 without memory. */
+int net_on_close(struct net *net, void (*release)(void *part), void *part)
+{
+	struct net_part *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return -1;
+	p->release = release;
+	p->part = part;
+	p->next = net->parts;
+	net->parts = p;
+	return 0;
+}
+
+static bool is_v4(const struct addr *a)
+{
+	char text[ADDR_TEXT_SIZE];
+
+	addr_host(a, text);
+	return !strchr(text, ':');
+}
+
+static void set_listen(struct lws_context_creation_info *info,
+		       struct net_vhost *vhost, const struct addr *listen)
+{
+	if (!listen) {
+		info->port = CONTEXT_PORT_NO_LISTEN;
+		info->options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+		return;
+	}
+	addr_host(listen, vhost->iface);
+	info->iface = vhost->iface;
+	info->port = listen->port;
+	info->options |= LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+	if (is_v4(listen))
+		info->options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+}
+
+/* Adds a virtual host that lives until net_close; NULL with err set. */
+struct lws_vhost *net_add_vhost(struct net *net,
+				const struct net_vhost_options *o,
+				struct error *err)
+{
+	struct lws_context_creation_info info;
+	struct net_vhost *vhost = calloc(1, sizeof(*vhost));
+	struct lws_vhost *result;
+
+	if (!vhost) {
+		error_set(err, ERROR_MEMORY, "vhost", NULL, "out of memory");
+		return NULL;
+	}
+	vhost->next = net->vhosts;
+	net->vhosts = vhost;
+	memset(&info, 0, sizeof(info));
+	set_listen(&info, vhost, o->listen);
+	info.vhost_name = o->name;
+	info.protocols = o->protocols;
+	info.user = o->user;
+	info.keepalive_timeout = o->keepalive_secs;
+	info.timeout_secs = HEADER_WAIT_SECS;
+	if (o->accept_role) {
+		info.options |=
+			LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
+		info.listen_accept_role = o->accept_role;
+		info.listen_accept_protocol = o->accept_protocol;
+	}
+	result = lws_create_vhost(net->context, &info);
+	if (!result)
+		error_set(err, ERROR_IO, "vhost", vhost->iface,
+			  "cannot open %s on port %d", o->name, info.port);
+	return result;
+}
+
+/* Fills a with the number of listen and the port in use. */
+void net_vhost_addr(const struct addr *listen, struct lws_vhost *vhost,
+		    struct addr *a)
+{
+	*a = *listen;
+	a->port = (uint16_t)lws_get_vhost_listen_port(vhost);
+}
--- /dev/null
+++ b/src/net/net_impl.h
@@ -0,0 +1,54 @@
+/*
+ * What the parts that touch sockets share: the loop's one libwebsockets
+ * context. Every listener and every client adds a virtual host of its own,
+ * so that its protocols, limits and connections stay apart.
+ */
+#ifndef NET_NET_IMPL_H
+#define NET_NET_IMPL_H
+
+#include <libwebsockets.h>
+
+#include "net/net.h"
+
+/* Largest read handed to a callback, and room for one written header block. */
+#define NET_IO_SIZE (16 * 1024)
+
+struct net_timer;
+struct net_part;
+struct net_vhost;
+
+struct net {
+	struct lws_context *context;
+	struct net_timer *timers;
+	struct net_part *parts;
+	struct net_vhost *vhosts;
+	bool stopping;
+	bool closing; /* set while net_close tears connections down */
+};
+
+struct net_vhost_options {
+	const char *name; /* kept by reference, as are all strings here */
+	const struct lws_protocols *protocols; /* ended by an empty one */
+	const struct addr *listen;	       /* NULL: clients only */
+	const char *accept_role;     /* "raw-skt" for raw TCP, NULL for HTTP */
+	const char *accept_protocol; /* of protocols, for raw TCP */
+	int keepalive_secs;	     /* idle HTTP server connections */
+	void *user;		     /* lws_vhost_user() */
+};
+
+struct lws_vhost *net_add_vhost(struct net *net,
+				const struct net_vhost_options *o,
+				struct error *err);
+/* Fills the address listened on, with the port that the kernel chose. */
+void net_vhost_addr(const struct addr *listen, struct lws_vhost *vhost,
+		    struct addr *a);
+
+/* Calls release(part) in net_close, once all connections are gone. */
+int net_on_close(struct net *net, void (*release)(void *part), void *part);
+
+/* The loop's clock, for callbacks that must say when they were called. */
+int64_t net_now(void);
+
+void net_free_timers(struct net *net);
+
+#endif
