Add the memory store with leases, watches and faults

Controllers and their tests need a store with compare-and-swap before the platform's is spoken to. Records, leases and the event history are in kv.c, so that the stand-in can stand on the same code; memory.c gives them to several clients, each with faults of its own. Effects happen when a call is submitted, answers come from store_tick alone, and answers that would come past the timeout end as unknown.

--- /dev/null
+++ b/src/store/kv.c
@@ -0,0 +1,363 @@
+#include "store/kv.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_LEASE 1000
+
+struct lease {
+	int64_t id;
+	uint32_t ttl_s;
+	int64_t expires_us;
+};
+
+struct slot {
+	struct kv_record *record;
+};
+
+struct kv {
+	int64_t revision;
+	struct slot *slots; /* sorted by key */
+	size_t n;
+	size_t size;
+	struct lease *leases;
+	size_t lease_count;
+	size_t lease_size;
+	int64_t last_lease;
+	struct kv_event *events; /* ring */
+	uint64_t history_max;
+	uint64_t next_event;
+	int64_t compact_revision; /* older events are gone */
+};
+
+/* Makes an empty table that keeps the last history_max events. */
+struct kv *kv_new(uint64_t history_max)
+{
+	struct kv *kv = calloc(1, sizeof(*kv));
+
+	if (!kv)
+		return NULL;
+	kv->events = calloc(history_max, sizeof(*kv->events));
+	if (!kv->events) {
+		free(kv);
+		return NULL;
+	}
+	kv->history_max = history_max;
+	kv->revision = 1;
+	kv->next_event = 1;
+	kv->last_lease = FIRST_LEASE;
+	return kv;
+}
+
+/* Frees the table with all records, leases and events. */
+void kv_free(struct kv *kv)
+{
+	size_t i;
+
+	if (!kv)
+		return;
+	for (i = 0; i < kv->n; i++) {
+		free(kv->slots[i].record->value);
+		free(kv->slots[i].record);
+	}
+	for (i = 0; i < kv->history_max; i++)
+		free(kv->events[i].entry.value);
+	free(kv->slots);
+	free(kv->leases);
+	free(kv->events);
+	free(kv);
+}
+
+/* Returns the revision of the newest write. */
+int64_t kv_revision(const struct kv *kv)
+{
+	return kv->revision;
+}
+
+/* Returns the index of the first record whose key is not below key. */
+size_t kv_lower_bound(const struct kv *kv, const char *key)
+{
+	size_t low = 0, high = kv->n;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (strcmp(kv->slots[middle].record->key, key) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+/* Returns the record at an index, or NULL past the last one. */
+const struct kv_record *kv_at(const struct kv *kv, size_t i)
+{
+	return i < kv->n ? kv->slots[i].record : NULL;
+}
+
+/* Returns the record of a key, or NULL. */
+const struct kv_record *kv_get(const struct kv *kv, const char *key)
+{
+	size_t i = kv_lower_bound(kv, key);
+
+	if (i == kv->n || strcmp(kv->slots[i].record->key, key) != 0)
+		return NULL;
+	return kv->slots[i].record;
+}
+
+static uint8_t *copy_bytes(const void *data, size_t len)
+{
+	/* One byte more, so that an empty value is not NULL. */
+	uint8_t *p = malloc(len + 1);
+
+	if (p && len)
+		memcpy(p, data, len);
+	return p;
+}
+
+static void add_event(struct kv *kv, const struct kv_record *r, bool removed,
+		      int64_t now)
+{
+	struct kv_event *e = &kv->events[kv->next_event % kv->history_max];
+
+	if (e->entry.mod_revision > kv->compact_revision)
+		kv->compact_revision = e->entry.mod_revision;
+	free(e->entry.value);
+	memset(e, 0, sizeof(*e));
+	e->at_us = now;
+	memcpy(e->entry.key, r->key, sizeof(r->key));
+	e->entry.mod_revision = kv->revision;
+	if (!removed) {
+		e->entry.value = copy_bytes(r->value, r->len);
+		e->entry.len = r->len;
+	}
+	kv->next_event++;
+}
+
+static int insert_record(struct kv *kv, size_t at, const char *key)
+{
+	struct slot *slots;
+	struct kv_record *r;
+	size_t size;
+
+	if (kv->n == kv->size) {
+		size = kv->size ? kv->size * 2 : 64;
+		slots = realloc(kv->slots, size * sizeof(*slots));
+		if (!slots)
+			return -1;
+		kv->slots = slots;
+		kv->size = size;
+	}
+	r = calloc(1, sizeof(*r));
+	if (!r)
+		return -1;
+	copy_name(r->key, sizeof(r->key), key);
+	r->create_revision = kv->revision;
+	memmove(kv->slots + at + 1, kv->slots + at,
+		(kv->n - at) * sizeof(*kv->slots));
+	kv->slots[at].record = r;
+	kv->n++;
+	return 0;
+}
+
+static void remove_at(struct kv *kv, size_t at, int64_t now)
+{
+	struct kv_record *r = kv->slots[at].record;
+
+	add_event(kv, r, true, now);
+	kv->n--;
+	memmove(kv->slots + at, kv->slots + at + 1,
+		(kv->n - at) * sizeof(*kv->slots));
+	free(r->value);
+	free(r);
+}
+
+static int put(struct kv *kv, const struct store_write *w, int64_t now)
+{
+	size_t at = kv_lower_bound(kv, w->key);
+	uint8_t *value = copy_bytes(w->value, w->len);
+	struct kv_record *r;
+
+	if (!value)
+		return -1;
+	if (!kv_get(kv, w->key) && insert_record(kv, at, w->key) < 0) {
+		free(value);
+		return -1;
+	}
+	r = kv->slots[at].record;
+	free(r->value);
+	r->value = value;
+	r->len = w->len;
+	r->mod_revision = kv->revision;
+	r->version++;
+	r->lease = w->lease;
+	add_event(kv, r, false, now);
+	return 0;
+}
+
+static struct lease *find_lease(struct kv *kv, int64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < kv->lease_count; i++)
+		if (kv->leases[i].id == id)
+			return &kv->leases[i];
+	return NULL;
+}
+
+static enum kv_status check_writes(struct kv *kv, const struct store_write *w,
+				   size_t n)
+{
+	size_t i, j;
+
+	for (i = 0; i < n; i++) {
+		if (strlen(w[i].key) >= STORE_KEY_SIZE)
+			return KV_KEY_TOO_LONG;
+		if (w[i].lease && !find_lease(kv, w[i].lease))
+			return KV_NO_LEASE;
+		for (j = 0; j < i; j++)
+			if (!strcmp(w[i].key, w[j].key))
+				return KV_DUPLICATE_KEY;
+	}
+	return KV_DONE;
+}
+
+static bool holds(const struct kv *kv, const struct store_compare *c)
+{
+	const struct kv_record *r = kv_get(kv, c->key);
+
+	return (r ? r->mod_revision : 0) == c->mod_revision;
+}
+
+/*
+ * Does all writes under one revision when every compare holds, and nothing
+ * otherwise.
+ */
+enum kv_status kv_txn(struct kv *kv, const struct store_compare *compares,
+		      size_t compare_count, const struct store_write *writes,
+		      size_t write_count, int64_t now)
+{
+	enum kv_status status;
+	bool changes = false;
+	size_t i;
+
+	kv_expire(kv, now);
+	status = check_writes(kv, writes, write_count);
+	if (status != KV_DONE)
+		return status;
+	for (i = 0; i < compare_count; i++)
+		if (!holds(kv, &compares[i]))
+			return KV_CONFLICT;
+	for (i = 0; i < write_count; i++)
+		changes |= !writes[i].remove || kv_get(kv, writes[i].key);
+	if (changes)
+		kv->revision++;
+	for (i = 0; i < write_count; i++) {
+		if (!writes[i].remove) {
+			if (put(kv, &writes[i], now) < 0)
+				return KV_NO_MEMORY;
+		} else if (kv_get(kv, writes[i].key)) {
+			remove_at(kv, kv_lower_bound(kv, writes[i].key), now);
+		}
+	}
+	return KV_DONE;
+}
+
+/* Makes a lease of ttl_s seconds from now; returns 0 when memory is short. */
+int64_t kv_lease_grant(struct kv *kv, uint32_t ttl_s, int64_t now)
+{
+	struct lease *leases = kv->leases;
+	size_t size;
+
+	if (kv->lease_count == kv->lease_size) {
+		size = kv->lease_size ? kv->lease_size * 2 : 16;
+		leases = realloc(leases, size * sizeof(*leases));
+		if (!leases)
+			return 0;
+		kv->leases = leases;
+		kv->lease_size = size;
+	}
+	leases[kv->lease_count++] = (struct lease){
+		.id = ++kv->last_lease,
+		.ttl_s = ttl_s,
+		.expires_us = now + ttl_s * USEC_PER_SEC,
+	};
+	return kv->last_lease;
+}
+
+/* Renews a lease; returns its seconds, or 0 when it is gone. */
+uint32_t kv_lease_keep(struct kv *kv, int64_t id, int64_t now)
+{
+	struct lease *l;
+
+	kv_expire(kv, now);
+	l = find_lease(kv, id);
+	if (!l)
+		return 0;
+	l->expires_us = now + l->ttl_s * USEC_PER_SEC;
+	return l->ttl_s;
+}
+
+/* Ends a lease and removes its records; false when it is gone already. */
+bool kv_lease_revoke(struct kv *kv, int64_t id, int64_t now)
+{
+	struct lease *l = find_lease(kv, id);
+	bool raised = false;
+	size_t i;
+
+	if (!l)
+		return false;
+	*l = kv->leases[--kv->lease_count];
+	for (i = kv->n; i-- > 0;) {
+		if (kv->slots[i].record->lease != id)
+			continue;
+		if (!raised)
+			kv->revision++;
+		raised = true;
+		remove_at(kv, i, now);
+	}
+	return true;
+}
+
+/* Ends the leases whose time is up. */
+void kv_expire(struct kv *kv, int64_t now)
+{
+	size_t i;
+
+	for (i = kv->lease_count; i-- > 0;)
+		if (kv->leases[i].expires_us <= now)
+			kv_lease_revoke(kv, kv->leases[i].id, now);
+}
+
+/*
+ * Returns the sequence number of the first event at or after a revision,
+ * which may be one still to come, or 0 when the history no longer holds it.
+ */
+uint64_t kv_event_from(const struct kv *kv, int64_t revision)
+{
+	uint64_t s = kv->next_event;
+
+	if (revision <= kv->compact_revision)
+		return 0;
+	while (s > 1 && kv->next_event - s < kv->history_max &&
+	       kv->events[(s - 1) % kv->history_max].entry.mod_revision >=
+		       revision)
+		s--;
+	return s;
+}
+
+/* Returns an event, or NULL when it has not happened or is forgotten. */
+const struct kv_event *kv_event(const struct kv *kv, uint64_t sequence)
+{
+	if (sequence >= kv->next_event ||
+	    kv->next_event - sequence > kv->history_max)
+		return NULL;
+	return &kv->events[sequence % kv->history_max];
+}
+
+/* Returns the newest revision that the history no longer holds whole. */
+int64_t kv_compact_revision(const struct kv *kv)
+{
+	return kv->compact_revision;
+}
--- /dev/null
+++ b/src/store/memory.c
@@ -0,0 +1,314 @@
+#include "store/kv.h"
+#include "store/store_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define HISTORY_MAX 4096
+#define WATCHES_MAX 4096
+
+struct memory_store {
+	struct kv *kv;
+};
+
+/* A call that took effect and whose answer is still to be delivered. */
+struct answer {
+	struct answer *prev;
+	struct answer *next;
+	int64_t due_us;
+	struct store_done done;
+	struct store_result result;
+};
+
+struct watch {
+	struct store_watch w;
+	char prefix[STORE_KEY_SIZE];
+	uint64_t next_event; /* 0: its start is forgotten */
+};
+
+/* One client of a memory store. */
+struct memory {
+	struct memory_store *shared;
+	bool owned;
+	struct store_faults faults;
+	struct answer *answers;
+	struct table watches;
+};
+
+/* Makes a store that several clients can share; NULL without memory. */
+struct memory_store *memory_store_new(void)
+{
+	struct memory_store *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	m->kv = kv_new(HISTORY_MAX);
+	if (!m->kv) {
+		free(m);
+		return NULL;
+	}
+	return m;
+}
+
+/* Frees a shared store; its clients must be closed before. */
+void memory_store_free(struct memory_store *m)
+{
+	if (!m)
+		return;
+	kv_free(m->kv);
+	free(m);
+}
+
+/* Opens a client; with shared NULL it gets a store of its own. */
+struct memory *memory_open(struct memory_store *shared)
+{
+	struct memory *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	m->owned = !shared;
+	m->shared = shared ? shared : memory_store_new();
+	if (!m->shared) {
+		free(m);
+		return NULL;
+	}
+	table_init(&m->watches, sizeof(struct watch), WATCHES_MAX);
+	return m;
+}
+
+static void free_answer(struct answer *a)
+{
+	result_free(&a->result);
+	free(a);
+}
+
+/* Closes a client; answers not yet delivered are dropped. */
+void memory_close(struct memory *m)
+{
+	struct answer *a, *next;
+
+	DL_FOREACH_SAFE(m->answers, a, next)
+	free_answer(a);
+	table_free(&m->watches);
+	if (m->owned)
+		memory_store_free(m->shared);
+	free(m);
+}
+
+/* Replaces the faults of this client; calls made before keep theirs. */
+void memory_set_faults(struct memory *m, const struct store_faults *f)
+{
+	m->faults = *f;
+}
+
+static int add_record(struct store_result *r, const struct kv_record *record)
+{
+	if (!record)
+		return 0;
+	return result_add(r, record->key, record->value, record->len,
+			  record->mod_revision);
+}
+
+static int run_list(struct kv *kv, const struct store_op *op,
+		    struct store_result *r)
+{
+	size_t prefix_len = strlen(op->list.prefix);
+	const char *from = op->list.prefix;
+	const struct kv_record *record;
+	size_t i;
+
+	if (op->list.after && strcmp(op->list.after, from) > 0)
+		from = op->list.after;
+	for (i = kv_lower_bound(kv, from); (record = kv_at(kv, i)); i++) {
+		if (strncmp(record->key, op->list.prefix, prefix_len) != 0)
+			break;
+		if (op->list.after && !strcmp(record->key, op->list.after))
+			continue;
+		if (op->list.limit && r->n == op->list.limit)
+			break;
+		if (add_record(r, record) < 0)
+			return -1;
+	}
+	return 0;
+}
+
+static int run_txn(struct kv *kv, const struct store_op *op,
+		   struct store_result *r, int64_t now)
+{
+	enum kv_status status;
+	size_t i;
+
+	status = kv_txn(kv, op->txn.compares, op->txn.compare_count,
+			op->txn.writes, op->txn.write_count, now);
+	if (status == KV_DONE)
+		return 0;
+	if (status != KV_CONFLICT) {
+		r->outcome = STORE_NOT_DONE;
+		return error_set(&r->err, ERROR_INPUT, "store-txn", NULL, "%s",
+				 status == KV_NO_LEASE ? "lease not found"
+						       : "bad transaction");
+	}
+	r->outcome = STORE_CONFLICT;
+	for (i = 0; i < op->txn.read_count; i++)
+		if (add_record(r, kv_get(kv, op->txn.reads[i])) < 0)
+			return -1;
+	return 0;
+}
+
+static int run(struct kv *kv, const struct store_op *op, struct store_result *r,
+	       int64_t now)
+{
+	r->outcome = STORE_DONE;
+	switch (op->kind) {
+	case STORE_GET:
+		return add_record(r, kv_get(kv, op->key));
+	case STORE_LIST:
+		return run_list(kv, op, r);
+	case STORE_TXN:
+		return run_txn(kv, op, r, now);
+	case STORE_LEASE_GRANT:
+		r->lease = kv_lease_grant(kv, op->lease.ttl_s, now);
+		return r->lease ? 0 : -1;
+	case STORE_LEASE_KEEP:
+		if (kv_lease_keep(kv, op->lease.id, now))
+			r->lease = op->lease.id;
+		return 0;
+	case STORE_LEASE_REVOKE:
+		kv_lease_revoke(kv, op->lease.id, now);
+		return 0;
+	}
+	return -1;
+}
+
+static void fail(struct store_result *r, enum store_outcome outcome,
+		 enum error_code code, const char *text)
+{
+	result_free(r);
+	r->outcome = outcome;
+	r->lease = 0;
+	error_set(&r->err, code, "store-call", "memory", "%s", text);
+}
+
+/* Takes effect at once unless down; the answer comes at a later tick. */
+void memory_submit(struct memory *m, const struct store_op *op,
+		   const struct store_done *done, int64_t now)
+{
+	struct answer *a = calloc(1, sizeof(*a));
+	struct kv *kv = m->shared->kv;
+
+	if (!a)
+		abort();
+	a->done = *done;
+	a->due_us = now + m->faults.latency_us;
+	kv_expire(kv, now);
+	if (m->faults.down)
+		fail(&a->result, STORE_NOT_DONE, ERROR_IO, "store is down");
+	else if (run(kv, op, &a->result, now) < 0 && !a->result.err.code)
+		fail(&a->result, STORE_UNKNOWN, ERROR_MEMORY, "no memory");
+	else if (m->faults.lose_answer)
+		fail(&a->result, STORE_UNKNOWN, ERROR_IO, "answer lost");
+	if (op->timeout_us && m->faults.latency_us > op->timeout_us) {
+		a->due_us = now + op->timeout_us;
+		if (a->result.outcome != STORE_NOT_DONE)
+			fail(&a->result, STORE_UNKNOWN, ERROR_TIMEOUT,
+			     "no answer in time");
+	}
+	a->result.revision = kv_revision(kv);
+	DL_APPEND(m->answers, a);
+}
+
+/* Starts a watch; from_revision 0 means from now on. */
+uint64_t memory_watch_start(struct memory *m, const struct store_watch *w)
+{
+	struct kv *kv = m->shared->kv;
+	struct watch *watch;
+	int64_t from = w->from_revision;
+	void *item;
+	uint64_t handle = table_add(&m->watches, &item);
+
+	if (!handle)
+		return 0;
+	watch = item;
+	watch->w = *w;
+	if (copy_name(watch->prefix, sizeof(watch->prefix), w->prefix) < 0) {
+		table_remove(&m->watches, handle);
+		return 0;
+	}
+	watch->next_event = kv_event_from(kv, from ? from : INT64_MAX);
+	return handle;
+}
+
+/* Stops a watch without a report. */
+void memory_watch_stop(struct memory *m, uint64_t watch)
+{
+	table_remove(&m->watches, watch);
+}
+
+static void deliver_answers(struct memory *m, int64_t now)
+{
+	struct answer *a, *next, *due = NULL;
+
+	/* Calls made by the handlers wait for the next tick. */
+	DL_FOREACH_SAFE(m->answers, a, next)
+	{
+		if (a->due_us > now)
+			continue;
+		DL_DELETE(m->answers, a);
+		DL_APPEND(due, a);
+	}
+	DL_FOREACH_SAFE(due, a, next)
+	{
+		a->done.fn(a->done.ctx, a->done.tag, &a->result, now);
+		free_answer(a);
+	}
+}
+
+static void end_watch(struct memory *m, uint64_t handle, const char *text,
+		      int64_t now)
+{
+	struct watch *watch = table_get(&m->watches, handle);
+	struct store_watch w = watch->w;
+	struct error err;
+
+	error_set(&err, ERROR_IO, "store-watch", "memory", "%s", text);
+	table_remove(&m->watches, handle);
+	w.ended(w.ctx, &err, now);
+}
+
+static void deliver_events(struct memory *m, uint64_t handle, int64_t now)
+{
+	struct kv *kv = m->shared->kv;
+	const struct kv_event *e;
+	struct watch *watch;
+
+	/* The handler may stop the watch, so it is looked up each time. */
+	while ((watch = table_get(&m->watches, handle))) {
+		e = kv_event(kv, watch->next_event);
+		if (!e && watch->next_event < kv_event_from(kv, INT64_MAX)) {
+			end_watch(m, handle, "revision was compacted", now);
+			return;
+		}
+		if (!e || e->at_us + m->faults.latency_us > now)
+			return;
+		watch->next_event++;
+		if (!strncmp(e->entry.key, watch->prefix,
+			     strlen(watch->prefix)))
+			watch->w.event(watch->w.ctx, &e->entry, now);
+	}
+}
+
+/* Expires leases and delivers what is due. */
+void memory_tick(struct memory *m, int64_t now)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	kv_expire(m->shared->kv, now);
+	deliver_answers(m, now);
+	while ((handle = table_next(&m->watches, handle, &item)))
+		if (m->faults.down)
+			end_watch(m, handle, "store is down", now);
+		else
+			deliver_events(m, handle, now);
+}
