Add the msgpack form of frames and messages between nodes

Arrays may carry a few parts that this version does not know; missing parts and trailing bytes are refused.

--- /dev/null
+++ b/src/wire/answer_head.c
@@ -0,0 +1,54 @@
+#include "wire/wire_impl.h"
+
+#define ANSWER_HEAD_PARTS 10
+
+/* Writes the head of an answer as one array. */
+void write_answer_head(struct writer *w, const struct answer_head *h)
+{
+	int i;
+
+	write_array(w, ANSWER_HEAD_PARTS);
+	write_uint(w, h->outcome);
+	write_uint(w, h->reason);
+	write_uint(w, h->allowance_left);
+	write_uint(w, h->runs);
+	write_array(w, SHED_CLASSES);
+	for (i = 0; i < SHED_CLASSES; i++)
+		write_uint(w, h->admission.open[i]);
+	write_uint(w, h->queue_us);
+	write_uint(w, h->service_us);
+	write_uint(w, h->in_flight);
+	write_uint(w, h->retry_after_ms);
+	write_bool(w, h->leaving);
+}
+
+/*
+ * A reason of a newer version is read as the general one, so that versions
+ * can mix; an outcome that is not known makes the answer malformed.
+ */
+static enum reason known_reason(uint64_t v)
+{
+	return v < REASON_COUNT ? (enum reason)v : REASON_UPSTREAM_FAILED;
+}
+
+/* Reads what write_answer_head wrote. */
+void read_answer_head(struct reader *r, struct answer_head *h)
+{
+	struct reader sub, open;
+	int i;
+
+	reader_sub(r, &sub, ANSWER_HEAD_PARTS);
+	h->outcome = (enum outcome)read_uint(&sub, OUTCOME_UNKNOWN);
+	h->reason = known_reason(read_uint(&sub, UINT8_MAX));
+	h->allowance_left = (uint8_t)read_uint(&sub, UINT8_MAX);
+	h->runs = (uint16_t)read_uint(&sub, UINT16_MAX);
+	reader_sub(&sub, &open, SHED_CLASSES);
+	for (i = 0; i < SHED_CLASSES; i++)
+		h->admission.open[i] = (uint16_t)read_uint(&open, ADMIT_ALL);
+	h->queue_us = (uint32_t)read_uint(&sub, UINT32_MAX);
+	h->service_us = (uint32_t)read_uint(&sub, UINT32_MAX);
+	h->in_flight = (uint32_t)read_uint(&sub, UINT32_MAX);
+	h->retry_after_ms = (uint32_t)read_uint(&sub, UINT32_MAX);
+	h->leaving = read_bool(&sub);
+	r->bad |= sub.bad || open.bad;
+}
--- /dev/null
+++ b/src/wire/call_head.c
@@ -0,0 +1,53 @@
+#include "wire/wire_impl.h"
+
+#define CALL_HEAD_PARTS 14
+
+/* Writes the head of a call as one array. */
+void write_call_head(struct writer *w, const struct call_head *h)
+{
+	int i;
+
+	write_array(w, CALL_HEAD_PARTS);
+	write_text(w, h->request);
+	write_text(w, h->root);
+	write_text(w, h->service);
+	write_text(w, h->route);
+	write_text(w, h->account);
+	write_addr(w, &h->upstream);
+	write_uint(w, h->cls);
+	write_uint(w, h->lot);
+	write_uint(w, h->deadline_ms);
+	write_uint(w, h->allowance);
+	write_uint(w, h->depth);
+	write_uint(w, h->attempt);
+	write_bool(w, h->once);
+	write_array(w, SHED_CLASSES);
+	for (i = 0; i < SHED_CLASSES; i++)
+		write_uint(w, h->shed_unseen[i]);
+}
+
+/* Reads what write_call_head wrote. */
+void read_call_head(struct reader *r, struct call_head *h)
+{
+	struct reader sub, unseen;
+	int i;
+
+	reader_sub(r, &sub, CALL_HEAD_PARTS);
+	read_text(&sub, h->request, sizeof(h->request));
+	read_text(&sub, h->root, sizeof(h->root));
+	read_text(&sub, h->service, sizeof(h->service));
+	read_text(&sub, h->route, sizeof(h->route));
+	read_text(&sub, h->account, sizeof(h->account));
+	read_addr(&sub, &h->upstream);
+	h->cls = (enum shed_class)read_uint(&sub, SHED_CLASSES - 1);
+	h->lot = (uint16_t)read_uint(&sub, UINT16_MAX);
+	h->deadline_ms = (uint32_t)read_uint(&sub, UINT32_MAX);
+	h->allowance = (uint8_t)read_uint(&sub, UINT8_MAX);
+	h->depth = (uint8_t)read_uint(&sub, UINT8_MAX);
+	h->attempt = (uint8_t)read_uint(&sub, UINT8_MAX);
+	h->once = read_bool(&sub);
+	reader_sub(&sub, &unseen, SHED_CLASSES);
+	for (i = 0; i < SHED_CLASSES; i++)
+		h->shed_unseen[i] = (uint32_t)read_uint(&unseen, UINT32_MAX);
+	r->bad |= sub.bad || unseen.bad;
+}
--- /dev/null
+++ b/src/wire/peer_members.c
@@ -0,0 +1,103 @@
+#include "wire/wire_impl.h"
+
+#include <stdlib.h>
+
+#define MEMBER_PARTS 9
+#define UPSTREAM_PARTS 5
+#define MEMBERS_MAX 1024 /* in one message */
+
+static void write_upstream(struct writer *w, const struct upstream_info *u)
+{
+	write_array(w, UPSTREAM_PARTS);
+	write_text(w, u->service);
+	write_addr(w, &u->addr);
+	write_uint(w, u->slots);
+	write_uint(w, u->connections);
+	write_uint(w, u->state);
+}
+
+static void write_member(struct writer *w, const struct member_info *m)
+{
+	size_t i;
+
+	write_array(w, MEMBER_PARTS);
+	write_text(w, m->host);
+	write_text(w, m->data_centre);
+	write_text(w, m->region);
+	write_addr(w, &m->nodes);
+	write_addr(w, &m->admin);
+	write_uint(w, m->incarnation);
+	write_uint(w, m->version);
+	write_uint(w, m->state);
+	write_array(w, m->upstream_count);
+	for (i = 0; i < m->upstream_count; i++)
+		write_upstream(w, &m->upstreams[i]);
+}
+
+/* Writes a list of members. */
+void write_members(struct writer *w, const struct member_info *m, size_t n)
+{
+	size_t i;
+
+	if (n > MEMBERS_MAX) {
+		w->bad = true;
+		return;
+	}
+	write_array(w, n);
+	for (i = 0; i < n; i++)
+		write_member(w, &m[i]);
+}
+
+static void read_upstream(struct reader *r, struct upstream_info *u)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, UPSTREAM_PARTS);
+	read_text(&sub, u->service, sizeof(u->service));
+	read_addr(&sub, &u->addr);
+	u->slots = (uint32_t)read_uint(&sub, UINT32_MAX);
+	u->connections = (uint32_t)read_uint(&sub, UINT32_MAX);
+	u->state = (enum upstream_state)read_uint(&sub, UPSTREAM_GONE);
+	r->bad |= sub.bad;
+}
+
+static void read_member(struct reader *r, struct member_info *m)
+{
+	struct reader sub, list;
+	size_t i, n;
+
+	reader_sub(r, &sub, MEMBER_PARTS);
+	read_text(&sub, m->host, sizeof(m->host));
+	read_text(&sub, m->data_centre, sizeof(m->data_centre));
+	read_text(&sub, m->region, sizeof(m->region));
+	read_addr(&sub, &m->nodes);
+	read_addr(&sub, &m->admin);
+	m->incarnation = read_uint(&sub, UINT64_MAX);
+	m->version = (uint32_t)read_uint(&sub, UINT32_MAX);
+	m->state = (enum member_state)read_uint(&sub, MEMBER_DEAD);
+	n = reader_list(&sub, &list, UPSTREAMS_PER_HOST_MAX);
+	for (i = 0; i < n; i++)
+		read_upstream(&list, &m->upstreams[i]);
+	m->upstream_count = (uint8_t)n;
+	r->bad |= sub.bad || list.bad;
+}
+
+/* Reads a list of members into memory of its own; returns how many. */
+size_t read_members(struct reader *r, struct member_info **m)
+{
+	struct reader list;
+	size_t i, n = reader_list(r, &list, MEMBERS_MAX);
+
+	*m = NULL;
+	if (!n)
+		return 0;
+	*m = calloc(n, sizeof(**m));
+	if (!*m) {
+		r->bad = true;
+		return 0;
+	}
+	for (i = 0; i < n; i++)
+		read_member(&list, &(*m)[i]);
+	r->bad |= list.bad;
+	return n;
+}
--- /dev/null
+++ b/src/wire/peer_msg.c
@@ -0,0 +1,282 @@
+#include "wire/wire_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ENVELOPE_PARTS 5 /* kind, from, incarnation, number, content */
+
+static void write_digests(struct writer *w, const uint64_t *digests)
+{
+	int i;
+
+	write_array(w, MEMBERS_DIGESTS);
+	for (i = 0; i < MEMBERS_DIGESTS; i++)
+		write_uint(w, digests[i]);
+}
+
+static void write_content(struct writer *w, const struct peer_msg *m)
+{
+	switch (m->kind) {
+	case PEER_PROBE:
+	case PEER_PROBE_ACK:
+	case PEER_PROBE_FOR:
+		write_array(w, 3);
+		write_uint(w, m->probe.sequence);
+		write_addr(w, &m->probe.target);
+		write_members(w, m->probe.changes, m->probe.change_count);
+		break;
+	case PEER_MEMBERS_PULL:
+		write_digests(w, m->members_pull.digests);
+		break;
+	case PEER_MEMBERS:
+		write_array(w, 2);
+		write_members(w, m->members.items, m->members.n);
+		write_bool(w, m->members.more);
+		break;
+	case PEER_NOTES_PULL:
+		write_array(w, 1);
+		write_uint(w, m->notes_pull.after);
+		break;
+	case PEER_NOTE:
+		write_array(w, 3);
+		write_uint(w, m->note.number);
+		write_uint(w, m->note.age_ms < 0 ? 0 : m->note.age_ms);
+		write_bytes(w, m->note.text.data, m->note.text.len);
+		break;
+	case PEER_SNAPSHOT:
+		write_array(w, 4);
+		write_uint(w, m->snapshot.number);
+		write_uint(w, m->snapshot.part);
+		write_uint(w, m->snapshot.parts);
+		write_bytes(w, m->snapshot.bytes.data, m->snapshot.bytes.len);
+		break;
+	case PEER_LOAN_ASK:
+		write_loan_ask(w, &m->loan_ask);
+		break;
+	case PEER_LOAN_GRANT:
+		write_loan_grant(w, &m->loan_grant);
+		break;
+	case PEER_LOAN_SPENT:
+		write_loan_ask(w, &m->loan_spent);
+		break;
+	case PEER_QUERY:
+	case PEER_QUERY_ANSWER:
+		write_array(w, 2);
+		write_uint(w, m->query.id);
+		write_bytes(w, m->query.text.data, m->query.text.len);
+		break;
+	}
+}
+
+/* Writes one message with its envelope. */
+void write_peer_msg(struct writer *w, const struct peer_msg *m)
+{
+	write_array(w, ENVELOPE_PARTS);
+	write_uint(w, m->kind);
+	write_addr(w, &m->from);
+	write_uint(w, m->incarnation);
+	write_uint(w, m->config_number);
+	write_content(w, m);
+}
+
+static void read_probe(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 3);
+	m->probe.sequence = read_uint(&sub, UINT64_MAX);
+	read_addr(&sub, &m->probe.target);
+	m->probe.change_count = read_members(&sub, &m->probe.changes);
+	r->bad |= sub.bad;
+}
+
+static void read_digests(struct reader *r, struct peer_msg *m)
+{
+	struct reader list;
+	int i;
+
+	reader_sub(r, &list, MEMBERS_DIGESTS);
+	for (i = 0; i < MEMBERS_DIGESTS; i++)
+		m->members_pull.digests[i] = read_uint(&list, UINT64_MAX);
+	r->bad |= list.bad;
+}
+
+static void read_member_list(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 2);
+	m->members.n = read_members(&sub, &m->members.items);
+	m->members.more = read_bool(&sub);
+	r->bad |= sub.bad;
+}
+
+static void read_note(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 3);
+	m->note.number = read_uint(&sub, UINT64_MAX);
+	m->note.age_ms = (int64_t)read_uint(&sub, INT64_MAX);
+	read_buffer(&sub, &m->note.text, PEER_BYTES_MAX);
+	r->bad |= sub.bad;
+}
+
+static void read_snapshot(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 4);
+	m->snapshot.number = read_uint(&sub, UINT64_MAX);
+	m->snapshot.part = (uint32_t)read_uint(&sub, UINT32_MAX);
+	m->snapshot.parts = (uint32_t)read_uint(&sub, UINT32_MAX);
+	read_buffer(&sub, &m->snapshot.bytes, PEER_BYTES_MAX);
+	r->bad |= sub.bad;
+}
+
+static void read_query(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 2);
+	m->query.id = read_uint(&sub, UINT64_MAX);
+	read_buffer(&sub, &m->query.text, PEER_BYTES_MAX);
+	r->bad |= sub.bad;
+}
+
+static void read_notes_pull(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+
+	reader_sub(r, &sub, 1);
+	m->notes_pull.after = read_uint(&sub, UINT64_MAX);
+	r->bad |= sub.bad;
+}
+
+static void read_content(struct reader *r, struct peer_msg *m)
+{
+	switch (m->kind) {
+	case PEER_PROBE:
+	case PEER_PROBE_ACK:
+	case PEER_PROBE_FOR:
+		read_probe(r, m);
+		break;
+	case PEER_MEMBERS_PULL:
+		read_digests(r, m);
+		break;
+	case PEER_MEMBERS:
+		read_member_list(r, m);
+		break;
+	case PEER_NOTES_PULL:
+		read_notes_pull(r, m);
+		break;
+	case PEER_NOTE:
+		read_note(r, m);
+		break;
+	case PEER_SNAPSHOT:
+		read_snapshot(r, m);
+		break;
+	case PEER_LOAN_ASK:
+		read_loan_ask(r, &m->loan_ask);
+		break;
+	case PEER_LOAN_GRANT:
+		read_loan_grant(r, &m->loan_grant);
+		break;
+	case PEER_LOAN_SPENT:
+		read_loan_ask(r, &m->loan_spent);
+		break;
+	case PEER_QUERY:
+	case PEER_QUERY_ANSWER:
+		read_query(r, m);
+		break;
+	}
+}
+
+/* Reads one message into a zeroed m; kinds that are not known are bad. */
+void read_peer_msg(struct reader *r, struct peer_msg *m)
+{
+	struct reader sub;
+	uint64_t kind;
+
+	reader_sub(r, &sub, ENVELOPE_PARTS);
+	kind = read_uint(&sub, PEER_QUERY_ANSWER);
+	read_addr(&sub, &m->from);
+	m->incarnation = read_uint(&sub, UINT64_MAX);
+	m->config_number = read_uint(&sub, UINT64_MAX);
+	m->kind = (enum peer_msg_kind)kind;
+	if (sub.bad || kind < PEER_PROBE)
+		sub.bad = true;
+	else
+		read_content(&sub, m);
+	r->bad |= sub.bad;
+}
+
+/* Appends one message by itself; -1 when it would pass FRAME_MAX. */
+int peer_msg_encode(const struct peer_msg *m, struct buffer *out)
+{
+	struct writer w;
+
+	writer_init(&w, out, FRAME_MAX);
+	write_array(&w, 1);
+	write_peer_msg(&w, m);
+	return writer_end(&w);
+}
+
+/*
+ * Decodes one message that stands by itself. Returns -1 with err set and
+ * nothing to free for anything malformed.
+ */
+int peer_msg_decode(struct peer_msg *m, const uint8_t *data, size_t len,
+		    struct error *err)
+{
+	msgpack_unpacked u;
+	struct reader r;
+
+	memset(m, 0, sizeof(*m));
+	if (len > FRAME_MAX || parse_value(&u, data, len) < 0)
+		return error_set(err, ERROR_INPUT, "peer-msg-decode", NULL,
+				 "not one msgpack value of %zu bytes", len);
+	reader_init(&r, &u.data, 1);
+	read_peer_msg(&r, m);
+	msgpack_unpacked_destroy(&u);
+	if (!r.bad)
+		return 0;
+	peer_msg_free(m);
+	return error_set(err, ERROR_INPUT, "peer-msg-decode", NULL,
+			 "malformed message of kind %d", (int)m->kind);
+}
+
+/* Frees what the message holds, not m itself. */
+void peer_msg_free(struct peer_msg *m)
+{
+	switch (m->kind) {
+	case PEER_PROBE:
+	case PEER_PROBE_ACK:
+	case PEER_PROBE_FOR:
+		free(m->probe.changes);
+		m->probe.changes = NULL;
+		m->probe.change_count = 0;
+		break;
+	case PEER_MEMBERS:
+		free(m->members.items);
+		m->members.items = NULL;
+		m->members.n = 0;
+		break;
+	case PEER_NOTE:
+		buffer_free(&m->note.text);
+		break;
+	case PEER_SNAPSHOT:
+		buffer_free(&m->snapshot.bytes);
+		break;
+	case PEER_QUERY:
+	case PEER_QUERY_ANSWER:
+		buffer_free(&m->query.text);
+		break;
+	case PEER_MEMBERS_PULL:
+	case PEER_NOTES_PULL:
+	case PEER_LOAN_ASK:
+	case PEER_LOAN_GRANT:
+	case PEER_LOAN_SPENT:
+		break;
+	}
+}
--- /dev/null
+++ b/src/wire/reader.c
@@ -0,0 +1,161 @@
+#include "wire/wire_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define V4_OFFSET 12
+#define V4_BYTES 6
+#define V6_BYTES 18
+
+static const msgpack_object *next(struct reader *r, msgpack_object_type type)
+{
+	const msgpack_object *o;
+
+	if (r->bad || r->next >= r->n) {
+		r->bad = true;
+		return NULL;
+	}
+	o = &r->items[r->next++];
+	if (o->type != type) {
+		r->bad = true;
+		return NULL;
+	}
+	return o;
+}
+
+/* Reads an array of the known parts, and of a few that are not known. */
+void reader_init(struct reader *r, const msgpack_object *o, size_t known)
+{
+	memset(r, 0, sizeof(*r));
+	if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < known ||
+	    o->via.array.size > known + EXTRA_PARTS_MAX) {
+		r->bad = true;
+		return;
+	}
+	r->items = o->via.array.ptr;
+	r->n = o->via.array.size;
+}
+
+/* Reads the next part as a nested array of known parts. */
+void reader_sub(struct reader *r, struct reader *sub, size_t known)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_ARRAY);
+
+	memset(sub, 0, sizeof(*sub));
+	sub->bad = true;
+	if (o)
+		reader_init(sub, o, known);
+	r->bad |= sub->bad;
+}
+
+/* Reads the next part as a list of at most max values; returns how many. */
+size_t reader_list(struct reader *r, struct reader *list, size_t max)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_ARRAY);
+
+	memset(list, 0, sizeof(*list));
+	if (!o || o->via.array.size > max) {
+		r->bad = true;
+		list->bad = true;
+		return 0;
+	}
+	list->items = o->via.array.ptr;
+	list->n = o->via.array.size;
+	return list->n;
+}
+
+/* Returns a number of at most max, or 0 and the reader is bad. */
+uint64_t read_uint(struct reader *r, uint64_t max)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (o && o->via.u64 <= max)
+		return o->via.u64;
+	r->bad = true;
+	return 0;
+}
+
+/* Returns a truth value. */
+bool read_bool(struct reader *r)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_BOOLEAN);
+
+	return o && o->via.boolean;
+}
+
+static const msgpack_object *next_text(struct reader *r, size_t max)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_STR);
+
+	if (!o || o->via.str.size > max ||
+	    memchr(o->via.str.ptr, 0, o->via.str.size)) {
+		r->bad = true;
+		return NULL;
+	}
+	return o;
+}
+
+/* Copies text that fits into size bytes with its NUL. */
+void read_text(struct reader *r, char *to, size_t size)
+{
+	const msgpack_object *o = next_text(r, size - 1);
+
+	to[0] = 0;
+	if (!o)
+		return;
+	memcpy(to, o->via.str.ptr, o->via.str.size);
+	to[o->via.str.size] = 0;
+}
+
+/* Returns text of at most max bytes in memory of its own, or NULL. */
+char *read_text_copy(struct reader *r, size_t max)
+{
+	const msgpack_object *o = next_text(r, max);
+	char *s = o ? strndup(o->via.str.ptr, o->via.str.size) : NULL;
+
+	if (!s)
+		r->bad = true;
+	return s;
+}
+
+/* Returns a byte string inside the decoded bytes, or NULL. */
+const uint8_t *read_bytes(struct reader *r, size_t max, size_t *len)
+{
+	const msgpack_object *o = next(r, MSGPACK_OBJECT_BIN);
+
+	*len = 0;
+	if (!o || o->via.bin.size > max) {
+		r->bad = true;
+		return NULL;
+	}
+	*len = o->via.bin.size;
+	return (const uint8_t *)o->via.bin.ptr;
+}
+
+/* Copies a byte string of at most max bytes into an empty buffer. */
+void read_buffer(struct reader *r, struct buffer *b, size_t max)
+{
+	size_t len;
+	const uint8_t *p = read_bytes(r, max, &len);
+
+	memset(b, 0, sizeof(*b));
+	if (p && buffer_append(b, p, len, max) < 0)
+		r->bad = true;
+}
+
+/* Reads an address as write_addr wrote it. */
+void read_addr(struct reader *r, struct addr *a)
+{
+	size_t len;
+	const uint8_t *p = read_bytes(r, V6_BYTES, &len);
+
+	memset(a, 0, sizeof(*a));
+	if (len != V4_BYTES && len != V6_BYTES) {
+		r->bad = true;
+		return;
+	}
+	if (len == V4_BYTES)
+		memset(a->ip + V4_OFFSET - 2, 0xff, 2);
+	memcpy(a->ip + sizeof(a->ip) + 2 - len, p, len - 2);
+	a->port = (uint16_t)(p[len - 2] << 8 | p[len - 1]);
+}
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -14,6 +14,7 @@
 #define HEADERS_MAX 100
 #define HEADER_BYTES_MAX (32 * 1024)
 #define DATAGRAM_MAX 1200
+#define PEER_BYTES_MAX (48 * 1024) /* text or bytes in one peer message */
 
 /* One HTTP message; names are lower case. */
 struct header {
--- /dev/null
+++ b/src/wire/wire_impl.h
@@ -0,0 +1,67 @@
+/*
+ * Reading and writing of msgpack values inside src/wire. A reader or writer
+ * that met a fault stays bad, so callers test once at the end.
+ */
+#ifndef WIRE_WIRE_IMPL_H
+#define WIRE_WIRE_IMPL_H
+
+#include <msgpack.h>
+
+#include "wire/wire.h"
+
+/* Parts a newer version may append to an array that this one knows. */
+#define EXTRA_PARTS_MAX 8
+
+struct writer {
+	msgpack_packer pk;
+	struct buffer *out;
+	size_t start;
+	size_t limit;
+	bool bad;
+};
+
+void writer_init(struct writer *w, struct buffer *out, size_t limit);
+int writer_end(struct writer *w);
+void write_array(struct writer *w, size_t n);
+void write_uint(struct writer *w, uint64_t v);
+void write_bool(struct writer *w, bool v);
+void write_text(struct writer *w, const char *s);
+void write_bytes(struct writer *w, const void *data, size_t len);
+void write_addr(struct writer *w, const struct addr *a);
+
+struct reader {
+	const msgpack_object *items;
+	size_t n;
+	size_t next;
+	bool bad;
+};
+
+int parse_value(msgpack_unpacked *u, const uint8_t *data, size_t len);
+void reader_init(struct reader *r, const msgpack_object *o, size_t known);
+void reader_sub(struct reader *r, struct reader *sub, size_t known);
+size_t reader_list(struct reader *r, struct reader *list, size_t max);
+uint64_t read_uint(struct reader *r, uint64_t max);
+bool read_bool(struct reader *r);
+void read_text(struct reader *r, char *to, size_t size);
+char *read_text_copy(struct reader *r, size_t max);
+const uint8_t *read_bytes(struct reader *r, size_t max, size_t *len);
+void read_buffer(struct reader *r, struct buffer *b, size_t max);
+void read_addr(struct reader *r, struct addr *a);
+
+void write_call_head(struct writer *w, const struct call_head *h);
+void read_call_head(struct reader *r, struct call_head *h);
+void write_answer_head(struct writer *w, const struct answer_head *h);
+void read_answer_head(struct reader *r, struct answer_head *h);
+void write_message(struct writer *w, const struct message *m);
+void read_message(struct reader *r, struct message *m);
+
+void write_members(struct writer *w, const struct member_info *m, size_t n);
+size_t read_members(struct reader *r, struct member_info **m);
+void write_peer_msg(struct writer *w, const struct peer_msg *m);
+void read_peer_msg(struct reader *r, struct peer_msg *m);
+void write_loan_ask(struct writer *w, const struct loan_ask *a);
+void read_loan_ask(struct reader *r, struct loan_ask *a);
+void write_loan_grant(struct writer *w, const struct loan_grant *g);
+void read_loan_grant(struct reader *r, struct loan_grant *g);
+
+#endif
--- /dev/null
+++ b/src/wire/writer.c
@@ -0,0 +1,90 @@
+#include "wire/wire_impl.h"
+
+#include <string.h>
+
+#define V4_OFFSET 12
+
+static int append(void *ctx, const char *data, size_t len)
+{
+	struct writer *w = ctx;
+
+	if (!w->bad && buffer_append(w->out, data, len, w->limit) < 0)
+		w->bad = true;
+	return w->bad ? -1 : 0;
+}
+
+/* Starts writing at the end of out, and adds limit bytes at most. */
+void writer_init(struct writer *w, struct buffer *out, size_t limit)
+{
+	w->out = out;
+	w->start = out->len;
+	w->limit = out->len + limit;
+	w->bad = false;
+	msgpack_packer_init(&w->pk, w, append);
+}
+
+/* Returns -1 and takes everything back when any write failed. */
+int writer_end(struct writer *w)
+{
+	if (!w->bad)
+		return 0;
+	w->out->len = w->start;
+	return -1;
+}
+
+/* Begins an array; n values must follow. */
+void write_array(struct writer *w, size_t n)
+{
+	msgpack_pack_array(&w->pk, n);
+}
+
+/* Writes an unsigned number in its shortest form. */
+void write_uint(struct writer *w, uint64_t v)
+{
+	msgpack_pack_uint64(&w->pk, v);
+}
+
+/* Writes a truth value. */
+void write_bool(struct writer *w, bool v)
+{
+	if (v)
+		msgpack_pack_true(&w->pk);
+	else
+		msgpack_pack_false(&w->pk);
+}
+
+/* Writes text; NULL counts as empty. */
+void write_text(struct writer *w, const char *s)
+{
+	size_t len = s ? strlen(s) : 0;
+
+	msgpack_pack_str(&w->pk, len);
+	msgpack_pack_str_body(&w->pk, s, len);
+}
+
+/* Writes a byte string. */
+void write_bytes(struct writer *w, const void *data, size_t len)
+{
+	msgpack_pack_bin(&w->pk, len);
+	msgpack_pack_bin_body(&w->pk, data, len);
+}
+
+static bool is_v4(const struct addr *a)
+{
+	static const uint8_t prefix[V4_OFFSET] = {[10] = 0xff, [11] = 0xff};
+
+	return !memcmp(a->ip, prefix, sizeof(prefix));
+}
+
+/* Writes an address as 6 or 18 bytes: the number, then the port. */
+void write_addr(struct writer *w, const struct addr *a)
+{
+	size_t skip = is_v4(a) ? V4_OFFSET : 0;
+	uint8_t bytes[sizeof(a->ip) + 2];
+	size_t len = sizeof(a->ip) - skip;
+
+	memcpy(bytes, a->ip + skip, len);
+	bytes[len] = (uint8_t)(a->port >> 8);
+	bytes[len + 1] = (uint8_t)a->port;
+	write_bytes(w, bytes, len + 2);
+}
