--- /dev/null
+++ b/src/policy/cutoffs.c
@@ -0,0 +1,200 @@
+#include "policy/policy.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#define SMOOTH_US (30 * USEC_PER_MSEC)	 /* over gates and their steps */
+#define HOLD_US (300 * USEC_PER_MSEC)	 /* with nothing heard */
+#define REOPEN_US (1000 * USEC_PER_MSEC) /* from nothing to all, unheard */
+
+struct cutoff_key {
+	uint64_t service;
+	uint64_t account;
+};
+
+struct cutoff {
+	struct cutoff_key key;
+	double open[SHED_CLASSES];
+	int64_t heard_us;
+	bool heard;
+	uint32_t unseen[SHED_CLASSES];
+	struct cutoff *prev, *next; /* most recently used last */
+	UT_hash_handle hh;
+};
+
+struct cutoffs {
+	uint32_t max;
+	struct cutoff *items; /* hash */
+	struct cutoff *used;  /* list */
+};
+
+/* Makes a memory of at most max pairs; NULL when memory is out. */
+struct cutoffs *cutoffs_new(uint32_t max)
+{
+	struct cutoffs *c = calloc(1, sizeof(*c));
+
+	if (c)
+		c->max = max ? max : 1;
+	return c;
+}
+
+static void remove_cutoff(struct cutoffs *c, struct cutoff *cut)
+{
+	HASH_DEL(c->items, cut);
+	DL_DELETE(c->used, cut);
+	free(cut);
+}
+
+/* Frees the memory and all pairs. */
+void cutoffs_free(struct cutoffs *c)
+{
+	struct cutoff *cut, *next;
+
+	if (!c)
+		return;
+	cut = c->used;
+	HASH_CLEAR(hh, c->items);
+	for (; cut; cut = next) {
+		next = cut->next;
+		free(cut);
+	}
+	free(c);
+}
+
+static unsigned key_hash_of(const struct cutoff_key *key)
+{
+	return (unsigned)pair_hash(key->service, key->account);
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static void add(struct cutoffs *c, struct cutoff *cut)
+{
+	HASH_ADD_BYHASHVALUE(hh, c->items, key, sizeof(cut->key),
+			     key_hash_of(&cut->key), cut);
+	DL_APPEND(c->used, cut);
+}
+
+static struct cutoff *find(struct cutoffs *c, uint64_t service,
+			   uint64_t account)
+{
+	struct cutoff_key key = {service, account};
+	struct cutoff *cut;
+
+	HASH_FIND_BYHASHVALUE(hh, c->items, &key, sizeof(key),
+			      key_hash_of(&key), cut);
+	if (cut && cut->next) {
+		DL_DELETE(c->used, cut);
+		DL_APPEND(c->used, cut);
+	}
+	return cut;
+}
+
+/* Finds or makes a pair; the least recently used gives way. */
+static struct cutoff *get(struct cutoffs *c, uint64_t service, uint64_t account)
+{
+	struct cutoff *cut = find(c, service, account);
+	int cls;
+
+	if (cut)
+		return cut;
+	if (HASH_COUNT(c->items) >= c->max)
+		remove_cutoff(c, c->used);
+	cut = calloc(1, sizeof(*cut));
+	if (!cut)
+		return NULL;
+	cut->key.service = service;
+	cut->key.account = account;
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		cut->open[cls] = ADMIT_ALL;
+	add(c, cut);
+	return cut;
+}
+
+/* What was heard, opened by the time for which nothing more was. */
+static double exact_open(const struct cutoff *cut, int cls, int64_t now)
+{
+	int64_t quiet = now - cut->heard_us - HOLD_US;
+	double open = cut->open[cls];
+
+	if (!cut->heard)
+		return ADMIT_ALL;
+	if (quiet > 0)
+		open += (double)quiet / REOPEN_US * ADMIT_ALL;
+	return open < ADMIT_ALL ? open : ADMIT_ALL;
+}
+
+static uint16_t open_at(const struct cutoff *cut, int cls, int64_t now)
+{
+	return (uint16_t)lround(exact_open(cut, cls, now));
+}
+
+/*
+ * Takes in what an answer told. Answers of several gates of one service are
+ * smoothed over time, so that the mean of their cutoffs holds here.
+ */
+void cutoffs_fold(struct cutoffs *c, uint64_t service, uint64_t account,
+		  const struct admission *a, int64_t now)
+{
+	struct cutoff *cut = get(c, service, account);
+	double gain, old;
+	int cls;
+
+	if (!cut)
+		return;
+	gain = (double)(now - cut->heard_us);
+	gain = cut->heard && gain >= 0 ? gain / (gain + SMOOTH_US) : 1;
+	for (cls = 0; cls < SHED_CLASSES; cls++) {
+		old = exact_open(cut, cls, now);
+		cut->open[cls] = old + (a->open[cls] - old) * gain;
+	}
+	cut->heard = true;
+	cut->heard_us = now;
+}
+
+/* Returns what is admitted here; everything while nothing was heard. */
+struct admission cutoffs_get(struct cutoffs *c, uint64_t service,
+			     uint64_t account, int64_t now)
+{
+	struct cutoff *cut = find(c, service, account);
+	struct admission a;
+	int cls;
+
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		a.open[cls] = cut ? open_at(cut, cls, now) : ADMIT_ALL;
+	return a;
+}
+
+/* Tells whether a call passes; the caller counts it when it does not. */
+bool cutoffs_admit(struct cutoffs *c, uint64_t service, uint64_t account,
+		   enum shed_class cls, uint16_t lot, int64_t now)
+{
+	struct cutoff *cut = find(c, service, account);
+
+	return !cut || lot_admitted(lot, open_at(cut, cls, now));
+}
+
+/* Counts a call shed here, for the demand estimate of the gates. */
+void cutoffs_count_shed(struct cutoffs *c, uint64_t service, uint64_t account,
+			enum shed_class cls, int64_t now)
+{
+	struct cutoff *cut = get(c, service, account);
+
+	(void)now;
+	if (cut)
+		cut->unseen[cls]++;
+}
+
+/* Takes the counts, to be sent once, with the next call to the service. */
+void cutoffs_take_unseen(struct cutoffs *c, uint64_t service, uint64_t account,
+			 uint32_t unseen[SHED_CLASSES])
+{
+	struct cutoff *cut = find(c, service, account);
+
+	memset(unseen, 0, SHED_CLASSES * sizeof(*unseen));
+	if (!cut)
+		return;
+	memcpy(unseen, cut->unseen, sizeof(cut->unseen));
+	memset(cut->unseen, 0, sizeof(cut->unseen));
+}
--- /dev/null
+++ b/src/policy/gate.c
@@ -0,0 +1,357 @@
+#include "policy/gate_impl.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+
+#define AGE_MAX_US (100 * USEC_PER_MSEC) /* in the queue, beyond the target */
+
+/* Makes the gate of one upstream; NULL when memory is out. */
+struct gate *gate_new(const struct gate_options *o, int64_t now)
+{
+	struct gate *g = calloc(1, sizeof(*g));
+	int cls;
+
+	if (!g)
+		return NULL;
+	g->o = *o;
+	g->started_us = now;
+	g->step_us = now;
+	g->busy_us = now;
+	g->cap = o->slots;
+	g->trim = 1;
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		g->open[cls] = ADMIT_ALL;
+	gate_set_limit(g, now);
+	return g;
+}
+
+static void free_items(struct gate *g)
+{
+	struct gate_item *it, *next;
+
+	for (it = g->drops; it; it = next) {
+		next = it->next;
+		free(it);
+	}
+	it = g->items;
+	HASH_CLEAR(hh, g->items);
+	for (; it; it = next) {
+		next = it->hh.next;
+		free(it);
+	}
+}
+
+/* Frees the gate and all it holds; nobody is told of calls inside. */
+void gate_free(struct gate *g)
+{
+	struct gate_account *a, *next;
+
+	if (!g)
+		return;
+	free_items(g);
+	a = g->accounts;
+	HASH_CLEAR(hh, g->accounts);
+	for (; a; a = next) {
+		next = a->hh.next;
+		free(a);
+	}
+	free(g->heap);
+	free(g);
+}
+
+/* Takes a new announcement; running calls above it run on. */
+void gate_set_slots(struct gate *g, uint32_t slots, int64_t now)
+{
+	if (slots > g->o.slots)
+		g->cap += slots - g->o.slots;
+	g->o.slots = slots;
+	if (g->cap > slots)
+		g->cap = slots;
+	gate_set_limit(g, now);
+}
+
+/* Queued calls stay; with OVERLOAD_OFF the cutoffs open at the next step. */
+void gate_set_mode(struct gate *g, enum overload_mode mode)
+{
+	g->o.mode = mode;
+	gate_set_limit(g, g->step_us);
+}
+
+/*
+ * Estimates how long a call would queue: behind the more important ones,
+ * and behind its own account's or its class's queue, whichever is shorter.
+ */
+static int64_t expected_wait_us(const struct gate *g, const struct gate_call *c,
+				const struct gate_account *a)
+{
+	const struct gate_flow *f;
+	double ahead = 0, own, weights = 0;
+	int cls;
+
+	if (g->running < g->limit || !g->limit)
+		return 0;
+	for (cls = SHED_CLASSES - 1; cls > (int)c->cls; cls--)
+		ahead += g->class_n[cls];
+	own = g->class_n[c->cls];
+	if (g->turns[c->cls] && own > a->flow[c->cls].n) {
+		DL_FOREACH(g->turns[c->cls], f)
+		weights += f->items->account->weight;
+		if (!a->flow[c->cls].n)
+			weights += a->weight;
+		weights *= (double)(a->flow[c->cls].n + 1) / a->weight;
+		if (weights < own)
+			own = weights;
+	}
+	return (int64_t)((ahead + own) * g->service_us / g->limit);
+}
+
+static void drop_item(struct gate *g, struct gate_item *it, enum reason why)
+{
+	queue_remove(g, it);
+	HASH_DEL(g->items, it);
+	it->drop = why;
+	DL_APPEND(g->drops, it);
+}
+
+/* Judges a call at the door; may make a less important one give way. */
+static enum reason judge(struct gate *g, const struct gate_call *c,
+			 const struct gate_account *a, bool enforce,
+			 int64_t now)
+{
+	struct gate_item *victim;
+	int64_t half = (int64_t)g->service_us / 2;
+
+	if (!lot_admitted(c->lot, a->demand[c->cls].open))
+		return REASON_SHED;
+	if (now + expected_wait_us(g, c, a) + half > c->deadline_us)
+		return REASON_DEADLINE;
+	if (g->queued < g->o.queue_max)
+		return REASON_NONE;
+	victim = queue_victim(g, c->cls, a);
+	if (!victim)
+		return REASON_QUEUE_FULL;
+	if (enforce)
+		drop_item(g, victim, REASON_QUEUE_FULL);
+	return REASON_NONE;
+}
+
+static unsigned id_hash(uint64_t id)
+{
+	return (unsigned)(id * UINT64_C(0x9e3779b97f4a7c15) >> 32);
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static void add_item(struct gate *g, struct gate_item *it)
+{
+	HASH_ADD_BYHASHVALUE(hh, g->items, call.id, sizeof(it->call.id),
+			     id_hash(it->call.id), it);
+}
+
+static int insert_item(struct gate *g, const struct gate_call *c,
+		       struct gate_account *a, int64_t now)
+{
+	struct gate_item *it = calloc(1, sizeof(*it));
+
+	if (!it)
+		return -1;
+	it->call = *c;
+	it->offered_us = now;
+	it->start_by_us = c->deadline_us - (int64_t)g->service_us / 2;
+	if (queue_add(g, it, a) < 0) {
+		free(it);
+		return -1;
+	}
+	add_item(g, it);
+	return 0;
+}
+
+/* Offers a call, whose id must not be inside already. */
+enum gate_verdict gate_offer(struct gate *g, const struct gate_call *c,
+			     enum reason *why, int64_t now)
+{
+	struct gate_account *a = account_get(g, c, now);
+
+	*why = REASON_OVERLOADED;
+	if (!a)
+		return GATE_REFUSED;
+	demand_arrival(a, c);
+	*why = REASON_NONE;
+	if (g->o.mode != OVERLOAD_OFF)
+		*why = judge(g, c, a, g->o.mode == OVERLOAD_ENFORCE, now);
+	if (*why != REASON_NONE && g->o.mode == OVERLOAD_ENFORCE)
+		return GATE_REFUSED;
+	if (insert_item(g, c, a, now) < 0) {
+		*why = REASON_OVERLOADED;
+		return GATE_REFUSED;
+	}
+	return GATE_QUEUED;
+}
+
+/* Tells why a queued call must not run any more, or REASON_NONE. */
+static enum reason overdue(const struct gate *g, const struct gate_item *it,
+			   int64_t now)
+{
+	int64_t age_max = g->o.queue_target_us * 2;
+
+	if (now > it->start_by_us)
+		return REASON_DEADLINE;
+	if (!g->overload)
+		age_max += AGE_MAX_US;
+	if (now - it->offered_us > age_max)
+		return REASON_QUEUE_TIMEOUT;
+	return REASON_NONE;
+}
+
+/* Returns the id of the call that starts now, and how long it queued. */
+uint64_t gate_next(struct gate *g, int64_t now, int64_t *waited_us)
+{
+	struct gate_item *it;
+	enum reason why;
+
+	while (g->running < g->limit) {
+		it = g->o.mode == OVERLOAD_ENFORCE ? queue_pick(g)
+						   : queue_oldest(g);
+		if (!it)
+			break;
+		why = g->o.mode == OVERLOAD_ENFORCE ? overdue(g, it, now)
+						    : REASON_NONE;
+		if (why != REASON_NONE) {
+			drop_item(g, it, why);
+			continue;
+		}
+		queue_remove(g, it);
+		gate_count_busy(g, now);
+		g->running++;
+		it->running = true;
+		g->waited_us = now - it->offered_us;
+		*waited_us = g->waited_us;
+		return it->call.id;
+	}
+	return 0;
+}
+
+static void drop_overdue(struct gate *g, int64_t now)
+{
+	struct gate_item *it;
+	enum reason why;
+	int cls;
+
+	while ((it = queue_first_due(g)) && now > it->start_by_us)
+		drop_item(g, it, REASON_DEADLINE);
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		while ((it = g->classes[cls])) {
+			why = overdue(g, it, now);
+			if (why == REASON_NONE)
+				break;
+			drop_item(g, it, why);
+		}
+}
+
+/*
+ * Names a call that was queued and will not run: past its deadline, past
+ * the queueing target, or pushed out of a full queue. It is forgotten here.
+ */
+bool gate_next_drop(struct gate *g, int64_t now, struct gate_drop *d)
+{
+	struct gate_item *it;
+
+	if (!g->drops && g->o.mode == OVERLOAD_ENFORCE)
+		drop_overdue(g, now);
+	it = g->drops;
+	if (!it)
+		return false;
+	d->id = it->call.id;
+	d->reason = it->drop;
+	DL_DELETE(g->drops, it);
+	free(it);
+	return true;
+}
+
+static struct gate_item *find_item(const struct gate *g, uint64_t id)
+{
+	struct gate_item *it;
+
+	HASH_FIND_BYHASHVALUE(hh, g->items, &id, sizeof(id), id_hash(id), it);
+	return it;
+}
+
+static void end_running(struct gate *g, struct gate_item *it, int64_t now)
+{
+	gate_count_busy(g, now);
+	g->running--;
+	g->ended++;
+	HASH_DEL(g->items, it);
+	free(it);
+}
+
+/* Frees the slot of a running call; unknown ids are ignored. */
+void gate_done(struct gate *g, uint64_t id, bool ok, int64_t now)
+{
+	struct gate_item *it = find_item(g, id);
+
+	if (!it || !it->running)
+		return;
+	if (!ok)
+		g->failed++;
+	end_running(g, it, now);
+}
+
+static void cancel_drop(struct gate *g, uint64_t id)
+{
+	struct gate_item *it;
+
+	DL_FOREACH(g->drops, it)
+	{
+		if (it->call.id != id)
+			continue;
+		DL_DELETE(g->drops, it);
+		free(it);
+		return;
+	}
+}
+
+/* Forgets a call, whether it is queued, running or about to be dropped. */
+void gate_cancel(struct gate *g, uint64_t id, int64_t now)
+{
+	struct gate_item *it = find_item(g, id);
+
+	if (!it) {
+		cancel_drop(g, id);
+		return;
+	}
+	if (it->running) {
+		end_running(g, it, now);
+		return;
+	}
+	queue_remove(g, it);
+	HASH_DEL(g->items, it);
+	free(it);
+}
+
+/* Returns what the next answer to a caller of this account should carry. */
+struct admission gate_admission(const struct gate *g, uint64_t account)
+{
+	const struct gate_account *a = account_find(g, account);
+	struct admission out;
+	int cls;
+
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		out.open[cls] = a ? a->demand[cls].open : g->open[cls];
+	return out;
+}
+
+/* Fills in the state for status pages and answer heads. */
+void gate_report(const struct gate *g, struct gate_report *r)
+{
+	int cls;
+
+	r->slots = g->o.slots;
+	r->limit = g->limit;
+	r->running = g->running;
+	r->queued = g->queued;
+	r->queue_us = g->queued || g->running >= g->limit ? g->waited_us : 0;
+	r->service_us = (int64_t)g->service_us;
+	r->admitted_s = g->admitted_s;
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		r->open[cls] = g->open[cls];
+}
--- /dev/null
+++ b/src/policy/gate_demand.c
@@ -0,0 +1,224 @@
+#include "policy/gate_impl.h"
+
+#include <stdlib.h>
+
+#define DEMAND_DECAY 0.75 /* per step; a window of four steps */
+#define TOLD_GAIN 0.25
+#define SPAN_MIN_S 0.004 /* below this, lots tell too little */
+#define FLOOR_RISE 8	 /* steps for the floor to follow open upwards */
+#define ACCOUNT_IDLE_US (10 * USEC_PER_SEC)
+
+/* Account numbers are hashes of names already. */
+struct gate_account *account_find(const struct gate *g, uint64_t account)
+{
+	struct gate_account *a;
+
+	HASH_FIND_BYHASHVALUE(hh, g->accounts, &account, sizeof(account),
+			      (unsigned)account, a);
+	return a;
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static void account_hash_add(struct gate *g, struct gate_account *a)
+{
+	HASH_ADD_BYHASHVALUE(hh, g->accounts, account, sizeof(a->account),
+			     (unsigned)a->account, a);
+}
+
+static struct gate_account *account_add(struct gate *g, uint64_t account)
+{
+	struct gate_account *a = calloc(1, sizeof(*a));
+	int cls;
+
+	if (!a)
+		return NULL;
+	a->account = account;
+	for (cls = 0; cls < SHED_CLASSES; cls++) {
+		a->demand[cls].floor = ADMIT_ALL;
+		a->demand[cls].open = g->open[cls];
+	}
+	account_hash_add(g, a);
+	return a;
+}
+
+/* Finds or makes the account of a call; NULL when memory is out. */
+struct gate_account *account_get(struct gate *g, const struct gate_call *c,
+				 int64_t now)
+{
+	struct gate_account *a = account_find(g, c->account);
+
+	if (!a)
+		a = account_add(g, c->account);
+	if (!a)
+		return NULL;
+	a->weight = c->weight ? c->weight : 1;
+	a->used_us = now;
+	return a;
+}
+
+/* Counts an offered call, and those that its entry shed before it. */
+void demand_arrival(struct gate_account *a, const struct gate_call *c)
+{
+	struct gate_demand *d = &a->demand[c->cls];
+	int cls;
+
+	d->arrivals++;
+	if (lot_admitted(c->lot, d->floor))
+		d->below++;
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		a->demand[cls].unseen += c->shed_unseen[cls];
+}
+
+/*
+ * Lots are uniform, and no entry sheds a lot below the lowest cutoff that it
+ * may still hold from here. So the arrivals with lots below that floor,
+ * over the floor's share, are the whole demand, whoever sheds the rest and
+ * however many hops away. While the floor is too low for that, what entries
+ * tell of their shedding has to do.
+ */
+static void estimate(struct gate_demand *d, double dt_s)
+{
+	double told = (d->arrivals + d->unseen) / dt_s;
+
+	d->count = d->count * DEMAND_DECAY + d->below;
+	d->span_s = d->span_s * DEMAND_DECAY + dt_s * d->floor / ADMIT_ALL;
+	d->told += (told - d->told) * TOLD_GAIN;
+	if (d->span_s >= SPAN_MIN_S)
+		d->rate = d->count / d->span_s;
+	else if (d->told > d->rate)
+		d->rate = d->told;
+	d->arrivals = 0;
+	d->below = 0;
+	d->unseen = 0;
+}
+
+/* Ends a step of dt_s seconds: new estimates; idle accounts are dropped. */
+void demand_step(struct gate *g, double dt_s, int64_t now)
+{
+	struct gate_account *a, *tmp;
+	uint32_t queued;
+	int cls;
+
+	HASH_ITER(hh, g->accounts, a, tmp)
+	{
+		queued = 0;
+		for (cls = 0; cls < SHED_CLASSES; cls++) {
+			estimate(&a->demand[cls], dt_s);
+			queued += a->flow[cls].n;
+		}
+		if (queued || now - a->used_us < ACCOUNT_IDLE_US)
+			continue;
+		HASH_DEL(g->accounts, a);
+		free(a);
+	}
+}
+
+/* Returns the estimated demand of all classes, calls a second. */
+double demand_total(const struct gate *g)
+{
+	const struct gate_account *a;
+	double sum = 0;
+	int cls;
+
+	for (a = g->accounts; a; a = a->hh.next)
+		for (cls = 0; cls < SHED_CLASSES; cls++)
+			sum += a->demand[cls].rate;
+	return sum;
+}
+
+static uint16_t share_of(double part, double whole)
+{
+	if (part >= whole)
+		return ADMIT_ALL;
+	return (uint16_t)(part / whole * ADMIT_ALL);
+}
+
+static void set_open(struct gate_demand *d, uint16_t open)
+{
+	d->open = open;
+	if (open <= d->floor)
+		d->floor = open;
+	else
+		d->floor += (open - d->floor + FLOOR_RISE - 1) / FLOOR_RISE;
+}
+
+/*
+ * Returns the rate per unit of weight at which accounts of a class share
+ * rate max-min fairly: each gets its demand or level x weight.
+ */
+static double fair_level(const struct gate *g, int cls, double rate)
+{
+	const struct gate_account *a;
+	double level = 0, next, left, weight, want;
+
+	for (;;) {
+		left = rate;
+		weight = 0;
+		for (a = g->accounts; a; a = a->hh.next) {
+			want = a->demand[cls].rate;
+			if (want <= level * a->weight)
+				left -= want;
+			else
+				weight += a->weight;
+		}
+		if (weight <= 0)
+			return level;
+		next = left / weight;
+		if (next <= level * (1 + 1e-9))
+			return level;
+		level = next;
+	}
+}
+
+static void open_class(struct gate *g, int cls, uint16_t open)
+{
+	struct gate_account *a;
+
+	g->open[cls] = open;
+	for (a = g->accounts; a; a = a->hh.next)
+		set_open(&a->demand[cls], open);
+}
+
+/* Shares rate, which is less than the class wants, between accounts. */
+static void share_class(struct gate *g, int cls, double rate)
+{
+	double level = fair_level(g, cls, rate);
+	struct gate_account *a;
+	struct gate_demand *d;
+
+	for (a = g->accounts; a; a = a->hh.next) {
+		d = &a->demand[cls];
+		set_open(d, d->rate > 0 ? share_of(level * a->weight, d->rate)
+					: g->open[cls]);
+	}
+}
+
+/* Admits rate calls a second: by class, then max-min between accounts. */
+void demand_allocate(struct gate *g, double rate)
+{
+	const struct gate_account *a;
+	double want;
+	int cls;
+
+	for (cls = SHED_LAST; cls >= SHED_FIRST; cls--) {
+		want = 0;
+		for (a = g->accounts; a; a = a->hh.next)
+			want += a->demand[cls].rate;
+		if (rate > 0 && want <= rate) {
+			open_class(g, cls, ADMIT_ALL);
+		} else {
+			g->open[cls] = want > 0 ? share_of(rate, want) : 0;
+			share_class(g, cls, rate);
+		}
+		rate = want < rate ? rate - want : 0;
+	}
+}
+
+/* Admits everything. */
+void demand_open_all(struct gate *g)
+{
+	int cls;
+
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		open_class(g, cls, ADMIT_ALL);
+}
--- /dev/null
+++ b/src/policy/gate_impl.h
@@ -0,0 +1,112 @@
+/* Inside of a gate: queued and running calls, accounts, the estimates. */
+#ifndef POLICY_GATE_IMPL_H
+#define POLICY_GATE_IMPL_H
+
+#include <uthash.h>
+
+#include "policy/policy.h"
+
+struct gate_account;
+
+/* One call, queued, running, or dropped and not yet told. */
+struct gate_item {
+	struct gate_call call;
+	struct gate_account *account; /* while queued */
+	int64_t offered_us;
+	int64_t start_by_us; /* later than this it must not start */
+	uint64_t seq;	     /* order of arrival */
+	size_t heap_at;
+	bool running;
+	enum reason drop;
+	struct gate_item *prev, *next;	 /* in its flow, or the drops */
+	struct gate_item *older, *newer; /* in its class */
+	UT_hash_handle hh;
+};
+
+/* The queue of one account in one class. */
+struct gate_flow {
+	struct gate_item *items;
+	uint32_t n;
+	uint32_t deficit; /* calls left of this turn */
+	struct gate_flow *prev, *next;
+};
+
+/* Demand of one account in one class, and its admitted share. */
+struct gate_demand {
+	uint32_t arrivals; /* this step */
+	uint32_t below;	   /* this step, with a lot below floor */
+	uint32_t unseen;   /* this step, shed by entries */
+	double count;	   /* decayed sum of below */
+	double span_s;	   /* decayed sum of floor x time */
+	double told;	   /* smoothed arrivals and unseen, a second */
+	double rate;	   /* the estimate, calls a second */
+	uint16_t floor;	   /* no entry sheds a lot below this for us */
+	uint16_t open;
+};
+
+struct gate_account {
+	uint64_t account;
+	uint32_t weight;
+	int64_t used_us;
+	struct gate_flow flow[SHED_CLASSES];
+	struct gate_demand demand[SHED_CLASSES];
+	UT_hash_handle hh;
+};
+
+struct gate {
+	struct gate_options o;
+	struct gate_item *items; /* hash by id */
+	struct gate_account *accounts;
+	struct gate_flow *turns[SHED_CLASSES];
+	struct gate_item *classes[SHED_CLASSES];
+	uint32_t class_n[SHED_CLASSES];
+	struct gate_item *drops;
+	struct gate_item **heap; /* queued calls by start_by_us */
+	size_t heap_n, heap_size;
+	uint64_t seq;
+	uint32_t running;
+	uint32_t queued;
+
+	int64_t started_us;
+	int64_t step_us;     /* last step */
+	int64_t busy_us;     /* up to here busy is summed */
+	double busy;	     /* slot time this step, microseconds */
+	uint32_t ended;	     /* this step */
+	uint32_t failed;     /* this step */
+	uint32_t queued_min; /* this step */
+	double busy_sum, ended_sum;
+	double service_us;
+	double cap;	/* adaptive limit before ramp and slots */
+	uint32_t limit; /* in force */
+	int64_t waited_us;
+	bool overload;
+	uint32_t calm_steps;
+	double trim;
+	double admitted_s;
+	uint16_t open[SHED_CLASSES]; /* class-wide */
+};
+
+/* gate_step.c */
+void gate_count_busy(struct gate *g, int64_t now);
+void gate_set_limit(struct gate *g, int64_t now);
+
+/* gate_queue.c */
+int queue_add(struct gate *g, struct gate_item *it, struct gate_account *a);
+void queue_remove(struct gate *g, struct gate_item *it);
+struct gate_item *queue_pick(struct gate *g);
+struct gate_item *queue_oldest(const struct gate *g);
+struct gate_item *queue_victim(const struct gate *g, enum shed_class cls,
+			       const struct gate_account *a);
+struct gate_item *queue_first_due(const struct gate *g);
+
+/* gate_demand.c */
+struct gate_account *account_find(const struct gate *g, uint64_t account);
+struct gate_account *account_get(struct gate *g, const struct gate_call *c,
+				 int64_t now);
+void demand_arrival(struct gate_account *a, const struct gate_call *c);
+void demand_step(struct gate *g, double dt_s, int64_t now);
+double demand_total(const struct gate *g);
+void demand_allocate(struct gate *g, double rate);
+void demand_open_all(struct gate *g);
+
+#endif
--- /dev/null
+++ b/src/policy/gate_step.c
@@ -0,0 +1,151 @@
+#include "policy/gate_impl.h"
+
+#define WINDOW_SHORT 0.6 /* decay per step when many calls end */
+#define WINDOW_LONG 0.9
+#define WINDOW_MANY 30	    /* calls ended in a step */
+#define DRAIN_S 0.2	    /* surplus backlog is worked off in this */
+#define TRIM_MIN 0.7	    /* of the rate that Little's law gives */
+#define TRIM_MAX 2.0	    /* the same */
+#define TRIM_FALL 0.97	    /* per step with a long backlog */
+#define IDLE_SHARE 0.02	    /* of slot time that may stay unused */
+#define CALM_SHARE 0.95	    /* of capacity; demand below is no overload */
+#define CALM_STEPS 3	    /* in a row that end an overload */
+#define CAP_FALL 0.8	    /* per step in which the upstream fails */
+#define CAP_RISE 1.1	    /* per step in which it does not */
+#define FAIL_SHARE 0.5	    /* of ended calls that counts as failing */
+#define FAIL_MIN 5	    /* ended calls that tell anything */
+#define COLD_SHARE 0.1	    /* of the slots at a cold start */
+#define RATE_MIN_SHARE 0.1  /* of capacity, always admitted */
+#define UNLIMITED_RATE 1e12 /* calls a second */
+
+/* Adds the slot time since the last change of running; before each change. */
+void gate_count_busy(struct gate *g, int64_t now)
+{
+	if (now <= g->busy_us)
+		return;
+	g->busy += (double)(now - g->busy_us) * g->running;
+	g->busy_us = now;
+}
+
+/* Sets the limit in force from slots, cold start and the adaptive cap. */
+void gate_set_limit(struct gate *g, int64_t now)
+{
+	double limit = g->o.slots;
+	double age = (double)(now - g->started_us);
+
+	if (g->o.mode != OVERLOAD_ENFORCE) {
+		g->limit = g->o.slots;
+		return;
+	}
+	if (age < (double)g->o.cold_start_us)
+		limit *= COLD_SHARE +
+			 (1 - COLD_SHARE) * age / (double)g->o.cold_start_us;
+	if (limit > g->cap)
+		limit = g->cap;
+	g->limit = limit < 1 ? 1 : (uint32_t)limit;
+	if (g->limit > g->o.slots)
+		g->limit = g->o.slots;
+}
+
+/*
+ * The cap falls while most calls fail with the slots in use, and rises
+ * again otherwise. Latency has no say in it: a service that waits for its
+ * sub-calls would be throttled for what its child does.
+ */
+static void move_cap(struct gate *g)
+{
+	double floor = g->o.slots * COLD_SHARE;
+
+	if (g->ended >= FAIL_MIN && g->failed > g->ended * FAIL_SHARE)
+		g->cap *= CAP_FALL;
+	else if (g->ended)
+		g->cap = g->cap * CAP_RISE + 1;
+	if (g->cap < floor)
+		g->cap = floor;
+	if (g->cap > g->o.slots)
+		g->cap = g->o.slots;
+}
+
+/* Smooths slot time per call that ended; Little's law turns it into rate. */
+static void measure_service(struct gate *g)
+{
+	double keep = g->ended >= WINDOW_MANY || !g->running ? WINDOW_SHORT
+							     : WINDOW_LONG;
+
+	g->busy_sum = g->busy_sum * keep + g->busy;
+	g->ended_sum = g->ended_sum * keep + g->ended;
+	if (g->ended_sum >= 1)
+		g->service_us = g->busy_sum / g->ended_sum;
+	else if (!g->running)
+		g->service_us = 0;
+}
+
+/* The correction follows unused slots upwards and a long backlog down. */
+static void move_trim(struct gate *g, double idle, double backlog, double goal)
+{
+	if (idle > IDLE_SHARE && !g->queued)
+		g->trim *= 1 + idle / 2;
+	else if (backlog > 2 * goal)
+		g->trim *= TRIM_FALL;
+	if (g->trim > TRIM_MAX)
+		g->trim = TRIM_MAX;
+	if (g->trim < TRIM_MIN)
+		g->trim = TRIM_MIN;
+}
+
+/*
+ * An overload begins when a whole step left a backlog past the target, and
+ * ends when demand has fitted capacity with no backlog for some steps.
+ */
+static void judge_overload(struct gate *g, double capacity, double goal)
+{
+	if (g->queued_min > goal) {
+		if (!g->overload)
+			g->trim = 1;
+		g->overload = true;
+		g->calm_steps = 0;
+		return;
+	}
+	if (demand_total(g) > capacity * CALM_SHARE || g->queued > goal)
+		g->calm_steps = 0;
+	else if (++g->calm_steps >= CALM_STEPS)
+		g->overload = false;
+}
+
+/* Moves limit, admitted rate and cutoffs. */
+void gate_step(struct gate *g, int64_t now)
+{
+	double dt = (double)(now - g->step_us);
+	double capacity = UNLIMITED_RATE, goal, idle, rate;
+
+	if (dt <= 0)
+		return;
+	gate_count_busy(g, now);
+	demand_step(g, dt / USEC_PER_SEC, now);
+	measure_service(g);
+	move_cap(g);
+	if (g->service_us > 0)
+		capacity = g->limit / g->service_us * USEC_PER_SEC;
+	goal = capacity * (double)g->o.queue_target_us / USEC_PER_SEC;
+	if (goal < 1)
+		goal = 1;
+	idle = g->limit ? 1 - g->busy / (dt * g->limit) : 0;
+	judge_overload(g, capacity, goal);
+	if (g->overload && g->o.mode != OVERLOAD_OFF) {
+		move_trim(g, idle, g->queued, goal);
+		rate = capacity * g->trim + (goal - g->queued) / DRAIN_S;
+		if (rate < capacity * RATE_MIN_SHARE)
+			rate = capacity * RATE_MIN_SHARE;
+		g->admitted_s = rate;
+		demand_allocate(g, rate);
+	} else {
+		g->admitted_s = 0;
+		demand_open_all(g);
+	}
+	gate_set_limit(g, now);
+	g->busy = 0;
+	g->ended = 0;
+	g->failed = 0;
+	g->queued_min = g->queued;
+	g->step_us = now;
+}
--- /dev/null
+++ b/src/policy/lot.c
@@ -0,0 +1,27 @@
+#include "policy/policy.h"
+
+/*
+ * Draws the lot of a root from its identity, so that a resend under the
+ * same identity meets the same answer on every host.
+ */
+uint16_t root_lot(const char *root_id)
+{
+	return (uint16_t)(name_hash(root_id) >> 48);
+}
+
+/* ADMIT_ALL admits every lot, the highest one too. */
+bool lot_admitted(uint16_t lot, uint16_t open)
+{
+	return open == ADMIT_ALL || lot < open;
+}
+
+/* Joins the admissions of two hops of one chain. */
+struct admission admission_min(struct admission a, struct admission b)
+{
+	int cls;
+
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		if (b.open[cls] < a.open[cls])
+			a.open[cls] = b.open[cls];
+	return a;
+}
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -14,6 +14,11 @@
 #include "conf/conf.h"
 #include "wire/wire.h"
 
+/* The lot of a root: the same for each resend under one identity. */
+uint16_t root_lot(const char *root_id);
+/* Whether a lot is below the admitted share. */
+bool lot_admitted(uint16_t lot, uint16_t open);
+
 /* Token bucket of one account on one node. */
 struct bucket {
 	double rate;  /* tokens per second */
@@ -63,6 +68,10 @@
 void gate_free(struct gate *g);
 void gate_set_slots(struct gate *g, uint32_t slots, int64_t now);
 void gate_set_mode(struct gate *g, enum overload_mode mode);
+/*
+ * Refused calls are told why. With OVERLOAD_OBSERVE nothing is refused, and
+ * why is the reason that enforcing would have given, or REASON_NONE.
+ */
 enum gate_verdict gate_offer(struct gate *g, const struct gate_call *c,
 			     enum reason *why, int64_t now);
 /* Takes the next call to run now, or returns 0: none, or no free slot. */
@@ -135,6 +144,7 @@
 	uint32_t queue_us;    /* newest the gate told */
 	uint32_t in_flight;   /* newest the gate told */
 	int64_t heard_us;
+	int64_t first_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
 	uint32_t ejections;
 };
--- /dev/null
+++ b/src/policy/retry.c
@@ -0,0 +1,80 @@
+#include "policy/policy.h"
+
+#define RETRY_RESERVE 10.0 /* retries that a quiet service may burst */
+#define BACKOFF_BASE_US (5 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US (200 * USEC_PER_MSEC)
+
+/*
+ * Moves half of an allowance, rounded up, to a sub-call and returns it. The
+ * sum never grows: the caller adds what comes back unspent to left again.
+ */
+uint8_t allowance_lend(uint8_t *left)
+{
+	uint8_t lent = (uint8_t)((*left + 1) / 2);
+
+	*left = (uint8_t)(*left - lent);
+	return lent;
+}
+
+/* percent is the retries allowed per hundred calls. */
+void retry_ratio_init(struct retry_ratio *r, uint32_t percent)
+{
+	r->percent = percent;
+	r->tokens = percent ? RETRY_RESERVE : 0;
+}
+
+/* Counts a first attempt, which earns a part of a retry. */
+void retry_ratio_call(struct retry_ratio *r)
+{
+	r->tokens += r->percent / 100.0;
+	if (r->tokens > RETRY_RESERVE)
+		r->tokens = RETRY_RESERVE;
+}
+
+/* Takes one retry, or returns false when the ratio is used up. */
+bool retry_ratio_take(struct retry_ratio *r)
+{
+	if (r->tokens < 1)
+		return false;
+	r->tokens -= 1;
+	return true;
+}
+
+/*
+ * Returns the wait before a retry in microseconds: exponential in attempt
+ * (1 for the first retry), uniform over its upper half.
+ */
+int64_t retry_backoff_us(uint32_t attempt, uint64_t seed)
+{
+	int64_t span = BACKOFF_BASE_US;
+
+	while (attempt-- > 1 && span < BACKOFF_MAX_US)
+		span *= 2;
+	if (span > BACKOFF_MAX_US)
+		span = BACKOFF_MAX_US;
+	return span / 2 +
+	       (int64_t)(pair_hash(seed, 0) % (uint64_t)(span / 2 + 1));
+}
+
+/*
+ * Tells whether a failed attempt may be sent again at all, apart from
+ * allowance, ratio and deadline. Once-only calls go again only when it is
+ * certain that no byte reached an upstream. Shed calls never do: the lot
+ * would meet the same cutoff at the next gate.
+ */
+bool retry_allowed(enum outcome outcome, enum reason reason, bool once)
+{
+	if (once && outcome != OUTCOME_NOT_RUN)
+		return false;
+	switch (reason) {
+	case REASON_QUEUE_FULL:
+	case REASON_UPSTREAM_FAILED:
+	case REASON_UPSTREAM_GARBAGE:
+	case REASON_LINK_LOST:
+	case REASON_STOPPING:
+	case REASON_OVERLOADED:
+		return true;
+	default:
+		return false;
+	}
+}
