Add HTTP server and client pool

One virtual host per pooled connection, so that calls never queue behind each other on one connection; spare ones are kept for other pools, since they live until the loop ends.

--- a/src/net/net.c
+++ b/src/net/net.c
@@ -1,4 +1,4 @@
-#include "net/net_impl.h"
+#include "net/http_impl.h"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -85,6 +85,8 @@
 	net->closing = true;
 	net_free_timers(net);
 	lws_context_destroy(net->context);
+	http_pool_free_all(net);
+	http_conn_free_all(net);
 	while ((part = net->parts)) {
 		net->parts = part->next;
 		part->release(part->part);
@@ -172,7 +174,8 @@
 	info.protocols = o->protocols;
 	info.user = o->user;
 	info.keepalive_timeout = o->keepalive_secs;
-	info.timeout_secs = HEADER_WAIT_SECS;
+	info.timeout_secs = o->timeout_secs ? (unsigned int)o->timeout_secs
+					    : HEADER_WAIT_SECS;
 	if (o->accept_role) {
 		info.options |=
 			LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -35,6 +35,8 @@
 	struct addr listen; /* port 0: the kernel chooses */
 	size_t body_limit;
 	uint32_t connections_max;
+	/* More header names to take in, lower case, ended by NULL; or NULL. */
+	const char *const *header_names;
 	void *ctx;
 	void (*request)(void *ctx, uint64_t exchange, struct message *msg,
 			const char *peer, int64_t now);
@@ -67,6 +69,7 @@
 	uint32_t connections_max;
 	size_t body_limit;
 	int64_t keep_warm_us;
+	const char *const *header_names; /* as for the server */
 };
 
 enum http_call_status {
@@ -105,7 +108,7 @@
 uint64_t http_call_start(struct http_pool *p, const struct http_call *c,
 			 int64_t now, struct error *err);
 /* Gives up without a report; closes the connection if bytes went out. */
-void http_call_cancel(struct http_pool *p, uint64_t call);
+void http_call_cancel(struct http_pool *p, uint64_t handle);
 uint32_t http_pool_connections(const struct http_pool *p);
 
 /*
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -16,12 +16,16 @@
 struct net_timer;
 struct net_part;
 struct net_vhost;
+struct http_conn;
 
 struct net {
 	struct lws_context *context;
 	struct net_timer *timers;
 	struct net_part *parts;
 	struct net_vhost *vhosts;
+	struct http_pool *pools;
+	struct http_conn *conns;       /* every one made */
+	struct http_conn *spare_conns; /* those no pool uses now */
 	bool stopping;
 	bool closing; /* set while net_close tears connections down */
 };
@@ -33,6 +37,7 @@
 	const char *accept_role;     /* "raw-skt" for raw TCP, NULL for HTTP */
 	const char *accept_protocol; /* of protocols, for raw TCP */
 	int keepalive_secs;	     /* idle HTTP server connections */
+	int timeout_secs;	     /* of handshakes; 0: as for callers */
 	void *user;		     /* lws_vhost_user() */
 };
 
