--- /dev/null
+++ b/src/net/link.c
@@ -0,0 +1,290 @@
+#include "net/link_impl.h"
+
+#include <stdlib.h>
+
+#define BACKOFF_MIN_US (20 * USEC_PER_MSEC)
+#define BACKOFF_MAX_US USEC_PER_SEC
+#define BACKOFF_KEPT_US (30 * USEC_PER_SEC)
+#define PING_AFTER_US (800 * USEC_PER_MSEC)
+#define PING_WAIT_US (1500 * USEC_PER_MSEC)
+#define IDLE_US (60 * USEC_PER_SEC)
+#define ABANDONED_US (90 * USEC_PER_SEC) /* idle, and its opener is silent */
+#define CLOSE_WAIT_US (5 * USEC_PER_SEC)
+#define PAUSE_US USEC_PER_SEC /* gap between ticks after a pause */
+
+/* Adds a link without a connection; NULL without memory. */
+struct link *link_new(struct links *links, bool opener)
+{
+	struct link *l = calloc(1, sizeof(*l));
+
+	if (!l)
+		return NULL;
+	l->links = links;
+	l->opener = opener;
+	l->next_id = opener ? 1 : 2;
+	DL_APPEND(links->all, l);
+	return l;
+}
+
+/* Frees a link whose streams are gone. */
+void link_free(struct link *l)
+{
+	link_unlist(l);
+	lws_sul_cancel(&l->sul);
+	link_drop_queue(l);
+	buffer_free(&l->in);
+	buffer_free(&l->plain_out);
+	sodium_memzero(&l->push, sizeof(l->push));
+	sodium_memzero(&l->pull, sizeof(l->pull));
+	DL_DELETE(l->links->all, l);
+	free(l);
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static void list(struct link *l)
+{
+	HASH_ADD(hh, l->links->by_peer, peer, sizeof(l->peer), l);
+	l->listed = true;
+}
+
+/* New calls to the peer go elsewhere from now on. */
+void link_unlist(struct link *l)
+{
+	if (!l->listed)
+		return;
+	HASH_DELETE(hh, l->links->by_peer, l);
+	l->listed = false;
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static struct link *listed_to(struct links *links, const struct addr *peer)
+{
+	struct link *l;
+
+	HASH_FIND(hh, links->by_peer, peer, sizeof(*peer), l);
+	return l;
+}
+
+static int try_again(struct link *l, struct error *err, int64_t now)
+{
+	char peer[ADDR_TEXT_SIZE];
+
+	if (now >= l->retry_at_us) {
+		link_connect(l);
+		return 0;
+	}
+	addr_format(&l->peer, peer);
+	return error_set(err, ERROR_IO, "link-connect", peer,
+			 "no connection; next try in %lld ms",
+			 (long long)((l->retry_at_us - now) / USEC_PER_MSEC));
+}
+
+/*
+ * Returns the link to a peer, opening one when there is none, or NULL with
+ * err set while the back-off after a failure lasts.
+ */
+struct link *link_to(struct links *links, const struct addr *peer,
+		     struct error *err, int64_t now)
+{
+	struct link *l = listed_to(links, peer);
+
+	if (l && l->next_id > UINT32_MAX - 2) {
+		link_unlist(l);
+		l = NULL;
+	}
+	if (l && l->state == LINK_BACKOFF && try_again(l, err, now) < 0)
+		return NULL;
+	if (l)
+		return l;
+	l = link_new(links, true);
+	if (!l) {
+		error_set(err, ERROR_MEMORY, "link-connect", NULL,
+			  "out of memory");
+		return NULL;
+	}
+	l->peer = *peer;
+	list(l);
+	link_connect(l);
+	return l;
+}
+
+static void log_link(int priority, const char *event, const struct link *l,
+		     const struct error *why)
+{
+	struct log_line line;
+	char peer[ADDR_TEXT_SIZE];
+
+	if (!log_enabled(priority))
+		return;
+	addr_format(&l->peer, peer);
+	log_start(&line, priority, event);
+	log_str(&line, "peer", peer);
+	log_str(&line, "opener", l->opener ? "self" : "peer");
+	if (why) {
+		log_str(&line, "step", why->step);
+		log_str(&line, "error", why->text);
+		log_int(&line, "streams", HASH_COUNT(l->streams));
+	}
+	log_emit(&line);
+}
+
+/* The newest proved link of a peer takes its new calls. */
+static void list_proved(struct link *l)
+{
+	struct link *other = listed_to(l->links, &l->peer);
+
+	if (other == l)
+		return;
+	if (other && other->state == LINK_BACKOFF)
+		link_free(other);
+	else if (other && other->state == LINK_UP)
+		link_unlist(other);
+	else if (other)
+		return;
+	list(l);
+}
+
+/* The peer proved that it knows the secret: the link is open. */
+void link_proved(struct link *l)
+{
+	lws_sul_cancel(&l->sul);
+	l->state = LINK_UP;
+	l->failures = 0;
+	l->heard_us = net_now();
+	l->used_us = l->heard_us;
+	l->links->up++;
+	if (l->opener)
+		counter_add(COUNTER_LINKS_OPENED, 1);
+	else
+		l->links->proving--;
+	list_proved(l);
+	log_link(LOG_INFO, "link-up", l, NULL);
+	link_want_write(l);
+}
+
+/* Doubles with each failure, and is drawn from its upper half. */
+static int64_t backoff_us(uint32_t failures)
+{
+	int64_t most = BACKOFF_MAX_US;
+
+	if (failures < 6)
+		most = BACKOFF_MIN_US << failures;
+	return most / 2 + randombytes_uniform((uint32_t)(most / 2));
+}
+
+static void start_backoff(struct link *l, int64_t now)
+{
+	l->failures++;
+	l->retry_at_us = now + backoff_us(l->failures);
+}
+
+/*
+ * Ends the connection and reports every stream. A link that never came up
+ * stays listed, so that the next try waits for its back-off; any other is
+ * freed.
+ */
+void link_lose(struct link *l, const struct error *why, int64_t now)
+{
+	bool keep = l->opener && l->listed && l->state != LINK_UP;
+	struct error err = *why;
+
+	log_link(l->state == LINK_UP && !l->closing ? LOG_NOTICE : LOG_INFO,
+		 "link-lost", l, why);
+	addr_format(&l->peer, err.peer);
+	if (l->state == LINK_UP)
+		l->links->up--;
+	else if (!l->opener)
+		l->links->proving--;
+	lws_sul_cancel(&l->sul);
+	link_disconnect(l);
+	l->state = LINK_BACKOFF;
+	l->in.len = 0;
+	l->plain_out.len = 0;
+	link_drop_queue(l);
+	if (keep)
+		start_backoff(l, now);
+	else
+		link_unlist(l);
+	while (l->streams)
+		stream_fail(l->streams, &err, now);
+	if (!keep)
+		link_free(l);
+}
+
+static void lose(struct link *l, const char *what, int64_t now)
+{
+	struct error err;
+
+	error_set(&err, ERROR_TIMEOUT, "link-watch", NULL, "%s", what);
+	link_lose(l, &err, now);
+}
+
+static void send_ping(struct link *l, enum ping_kind kind)
+{
+	struct frame f = {.kind = FRAME_PING, .ping = kind};
+
+	link_queue_frame(l, &f);
+}
+
+/* A peer that is silent while streams are open is asked, then given up. */
+static void watch_busy(struct link *l, int64_t now)
+{
+	if (l->heard_us > l->asked_us)
+		l->asked_us = 0;
+	if (l->asked_us && now - l->asked_us >= PING_WAIT_US) {
+		lose(l, "the peer fell silent", now);
+		return;
+	}
+	if (l->asked_us || now - l->heard_us < PING_AFTER_US)
+		return;
+	l->asked_us = now;
+	send_ping(l, PING_ASK);
+}
+
+/*
+ * The opener says that it will close, so that no call of the other side is
+ * cut by it; the other side closes once its own streams have ended.
+ */
+static void watch_idle(struct link *l, int64_t now)
+{
+	int64_t idle_us = now - l->used_us;
+
+	l->asked_us = 0;
+	if (l->closing && (!l->opener || idle_us >= CLOSE_WAIT_US)) {
+		if (!l->control)
+			lose(l, "closed when idle", now);
+	} else if (!l->closing && l->opener && idle_us >= IDLE_US) {
+		send_ping(l, PING_CLOSE);
+		link_unlist(l);
+		l->closing = true;
+		l->used_us = now;
+	} else if (!l->opener && idle_us >= ABANDONED_US) {
+		lose(l, "idle, and its opener is silent", now);
+	}
+}
+
+/* Watches all links; after a pause of this process nobody is blamed. */
+void links_tick(void *ctx, int64_t now)
+{
+	struct links *links = ctx;
+	bool paused = now - links->ticked_us > PAUSE_US;
+	struct link *l, *tmp;
+
+	links->ticked_us = now;
+	if (links->closed)
+		return;
+	DL_FOREACH_SAFE(links->all, l, tmp)
+	{
+		if (paused) {
+			l->heard_us = now;
+			l->asked_us = 0;
+		}
+		if (l->state == LINK_BACKOFF &&
+		    now - l->retry_at_us > BACKOFF_KEPT_US)
+			link_free(l);
+		else if (l->state == LINK_UP && l->streams)
+			watch_busy(l, now);
+		else if (l->state == LINK_UP)
+			watch_idle(l, now);
+	}
+}
--- /dev/null
+++ b/src/net/link_impl.h
@@ -0,0 +1,173 @@
+/*
+ * Links between nodes. A link is one TCP connection that carries sealed
+ * frames; a stream on it is one call and its answer. Streams are numbered
+ * by the side that opened them: odd by the opener of the link, even by the
+ * other side.
+ */
+#ifndef NET_LINK_IMPL_H
+#define NET_LINK_IMPL_H
+
+#include <sodium.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "net/net_impl.h"
+
+#define LINK_NONCE_SIZE 32
+#define LINK_LENGTH_SIZE 4
+#define LINK_CREDIT (64 * 1024)		   /* bytes of a body sent unasked */
+#define LINK_QUEUED_MAX (64 * 1024 * 1024) /* bytes waiting on one link */
+#define LINK_STREAMS_MAX 20000		   /* opened by the other side */
+
+enum link_state {
+	LINK_BACKOFF, /* the last try failed; no connection */
+	LINK_CONNECTING,
+	LINK_PROVING, /* connected, the other side not yet proved */
+	LINK_UP,
+};
+
+struct link;
+
+struct stream {
+	UT_hash_handle hh;   /* by id, on its link */
+	struct stream *prev; /* among heads or bodies to send */
+	struct stream *next;
+	struct stream **queue; /* the list it waits in, or NULL */
+	struct link *link;
+	uint64_t handle;
+	uint32_t id;
+	bool outgoing; /* a call of this node */
+	bool head_sent;
+	bool answered; /* incoming: the answer is being sent */
+
+	struct buffer head; /* encoded; empty once sent */
+	struct buffer body; /* to send */
+	size_t body_sent;
+	uint32_t credit;
+
+	bool head_received;
+	struct call_head call_head;	/* incoming */
+	struct answer_head answer_head; /* outgoing */
+	struct message message;		/* as far as it has come */
+	size_t expected;		/* bytes of its body */
+	uint32_t unacknowledged;
+
+	void *ctx; /* outgoing */
+	uint64_t tag;
+	void (*done)(void *ctx, uint64_t tag, struct link_result *r,
+		     int64_t now);
+};
+
+struct queued_frame {
+	struct queued_frame *prev;
+	struct queued_frame *next;
+	struct buffer bytes;
+};
+
+struct link {
+	struct lws_sorted_usec_list sul; /* first: the callback casts it */
+	UT_hash_handle hh;		 /* by peer, while listed */
+	struct link *prev;
+	struct link *next;
+	struct links *links;
+	struct addr peer; /* its listening address, once proved or dialled */
+	enum link_state state;
+	bool opener;
+	bool listed; /* new calls to the peer go here */
+	bool closing;
+	struct lws *wsi;
+	uint32_t failures;
+	int64_t retry_at_us;
+	int64_t heard_us;
+	int64_t used_us;
+	int64_t asked_us; /* when a ping went out that is not answered */
+
+	uint8_t nonce[LINK_NONCE_SIZE];
+	uint8_t peer_nonce[LINK_NONCE_SIZE];
+	crypto_secretstream_xchacha20poly1305_state push;
+	crypto_secretstream_xchacha20poly1305_state pull;
+	bool greeted; /* accepting side: the hello was answered */
+	struct buffer in;
+	struct buffer plain_out; /* handshake bytes to send */
+
+	struct queued_frame *control;
+	struct stream *heads;
+	struct stream *bodies;
+	size_t queued; /* bytes in all three */
+
+	struct stream *streams;
+	uint32_t next_id;
+	uint32_t last_peer_id;
+	uint32_t calls; /* outgoing streams */
+};
+
+struct links {
+	struct net *net;
+	struct links_options options;
+	struct lws_vhost *vhost;
+	struct addr addr;
+	char name[32];
+	struct link *all;
+	struct link *by_peer;
+	struct table handles; /* of struct stream pointers */
+	struct buffer scratch;
+	struct buffer batch;
+	int datagram_fd;
+	uint32_t up;
+	uint32_t proving; /* accepted, and not proved yet */
+	int64_t ticked_us;
+	int64_t refusal_logged_us;
+	bool closed;
+};
+
+/* link_handshake.c */
+void handshake_start(struct link *l);
+int handshake_receive(struct link *l, struct error *err);
+
+/* link_seal.c */
+int link_seal(struct link *l, const struct buffer *frame, struct buffer *out);
+int link_open_next(struct link *l, struct buffer *frame, struct error *err);
+
+/* link_stream.c */
+struct stream *stream_new(struct link *l, uint32_t id, bool outgoing);
+void stream_free(struct stream *s);
+struct stream *stream_find(const struct links *l, uint64_t handle);
+void stream_fail(struct stream *s, const struct error *why, int64_t now);
+int stream_queue(struct stream *s, const struct frame *head,
+		 const struct buffer *body);
+
+/* link_send.c */
+void link_want_write(struct link *l);
+void stream_wait(struct stream *s, struct stream **queue);
+void stream_unwait(struct stream *s);
+int link_queue_frame(struct link *l, const struct frame *f);
+void link_drop_queue(struct link *l);
+int link_write(struct link *l);
+
+/* link_receive.c */
+int link_receive(struct link *l, const void *data, size_t len,
+		 struct error *err);
+
+/* link.c */
+struct link *link_new(struct links *links, bool opener);
+struct link *link_to(struct links *links, const struct addr *peer,
+		     struct error *err, int64_t now);
+void link_unlist(struct link *l);
+void link_proved(struct link *l);
+void link_lose(struct link *l, const struct error *why, int64_t now);
+void link_free(struct link *l);
+void links_tick(void *ctx, int64_t now);
+
+/* link_socket.c */
+extern const struct lws_protocols link_protocols[];
+void link_connect(struct link *l);
+void link_disconnect(struct link *l);
+void links_refused(struct links *links, const char *peer,
+		   const struct error *why);
+
+/* datagram.c */
+int datagram_socket(const struct addr *listen, uint16_t *port,
+		    struct error *err);
+void datagram_receive(struct links *l);
+
+#endif
--- /dev/null
+++ b/src/net/link_send.c
@@ -0,0 +1,178 @@
+#include "net/link_impl.h"
+
+#include <stdlib.h>
+
+#define BATCH_MAX (32 * 1024) /* bytes given to the socket at once, about */
+
+/* Asks the loop to call link_write, when there is a connection. */
+void link_want_write(struct link *l)
+{
+	if (l->wsi && l->state >= LINK_PROVING)
+		lws_callback_on_writable(l->wsi);
+}
+
+/* Puts a stream at the end of heads or bodies. */
+void stream_wait(struct stream *s, struct stream **queue)
+{
+	stream_unwait(s);
+	DL_APPEND(*queue, s);
+	s->queue = queue;
+}
+
+/* Takes a stream out of the list that it waits in. */
+void stream_unwait(struct stream *s)
+{
+	if (!s->queue)
+		return;
+	DL_DELETE(*s->queue, s);
+	s->queue = NULL;
+}
+
+/* Queues a frame that goes before heads and bodies; -1 when it does not fit */
+int link_queue_frame(struct link *l, const struct frame *f)
+{
+	struct queued_frame *q = calloc(1, sizeof(*q));
+
+	if (!q)
+		return -1;
+	if (frame_encode(f, &q->bytes) < 0 ||
+	    l->queued + q->bytes.len > LINK_QUEUED_MAX) {
+		buffer_free(&q->bytes);
+		free(q);
+		return -1;
+	}
+	l->queued += q->bytes.len;
+	DL_APPEND(l->control, q);
+	link_want_write(l);
+	return 0;
+}
+
+static void drop_first(struct link *l)
+{
+	struct queued_frame *q = l->control;
+
+	DL_DELETE(l->control, q);
+	l->queued -= q->bytes.len;
+	buffer_free(&q->bytes);
+	free(q);
+}
+
+/* Drops all control frames that wait. */
+void link_drop_queue(struct link *l)
+{
+	while (l->control)
+		drop_first(l);
+}
+
+static int emit(struct link *l, const struct buffer *frame)
+{
+	counter_add(COUNTER_LINK_FRAMES, 1);
+	return link_seal(l, frame, &l->links->batch);
+}
+
+static int emit_control(struct link *l)
+{
+	int rc = emit(l, &l->control->bytes);
+
+	drop_first(l);
+	return rc;
+}
+
+/* The whole answer is out, so its stream ends; a call waits on. */
+static void stream_all_sent(struct stream *s)
+{
+	stream_unwait(s);
+	buffer_free(&s->body);
+	s->body_sent = 0;
+	if (!s->outgoing)
+		stream_free(s);
+}
+
+static int emit_head(struct link *l)
+{
+	struct stream *s = l->heads;
+	int rc = emit(l, &s->head);
+
+	s->head_sent = true;
+	l->queued -= s->head.len;
+	buffer_free(&s->head);
+	if (s->body.len)
+		stream_wait(s, &l->bodies);
+	else
+		stream_all_sent(s);
+	return rc;
+}
+
+static int emit_body(struct link *l)
+{
+	struct buffer *scratch = &l->links->scratch;
+	struct stream *s = l->bodies;
+	size_t len = s->body.len - s->body_sent;
+	struct frame f = {.kind = FRAME_BODY, .stream = s->id};
+
+	if (len > s->credit)
+		len = s->credit;
+	if (len > FRAME_PAYLOAD_MAX)
+		len = FRAME_PAYLOAD_MAX;
+	f.body.data = s->body.data + s->body_sent;
+	f.body.len = len;
+	scratch->len = 0;
+	if (frame_encode(&f, scratch) < 0 || emit(l, scratch) < 0)
+		return -1;
+	s->body_sent += len;
+	s->credit -= (uint32_t)len;
+	l->queued -= len;
+	if (s->body_sent == s->body.len)
+		stream_all_sent(s);
+	else if (s->credit)
+		stream_wait(s, &l->bodies);
+	else
+		stream_unwait(s);
+	return 0;
+}
+
+static int fill_batch(struct link *l)
+{
+	const struct buffer *batch = &l->links->batch;
+	int rc = 0;
+
+	while (!rc && batch->len < BATCH_MAX)
+		if (l->control)
+			rc = emit_control(l);
+		else if (l->heads)
+			rc = emit_head(l);
+		else if (l->bodies)
+			rc = emit_body(l);
+		else
+			break;
+	return rc;
+}
+
+/*
+ * Gives the socket what waits, up to one batch. Returns -1 when the link
+ * can't go on; whatever was put in the batch counts as sent.
+ */
+int link_write(struct link *l)
+{
+	static const uint8_t headroom[LWS_PRE];
+	struct buffer *batch = &l->links->batch;
+	size_t len;
+
+	batch->len = 0;
+	if (buffer_append(batch, headroom, LWS_PRE, SIZE_MAX) < 0 ||
+	    buffer_append(batch, l->plain_out.data, l->plain_out.len,
+			  SIZE_MAX) < 0)
+		return -1;
+	buffer_free(&l->plain_out);
+	if (l->state == LINK_UP && fill_batch(l) < 0)
+		return -1;
+	len = batch->len - LWS_PRE;
+	if (!len)
+		return 0;
+	counter_add(COUNTER_LINK_BYTES, len);
+	if (lws_write(l->wsi, batch->data + LWS_PRE, len, LWS_WRITE_RAW) < 0)
+		return -1;
+	if (l->state == LINK_UP && (l->control || l->heads || l->bodies))
+		lws_callback_on_writable(l->wsi);
+	return 0;
+}
--- /dev/null
+++ b/src/net/link_socket.c
@@ -0,0 +1,205 @@
+#include "net/link_impl.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#define CONNECT_TIMEOUT_US USEC_PER_SEC /* proofs of both sides included */
+#define PROVING_MAX 1024		/* accepted and not proved */
+#define REFUSAL_LOG_US USEC_PER_SEC
+
+static void end(struct link *l, enum error_code code, const char *what)
+{
+	struct error err;
+
+	error_set(&err, code, "link-connect", NULL, "%s", what);
+	link_lose(l, &err, net_now());
+}
+
+static void connect_timeout(struct lws_sorted_usec_list *sul)
+{
+	end((struct link *)sul, ERROR_TIMEOUT, "not proved in time");
+}
+
+static void watch_proof(struct link *l)
+{
+	lws_sul_schedule(l->links->net->context, 0, &l->sul, connect_timeout,
+			 CONNECT_TIMEOUT_US);
+}
+
+static void connect_now(struct lws_sorted_usec_list *sul)
+{
+	struct link *l = (struct link *)sul;
+	struct lws_client_connect_info info = {0};
+	char host[ADDR_TEXT_SIZE];
+
+	addr_host(&l->peer, host);
+	info.context = l->links->net->context;
+	info.vhost = l->links->vhost;
+	info.address = host;
+	info.host = host;
+	info.port = l->peer.port;
+	info.method = "RAW";
+	info.local_protocol_name = link_protocols[0].name;
+	info.opaque_user_data = l;
+	info.pwsi = &l->wsi;
+	watch_proof(l);
+	/* A failure may have been told, and wsi cleared, on the way. */
+	if (!lws_client_connect_via_info(&info) && l->state == LINK_CONNECTING)
+		end(l, ERROR_IO, "cannot connect");
+}
+
+/* Starts to connect from the loop, never from inside the caller. */
+void link_connect(struct link *l)
+{
+	l->state = LINK_CONNECTING;
+	lws_sul_schedule(l->links->net->context, 0, &l->sul, connect_now, 1);
+}
+
+/* Lets go of the connection; the loop closes it. */
+void link_disconnect(struct link *l)
+{
+	if (!l->wsi)
+		return;
+	lws_set_opaque_user_data(l->wsi, NULL);
+	lws_set_timeout(l->wsi, PENDING_TIMEOUT_USER_REASON_BASE,
+			LWS_TO_KILL_ASYNC);
+	l->wsi = NULL;
+}
+
+/* Counts and logs a refusal; under a flood one line a second. */
+void links_refused(struct links *links, const char *peer,
+		   const struct error *why)
+{
+	int64_t now = net_now();
+	struct error err = *why;
+
+	if (why->code == ERROR_AUTH)
+		counter_add(COUNTER_AUTH_FAILURES, 1);
+	if (links->refusal_logged_us &&
+	    now - links->refusal_logged_us < REFUSAL_LOG_US)
+		return;
+	links->refusal_logged_us = now;
+	snprintf(err.peer, sizeof(err.peer), "%s", peer);
+	log_error(LOG_WARNING, "link-refused", &err);
+}
+
+static void no_delay(struct lws *wsi)
+{
+	int on = 1;
+
+	setsockopt(lws_get_socket_fd(wsi), IPPROTO_TCP, TCP_NODELAY, &on,
+		   sizeof(on));
+}
+
+static int accepted(struct lws *wsi)
+{
+	struct links *links = lws_vhost_user(lws_get_vhost(wsi));
+	struct link *l;
+
+	if (links->closed || links->proving >= PROVING_MAX)
+		return -1;
+	l = link_new(links, false);
+	if (!l)
+		return -1;
+	l->state = LINK_PROVING;
+	l->wsi = wsi;
+	links->proving++;
+	lws_set_opaque_user_data(wsi, l);
+	no_delay(wsi);
+	watch_proof(l);
+	return 0;
+}
+
+static int connected(struct link *l)
+{
+	l->state = LINK_PROVING;
+	no_delay(l->wsi);
+	handshake_start(l);
+	return 0;
+}
+
+static int received(struct link *l, const void *data, size_t len)
+{
+	struct error err;
+	char peer[ADDR_TEXT_SIZE];
+
+	if (link_receive(l, data, len, &err) == 0)
+		return 0;
+	lws_get_peer_simple(l->wsi, peer, sizeof(peer));
+	links_refused(l->links, peer, &err);
+	link_lose(l, &err, net_now());
+	return -1;
+}
+
+static int writable(struct link *l)
+{
+	if (link_write(l) == 0)
+		return 0;
+	end(l, ERROR_IO, "cannot write");
+	return -1;
+}
+
+/* While the loop itself closes, nothing is reported. */
+static void lost(struct link *l, const char *what)
+{
+	if (l->links->net->closing)
+		l->wsi = NULL;
+	else
+		end(l, ERROR_IO, what);
+}
+
+static void cancel_timers(struct links *links)
+{
+	struct link *l;
+
+	DL_FOREACH(links->all, l)
+	lws_sul_cancel(&l->sul);
+}
+
+static int on_link(struct lws *wsi, enum lws_callback_reasons reason,
+		   void *user, void *in, size_t len)
+{
+	struct link *l = wsi ? lws_get_opaque_user_data(wsi) : NULL;
+
+	(void)user;
+	switch (reason) {
+	case LWS_CALLBACK_RAW_ADOPT:
+		return l ? 0 : accepted(wsi);
+	case LWS_CALLBACK_RAW_CONNECTED:
+		return l ? connected(l) : -1;
+	case LWS_CALLBACK_RAW_RX:
+		return l ? received(l, in, len) : -1;
+	case LWS_CALLBACK_RAW_WRITEABLE:
+		return l ? writable(l) : -1;
+	case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+	case LWS_CALLBACK_RAW_CLOSE:
+		if (l)
+			lost(l, reason == LWS_CALLBACK_RAW_CLOSE
+					? "the peer closed"
+					: "cannot connect");
+		return 0;
+	case LWS_CALLBACK_PROTOCOL_DESTROY:
+		cancel_timers(lws_vhost_user(lws_get_vhost(wsi)));
+		return 0;
+	default:
+		return 0;
+	}
+}
+
+static int on_datagram(struct lws *wsi, enum lws_callback_reasons reason,
+		       void *user, void *in, size_t len)
+{
+	(void)user;
+	(void)in;
+	(void)len;
+	if (reason == LWS_CALLBACK_RAW_RX_FILE)
+		datagram_receive(lws_vhost_user(lws_get_vhost(wsi)));
+	return 0;
+}
+
+const struct lws_protocols link_protocols[] = {
+	{.name = "link", .callback = on_link},
+	{.name = "link-datagram", .callback = on_datagram},
+	{0},
+};
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -119,6 +119,7 @@
 
 struct links_options {
 	struct addr listen;
+	uint64_t incarnation; /* sent with each control message */
 	uint8_t secret[SECRET_SIZE];
 	size_t body_limit;
 	void *ctx;
--- a/src/wire/frame.c
+++ b/src/wire/frame.c
@@ -5,7 +5,7 @@
 
 #define FRAME_PARTS 2	  /* kind, stream */
 #define HEAD_PARTS 5	  /* and head, message, length of the body */
-#define ONE_PART 3	  /* and body, credit or peer message */
+#define ONE_PART 3	  /* and body, credit, peer message or ping */
 #define SEAL_RESERVE 1024 /* of FRAME_MAX, for the seal */
 
 /*
@@ -45,6 +45,9 @@
 	case FRAME_PEER:
 		write_peer_msg(&w, f->peer);
 		break;
+	case FRAME_PING:
+		write_uint(&w, f->ping);
+		break;
 	}
 	return writer_end(&w);
 }
@@ -82,12 +85,15 @@
 	case FRAME_PEER:
 		read_peer(f, r);
 		break;
+	case FRAME_PING:
+		f->ping = (enum ping_kind)read_uint(r, PING_CLOSE);
+		break;
 	}
 }
 
 static void read_frame(struct frame *f, struct reader *r)
 {
-	uint64_t kind = read_uint(r, FRAME_PEER);
+	uint64_t kind = read_uint(r, FRAME_PING);
 
 	f->stream = (uint32_t)read_uint(r, UINT32_MAX);
 	f->kind = (enum frame_kind)kind;
@@ -143,6 +149,7 @@
 	case FRAME_BODY:
 	case FRAME_CREDIT:
 	case FRAME_CANCEL:
+	case FRAME_PING:
 		break;
 	}
 }
--- a/src/wire/reader.c
+++ b/src/wire/reader.c
@@ -83,39 +83,41 @@
 	return o && o->via.boolean;
 }
 
-static const msgpack_object *next_text(struct reader *r, size_t max)
+/* Returns text that is not terminated; the library has no empty strings. */
+static const char *next_text(struct reader *r, size_t max, size_t *len)
 {
 	const msgpack_object *o = next(r, MSGPACK_OBJECT_STR);
 
-	if (!o || o->via.str.size > max ||
-	    memchr(o->via.str.ptr, 0, o->via.str.size)) {
-		r->bad = true;
-		return NULL;
-	}
-	return o;
+	*len = o ? o->via.str.size : 0;
+	if (!o || !*len)
+		return "";
+	if (*len <= max && !memchr(o->via.str.ptr, 0, *len))
+		return o->via.str.ptr;
+	r->bad = true;
+	*len = 0;
+	return "";
 }
 
 /* Copies text that fits into size bytes with its NUL. */
 void read_text(struct reader *r, char *to, size_t size)
 {
-	const msgpack_object *o = next_text(r, size - 1);
+	size_t len;
+	const char *s = next_text(r, size - 1, &len);
 
-	to[0] = 0;
-	if (!o)
-		return;
-	memcpy(to, o->via.str.ptr, o->via.str.size);
-	to[o->via.str.size] = 0;
+	memcpy(to, s, len);
+	to[len] = 0;
 }
 
-/* Returns text of at most max bytes in memory of its own, or NULL. */
+/* Returns text of at most max bytes in memory of its own; NULL without. */
 char *read_text_copy(struct reader *r, size_t max)
 {
-	const msgpack_object *o = next_text(r, max);
-	char *s = o ? strndup(o->via.str.ptr, o->via.str.size) : NULL;
+	size_t len;
+	const char *s = next_text(r, max, &len);
+	char *copy = strndup(s, len);
 
-	if (!s)
+	if (!copy)
 		r->bad = true;
-	return s;
+	return copy;
 }
 
 /* Returns a byte string inside the decoded bytes, or NULL. */
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -128,6 +128,13 @@
 	FRAME_CREDIT,
 	FRAME_CANCEL,
 	FRAME_PEER, /* a peer_msg */
+	FRAME_PING,
+};
+
+enum ping_kind {
+	PING_ASK,
+	PING_REPLY,
+	PING_CLOSE, /* the sender opens no more streams on this link */
 };
 
 /*
@@ -154,6 +161,7 @@
 		} body;
 		uint32_t credit; /* bytes */
 		struct peer_msg *peer;
+		enum ping_kind ping;
 	};
 };
 
--- /dev/null
+++ b/test/test_links.c
@@ -0,0 +1,787 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/link_impl.h"
+
+#define TICKS_MAX 20000 /* of the loop before a test gives up */
+#define BODY_LIMIT (4 * 1024 * 1024)
+#define HELD_MAX 64
+
+static const uint8_t secret[SECRET_SIZE] = {7};
+static const uint8_t other_secret[SECRET_SIZE] = {8};
+
+/* One end: keeps calls back, or answers with as many bytes as asked for. */
+struct end {
+	struct links *links;
+	struct addr addr;
+	bool hold;
+	uint64_t held[HELD_MAX];
+	char held_target[HELD_MAX][16];
+	size_t calls;
+	size_t call_bytes;
+	size_t cancelled;
+	size_t peer_msgs;
+	struct addr peer_from;
+};
+
+struct report {
+	uint64_t tag;
+	enum link_status status;
+	enum reason reason;
+	enum outcome outcome;
+	size_t body_len;
+	char echo[16];
+};
+
+struct world {
+	struct net *net;
+	struct end a;
+	struct end b;
+	struct report reports[HELD_MAX];
+	size_t reported;
+	size_t wanted;
+	size_t *seen;
+	int ticks;
+};
+
+static struct world w;
+
+static int answer(struct end *e, uint64_t stream, const char *target)
+{
+	struct answer_head head = {.outcome = OUTCOME_DONE};
+	struct message m = {.status = 200};
+	size_t len = (size_t)strtoul(target + 1, NULL, 10);
+	int rc;
+
+	message_add_header(&m, "echo", target);
+	m.body.data = calloc(1, len + 1);
+	m.body.len = len;
+	rc = links_answer(e->links, stream, &head, &m);
+	message_free(&m);
+	return rc;
+}
+
+static void on_call(void *ctx, uint64_t stream, const struct addr *peer,
+		    const struct call_head *head, struct message *msg,
+		    int64_t now)
+{
+	struct end *e = ctx;
+
+	(void)peer;
+	(void)now;
+	assert_string_equal(head->service, "history");
+	e->call_bytes += msg->body.len;
+	e->held[e->calls] = stream;
+	snprintf(e->held_target[e->calls++], 16, "%s", msg->target);
+	if (!e->hold)
+		assert_int_equal(answer(e, stream, msg->target), 0);
+}
+
+static void on_cancelled(void *ctx, uint64_t stream, int64_t now)
+{
+	struct end *e = ctx;
+
+	(void)stream;
+	(void)now;
+	e->cancelled++;
+}
+
+static void on_peer(void *ctx, const struct peer_msg *msg, int64_t now)
+{
+	struct end *e = ctx;
+
+	(void)now;
+	e->peer_from = msg->from;
+	e->peer_msgs++;
+}
+
+static void on_done(void *ctx, uint64_t tag, struct link_result *r, int64_t now)
+{
+	struct report *p = &w.reports[w.reported++];
+
+	(void)ctx;
+	(void)now;
+	p->tag = tag;
+	p->status = r->status;
+	if (r->status != LINK_ANSWERED) {
+		assert_true(r->err.code != ERROR_NONE);
+		return;
+	}
+	p->reason = r->head->reason;
+	p->outcome = r->head->outcome;
+	p->body_len = r->answer->body.len;
+	if (message_header(r->answer, "echo"))
+		snprintf(p->echo, sizeof(p->echo), "%s",
+			 message_header(r->answer, "echo"));
+}
+
+static void check(void *ctx, int64_t now)
+{
+	(void)ctx;
+	(void)now;
+	if (++w.ticks > TICKS_MAX || (w.seen && *w.seen >= w.wanted))
+		net_stop(w.net);
+}
+
+/* Runs the loop until *seen has come to n. */
+static void run_until(size_t *seen, size_t n)
+{
+	w.seen = seen;
+	w.wanted = n;
+	w.ticks = 0;
+	net_run(w.net);
+	w.seen = NULL;
+	assert_true(*seen >= n);
+}
+
+static void open_end(struct end *e, const uint8_t key[SECRET_SIZE])
+{
+	struct links_options o = {
+		.body_limit = BODY_LIMIT,
+		.incarnation = 1,
+		.ctx = e,
+		.call = on_call,
+		.cancelled = on_cancelled,
+		.peer = on_peer,
+	};
+
+	memcpy(o.secret, key, SECRET_SIZE);
+	addr_parse(&o.listen, "127.0.0.1:0");
+	e->links = links_open(w.net, &o, NULL);
+	assert_non_null(e->links);
+	links_addr(e->links, &e->addr);
+}
+
+static int set_up(void **state)
+{
+	(void)state;
+	memset(&w, 0, sizeof(w));
+	log_set_level(LOG_CRIT);
+	w.net = net_open(NULL);
+	assert_non_null(w.net);
+	net_every(w.net, USEC_PER_MSEC, check, NULL);
+	open_end(&w.a, secret);
+	open_end(&w.b, secret);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	net_close(w.net);
+	return 0;
+}
+
+/* Calls to; the answer will be as long as the number in target. */
+static uint64_t call(const struct addr *to, uint64_t tag, const char *target,
+		     size_t body_len, struct error *err)
+{
+	struct call_head head = {.service = "history"};
+	struct message m = {.method = "POST"};
+	struct link_call c = {.to = *to, .head = &head, .message = &m};
+	uint64_t handle;
+
+	c.tag = tag;
+	c.done = on_done;
+	m.target = strdup(target);
+	m.body.data = calloc(1, body_len + 1);
+	m.body.len = body_len;
+	handle = links_call(w.a.links, &c, net_now(), err);
+	message_free(&m);
+	return handle;
+}
+
+static struct link *link_of(const struct end *e)
+{
+	assert_non_null(e->links->all);
+	return e->links->all;
+}
+
+static void bring_up(void)
+{
+	call(&w.b.addr, 99, "/0", 0, NULL);
+	run_until(&w.reported, 1);
+	w.reported = 0;
+	w.b.calls = 0;
+	assert_int_equal(links_count(w.a.links), 1);
+	assert_int_equal(links_count(w.b.links), 1);
+}
+
+static void whole_bodies_go_both_ways(void **state)
+{
+	static const struct {
+		size_t call_len;
+		const char *target;
+		size_t answer_len;
+	} cases[] = {
+		{0, "/0", 0},
+		{1, "/1", 1},
+		{FRAME_PAYLOAD_MAX, "/16384", FRAME_PAYLOAD_MAX},
+		{LINK_CREDIT + 1, "/65537", LINK_CREDIT + 1},
+		{BODY_LIMIT, "/4194304", BODY_LIMIT},
+	};
+	size_t i, bytes = 0;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		call(&w.b.addr, i, cases[i].target, cases[i].call_len, NULL);
+		run_until(&w.reported, i + 1);
+		bytes += cases[i].call_len;
+		assert_int_equal(w.reports[i].status, LINK_ANSWERED);
+		assert_int_equal(w.reports[i].body_len, cases[i].answer_len);
+		assert_int_equal(w.b.call_bytes, bytes);
+	}
+	assert_int_equal(links_count(w.a.links), 1);
+	assert_int_equal(link_of(&w.a)->queued, 0);
+	assert_int_equal(link_of(&w.b)->queued, 0);
+	assert_int_equal(w.b.links->handles.count, 0);
+}
+
+static void each_gets_its_own_answer_in_any_order(void **state)
+{
+	char target[16];
+	uint64_t i;
+
+	(void)state;
+	w.b.hold = true;
+	for (i = 0; i < 20; i++) {
+		snprintf(target, sizeof(target), "/%d", (int)i + 1);
+		assert_true(call(&w.b.addr, i + 1, target, 10, NULL));
+	}
+	run_until(&w.b.calls, 20);
+	for (i = 20; i-- > 0;)
+		answer(&w.b, w.b.held[i], w.b.held_target[i]);
+	run_until(&w.reported, 20);
+	for (i = 0; i < 20; i++) {
+		snprintf(target, sizeof(target), "/%d", (int)w.reports[i].tag);
+		assert_string_equal(w.reports[i].echo, target);
+		assert_int_equal(w.reports[i].body_len, w.reports[i].tag);
+	}
+	assert_int_equal(w.reports[0].tag, 20);
+}
+
+static void a_big_answer_holds_no_small_one_back(void **state)
+{
+	(void)state;
+	w.b.hold = true;
+	call(&w.b.addr, 1, "/4000000", 0, NULL);
+	call(&w.b.addr, 2, "/10", 0, NULL);
+	run_until(&w.b.calls, 2);
+	answer(&w.b, w.b.held[0], w.b.held_target[0]);
+	answer(&w.b, w.b.held[1], w.b.held_target[1]);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[0].tag, 2);
+}
+
+static void cancelled_calls_are_told_and_never_answered(void **state)
+{
+	uint64_t first;
+
+	(void)state;
+	w.b.hold = true;
+	first = call(&w.b.addr, 1, "/1", 0, NULL);
+	call(&w.b.addr, 2, "/2", 0, NULL);
+	run_until(&w.b.calls, 2);
+	/* The answer to the first crosses the cancellation. */
+	answer(&w.b, w.b.held[0], "/1");
+	links_cancel(w.a.links, first);
+	answer(&w.b, w.b.held[1], "/2");
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].tag, 2);
+	first = call(&w.b.addr, 3, "/3", 0, NULL);
+	run_until(&w.b.calls, 3);
+	links_cancel(w.a.links, first);
+	run_until(&w.b.cancelled, 1);
+	assert_int_equal(answer(&w.b, w.b.held[2], "/3"), -1);
+	assert_int_equal(w.reported, 1);
+}
+
+static void a_wrong_secret_carries_nothing(void **state)
+{
+	uint64_t failures = counter_get(COUNTER_AUTH_FAILURES);
+	struct end c = {0};
+
+	(void)state;
+	open_end(&c, other_secret);
+	call(&c.addr, 1, "/1", 0, NULL);
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_NOT_SENT);
+	assert_int_equal(c.calls, 0);
+	assert_true(counter_get(COUNTER_AUTH_FAILURES) > failures);
+	assert_int_equal(links_count(c.links), 0);
+}
+
+static void an_absent_peer_is_not_sent_to_and_backed_off(void **state)
+{
+	struct error err = {0};
+	struct addr nobody;
+
+	(void)state;
+	addr_parse(&nobody, "127.0.0.1:1");
+	assert_true(call(&nobody, 1, "/1", 0, &err));
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_NOT_SENT);
+	w.a.links->all->retry_at_us = INT64_MAX;
+	assert_int_equal(call(&nobody, 2, "/1", 0, &err), 0);
+	assert_string_equal(err.step, "link-connect");
+	assert_string_equal(err.peer, "127.0.0.1:1");
+	w.a.links->all->retry_at_us = 0;
+	assert_true(call(&nobody, 3, "/1", 0, &err));
+	run_until(&w.reported, 2);
+}
+
+static void lost_links_are_told_on_both_sides(void **state)
+{
+	(void)state;
+	w.b.hold = true;
+	call(&w.b.addr, 1, "/1", 0, NULL);
+	run_until(&w.b.calls, 1);
+	call(&w.b.addr, 2, "/2", 0, NULL);
+	links_close(w.b.links);
+	assert_int_equal(w.b.cancelled, 1);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[0].status, LINK_LOST);
+	assert_int_equal(links_count(w.a.links), 0);
+	assert_int_equal(links_count(w.b.links), 0);
+}
+
+static void bodies_past_the_limit_are_refused(void **state)
+{
+	(void)state;
+	call(&w.b.addr, 1, "/1", BODY_LIMIT + 1, NULL);
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_ANSWERED);
+	assert_int_equal(w.reports[0].reason, REASON_BODY_TOO_LARGE);
+	assert_int_equal(w.reports[0].outcome, OUTCOME_NOT_RUN);
+	assert_int_equal(w.b.calls, 0);
+	call(&w.b.addr, 2, "/4194305", 0, NULL);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[1].status, LINK_LOST);
+	call(&w.b.addr, 3, "/3", 0, NULL);
+	run_until(&w.reported, 3);
+	assert_int_equal(w.reports[2].status, LINK_ANSWERED);
+}
+
+/* An answer that can't be queued whole must not claim to be done. */
+static void an_answer_past_the_queue_is_not_called_done(void **state)
+{
+	(void)state;
+	w.b.hold = true;
+	call(&w.b.addr, 1, "/100", 0, NULL);
+	run_until(&w.b.calls, 1);
+	link_of(&w.b)->queued = LINK_QUEUED_MAX - 1000;
+	answer(&w.b, w.b.held[0], "/70000000");
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_ANSWERED);
+	assert_int_equal(w.reports[0].outcome, OUTCOME_UNKNOWN);
+	assert_int_equal(w.reports[0].reason, REASON_OVERLOADED);
+}
+
+static void control_messages_come_with_their_sender(void **state)
+{
+	struct peer_msg m = {.kind = PEER_NOTES_PULL};
+	uint64_t sent = counter_get(COUNTER_CONTROL_MESSAGES);
+
+	(void)state;
+	assert_int_equal(links_send(w.a.links, &w.b.addr, &m, net_now()), 0);
+	run_until(&w.b.peer_msgs, 1);
+	assert_true(addr_equal(&w.b.peer_from, &w.a.addr));
+	assert_int_equal(links_datagram(w.b.links, &w.a.addr, &m), 0);
+	run_until(&w.a.peer_msgs, 1);
+	assert_true(addr_equal(&w.a.peer_from, &w.b.addr));
+	assert_int_equal(counter_get(COUNTER_CONTROL_MESSAGES), sent + 2);
+	m.kind = PEER_QUERY;
+	m.query.text.data = calloc(1, DATAGRAM_MAX);
+	m.query.text.len = DATAGRAM_MAX;
+	assert_int_equal(links_datagram(w.a.links, &w.b.addr, &m), -1);
+	assert_int_equal(links_send(w.a.links, &w.b.addr, &m, net_now()), 0);
+	run_until(&w.b.peer_msgs, 2);
+	peer_msg_free(&m);
+}
+
+static void forged_datagrams_are_counted_and_dropped(void **state)
+{
+	size_t failures = counter_get(COUNTER_AUTH_FAILURES);
+	struct peer_msg m = {.kind = PEER_NOTES_PULL};
+	struct end c = {0};
+	size_t seen = 0;
+
+	(void)state;
+	open_end(&c, other_secret);
+	links_datagram(c.links, &w.b.addr, &m);
+	links_datagram(w.a.links, &w.b.addr, &m);
+	run_until(&w.b.peer_msgs, 1);
+	seen = counter_get(COUNTER_AUTH_FAILURES);
+	assert_int_equal(seen, failures + 1);
+	assert_true(addr_equal(&w.b.peer_from, &w.a.addr));
+}
+
+static int dial(const struct addr *to)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET,
+				 .sin_port = htons(to->port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+/* Runs the loop for one tick. */
+static void step(void)
+{
+	static size_t nothing;
+
+	run_until(&nothing, 0);
+}
+
+static bool closed_by_peer(int fd)
+{
+	char byte;
+	ssize_t n;
+
+	do
+		n = recv(fd, &byte, 1, MSG_DONTWAIT);
+	while (n > 0);
+	return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/* Runs the loop until the other side has closed fd. */
+static void run_until_closed(int fd)
+{
+	int ticks = 0;
+
+	while (!closed_by_peer(fd)) {
+		step();
+		assert_true(++ticks < TICKS_MAX);
+	}
+	close(fd);
+}
+
+static void strangers_are_turned_away(void **state)
+{
+	static const struct {
+		const char *name;
+		size_t len;
+		uint8_t first;
+		bool half_close;
+		bool forged;
+	} cases[] = {
+		{"garbage", 4096, 0xff, false, true},
+		{"http", 40, 'G', false, true},
+		{"half a hello and no more", 20, 'm', true, false},
+		{"nothing, half closed", 0, 0, true, false},
+		{"nothing at all", 0, 0, false, false},
+		{"a hello and a false proof", 114, 'm', false, true},
+	};
+	uint8_t bytes[4096] = "mflink\0\1";
+	uint64_t failures;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		int fd = dial(&w.b.addr);
+
+		failures = counter_get(COUNTER_AUTH_FAILURES);
+		bytes[0] = cases[i].first;
+		assert_int_equal(send(fd, bytes, cases[i].len, 0),
+				 cases[i].len);
+		if (cases[i].half_close)
+			shutdown(fd, SHUT_WR);
+		run_until_closed(fd);
+		assert_int_equal(counter_get(COUNTER_AUTH_FAILURES),
+				 failures + cases[i].forged);
+		assert_int_equal(w.b.links->proving, 0);
+		assert_null(w.b.links->all);
+	}
+}
+
+static int listener(struct addr *a)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&sa, len), 0);
+	assert_int_equal(listen(fd, 4), 0);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	addr_parse(a, "127.0.0.1:0");
+	a->port = ntohs(sa.sin_port);
+	return fd;
+}
+
+static int accept_one(int lfd)
+{
+	int fd, ticks = 0;
+
+	while ((fd = accept(lfd, NULL, NULL)) < 0) {
+		step();
+		assert_true(++ticks < TICKS_MAX);
+	}
+	return fd;
+}
+
+/* Runs the loop until n bytes have come on fd. */
+static void run_until_received(int fd, uint8_t *to, size_t n)
+{
+	size_t got = 0;
+	int ticks = 0;
+
+	while (got < n) {
+		ssize_t r = recv(fd, to + got, n - got, MSG_DONTWAIT);
+
+		if (r > 0) {
+			got += (size_t)r;
+			continue;
+		}
+		step();
+		assert_true(++ticks < TICKS_MAX);
+	}
+}
+
+/* The opener's hello comes back to it, or is relayed to another node. */
+static void reflected_and_relayed_hellos_are_refused(void **state)
+{
+	uint64_t failures = counter_get(COUNTER_AUTH_FAILURES);
+	uint8_t hello[40], reply[256] = {0};
+	struct addr middle;
+	int lfd = listener(&middle), fd, onward;
+
+	(void)state;
+	call(&middle, 1, "/1", 0, NULL);
+	fd = accept_one(lfd);
+	run_until_received(fd, hello, sizeof(hello));
+	memcpy(reply, hello, sizeof(hello));
+	assert_int_equal(send(fd, reply, 114, 0), 114);
+	run_until_closed(fd);
+	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 1);
+
+	w.a.links->all->retry_at_us = 0;
+	call(&middle, 2, "/1", 0, NULL);
+	run_until(&w.reported, 1);
+	fd = accept_one(lfd);
+	run_until_received(fd, hello, sizeof(hello));
+	onward = dial(&w.b.addr);
+	assert_int_equal(send(onward, hello, sizeof(hello), 0), 40);
+	run_until_received(onward, reply, 114);
+	assert_int_equal(send(fd, reply, 114, 0), 114);
+	run_until_closed(fd);
+	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 2);
+	close(onward);
+	close(lfd);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[0].status, LINK_NOT_SENT);
+	assert_int_equal(w.reports[1].status, LINK_NOT_SENT);
+	assert_int_equal(w.b.calls, 0);
+}
+
+/* A proved peer that breaks the rules loses its link, and nothing else. */
+static void violations_end_the_link(void **state)
+{
+	static const struct frame cases[] = {
+		{.kind = FRAME_CALL, .stream = 2},
+		{.kind = FRAME_CALL, .stream = 0},
+		{.kind = FRAME_CALL, .stream = 1},
+		{.kind = FRAME_ANSWER, .stream = 1},
+		{.kind = FRAME_CANCEL, .stream = 2},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		bring_up();
+		w.b.hold = true;
+		call(&w.b.addr, 1, "/1", 0, NULL);
+		run_until(&w.b.calls, 1);
+		assert_int_equal(link_queue_frame(link_of(&w.a), &cases[i]), 0);
+		run_until(&w.reported, 1);
+		assert_int_equal(w.reports[0].status, LINK_LOST);
+		assert_int_equal(links_count(w.b.links), 0);
+		w.reported = 0;
+		w.b.hold = false;
+	}
+}
+
+static void false_bodies_and_credits_end_the_link(void **state)
+{
+	static const uint8_t byte;
+	size_t i;
+
+	(void)state;
+	w.b.hold = true;
+	for (i = 0; i < 2; i++) {
+		struct frame f = {.kind = i ? FRAME_CREDIT : FRAME_BODY};
+
+		if (i) {
+			f.credit = UINT32_MAX;
+		} else {
+			f.body.data = &byte;
+			f.body.len = 1;
+		}
+		call(&w.b.addr, 1, "/1", 0, NULL);
+		run_until(&w.b.calls, i + 1);
+		f.stream = link_of(&w.a)->last_peer_id + 1;
+		link_queue_frame(link_of(&w.a), &f);
+		run_until(&w.reported, i + 1);
+		assert_int_equal(w.reports[i].status, LINK_LOST);
+		assert_int_equal(w.b.cancelled, i + 1);
+	}
+}
+
+static void false_lengths_are_refused_before_memory(void **state)
+{
+	static const struct {
+		uint8_t bytes[8];
+		size_t len;
+		int result;
+	} cases[] = {
+		{{0xff, 0xff, 0xff, 0xff}, 4, -1},
+		{{0, 1, 0, 1}, 4, -1}, /* FRAME_MAX + 1 */
+		{{0, 0, 0, 3, 1, 2, 3}, 7, -1},
+		{{0, 0}, 2, 0},
+		{{0, 1, 0, 0, 1}, 5, 0},
+	};
+	struct link l = {0};
+	struct buffer frame = {0};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct error err;
+
+		l.in.len = 0;
+		buffer_append(&l.in, cases[i].bytes, cases[i].len, 8);
+		assert_int_equal(link_open_next(&l, &frame, &err),
+				 cases[i].result);
+		assert_true(l.in.size < 1024);
+		assert_null(frame.data);
+	}
+	buffer_free(&l.in);
+}
+
+static void tampered_frames_are_refused(void **state)
+{
+	uint8_t key[crypto_secretstream_xchacha20poly1305_KEYBYTES] = {1};
+	uint8_t header[crypto_secretstream_xchacha20poly1305_HEADERBYTES];
+	struct buffer plain = {0}, out = {0};
+	struct link l = {0};
+	struct error err;
+
+	(void)state;
+	crypto_secretstream_xchacha20poly1305_init_push(&l.push, header, key);
+	crypto_secretstream_xchacha20poly1305_init_pull(&l.pull, header, key);
+	buffer_append(&plain, "frame", 5, 5);
+	assert_int_equal(link_seal(&l, &plain, &l.in), 0);
+	l.in.data[LINK_LENGTH_SIZE + 2] ^= 1;
+	assert_int_equal(link_open_next(&l, &out, &err), -1);
+	assert_int_equal(err.code, ERROR_AUTH);
+	l.in.data[LINK_LENGTH_SIZE + 2] ^= 1;
+	assert_int_equal(link_open_next(&l, &out, &err), 1);
+	assert_memory_equal(out.data, "frame", 5);
+	assert_int_equal(l.in.len, 0);
+	buffer_free(&plain);
+	buffer_free(&out);
+	buffer_free(&l.in);
+}
+
+/* Ticks of one end over us microseconds, in steps of a quarter second. */
+static void tick_for(struct end *e, int64_t us)
+{
+	int64_t now = e->links->ticked_us, until = now + us;
+
+	for (; now < until; now += 250 * USEC_PER_MSEC)
+		links_tick(e->links, now);
+}
+
+static void a_silent_peer_is_given_up_within_3_s(void **state)
+{
+	(void)state;
+	w.b.hold = true;
+	call(&w.b.addr, 1, "/1", 0, NULL);
+	run_until(&w.b.calls, 1);
+	/* The loop does not run, so nothing from the peer is heard. */
+	tick_for(&w.a, 3 * USEC_PER_SEC);
+	assert_int_equal(w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_LOST);
+}
+
+static void a_pause_of_this_process_blames_nobody(void **state)
+{
+	int64_t now;
+
+	(void)state;
+	w.b.hold = true;
+	call(&w.b.addr, 1, "/1", 0, NULL);
+	run_until(&w.b.calls, 1);
+	now = w.a.links->ticked_us;
+	links_tick(w.a.links, now + 60 * USEC_PER_SEC);
+	assert_int_equal(w.reported, 0);
+	answer(&w.b, w.b.held[0], "/1");
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_ANSWERED);
+}
+
+static void idle_links_close_without_cutting_a_call(void **state)
+{
+	struct stream *s;
+
+	(void)state;
+	bring_up();
+	w.b.hold = true;
+	tick_for(&w.a, 62 * USEC_PER_SEC);
+	assert_true(link_of(&w.a)->closing);
+	/* A call opened now takes another link. */
+	call(&w.b.addr, 1, "/1", 0, NULL);
+	run_until(&w.b.calls, 1);
+	s = stream_find(w.b.links, w.b.held[0]);
+	assert_true(s->link != link_of(&w.b));
+	answer(&w.b, w.b.held[0], "/1");
+	run_until(&w.reported, 1);
+	tick_for(&w.b, USEC_PER_SEC);
+	assert_int_equal(links_count(w.b.links), 1);
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(whole_bodies_go_both_ways),
+		TEST(each_gets_its_own_answer_in_any_order),
+		TEST(a_big_answer_holds_no_small_one_back),
+		TEST(cancelled_calls_are_told_and_never_answered),
+		TEST(a_wrong_secret_carries_nothing),
+		TEST(an_absent_peer_is_not_sent_to_and_backed_off),
+		TEST(lost_links_are_told_on_both_sides),
+		TEST(bodies_past_the_limit_are_refused),
+		TEST(an_answer_past_the_queue_is_not_called_done),
+		TEST(control_messages_come_with_their_sender),
+		TEST(forged_datagrams_are_counted_and_dropped),
+		TEST(strangers_are_turned_away),
+		TEST(reflected_and_relayed_hellos_are_refused),
+		TEST(violations_end_the_link),
+		TEST(false_bodies_and_credits_end_the_link),
+		TEST(a_silent_peer_is_given_up_within_3_s),
+		TEST(a_pause_of_this_process_blames_nobody),
+		TEST(idle_links_close_without_cutting_a_call),
+		cmocka_unit_test(false_lengths_are_refused_before_memory),
+		cmocka_unit_test(tampered_frames_are_refused),
+	};
+
+	if (sodium_init() < 0)
+		return 1;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -88,6 +88,7 @@
 	{FRAME_CALL, fill_call},      {FRAME_ANSWER, fill_answer},
 	{FRAME_BODY, fill_body},      {FRAME_CREDIT, fill_nothing},
 	{FRAME_CANCEL, fill_nothing}, {FRAME_PEER, fill_peer},
+	{FRAME_PING, fill_nothing},
 };
 #define FRAMES (sizeof(frames) / sizeof(*frames))
 
