Speak to the platform's store, under a budget of calls

Nodes need the platform's store through the JSON gateway of etcd v3, and may not spend more calls a second than they are given. budget.c caps calls and open watches so that no second sees more than the cap, and holds lower priorities back first; held calls are copies and end as not done when their time is up. etcd*.c encode calls, read answers and keep watches on streams that are replaced every 30 s, since a dead connection looks like a silent one. A write is reported as not done only when no byte was sent or etcd refused it with a code that precedes any effect; all else is unknown.

gateway.c is the server's side over kv.c. The stand-in tools/store serves it over libwebsockets with faults switched at run time, and tests pass calls through the JSON of both sides.

--- /dev/null
+++ b/src/store/etcd_answer.c
@@ -0,0 +1,164 @@
+#include "store/etcd_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HTTP_OK 200
+
+static int get_key(struct json_object *kv, char key[STORE_KEY_SIZE])
+{
+	size_t len;
+	uint8_t *data = etcd_bytes(kv, "key", &len);
+	int rc = -1;
+
+	if (data && strlen((char *)data) == len)
+		rc = copy_name(key, STORE_KEY_SIZE, (char *)data);
+	free(data);
+	return rc;
+}
+
+/*
+ * Reads one kv into e, whose value is the caller's to free; a removed one
+ * has value NULL. Returns -1 when it is malformed.
+ */
+int etcd_entry(struct json_object *kv, bool removed, struct store_entry *e)
+{
+	memset(e, 0, sizeof(*e));
+	if (get_key(kv, e->key) < 0)
+		return -1;
+	e->mod_revision = etcd_int(kv, "mod_revision");
+	if (e->mod_revision <= 0)
+		return -1;
+	if (removed)
+		return 0;
+	e->value = etcd_bytes(kv, "value", &e->len);
+	return e->value ? 0 : -1;
+}
+
+static int add_kvs(struct json_object *range, struct store_result *r)
+{
+	struct json_object *kvs = etcd_member(range, "kvs");
+	struct store_entry e;
+	size_t i, n;
+	int rc;
+
+	if (!kvs)
+		return 0;
+	if (!json_object_is_type(kvs, json_type_array))
+		return -1;
+	n = json_object_array_length(kvs);
+	for (i = 0; i < n; i++) {
+		if (etcd_entry(json_object_array_get_idx(kvs, i), false, &e))
+			return -1;
+		rc = result_add(r, e.key, e.value, e.len, e.mod_revision);
+		free(e.value);
+		if (rc < 0)
+			return -1;
+	}
+	return 0;
+}
+
+static int txn_answer(struct json_object *o, struct store_result *r)
+{
+	struct json_object *responses = etcd_member(o, "responses");
+	size_t i, n;
+
+	if (json_object_get_boolean(etcd_member(o, "succeeded")))
+		return 0;
+	r->outcome = STORE_CONFLICT;
+	if (!responses)
+		return 0;
+	if (!json_object_is_type(responses, json_type_array))
+		return -1;
+	n = json_object_array_length(responses);
+	for (i = 0; i < n; i++)
+		if (add_kvs(etcd_member(json_object_array_get_idx(responses, i),
+					"response_range"),
+			    r) < 0)
+			return -1;
+	return 0;
+}
+
+static int keep_answer(struct json_object *o, struct store_result *r)
+{
+	struct json_object *result = etcd_member(o, "result");
+
+	if (!result)
+		return -1;
+	r->revision = etcd_int(etcd_member(result, "header"), "revision");
+	if (etcd_int(result, "TTL") > 0)
+		r->lease = etcd_int(result, "ID");
+	return 0;
+}
+
+static int done_answer(enum store_op_kind kind, struct json_object *o,
+		       struct store_result *r)
+{
+	r->outcome = STORE_DONE;
+	if (kind == STORE_LEASE_KEEP)
+		return keep_answer(o, r);
+	/* Every answer of etcd has a header; a proxy's page has none. */
+	if (!etcd_member(o, "header"))
+		return -1;
+	r->revision = etcd_int(etcd_member(o, "header"), "revision");
+	switch (kind) {
+	case STORE_GET:
+	case STORE_LIST:
+		return add_kvs(o, r);
+	case STORE_TXN:
+		return txn_answer(o, r);
+	case STORE_LEASE_GRANT:
+		r->lease = etcd_int(o, "ID");
+		return r->lease ? 0 : -1;
+	case STORE_LEASE_KEEP:
+	case STORE_LEASE_REVOKE:
+		break;
+	}
+	return 0;
+}
+
+static bool without_effect(int64_t code)
+{
+	return code == GRPC_INVALID_ARGUMENT || code == GRPC_NOT_FOUND ||
+	       code == GRPC_PERMISSION_DENIED ||
+	       code == GRPC_FAILED_PRECONDITION || code == GRPC_OUT_OF_RANGE ||
+	       code == GRPC_UNAUTHENTICATED;
+}
+
+static int error_answer(enum store_op_kind kind, struct json_object *o,
+			struct store_result *r)
+{
+	struct json_object *text = etcd_member(o, "message");
+	int64_t code = etcd_int(o, "code");
+
+	if (kind == STORE_LEASE_REVOKE && code == GRPC_NOT_FOUND) {
+		r->outcome = STORE_DONE;
+		return 0;
+	}
+	if (!code || !text)
+		return -1;
+	result_fail(r, without_effect(code) ? STORE_NOT_DONE : STORE_UNKNOWN,
+		    code == GRPC_NOT_FOUND ? ERROR_NOT_FOUND : ERROR_INPUT,
+		    NULL, json_object_get_string(text));
+	return 0;
+}
+
+/*
+ * Reads the answer to a call. An error that etcd raises before the call has
+ * an effect is NOT_DONE, any other error UNKNOWN.
+ */
+int etcd_answer(enum store_op_kind kind, int status, const struct buffer *body,
+		struct store_result *r)
+{
+	struct json_object *o = etcd_parse(body->data, body->len);
+	int rc;
+
+	if (!json_object_is_type(o, json_type_object))
+		rc = -1;
+	else if (status == HTTP_OK && !etcd_member(o, "error"))
+		rc = done_answer(kind, o, r);
+	else
+		rc = error_answer(kind, o, r);
+	json_object_put(o);
+	return rc;
+}
--- /dev/null
+++ b/src/store/etcd_impl.h
@@ -0,0 +1,52 @@
+/* The JSON gateway of etcd v3: requests and answers as JSON. */
+#ifndef STORE_ETCD_IMPL_H
+#define STORE_ETCD_IMPL_H
+
+#include "net/net.h"
+#include "store/store_impl.h"
+
+#include <json-c/json.h>
+
+#define ETCD_CALLS_MAX 256
+#define ETCD_WATCHES_MAX 64
+
+struct etcd {
+	struct http_pool *calls;
+	struct http_pool *streams; /* one connection for each watch */
+	struct table open_calls;
+	struct table watches;
+	char peer[ADDR_TEXT_SIZE];
+};
+
+/* Codes of gRPC with which etcd refuses a call before it has any effect. */
+enum grpc_code {
+	GRPC_INVALID_ARGUMENT = 3,
+	GRPC_NOT_FOUND = 5,
+	GRPC_PERMISSION_DENIED = 7,
+	GRPC_FAILED_PRECONDITION = 9,
+	GRPC_OUT_OF_RANGE = 11,
+	GRPC_UNAUTHENTICATED = 16,
+};
+
+const char *etcd_path(enum store_op_kind kind);
+struct json_object *etcd_request(const struct store_op *op);
+struct json_object *etcd_watch_request(const char *prefix, int64_t revision);
+/* Fills r; -1 when the answer is not what the gateway documents. */
+int etcd_answer(enum store_op_kind kind, int status, const struct buffer *body,
+		struct store_result *r);
+int etcd_entry(struct json_object *kv, bool removed, struct store_entry *e);
+struct json_object *etcd_parse(const void *data, size_t len);
+struct json_object *etcd_member(struct json_object *o, const char *name);
+int64_t etcd_int(struct json_object *o, const char *name);
+uint8_t *etcd_bytes(struct json_object *o, const char *name, size_t *len);
+void etcd_add_int(struct json_object *o, const char *name, int64_t v);
+void etcd_add_bytes(struct json_object *o, const char *name, const void *data,
+		    size_t len);
+void etcd_add_text(struct json_object *o, const char *name, const char *text);
+
+int etcd_post(struct message *m, const char *path, struct json_object *body);
+void etcd_watches_open(struct etcd *e);
+void etcd_watches_tick(struct etcd *e, int64_t now);
+void etcd_watches_close(struct etcd *e);
+
+#endif
--- /dev/null
+++ b/src/store/etcd_json.c
@@ -0,0 +1,103 @@
+#include "store/etcd_impl.h"
+
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define VARIANT sodium_base64_VARIANT_ORIGINAL
+
+static bool only_spaces(const char *text, size_t from, size_t len)
+{
+	for (; from < len; from++)
+		if (!strchr(" \t\r\n", text[from]))
+			return false;
+	return true;
+}
+
+/* Parses one whole JSON value; NULL when malformed or followed by more. */
+struct json_object *etcd_parse(const void *data, size_t len)
+{
+	struct json_tokener *t = json_tokener_new();
+	struct json_object *o = NULL;
+
+	if (t && len <= INT32_MAX)
+		o = json_tokener_parse_ex(t, data, (int)len);
+	if (t && (json_tokener_get_error(t) != json_tokener_success ||
+		  !only_spaces(data, json_tokener_get_parse_end(t), len))) {
+		json_object_put(o);
+		o = NULL;
+	}
+	json_tokener_free(t);
+	return o;
+}
+
+/* Returns a member of an object, or NULL. */
+struct json_object *etcd_member(struct json_object *o, const char *name)
+{
+	struct json_object *m = NULL;
+
+	if (json_object_is_type(o, json_type_object))
+		json_object_object_get_ex(o, name, &m);
+	return m;
+}
+
+/* Returns a number written as number or string; left out means zero. */
+int64_t etcd_int(struct json_object *o, const char *name)
+{
+	struct json_object *m = etcd_member(o, name);
+
+	return m ? json_object_get_int64(m) : 0;
+}
+
+/*
+ * Decodes a member written in base64, with a NUL behind its bytes, for the
+ * caller to free; left out means no bytes. NULL when it is malformed.
+ */
+uint8_t *etcd_bytes(struct json_object *o, const char *name, size_t *len)
+{
+	struct json_object *m = etcd_member(o, name);
+	const char *text = m ? json_object_get_string(m) : "";
+	size_t text_len = m ? (size_t)json_object_get_string_len(m) : 0;
+	uint8_t *data = malloc(text_len + 1);
+
+	if (!data)
+		return NULL;
+	if (sodium_base642bin(data, text_len + 1, text, text_len, NULL, len,
+			      NULL, VARIANT) < 0) {
+		free(data);
+		return NULL;
+	}
+	data[*len] = 0;
+	return data;
+}
+
+/* Adds a member in base64. */
+void etcd_add_bytes(struct json_object *o, const char *name, const void *data,
+		    size_t len)
+{
+	size_t size = sodium_base64_encoded_len(len, VARIANT);
+	char *text = malloc(size);
+
+	if (!text)
+		return;
+	sodium_bin2base64(text, size, data, len, VARIANT);
+	json_object_object_add(o, name, json_object_new_string(text));
+	free(text);
+}
+
+/* Adds a text in base64. */
+void etcd_add_text(struct json_object *o, const char *name, const char *text)
+{
+	etcd_add_bytes(o, name, text, strlen(text));
+}
+
+/* Adds a number as the gateway writes it, as a string. */
+void etcd_add_int(struct json_object *o, const char *name, int64_t v)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" PRId64, v);
+	json_object_object_add(o, name, json_object_new_string(text));
+}
--- /dev/null
+++ b/src/store/etcd_request.c
@@ -0,0 +1,162 @@
+#include "store/etcd_impl.h"
+
+#include <string.h>
+
+/* Returns the path of the gateway for a kind of call. */
+const char *etcd_path(enum store_op_kind kind)
+{
+	switch (kind) {
+	case STORE_GET:
+	case STORE_LIST:
+		return "/v3/kv/range";
+	case STORE_TXN:
+		return "/v3/kv/txn";
+	case STORE_LEASE_GRANT:
+		return "/v3/lease/grant";
+	case STORE_LEASE_KEEP:
+		return "/v3/lease/keepalive";
+	case STORE_LEASE_REVOKE:
+		return "/v3/lease/revoke";
+	}
+	return NULL;
+}
+
+/* The end of a prefix is the prefix with its last byte raised by one. */
+static void add_prefix_end(struct json_object *o, const char *prefix)
+{
+	char end[STORE_KEY_SIZE];
+	size_t len = strlen(prefix);
+
+	while (len && (unsigned char)prefix[len - 1] == UINT8_MAX)
+		len--;
+	if (!len || copy_name(end, sizeof(end), prefix) < 0) {
+		/* A zero byte stands for the end of all keys. */
+		etcd_add_bytes(o, "range_end", "", 1);
+		return;
+	}
+	end[len - 1]++;
+	etcd_add_bytes(o, "range_end", end, len);
+}
+
+static void add_prefix(struct json_object *o, const char *prefix)
+{
+	if (*prefix)
+		etcd_add_text(o, "key", prefix);
+	else
+		etcd_add_bytes(o, "key", "", 1);
+	add_prefix_end(o, prefix);
+}
+
+static struct json_object *list_request(const struct store_op *op)
+{
+	struct json_object *o = json_object_new_object();
+	const char *after = op->list.after;
+
+	if (after && strcmp(after, op->list.prefix) >= 0) {
+		/* The first key behind another is that key and a zero byte. */
+		etcd_add_bytes(o, "key", after, strlen(after) + 1);
+		add_prefix_end(o, op->list.prefix);
+	} else {
+		add_prefix(o, op->list.prefix);
+	}
+	if (op->list.limit)
+		etcd_add_int(o, "limit", op->list.limit);
+	return o;
+}
+
+static struct json_object *compare(const struct store_compare *c)
+{
+	struct json_object *o = json_object_new_object();
+
+	etcd_add_text(o, "key", c->key);
+	json_object_object_add(o, "target", json_object_new_string("MOD"));
+	json_object_object_add(o, "result", json_object_new_string("EQUAL"));
+	etcd_add_int(o, "mod_revision", c->mod_revision);
+	return o;
+}
+
+static struct json_object *write_request(const struct store_write *w)
+{
+	struct json_object *outer = json_object_new_object();
+	struct json_object *o = json_object_new_object();
+
+	etcd_add_text(o, "key", w->key);
+	if (!w->remove)
+		etcd_add_bytes(o, "value", w->value, w->len);
+	if (!w->remove && w->lease)
+		etcd_add_int(o, "lease", w->lease);
+	json_object_object_add(
+		outer, w->remove ? "request_delete_range" : "request_put", o);
+	return outer;
+}
+
+static struct json_object *read_request(const char *key)
+{
+	struct json_object *outer = json_object_new_object();
+	struct json_object *o = json_object_new_object();
+
+	etcd_add_text(o, "key", key);
+	json_object_object_add(outer, "request_range", o);
+	return outer;
+}
+
+static struct json_object *txn_request(const struct store_op *op)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *compares = json_object_new_array();
+	struct json_object *success = json_object_new_array();
+	struct json_object *failure = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < op->txn.compare_count; i++)
+		json_object_array_add(compares, compare(&op->txn.compares[i]));
+	for (i = 0; i < op->txn.write_count; i++)
+		json_object_array_add(success,
+				      write_request(&op->txn.writes[i]));
+	for (i = 0; i < op->txn.read_count; i++)
+		json_object_array_add(failure, read_request(op->txn.reads[i]));
+	json_object_object_add(o, "compare", compares);
+	json_object_object_add(o, "success", success);
+	json_object_object_add(o, "failure", failure);
+	return o;
+}
+
+/* Returns the request of a call, the caller's to put. */
+struct json_object *etcd_request(const struct store_op *op)
+{
+	struct json_object *o;
+
+	switch (op->kind) {
+	case STORE_LIST:
+		return list_request(op);
+	case STORE_TXN:
+		return txn_request(op);
+	case STORE_GET:
+		o = json_object_new_object();
+		etcd_add_text(o, "key", op->key);
+		return o;
+	case STORE_LEASE_GRANT:
+		o = json_object_new_object();
+		etcd_add_int(o, "TTL", op->lease.ttl_s);
+		return o;
+	case STORE_LEASE_KEEP:
+	case STORE_LEASE_REVOKE:
+		o = json_object_new_object();
+		etcd_add_int(o, "ID", op->lease.id);
+		return o;
+	}
+	return NULL;
+}
+
+/* Returns the request of a watch from a revision; 0 means from now on. */
+struct json_object *etcd_watch_request(const char *prefix, int64_t revision)
+{
+	struct json_object *outer = json_object_new_object();
+	struct json_object *o = json_object_new_object();
+
+	add_prefix(o, prefix);
+	if (revision)
+		etcd_add_int(o, "start_revision", revision);
+	json_object_object_add(outer, "create_request", o);
+	return outer;
+}
--- /dev/null
+++ b/src/store/etcd_watch.c
@@ -0,0 +1,249 @@
+#include "store/etcd_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LINE_MAX_BYTES (16 * 1024 * 1024)
+/*
+ * A stream whose connection died without a sign looks like a silent one, so
+ * each is replaced after a while by another from the next revision.
+ */
+#define STREAM_US (30 * USEC_PER_SEC)
+
+struct watch {
+	struct store_watch w;
+	char prefix[STORE_KEY_SIZE];
+	int64_t next_revision;
+	uint64_t http; /* 0: to be started */
+	int64_t started_us;
+	struct buffer line;
+	struct error err; /* set: to be reported as ended */
+};
+
+/* Prepares the table of watches. */
+void etcd_watches_open(struct etcd *e)
+{
+	table_init(&e->watches, sizeof(struct watch), ETCD_WATCHES_MAX);
+}
+
+static void remove_watch(struct etcd *e, uint64_t handle)
+{
+	struct watch *w = table_get(&e->watches, handle);
+
+	if (!w)
+		return;
+	if (w->http)
+		http_call_cancel(e->streams, w->http);
+	buffer_free(&w->line);
+	table_remove(&e->watches, handle);
+}
+
+static void end_watch(struct etcd *e, uint64_t handle, int64_t now)
+{
+	struct watch *watch = table_get(&e->watches, handle);
+	struct store_watch w = watch->w;
+	struct error err = watch->err;
+
+	remove_watch(e, handle);
+	w.ended(w.ctx, &err, now);
+}
+
+static int one_event(struct etcd *e, uint64_t handle, struct json_object *event,
+		     int64_t now)
+{
+	struct watch *w = table_get(&e->watches, handle);
+	struct json_object *type = etcd_member(event, "type");
+	bool removed = type && !strcmp(json_object_get_string(type), "DELETE");
+	struct store_entry entry;
+
+	if (etcd_entry(etcd_member(event, "kv"), removed, &entry) < 0) {
+		free(entry.value);
+		return error_set(&w->err, ERROR_INPUT, "store-watch", e->peer,
+				 "malformed event");
+	}
+	if (w->next_revision <= entry.mod_revision)
+		w->next_revision = entry.mod_revision + 1;
+	w->w.event(w->w.ctx, &entry, now);
+	free(entry.value);
+	return 0;
+}
+
+static void all_events(struct etcd *e, uint64_t handle,
+		       struct json_object *events, int64_t now)
+{
+	size_t i, n = 0;
+
+	if (json_object_is_type(events, json_type_array))
+		n = json_object_array_length(events);
+	/* A handler may stop the watch. */
+	for (i = 0; i < n && table_get(&e->watches, handle); i++)
+		if (one_event(e, handle, json_object_array_get_idx(events, i),
+			      now) < 0)
+			return;
+}
+
+static int one_message(struct etcd *e, uint64_t handle, const void *data,
+		       size_t len, int64_t now)
+{
+	struct watch *w = table_get(&e->watches, handle);
+	struct json_object *o = etcd_parse(data, len);
+	struct json_object *result = etcd_member(o, "result");
+	int64_t revision = etcd_int(etcd_member(result, "header"), "revision");
+	int rc = 0;
+
+	if (!result)
+		rc = error_set(&w->err, ERROR_INPUT, "store-watch", e->peer,
+			       "answer is not the gateway's");
+	else if (json_object_get_boolean(etcd_member(result, "canceled")))
+		rc = error_set(&w->err, ERROR_STATE, "store-watch", e->peer,
+			       "ended by the store, compacted at revision %lld",
+			       (long long)etcd_int(result, "compact_revision"));
+	else if (!w->next_revision)
+		w->next_revision = revision + 1;
+	if (!rc)
+		all_events(e, handle, etcd_member(result, "events"), now);
+	json_object_put(o);
+	return rc;
+}
+
+static void each_line(struct etcd *e, uint64_t handle, int64_t now)
+{
+	struct buffer lines;
+	struct watch *w = table_get(&e->watches, handle);
+	uint8_t *start, *end;
+	size_t left;
+
+	/* Handlers may move the watch, so its bytes are taken out first. */
+	lines = w->line;
+	memset(&w->line, 0, sizeof(w->line));
+	start = lines.data;
+	left = lines.len;
+	while (left && (end = memchr(start, '\n', left))) {
+		w = table_get(&e->watches, handle);
+		if (!w || w->err.code)
+			break;
+		one_message(e, handle, start, (size_t)(end - start), now);
+		left -= (size_t)(end + 1 - start);
+		start = end + 1;
+	}
+	w = table_get(&e->watches, handle);
+	if (w && !w->err.code &&
+	    buffer_append(&w->line, start, left, LINE_MAX_BYTES) < 0)
+		error_set(&w->err, ERROR_MEMORY, "store-watch", e->peer,
+			  "no memory");
+	buffer_free(&lines);
+}
+
+static void on_piece(void *ctx, uint64_t tag, const void *data, size_t len,
+		     int64_t now)
+{
+	struct etcd *e = ctx;
+	struct watch *w = table_get(&e->watches, tag);
+
+	if (!w || w->err.code)
+		return;
+	if (buffer_append(&w->line, data, len, LINE_MAX_BYTES) < 0) {
+		error_set(&w->err, ERROR_LIMIT, "store-watch", e->peer,
+			  "message is too long");
+		return;
+	}
+	if (memchr(data, '\n', len))
+		each_line(e, tag, now);
+}
+
+static void on_done(void *ctx, uint64_t tag, struct http_call_result *r,
+		    int64_t now)
+{
+	struct etcd *e = ctx;
+	struct watch *w = table_get(&e->watches, tag);
+
+	if (!w)
+		return;
+	w->http = 0;
+	if (!w->err.code && r->err.code)
+		w->err = r->err;
+	else if (!w->err.code)
+		error_set(&w->err, ERROR_IO, "store-watch", e->peer,
+			  "the stream ended");
+	end_watch(e, tag, now);
+}
+
+static void start_stream(struct etcd *e, uint64_t handle, int64_t now)
+{
+	struct watch *w = table_get(&e->watches, handle);
+	struct message m;
+	struct http_call call = {
+		.request = &m,
+		.deadline_us = now + 2 * STREAM_US,
+		.ctx = e,
+		.tag = handle,
+		.done = on_done,
+		.piece = on_piece,
+	};
+
+	buffer_free(&w->line);
+	w->started_us = now;
+	if (!etcd_post(&m, "/v3/watch",
+		       etcd_watch_request(w->prefix, w->next_revision)))
+		w->http = http_call_start(e->streams, &call, now, &w->err);
+	if (!w->http && !w->err.code)
+		error_set(&w->err, ERROR_MEMORY, "store-watch", e->peer,
+			  "no memory");
+	message_free(&m);
+}
+
+/* Starts a watch; a fault is reported as its end at a later tick. */
+uint64_t etcd_watch_start(struct etcd *e, const struct store_watch *w,
+			  int64_t now)
+{
+	struct watch *watch;
+	uint64_t handle;
+	void *item;
+
+	if (strlen(w->prefix) >= STORE_KEY_SIZE)
+		return 0;
+	handle = table_add(&e->watches, &item);
+	if (!handle)
+		return 0;
+	watch = item;
+	watch->w = *w;
+	copy_name(watch->prefix, sizeof(watch->prefix), w->prefix);
+	watch->next_revision = w->from_revision;
+	start_stream(e, handle, now);
+	return handle;
+}
+
+/* Stops a watch without a report. */
+void etcd_watch_stop(struct etcd *e, uint64_t watch)
+{
+	remove_watch(e, watch);
+}
+
+/* Ends broken watches and replaces the streams of old ones. */
+void etcd_watches_tick(struct etcd *e, int64_t now)
+{
+	uint64_t handle = 0;
+	struct watch *w;
+	void *item;
+
+	while ((handle = table_next(&e->watches, handle, &item))) {
+		w = item;
+		if (w->err.code) {
+			end_watch(e, handle, now);
+		} else if (now - w->started_us >= STREAM_US) {
+			http_call_cancel(e->streams, w->http);
+			w->http = 0;
+			start_stream(e, handle, now);
+		}
+	}
+}
+
+/* Stops all watches without a report. */
+void etcd_watches_close(struct etcd *e)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&e->watches, handle, &item)))
+		remove_watch(e, handle);
+}
--- /dev/null
+++ b/src/store/gateway.c
@@ -0,0 +1,374 @@
+#include "store/gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define HTTP_OK 200
+#define HTTP_BAD_REQUEST 400
+#define HTTP_NOT_FOUND 404
+
+static int get_text(struct json_object *o, const char *name,
+		    char text[STORE_KEY_SIZE], size_t *len)
+{
+	uint8_t *data = etcd_bytes(o, name, len);
+	int rc = -1;
+
+	if (data && *len < STORE_KEY_SIZE) {
+		memcpy(text, data, *len + 1);
+		rc = 0;
+	}
+	free(data);
+	return rc;
+}
+
+static int get_range(struct json_object *o, struct gateway_range *r)
+{
+	size_t len, end_len;
+
+	if (get_text(o, "key", r->from, &len) < 0 || !len ||
+	    get_text(o, "range_end", r->end, &end_len) < 0)
+		return -1;
+	r->single = !end_len;
+	r->exclusive = len > 1 && !r->from[len - 1];
+	return 0;
+}
+
+static bool in_range(const struct gateway_range *r, const char *key)
+{
+	int from = strcmp(key, r->from);
+
+	if (r->single)
+		return !from;
+	return (from > 0 || (!from && !r->exclusive)) &&
+	       (!*r->end || strcmp(key, r->end) < 0);
+}
+
+static struct json_object *header(const struct kv *kv)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *h = json_object_new_object();
+
+	etcd_add_int(h, "revision", kv_revision(kv));
+	json_object_object_add(o, "header", h);
+	return o;
+}
+
+static struct json_object *failure(enum grpc_code code, const char *text)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_object_object_add(o, "error", json_object_new_string(text));
+	json_object_object_add(o, "code", json_object_new_int((int)code));
+	json_object_object_add(o, "message", json_object_new_string(text));
+	return o;
+}
+
+static struct json_object *record(const struct kv_record *r)
+{
+	struct json_object *o = json_object_new_object();
+
+	etcd_add_text(o, "key", r->key);
+	etcd_add_int(o, "create_revision", r->create_revision);
+	etcd_add_int(o, "mod_revision", r->mod_revision);
+	etcd_add_int(o, "version", r->version);
+	/* Empty members are left out by the gateway. */
+	if (r->len)
+		etcd_add_bytes(o, "value", r->value, r->len);
+	if (r->lease)
+		etcd_add_int(o, "lease", r->lease);
+	return o;
+}
+
+static struct json_object *on_range(struct kv *kv, struct json_object *in)
+{
+	struct json_object *out, *kvs;
+	int64_t limit = etcd_int(in, "limit"), n = 0;
+	const struct kv_record *r;
+	struct gateway_range range;
+	size_t i;
+
+	if (get_range(in, &range) < 0)
+		return failure(GRPC_INVALID_ARGUMENT,
+			       "etcdserver: key is not provided");
+	out = header(kv);
+	kvs = json_object_new_array();
+	i = kv_lower_bound(kv, range.from);
+	if (range.exclusive && kv_get(kv, range.from))
+		i++;
+	for (; (r = kv_at(kv, i)) && in_range(&range, r->key); i++)
+		if (n++ < limit || !limit)
+			json_object_array_add(kvs, record(r));
+	if (n)
+		json_object_object_add(out, "kvs", kvs);
+	else
+		json_object_put(kvs);
+	if (limit && n > limit)
+		json_object_object_add(out, "more",
+				       json_object_new_boolean(true));
+	etcd_add_int(out, "count", n);
+	return out;
+}
+
+/* One transaction, decoded; what it points to is freed by free_txn. */
+struct txn {
+	struct store_compare compares[STORE_TXN_OPS_MAX];
+	struct store_write writes[STORE_TXN_OPS_MAX];
+	size_t compare_count;
+	size_t write_count;
+};
+
+static int get_write(struct json_object *o, struct store_write *w)
+{
+	struct json_object *put = etcd_member(o, "request_put");
+	struct json_object *del = etcd_member(o, "request_delete_range");
+	size_t len;
+
+	w->remove = del != NULL;
+	w->key = (char *)etcd_bytes(put ? put : del, "key", &len);
+	w->value = etcd_bytes(put, "value", &w->len);
+	w->lease = etcd_int(put, "lease");
+	return (put || del) && w->key && *w->key && w->value ? 0 : -1;
+}
+
+static int get_compare(struct json_object *o, struct store_compare *c)
+{
+	const char *target = json_object_get_string(etcd_member(o, "target"));
+	const char *result = json_object_get_string(etcd_member(o, "result"));
+	size_t len;
+
+	c->key = (char *)etcd_bytes(o, "key", &len);
+	c->mod_revision = etcd_int(o, "mod_revision");
+	if (!c->key || !target || strcmp(target, "MOD") != 0)
+		return -1;
+	return result && !strcmp(result, "EQUAL") ? 0 : -1;
+}
+
+static size_t array_length(struct json_object *o)
+{
+	if (!json_object_is_type(o, json_type_array))
+		return 0;
+	return json_object_array_length(o);
+}
+
+static int get_txn(struct json_object *in, struct txn *t)
+{
+	struct json_object *compares = etcd_member(in, "compare");
+	struct json_object *writes = etcd_member(in, "success");
+	size_t i;
+
+	if (array_length(compares) > STORE_TXN_OPS_MAX ||
+	    array_length(writes) > STORE_TXN_OPS_MAX)
+		return -1;
+	for (i = 0; i < array_length(compares); i++)
+		if (get_compare(json_object_array_get_idx(compares, i),
+				&t->compares[t->compare_count++]) < 0)
+			return -1;
+	for (i = 0; i < array_length(writes); i++)
+		if (get_write(json_object_array_get_idx(writes, i),
+			      &t->writes[t->write_count++]) < 0)
+			return -1;
+	return 0;
+}
+
+static void free_txn(struct txn *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->compare_count; i++)
+		free((char *)t->compares[i].key);
+	for (i = 0; i < t->write_count; i++) {
+		free((char *)t->writes[i].key);
+		free((void *)t->writes[i].value);
+	}
+	free(t);
+}
+
+static struct json_object *failed_txn(struct kv *kv, struct json_object *reads)
+{
+	struct json_object *out = header(kv);
+	struct json_object *responses = json_object_new_array();
+	struct json_object *one, *range;
+	size_t i;
+
+	for (i = 0; i < array_length(reads); i++) {
+		one = json_object_array_get_idx(reads, i);
+		range = on_range(kv, etcd_member(one, "request_range"));
+		one = json_object_new_object();
+		json_object_object_add(one, "response_range", range);
+		json_object_array_add(responses, one);
+	}
+	json_object_object_add(out, "responses", responses);
+	return out;
+}
+
+static struct json_object *on_txn(struct kv *kv, struct json_object *in,
+				  int64_t now)
+{
+	struct txn *t = calloc(1, sizeof(*t));
+	enum kv_status status = KV_NO_MEMORY;
+	struct json_object *out;
+
+	if (t && !get_txn(in, t))
+		status = kv_txn(kv, t->compares, t->compare_count, t->writes,
+				t->write_count, now);
+	if (t)
+		free_txn(t);
+	if (status == KV_CONFLICT)
+		return failed_txn(kv, etcd_member(in, "failure"));
+	if (status == KV_NO_LEASE)
+		return failure(GRPC_NOT_FOUND,
+			       "etcdserver: requested lease not found");
+	if (status != KV_DONE)
+		return failure(GRPC_INVALID_ARGUMENT,
+			       "etcdserver: invalid transaction");
+	out = header(kv);
+	json_object_object_add(out, "succeeded", json_object_new_boolean(true));
+	return out;
+}
+
+static struct json_object *on_grant(struct kv *kv, struct json_object *in,
+				    int64_t now)
+{
+	int64_t ttl = etcd_int(in, "TTL");
+	struct json_object *out;
+
+	if (ttl <= 0 || ttl > UINT32_MAX)
+		return failure(GRPC_OUT_OF_RANGE,
+			       "etcdserver: too large lease TTL");
+	out = header(kv);
+	etcd_add_int(out, "ID", kv_lease_grant(kv, (uint32_t)ttl, now));
+	etcd_add_int(out, "TTL", ttl);
+	return out;
+}
+
+static struct json_object *on_keep(struct kv *kv, struct json_object *in,
+				   int64_t now)
+{
+	int64_t id = etcd_int(in, "ID");
+	uint32_t ttl = kv_lease_keep(kv, id, now);
+	struct json_object *outer = json_object_new_object();
+	struct json_object *out = header(kv);
+
+	etcd_add_int(out, "ID", id);
+	if (ttl)
+		etcd_add_int(out, "TTL", ttl);
+	json_object_object_add(outer, "result", out);
+	return outer;
+}
+
+static struct json_object *on_revoke(struct kv *kv, struct json_object *in,
+				     int64_t now)
+{
+	if (!kv_lease_revoke(kv, etcd_int(in, "ID"), now))
+		return failure(GRPC_NOT_FOUND,
+			       "etcdserver: requested lease not found");
+	return header(kv);
+}
+
+/* Does one call and returns its answer, the caller's to put. */
+struct json_object *gateway_answer(struct kv *kv, const char *path,
+				   struct json_object *in, int64_t now,
+				   int *status)
+{
+	struct json_object *out;
+
+	kv_expire(kv, now);
+	if (!strcmp(path, "/v3/kv/range"))
+		out = on_range(kv, in);
+	else if (!strcmp(path, "/v3/kv/txn"))
+		out = on_txn(kv, in, now);
+	else if (!strcmp(path, "/v3/lease/grant"))
+		out = on_grant(kv, in, now);
+	else if (!strcmp(path, "/v3/lease/keepalive"))
+		out = on_keep(kv, in, now);
+	else if (!strcmp(path, "/v3/lease/revoke") ||
+		 !strcmp(path, "/v3/kv/lease/revoke"))
+		out = on_revoke(kv, in, now);
+	else
+		out = failure(GRPC_NOT_FOUND, "Not Found");
+	*status = HTTP_OK;
+	if (etcd_member(out, "error"))
+		*status = etcd_int(out, "code") == GRPC_NOT_FOUND
+				  ? HTTP_NOT_FOUND
+				  : HTTP_BAD_REQUEST;
+	return out;
+}
+
+static void add_canceled(const struct kv *kv, struct json_object *out)
+{
+	json_object_object_add(out, "canceled", json_object_new_boolean(true));
+	etcd_add_int(out, "compact_revision", kv_compact_revision(kv));
+}
+
+/*
+ * Starts a watch and returns its first message, the caller's to put.
+ * *next_event is 0 when the message says that it was canceled.
+ */
+struct json_object *gateway_watch(struct kv *kv, struct json_object *in,
+				  struct gateway_range *range,
+				  uint64_t *next_event)
+{
+	struct json_object *create = etcd_member(in, "create_request");
+	struct json_object *outer = json_object_new_object();
+	struct json_object *out = header(kv);
+	int64_t revision = etcd_int(create, "start_revision");
+
+	*next_event = 0;
+	json_object_object_add(outer, "result", out);
+	if (!get_range(create, range))
+		*next_event =
+			kv_event_from(kv, revision ? revision : INT64_MAX);
+	json_object_object_add(out, "created", json_object_new_boolean(true));
+	if (!*next_event)
+		add_canceled(kv, out);
+	return outer;
+}
+
+static struct json_object *event_message(const struct store_entry *e)
+{
+	struct json_object *event = json_object_new_object();
+	struct json_object *o = json_object_new_object();
+
+	etcd_add_text(o, "key", e->key);
+	etcd_add_int(o, "mod_revision", e->mod_revision);
+	if (e->len)
+		etcd_add_bytes(o, "value", e->value, e->len);
+	if (!e->value)
+		json_object_object_add(event, "type",
+				       json_object_new_string("DELETE"));
+	json_object_object_add(event, "kv", o);
+	return event;
+}
+
+/*
+ * Returns the message of the next event in range, or NULL for now. When the
+ * history has run past the watch, it is canceled and *next_event is 0.
+ */
+struct json_object *gateway_event(struct kv *kv,
+				  const struct gateway_range *range,
+				  uint64_t *next_event)
+{
+	struct json_object *outer, *out, *events;
+	const struct kv_event *e;
+	bool behind;
+
+	while ((e = kv_event(kv, *next_event)) &&
+	       !in_range(range, e->entry.key))
+		++*next_event;
+	behind = !e && *next_event < kv_event_from(kv, INT64_MAX);
+	if (!e && !behind)
+		return NULL;
+	out = header(kv);
+	outer = json_object_new_object();
+	json_object_object_add(outer, "result", out);
+	if (behind) {
+		add_canceled(kv, out);
+		*next_event = 0;
+		return outer;
+	}
+	events = json_object_new_array();
+	json_object_array_add(events, event_message(&e->entry));
+	json_object_object_add(out, "events", events);
+	++*next_event;
+	return outer;
+}
--- /dev/null
+++ b/src/store/held.c
@@ -0,0 +1,118 @@
+#include "store/store_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ALIGN 8
+
+/* Bytes that follow a held call; data NULL only measures them. */
+struct arena {
+	uint8_t *data;
+	size_t len;
+};
+
+static void *put(struct arena *a, const void *from, size_t len)
+{
+	uint8_t *to = a->data ? a->data + a->len : NULL;
+
+	if (to && len)
+		memcpy(to, from, len);
+	a->len += (len + ALIGN - 1) / ALIGN * ALIGN;
+	return to;
+}
+
+static const char *put_text(struct arena *a, const char *s)
+{
+	return s ? put(a, s, strlen(s) + 1) : NULL;
+}
+
+static void put_txn(struct arena *a, const struct store_op *from,
+		    struct store_op *to)
+{
+	struct store_compare *compares;
+	struct store_write *writes;
+	const char **reads;
+	const char *key;
+	size_t i;
+
+	compares = put(a, from->txn.compares,
+		       from->txn.compare_count * sizeof(*compares));
+	writes = put(a, from->txn.writes,
+		     from->txn.write_count * sizeof(*writes));
+	reads = put(a, from->txn.reads, from->txn.read_count * sizeof(*reads));
+	for (i = 0; i < from->txn.compare_count; i++) {
+		key = put_text(a, from->txn.compares[i].key);
+		if (to)
+			compares[i].key = key;
+	}
+	for (i = 0; i < from->txn.write_count; i++) {
+		const struct store_write *w = &from->txn.writes[i];
+		const void *value;
+
+		key = put_text(a, w->key);
+		value = put(a, w->value, w->len);
+		if (to) {
+			writes[i].key = key;
+			writes[i].value = value;
+		}
+	}
+	for (i = 0; i < from->txn.read_count; i++) {
+		key = put_text(a, from->txn.reads[i]);
+		if (to)
+			reads[i] = key;
+	}
+	if (!to)
+		return;
+	to->txn.compares = compares;
+	to->txn.writes = writes;
+	to->txn.reads = reads;
+}
+
+static void put_op(struct arena *a, const struct store_op *from,
+		   struct store_op *to)
+{
+	const char *text;
+
+	switch (from->kind) {
+	case STORE_GET:
+		text = put_text(a, from->key);
+		if (to)
+			to->key = text;
+		break;
+	case STORE_LIST:
+		text = put_text(a, from->list.prefix);
+		if (to)
+			to->list.prefix = text;
+		text = put_text(a, from->list.after);
+		if (to)
+			to->list.after = text;
+		break;
+	case STORE_TXN:
+		put_txn(a, from, to);
+		break;
+	case STORE_LEASE_GRANT:
+	case STORE_LEASE_KEEP:
+	case STORE_LEASE_REVOKE:
+		break;
+	}
+}
+
+/*
+ * Copies a call with all that it points to into one allocation; NULL when
+ * memory is short.
+ */
+struct held *held_copy(const struct store_op *op)
+{
+	struct arena a = {NULL, 0};
+	struct held *h;
+
+	put_op(&a, op, NULL);
+	h = calloc(1, sizeof(*h) + a.len);
+	if (!h)
+		return NULL;
+	h->op = *op;
+	a.data = (uint8_t *)(h + 1);
+	a.len = 0;
+	put_op(&a, op, &h->op);
+	return h;
+}
--- a/src/store/memory.c
+++ b/src/store/memory.c
@@ -181,15 +181,6 @@
 	return -1;
 }
 
-static void fail(struct store_result *r, enum store_outcome outcome,
-		 enum error_code code, const char *text)
-{
-	result_free(r);
-	r->outcome = outcome;
-	r->lease = 0;
-	error_set(&r->err, code, "store-call", "memory", "%s", text);
-}
-
 /* Takes effect at once unless down; the answer comes at a later tick. */
 void memory_submit(struct memory *m, const struct store_op *op,
 		   const struct store_done *done, int64_t now)
@@ -203,16 +194,19 @@
 	a->due_us = now + m->faults.latency_us;
 	kv_expire(kv, now);
 	if (m->faults.down)
-		fail(&a->result, STORE_NOT_DONE, ERROR_IO, "store is down");
+		result_fail(&a->result, STORE_NOT_DONE, ERROR_IO, "memory",
+			    "store is down");
 	else if (run(kv, op, &a->result, now) < 0 && !a->result.err.code)
-		fail(&a->result, STORE_UNKNOWN, ERROR_MEMORY, "no memory");
+		result_fail(&a->result, STORE_UNKNOWN, ERROR_MEMORY, "memory",
+			    "no memory");
 	else if (m->faults.lose_answer)
-		fail(&a->result, STORE_UNKNOWN, ERROR_IO, "answer lost");
+		result_fail(&a->result, STORE_UNKNOWN, ERROR_IO, "memory",
+			    "answer lost");
 	if (op->timeout_us && m->faults.latency_us > op->timeout_us) {
 		a->due_us = now + op->timeout_us;
 		if (a->result.outcome != STORE_NOT_DONE)
-			fail(&a->result, STORE_UNKNOWN, ERROR_TIMEOUT,
-			     "no answer in time");
+			result_fail(&a->result, STORE_UNKNOWN, ERROR_TIMEOUT,
+				    "memory", "no answer in time");
 	}
 	a->result.revision = kv_revision(kv);
 	DL_APPEND(m->answers, a);
@@ -225,16 +219,16 @@
 	struct watch *watch;
 	int64_t from = w->from_revision;
 	void *item;
-	uint64_t handle = table_add(&m->watches, &item);
+	uint64_t handle;
 
+	if (strlen(w->prefix) >= STORE_KEY_SIZE)
+		return 0;
+	handle = table_add(&m->watches, &item);
 	if (!handle)
 		return 0;
 	watch = item;
 	watch->w = *w;
-	if (copy_name(watch->prefix, sizeof(watch->prefix), w->prefix) < 0) {
-		table_remove(&m->watches, handle);
-		return 0;
-	}
+	copy_name(watch->prefix, sizeof(watch->prefix), w->prefix);
 	watch->next_event = kv_event_from(kv, from ? from : INT64_MAX);
 	return handle;
 }
@@ -312,3 +306,9 @@
 		else
 			deliver_events(m, handle, now);
 }
+
+/* Returns how many watches are open. */
+uint32_t memory_watches(const struct memory *m)
+{
+	return m->watches.count;
+}
--- a/src/store/result.c
+++ b/src/store/result.c
@@ -48,3 +48,13 @@
 	r->entries = NULL;
 	r->n = 0;
 }
+
+/* Turns a result into a failure without entries. */
+void result_fail(struct store_result *r, enum store_outcome outcome,
+		 enum error_code code, const char *peer, const char *text)
+{
+	result_free(r);
+	r->outcome = outcome;
+	r->lease = 0;
+	error_set(&r->err, code, "store-call", peer, "%s", text);
+}
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -2,29 +2,45 @@
 
 #include <stdlib.h>
 
-static struct store *open_memory(struct memory_store *shared)
+static struct store *new_store(enum store_kind kind, uint32_t calls_s)
 {
 	struct store *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		return NULL;
-	s->kind = STORE_MEMORY;
+	s->kind = kind;
+	budget_init(&s->budget, calls_s);
+	return s;
+}
+
+static struct store *open_memory(enum store_kind kind, uint32_t calls_s,
+				 struct memory_store *shared)
+{
+	static const struct store_faults down = {.down = true};
+	struct store *s = new_store(kind, calls_s);
+
+	if (!s)
+		return NULL;
 	s->memory = memory_open(shared);
 	if (!s->memory) {
 		free(s);
 		return NULL;
 	}
+	if (kind == STORE_NONE)
+		memory_set_faults(s->memory, &down);
 	return s;
 }
 
-static struct store *open_none(void)
+static struct store *open_etcd(const struct store_options *o, struct error *err)
 {
-	static const struct store_faults down = {.down = true};
-	struct store *s = open_memory(NULL);
+	struct store *s = new_store(STORE_ETCD, o->calls_s);
 
-	if (s) {
-		s->kind = STORE_NONE;
-		memory_set_faults(s->memory, &down);
+	if (!s)
+		return NULL;
+	s->etcd = etcd_open(o->net, &o->addr, err);
+	if (!s->etcd) {
+		free(s);
+		return NULL;
 	}
 	return s;
 }
@@ -34,27 +50,23 @@
 {
 	struct store *s = NULL;
 
+	error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 	switch (o->kind) {
 	case STORE_NONE:
-		s = open_none();
-		break;
 	case STORE_MEMORY:
-		s = open_memory(NULL);
+		s = open_memory(o->kind, o->calls_s, NULL);
 		break;
 	case STORE_ETCD:
-		error_set(err, ERROR_STATE, "store-open", NULL,
-			  "not available yet");
-		return NULL;
+		s = open_etcd(o, err);
+		break;
 	}
-	if (!s)
-		error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 	return s;
 }
 
 /* Opens a client of a shared memory store; NULL when memory is short. */
 struct store *store_open_memory(struct memory_store *m)
 {
-	return open_memory(m);
+	return open_memory(STORE_MEMORY, 0, m);
 }
 
 /* Closes a client; its open calls and watches end without a report. */
@@ -62,15 +74,61 @@
 {
 	if (!s)
 		return;
-	memory_close(s->memory);
+	budget_free(&s->budget);
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		memory_close(s->memory);
+		break;
+	case STORE_ETCD:
+		etcd_close(s->etcd);
+		break;
+	}
 	free(s);
 }
 
-/* Starts a call; done is called once, from a later tick. */
+static void count_call(const struct store_op *op)
+{
+	bool read = op->kind == STORE_GET || op->kind == STORE_LIST;
+
+	counter_add(read ? COUNTER_STORE_READS : COUNTER_STORE_WRITES, 1);
+}
+
+static int start(struct store *s, const struct store_op *op,
+		 const struct store_done *done, int64_t now)
+{
+	count_call(op);
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		memory_submit(s->memory, op, done, now);
+		break;
+	case STORE_ETCD:
+		return etcd_submit(s->etcd, op, done, now);
+	}
+	return 0;
+}
+
+static void deny(const struct store_done *done, const char *text, int64_t now)
+{
+	struct store_result r = {0};
+
+	result_fail(&r, STORE_NOT_DONE, ERROR_LIMIT, NULL, text);
+	done->fn(done->ctx, done->tag, &r, now);
+}
+
+/*
+ * Starts a call; done is called once, from a later tick or from the loop.
+ * What op points to may go when this returns.
+ */
 void store_submit(struct store *s, const struct store_op *op,
 		  const struct store_done *done, int64_t now)
 {
-	memory_submit(s->memory, op, done, now);
+	if (budget_take(&s->budget, op->priority, now) &&
+	    !start(s, op, done, now))
+		return;
+	counter_add(COUNTER_STORE_DENIED, 1);
+	budget_hold(&s->budget, op, done, now);
 }
 
 /*
@@ -80,24 +138,68 @@
 uint64_t store_watch_start(struct store *s, const struct store_watch *w,
 			   int64_t now)
 {
-	(void)now;
-	return memory_watch_start(s->memory, w);
+	if (!budget_watch(&s->budget))
+		return 0;
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		return memory_watch_start(s->memory, w);
+	case STORE_ETCD:
+		return etcd_watch_start(s->etcd, w, now);
+	}
+	return 0;
 }
 
 /* Stops a watch without a report; an unknown watch is ignored. */
 void store_watch_stop(struct store *s, uint64_t watch)
 {
-	memory_watch_stop(s->memory, watch);
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		memory_watch_stop(s->memory, watch);
+		break;
+	case STORE_ETCD:
+		etcd_watch_stop(s->etcd, watch);
+		break;
+	}
+}
+
+static void start_held(struct store *s, int64_t now)
+{
+	struct held *h;
+
+	while ((h = budget_expired(&s->budget, now))) {
+		deny(&h->done, "held back by the budget", now);
+		free(h);
+	}
+	while ((h = budget_next(&s->budget, now))) {
+		h->op.timeout_us -= now - h->since_us;
+		if (start(s, &h->op, &h->done, now) < 0)
+			deny(&h->done, "no call could be started", now);
+		free(h);
+	}
 }
 
 /* Delivers answers and events, and ends calls whose time is up. */
 void store_tick(struct store *s, int64_t now)
 {
-	memory_tick(s->memory, now);
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		memory_tick(s->memory, now);
+		s->budget.watches = memory_watches(s->memory);
+		break;
+	case STORE_ETCD:
+		etcd_tick(s->etcd, now);
+		s->budget.watches = etcd_watches(s->etcd);
+		break;
+	}
+	start_held(s, now);
 }
 
 /* Sets the faults of a client of a memory store. */
 void store_set_faults(struct store *s, const struct store_faults *f)
 {
-	memory_set_faults(s->memory, f);
+	if (s->kind == STORE_MEMORY)
+		memory_set_faults(s->memory, f);
 }
