Read settings and release notes, and match routes

Nodes need settings that fail early and a configuration that changes only by release note. Both are read through tables of members, so that every fault is named by its path: in settings with file and line, in a note all faults at once. A configuration is immutable; a note makes a new one that shares all items and index shards it does not touch.

The hash handles leave the public structs: an item is now shared by many configurations, so it can't be linked into one table. New in conf.h: walks over keys and operators, and the releases of the last 8,192 notes.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -5,8 +5,6 @@
 #ifndef CONF_CONF_H
 #define CONF_CONF_H
 
-#include <uthash.h>
-
 #include "base/base.h"
 
 #define SECRET_SIZE 32
@@ -14,6 +12,8 @@
 #define SEEDS_MAX 16
 #define METHOD_SIZE 16
 #define PATTERN_SIZE 256
+#define NOTE_TEXT_MAX (512 * 1024) /* bytes */
+#define RELEASES_KEPT 8192	   /* notes whose release is remembered */
 
 /* Order in which requests are shed: first goes first, last goes last. */
 enum shed_class {
@@ -66,7 +66,6 @@
 	char name[NAME_SIZE];
 	char team[NAME_SIZE];
 	uint32_t retry_percent; /* retries allowed per hundred calls */
-	UT_hash_handle hh;
 };
 
 struct route {
@@ -89,7 +88,6 @@
 	double burst; /* requests */
 	uint32_t weight;
 	int64_t refuse_stale_us; /* refuse with a configuration older; 0 off */
-	UT_hash_handle hh;
 };
 
 /* Only the BLAKE2b hash of a key is known to the system. */
@@ -97,8 +95,6 @@
 	char id[NAME_SIZE];
 	char account[NAME_SIZE];
 	uint8_t hash[KEY_HASH_SIZE];
-	UT_hash_handle hh;    /* by hash */
-	UT_hash_handle hh_id; /* by id */
 };
 
 struct operator_key {
@@ -106,8 +102,6 @@
 	char team[NAME_SIZE]; /* empty: every team */
 	uint8_t hash[KEY_HASH_SIZE];
 	bool read_only;
-	UT_hash_handle hh; /* by hash */
-	UT_hash_handle hh_name;
 };
 
 /*
@@ -124,6 +118,11 @@
 uint64_t config_number(const struct config *c);
 const char *config_release(const struct config *c);
 enum overload_mode config_overload_mode(const struct config *c);
+/* Number of the note with this release among the last RELEASES_KEPT, or 0. */
+uint64_t config_release_number(const struct config *c, const char *release);
+/* Whether note number, if it is still remembered, had this text. */
+bool config_release_text_equal(const struct config *c, uint64_t number,
+			       const char *text, size_t len);
 
 /* Lookups return NULL when there is no such thing. */
 const struct service *config_service(const struct config *c, const char *name);
@@ -143,6 +142,10 @@
 					  const struct service *after);
 const struct route *config_next_route(const struct config *c,
 				      const struct route *after);
+const struct access_key *config_next_key(const struct config *c,
+					 const struct access_key *after);
+const struct operator_key *
+config_next_operator(const struct config *c, const struct operator_key *after);
 
 void key_hash(uint8_t hash[KEY_HASH_SIZE], const char *key);
 const char *shed_class_name(enum shed_class cls);
--- /dev/null
+++ b/src/conf/conf_impl.h
@@ -0,0 +1,190 @@
+/* Shared by the files of src/conf alone. */
+#ifndef CONF_CONF_IMPL_H
+#define CONF_CONF_IMPL_H
+
+#include <json-c/json.h>
+
+#include "conf/conf.h"
+
+#define JSON_DEPTH_MAX 16
+#define JSON_MEMBERS_MAX 64 /* of one object */
+#define JSON_PATH_SIZE sizeof(((struct note_fault *)0)->path)
+
+/* Items are immutable, counted by reference, and shared by configurations. */
+void *item_new(const void *from, size_t size);
+void *item_get(void *item);
+void item_put(void *item);
+
+#define SECTION_SHARDS 512
+
+/*
+ * A persistent hash table: a copy shares all shards, and a change copies
+ * the one shard that it falls into. Ordered by the hash of the key, so the
+ * order does not depend on history.
+ */
+struct section {
+	size_t key_offset;
+	size_t key_len; /* 0: text up to its NUL */
+	size_t n;
+	struct shard *shards[SECTION_SHARDS];
+};
+
+void section_copy(struct section *to, const struct section *from);
+void section_free(struct section *s);
+void *section_find(const struct section *s, const void *key);
+void *section_next(const struct section *s, const void *after);
+int section_put(struct section *s, void *item);
+int section_remove(struct section *s, const void *key);
+
+/* Routes by method and pattern; shared by configurations with equal routes. */
+struct trie;
+
+struct trie *trie_new(void);
+struct trie *trie_get(struct trie *t);
+void trie_put(struct trie *t);
+int trie_add(struct trie *t, const struct route *r, const struct route **taken);
+const struct route *trie_match(const struct trie *t, const char *method,
+			       const char *path);
+const char *pattern_fault(const char *pattern);
+
+enum section_kind {
+	SECTION_SERVICES,
+	SECTION_ROUTES,
+	SECTION_ACCOUNTS,
+	SECTION_KEYS,
+	SECTION_OPERATORS,
+};
+#define SECTIONS 5
+
+struct release {
+	uint64_t name; /* hash */
+	uint64_t text; /* hash */
+};
+
+struct config {
+	uint32_t refs;
+	uint64_t number;
+	uint64_t first_release; /* oldest number that is remembered */
+	char release[NAME_SIZE];
+	enum overload_mode mode;
+	struct section by_name[SECTIONS];
+	struct section keys_by_hash;
+	struct section operators_by_hash;
+	struct trie *trie;
+	struct release releases[RELEASES_KEPT]; /* by number modulo size */
+};
+
+struct config *config_clone(const struct config *c);
+int config_put_item(struct config *c, enum section_kind kind, void *item);
+int config_remove_item(struct config *c, enum section_kind kind,
+		       const char *name);
+void config_set_number(struct config *c, uint64_t number, const char *release,
+		       const char *text, size_t len);
+
+/* Collects faults under the path of the member that is being read. */
+struct reader {
+	struct note_faults *faults;
+	char path[JSON_PATH_SIZE];
+	size_t len;
+};
+
+size_t reader_enter(struct reader *r, const char *member);
+size_t reader_enter_index(struct reader *r, size_t i);
+void reader_leave(struct reader *r, size_t len);
+void reader_fault(struct reader *r, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+void reader_fault_at(struct reader *r, const char *path, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+enum field_kind {
+	FIELD_NAME,    /* char[NAME_SIZE] */
+	FIELD_METHOD,  /* char[METHOD_SIZE] */
+	FIELD_PATTERN, /* char[PATTERN_SIZE] */
+	FIELD_BOOL,    /* bool */
+	FIELD_COUNT,   /* uint32_t */
+	FIELD_BYTES,   /* size_t */
+	FIELD_NUMBER,  /* double */
+	FIELD_TIME,    /* int64_t, microseconds */
+	FIELD_CHOICE,  /* int */
+	FIELD_HASH,    /* uint8_t[32] */
+	FIELD_ADDR,    /* struct addr */
+	FIELD_OBJECT,
+	FIELD_OTHER, /* read by other means */
+};
+
+/* One member of a JSON object and where its value goes. */
+struct field {
+	const char *name;
+	size_t offset;
+	double min;
+	double max;
+	int64_t unit_us;	    /* TIME */
+	const char *const *choices; /* CHOICE, NULL at the end */
+	const struct field *fields; /* OBJECT */
+	size_t field_count;
+	enum field_kind kind;
+	bool required;
+};
+
+void fields_read(struct reader *r, struct json_object *obj,
+		 const struct field *fields, size_t n, void *out, bool partial);
+int field_name(struct reader *r, struct json_object *v, char name[NAME_SIZE]);
+int field_addr(struct reader *r, struct json_object *v, struct addr *a);
+
+struct json_object *json_read(const char *text, size_t len, unsigned *line,
+			      struct error *err);
+void scan_duplicates(const char *text, size_t len, struct reader *r);
+unsigned scan_line(const char *text, size_t len, const char *path);
+unsigned line_at(const char *text, size_t len, size_t offset);
+
+/* One kind of item: its place in notes, its members and their defaults. */
+struct kind_info {
+	const char *section; /* "accounts" */
+	const char *one;     /* "account" */
+	const char *id;	     /* member that names the item */
+	size_t size;
+	const struct field *fields;
+	size_t field_count;
+	const void *defaults;
+};
+
+extern const struct kind_info kinds[SECTIONS];
+extern const char *const overload_modes[];
+
+/* Every item starts with its name. */
+union item {
+	char name[NAME_SIZE];
+	struct service service;
+	struct route route;
+	struct account account;
+	struct access_key key;
+	struct operator_key operator_key;
+};
+
+#define USERS_SIZE 120
+
+/* One item that a note names, and where. */
+struct touched {
+	char name[NAME_SIZE];
+	char path[JSON_PATH_SIZE];
+	const void *old;	/* before the note; NULL when added */
+	char users[USERS_SIZE]; /* what still refers to it */
+	struct touched *next;
+};
+
+struct change {
+	struct reader r;
+	const struct config *base;
+	struct config *next;
+	const char *team;		   /* NULL: no limit */
+	struct touched *touched[SECTIONS]; /* in the order of the note */
+	struct touched **last[SECTIONS];
+	struct section touched_names[SECTIONS];
+};
+
+struct touched *find_touched(struct change *ch, enum section_kind kind,
+			     const char *name);
+void check_change(struct change *ch);
+int build_trie(struct change *ch);
+
+#endif
--- /dev/null
+++ b/src/conf/config.c
@@ -0,0 +1,234 @@
+#include "conf/conf_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Returns an empty configuration, number 0, or NULL. */
+struct config *config_new(void)
+{
+	struct config *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->refs = 1;
+	c->first_release = 1;
+	c->keys_by_hash.key_offset = offsetof(struct access_key, hash);
+	c->keys_by_hash.key_len = KEY_HASH_SIZE;
+	c->operators_by_hash.key_offset = offsetof(struct operator_key, hash);
+	c->operators_by_hash.key_len = KEY_HASH_SIZE;
+	c->trie = trie_new();
+	if (c->trie)
+		return c;
+	free(c);
+	return NULL;
+}
+
+/* Takes a reference. */
+struct config *config_get(struct config *c)
+{
+	c->refs++;
+	return c;
+}
+
+/* Drops a reference; NULL is allowed. */
+void config_put(struct config *c)
+{
+	size_t i;
+
+	if (!c || --c->refs)
+		return;
+	for (i = 0; i < SECTIONS; i++)
+		section_free(&c->by_name[i]);
+	section_free(&c->keys_by_hash);
+	section_free(&c->operators_by_hash);
+	trie_put(c->trie);
+	free(c);
+}
+
+/* Returns a copy that may be changed; it shares all items with c. */
+struct config *config_clone(const struct config *c)
+{
+	struct config *n = malloc(sizeof(*n));
+	size_t i;
+
+	if (!n)
+		return NULL;
+	*n = *c;
+	n->refs = 1;
+	for (i = 0; i < SECTIONS; i++)
+		section_copy(&n->by_name[i], &c->by_name[i]);
+	section_copy(&n->keys_by_hash, &c->keys_by_hash);
+	section_copy(&n->operators_by_hash, &c->operators_by_hash);
+	trie_get(n->trie);
+	return n;
+}
+
+/* The index of a section besides that of names, and its key in an item. */
+static struct section *hash_index(struct config *c, enum section_kind kind)
+{
+	switch (kind) {
+	case SECTION_KEYS:
+		return &c->keys_by_hash;
+	case SECTION_OPERATORS:
+		return &c->operators_by_hash;
+	case SECTION_SERVICES:
+	case SECTION_ROUTES:
+	case SECTION_ACCOUNTS:
+		break;
+	}
+	return NULL;
+}
+
+/* Removes an item from every index; -1 when memory is short. */
+int config_remove_item(struct config *c, enum section_kind kind,
+		       const char *name)
+{
+	struct section *index = hash_index(c, kind);
+	char *item = section_find(&c->by_name[kind], name);
+
+	if (!item)
+		return 0;
+	if (index && section_remove(index, item + index->key_offset) < 0)
+		return -1;
+	return section_remove(&c->by_name[kind], name);
+}
+
+/* Adds an item, or replaces the one of this name; -1 when memory is short. */
+int config_put_item(struct config *c, enum section_kind kind, void *item)
+{
+	struct section *index = hash_index(c, kind);
+
+	if (index && (config_remove_item(c, kind, item) < 0 ||
+		      section_put(index, item) < 0))
+		return -1;
+	return section_put(&c->by_name[kind], item);
+}
+
+/* Makes c the configuration after a note, and remembers its release. */
+void config_set_number(struct config *c, uint64_t number, const char *release,
+		       const char *text, size_t len)
+{
+	struct release *r = &c->releases[number % RELEASES_KEPT];
+
+	if (number != c->number + 1)
+		c->first_release = number;
+	c->number = number;
+	if (number - c->first_release >= RELEASES_KEPT)
+		c->first_release = number - RELEASES_KEPT + 1;
+	copy_name(c->release, sizeof(c->release), release);
+	r->name = name_hash(release);
+	r->text = XXH3_64bits(text, len);
+}
+
+/* Number of the last note that was applied; 0 before the first. */
+uint64_t config_number(const struct config *c)
+{
+	return c->number;
+}
+
+/* Release of the last note that was applied. */
+const char *config_release(const struct config *c)
+{
+	return c->release;
+}
+
+/* Returns the number of the note with this release, or 0. */
+uint64_t config_release_number(const struct config *c, const char *release)
+{
+	uint64_t hash = name_hash(release), i;
+
+	for (i = c->number; i && i >= c->first_release; i--)
+		if (c->releases[i % RELEASES_KEPT].name == hash)
+			return i;
+	return 0;
+}
+
+/* Tells whether a remembered note had this text, byte for byte. */
+bool config_release_text_equal(const struct config *c, uint64_t number,
+			       const char *text, size_t len)
+{
+	return number && number >= c->first_release && number <= c->number &&
+	       c->releases[number % RELEASES_KEPT].text ==
+		       XXH3_64bits(text, len);
+}
+
+/* Whether overload decisions are enforced. */
+enum overload_mode config_overload_mode(const struct config *c)
+{
+	return c->mode;
+}
+
+/* Returns the service of this name, or NULL. */
+const struct service *config_service(const struct config *c, const char *name)
+{
+	return section_find(&c->by_name[SECTION_SERVICES], name);
+}
+
+/* Returns the client account of this name, or NULL. */
+const struct account *config_account(const struct config *c, const char *name)
+{
+	return section_find(&c->by_name[SECTION_ACCOUNTS], name);
+}
+
+/* Returns the route of this name, or NULL. */
+const struct route *config_route(const struct config *c, const char *name)
+{
+	return section_find(&c->by_name[SECTION_ROUTES], name);
+}
+
+/* Returns the route that a request falls under, or NULL; see trie_match. */
+const struct route *config_match(const struct config *c, const char *method,
+				 const char *path)
+{
+	return trie_match(c->trie, method, path);
+}
+
+/* Returns the client key with this hash, or NULL. */
+const struct access_key *config_key(const struct config *c,
+				    const uint8_t hash[KEY_HASH_SIZE])
+{
+	return section_find(&c->keys_by_hash, hash);
+}
+
+/* Returns the operator with this key hash, or NULL. */
+const struct operator_key *config_operator(const struct config *c,
+					   const uint8_t hash[KEY_HASH_SIZE])
+{
+	return section_find(&c->operators_by_hash, hash);
+}
+
+/* Next account, in an order that is the same on every host. */
+const struct account *config_next_account(const struct config *c,
+					  const struct account *after)
+{
+	return section_next(&c->by_name[SECTION_ACCOUNTS], after);
+}
+
+/* Next service, in an order that is the same on every host. */
+const struct service *config_next_service(const struct config *c,
+					  const struct service *after)
+{
+	return section_next(&c->by_name[SECTION_SERVICES], after);
+}
+
+/* Next route, in an order that is the same on every host. */
+const struct route *config_next_route(const struct config *c,
+				      const struct route *after)
+{
+	return section_next(&c->by_name[SECTION_ROUTES], after);
+}
+
+/* Next client key, in an order that is the same on every host. */
+const struct access_key *config_next_key(const struct config *c,
+					 const struct access_key *after)
+{
+	return section_next(&c->by_name[SECTION_KEYS], after);
+}
+
+/* Next operator, in an order that is the same on every host. */
+const struct operator_key *
+config_next_operator(const struct config *c, const struct operator_key *after)
+{
+	return section_next(&c->by_name[SECTION_OPERATORS], after);
+}
--- /dev/null
+++ b/src/conf/pack.c
@@ -0,0 +1,319 @@
+/*
+ * Snapshots: a sequence of scalars, so that a reader takes no memory for a
+ * length it has not seen. Items go in the order of their sections, which
+ * makes equal configurations equal bytes.
+ */
+#include "conf/conf_impl.h"
+
+#include <limits.h>
+#include <math.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SNAPSHOT_VERSION 1
+#define SNAPSHOT_SIZE_MAX (32 * 1024 * 1024) /* bytes */
+#define ITEMS_MAX 1000000		     /* of one kind */
+
+static int append(void *ctx, const char *data, size_t len)
+{
+	return buffer_append(ctx, data, len, SNAPSHOT_SIZE_MAX);
+}
+
+static int pack_text(msgpack_packer *pk, const char *text)
+{
+	return msgpack_pack_str_with_body(pk, text, strlen(text));
+}
+
+static int pack_field(msgpack_packer *pk, const struct field *f, const void *at)
+{
+	switch (f->kind) {
+	case FIELD_NAME:
+	case FIELD_METHOD:
+	case FIELD_PATTERN:
+		return pack_text(pk, at);
+	case FIELD_BOOL:
+		return msgpack_pack_uint8(pk, *(const bool *)at);
+	case FIELD_COUNT:
+		return msgpack_pack_uint32(pk, *(const uint32_t *)at);
+	case FIELD_NUMBER:
+		return msgpack_pack_double(pk, *(const double *)at);
+	case FIELD_TIME:
+		return msgpack_pack_uint64(pk, *(const uint64_t *)at);
+	case FIELD_CHOICE:
+		return msgpack_pack_uint32(pk, *(const uint32_t *)at);
+	case FIELD_HASH:
+		return msgpack_pack_bin_with_body(pk, at, KEY_HASH_SIZE);
+	case FIELD_BYTES:
+	case FIELD_ADDR:
+	case FIELD_OBJECT:
+	case FIELD_OTHER:
+		break;
+	}
+	return -1;
+}
+
+static int pack_kind(msgpack_packer *pk, const struct config *c, int kind)
+{
+	const struct kind_info *info = &kinds[kind];
+	const char *item = NULL;
+	int rc = msgpack_pack_uint64(pk, c->by_name[kind].n);
+	size_t i;
+
+	while (!rc && (item = section_next(&c->by_name[kind], item)))
+		for (i = 0; !rc && i < info->field_count; i++)
+			rc = pack_field(pk, &info->fields[i],
+					item + info->fields[i].offset);
+	return rc;
+}
+
+static int pack_releases(msgpack_packer *pk, const struct config *c)
+{
+	int rc = msgpack_pack_uint64(pk, c->first_release);
+	const struct release *r;
+	uint64_t i;
+
+	for (i = c->first_release; !rc && i <= c->number; i++) {
+		r = &c->releases[i % RELEASES_KEPT];
+		rc = msgpack_pack_uint64(pk, r->name) ||
+		     msgpack_pack_uint64(pk, r->text);
+	}
+	return rc;
+}
+
+/* Appends the configuration as msgpack; equal ones give equal bytes. */
+int config_pack(const struct config *c, struct buffer *out)
+{
+	msgpack_packer pk;
+	int rc, kind;
+
+	msgpack_packer_init(&pk, out, append);
+	rc = msgpack_pack_uint8(&pk, SNAPSHOT_VERSION) ||
+	     msgpack_pack_uint64(&pk, c->number) ||
+	     pack_text(&pk, c->release) || msgpack_pack_uint32(&pk, c->mode) ||
+	     pack_releases(&pk, c);
+	for (kind = 0; !rc && kind < SECTIONS; kind++)
+		rc = pack_kind(&pk, c, kind);
+	return rc ? -1 : 0;
+}
+
+struct source {
+	const char *data;
+	size_t len;
+	size_t offset;
+};
+
+/* Reads one scalar; containers are refused before they take memory. */
+static int next_scalar(struct source *s, msgpack_object *o,
+		       msgpack_object_type type)
+{
+	msgpack_unpacked u;
+	uint8_t first;
+	int rc;
+
+	if (s->offset >= s->len)
+		return -1;
+	first = (uint8_t)s->data[s->offset];
+	if ((first >= 0x80 && first <= 0x9f) || first >= 0xdc)
+		if (first < 0xe0)
+			return -1;
+	msgpack_unpacked_init(&u);
+	rc = msgpack_unpack_next(&u, s->data, s->len, &s->offset);
+	*o = u.data;
+	msgpack_unpacked_destroy(&u);
+	return rc == MSGPACK_UNPACK_SUCCESS && o->type == type ? 0 : -1;
+}
+
+static int next_uint(struct source *s, uint64_t max, uint64_t *v)
+{
+	msgpack_object o;
+
+	if (next_scalar(s, &o, MSGPACK_OBJECT_POSITIVE_INTEGER) < 0 ||
+	    o.via.u64 > max)
+		return -1;
+	*v = o.via.u64;
+	return 0;
+}
+
+static int next_text(struct source *s, char *to, size_t size)
+{
+	msgpack_object o;
+
+	if (next_scalar(s, &o, MSGPACK_OBJECT_STR) < 0 ||
+	    o.via.str.size >= size)
+		return -1;
+	/* The pointer to an empty string is NULL. */
+	if (o.via.str.size)
+		memcpy(to, o.via.str.ptr, o.via.str.size);
+	to[o.via.str.size] = 0;
+	return strlen(to) == o.via.str.size ? 0 : -1;
+}
+
+static int next_hash(struct source *s, uint8_t *hash)
+{
+	msgpack_object o;
+
+	if (next_scalar(s, &o, MSGPACK_OBJECT_BIN) < 0 ||
+	    o.via.bin.size != KEY_HASH_SIZE)
+		return -1;
+	memcpy(hash, o.via.bin.ptr, KEY_HASH_SIZE);
+	return 0;
+}
+
+static int next_number(struct source *s, const struct field *f, double *v)
+{
+	msgpack_object o;
+
+	if (next_scalar(s, &o, MSGPACK_OBJECT_FLOAT64) < 0 ||
+	    !(o.via.f64 >= f->min && o.via.f64 <= f->max))
+		return -1;
+	*v = o.via.f64;
+	return 0;
+}
+
+static int next_choice(struct source *s, const char *const *choices, int *v)
+{
+	uint64_t n, max = 0;
+
+	while (choices[max + 1])
+		max++;
+	if (next_uint(s, max, &n) < 0)
+		return -1;
+	*v = (int)n;
+	return 0;
+}
+
+static int next_field(struct source *s, const struct field *f, void *at)
+{
+	uint64_t n;
+
+	switch (f->kind) {
+	case FIELD_NAME:
+		return next_text(s, at, NAME_SIZE);
+	case FIELD_METHOD:
+		return next_text(s, at, METHOD_SIZE);
+	case FIELD_PATTERN:
+		return next_text(s, at, PATTERN_SIZE) < 0 || pattern_fault(at)
+			       ? -1
+			       : 0;
+	case FIELD_BOOL:
+		if (next_uint(s, 1, &n) < 0)
+			return -1;
+		*(bool *)at = n;
+		return 0;
+	case FIELD_COUNT:
+		if (next_uint(s, UINT32_MAX, &n) < 0)
+			return -1;
+		*(uint32_t *)at = (uint32_t)n;
+		return 0;
+	case FIELD_NUMBER:
+		return next_number(s, f, at);
+	case FIELD_TIME:
+		if (next_uint(s, INT64_MAX, &n) < 0)
+			return -1;
+		*(int64_t *)at = (int64_t)n;
+		return 0;
+	case FIELD_CHOICE:
+		return next_choice(s, f->choices, at);
+	case FIELD_HASH:
+		return next_hash(s, at);
+	case FIELD_BYTES:
+	case FIELD_ADDR:
+	case FIELD_OBJECT:
+	case FIELD_OTHER:
+		break;
+	}
+	return -1;
+}
+
+static int next_item(struct source *s, struct config *c, int kind)
+{
+	const struct kind_info *info = &kinds[kind];
+	union item from;
+	void *item;
+	size_t i;
+	int rc;
+
+	memset(&from, 0, sizeof(from));
+	for (i = 0; i < info->field_count; i++)
+		if (next_field(s, &info->fields[i],
+			       (char *)&from + info->fields[i].offset) < 0)
+			return -1;
+	if (!from.name[0])
+		return -1;
+	item = item_new(&from, info->size);
+	rc = item ? config_put_item(c, (enum section_kind)kind, item) : -1;
+	item_put(item);
+	return rc;
+}
+
+static int next_kind(struct source *s, struct config *c, int kind)
+{
+	uint64_t n;
+
+	if (next_uint(s, ITEMS_MAX, &n) < 0)
+		return -1;
+	while (n--)
+		if (next_item(s, c, kind) < 0)
+			return -1;
+	return 0;
+}
+
+static int next_releases(struct source *s, struct config *c)
+{
+	struct release *r;
+	uint64_t i;
+
+	if (next_uint(s, c->number + 1, &c->first_release) < 0 ||
+	    c->number + 1 - c->first_release > RELEASES_KEPT)
+		return -1;
+	for (i = c->first_release; i <= c->number; i++) {
+		r = &c->releases[i % RELEASES_KEPT];
+		if (next_uint(s, UINT64_MAX, &r->name) < 0 ||
+		    next_uint(s, UINT64_MAX, &r->text) < 0)
+			return -1;
+	}
+	return 0;
+}
+
+static int read_snapshot(struct source *s, struct config *c)
+{
+	uint64_t version;
+	int kind, mode;
+
+	if (next_uint(s, SNAPSHOT_VERSION, &version) < 0 ||
+	    version != SNAPSHOT_VERSION ||
+	    next_uint(s, INT64_MAX, &c->number) < 0 ||
+	    next_text(s, c->release, sizeof(c->release)) < 0 ||
+	    next_choice(s, overload_modes, &mode) < 0 ||
+	    next_releases(s, c) < 0)
+		return -1;
+	c->mode = (enum overload_mode)mode;
+	for (kind = 0; kind < SECTIONS; kind++)
+		if (next_kind(s, c, kind) < 0)
+			return -1;
+	return s->offset == s->len ? 0 : -1;
+}
+
+/* Returns the configuration that config_pack wrote, or NULL with err set. */
+struct config *config_unpack(const void *data, size_t len, struct error *err)
+{
+	struct source s = {.data = data, .len = len};
+	struct note_faults faults = {0};
+	struct config *c = config_new();
+	struct change ch = {.r = {.faults = &faults}, .next = c};
+	bool good;
+
+	if (!c) {
+		error_set(err, ERROR_MEMORY, "snapshot", NULL, "no memory");
+		return NULL;
+	}
+	good = !read_snapshot(&s, c) && !build_trie(&ch) && !faults.n;
+	note_faults_free(&faults);
+	if (good)
+		return c;
+	config_put(c);
+	error_set(err, ERROR_INPUT, "snapshot", NULL, "malformed at byte %zu",
+		  s.offset);
+	return NULL;
+}
--- /dev/null
+++ b/src/conf/settings.c
@@ -0,0 +1,187 @@
+#include "conf/conf_impl.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define SETTINGS_SIZE_MAX (64 * 1024) /* bytes */
+#define COUNT(a) (sizeof(a) / sizeof(*(a)))
+#define AT(member) offsetof(struct settings, member)
+
+/* In the order of the syslog priorities. */
+static const char *const log_levels[] = {"emerg", "alert",   "crit",
+					 "err",	  "warning", "notice",
+					 "info",  "debug",   NULL};
+static const char *const store_kinds[] = {"none", "etcd", "memory", NULL};
+
+/* Offsets are from the start of struct settings at every depth. */
+static const struct field listen_fields[] = {
+	{"callers", .kind = FIELD_ADDR, .offset = AT(callers),
+	 .required = true},
+	{"services", .kind = FIELD_ADDR, .offset = AT(services),
+	 .required = true},
+	{"nodes", .kind = FIELD_ADDR, .offset = AT(nodes), .required = true},
+	{"admin", .kind = FIELD_ADDR, .offset = AT(admin), .required = true},
+};
+
+static const struct field store_fields[] = {
+	{"kind", .kind = FIELD_CHOICE, .offset = AT(store_kind),
+	 .required = true, .choices = store_kinds},
+	{"address", .kind = FIELD_ADDR, .offset = AT(store)},
+	{"calls_per_second", .kind = FIELD_COUNT, .offset = AT(store_calls_s),
+	 .min = 1, .max = 10000},
+};
+
+static const struct field limits_fields[] = {
+	{"body_bytes", .kind = FIELD_BYTES, .offset = AT(body_limit),
+	 .min = 1024, .max = 64 * 1024 * 1024},
+	{"memory_bytes", .kind = FIELD_BYTES, .offset = AT(memory_limit),
+	 .min = 1024 * 1024, .max = 16e9},
+	{"requests", .kind = FIELD_COUNT, .offset = AT(requests_max), .min = 1,
+	 .max = 1e6},
+	{"connections", .kind = FIELD_COUNT, .offset = AT(connections_max),
+	 .min = 1, .max = 1e6},
+};
+
+static const struct field settings_fields[] = {
+	{"host", .kind = FIELD_NAME, .offset = AT(host), .required = true},
+	{"data_centre", .kind = FIELD_NAME, .offset = AT(data_centre),
+	 .required = true},
+	{"region", .kind = FIELD_NAME, .offset = AT(region), .required = true},
+	{"listen", .kind = FIELD_OBJECT, .required = true,
+	 .fields = listen_fields, .field_count = COUNT(listen_fields)},
+	{"seeds", .kind = FIELD_OTHER},
+	{"store", .kind = FIELD_OBJECT, .required = true,
+	 .fields = store_fields, .field_count = COUNT(store_fields)},
+	{"secret", .kind = FIELD_HASH, .offset = AT(secret), .required = true},
+	{"limits", .kind = FIELD_OBJECT, .fields = limits_fields,
+	 .field_count = COUNT(limits_fields)},
+	{"stop_grace_s", .kind = FIELD_TIME, .offset = AT(stop_grace_us),
+	 .max = 3600, .unit_us = USEC_PER_SEC},
+	{"log_level", .kind = FIELD_CHOICE, .offset = AT(log_priority),
+	 .choices = log_levels},
+};
+
+static const struct settings defaults = {
+	.store_calls_s = 50,
+	.body_limit = 1024 * 1024,
+	.memory_limit = 32 * 1024 * 1024,
+	.requests_max = 4096,
+	.connections_max = 2048,
+	.stop_grace_us = 30 * USEC_PER_SEC,
+	.log_priority = LOG_INFO,
+};
+
+static void read_seeds(struct reader *r, struct json_object *obj,
+		       struct settings *s)
+{
+	struct json_object *seeds;
+	size_t len, i, n, outer;
+
+	if (!json_object_object_get_ex(obj, "seeds", &seeds))
+		return;
+	outer = reader_enter(r, "seeds");
+	if (!json_object_is_type(seeds, json_type_array)) {
+		reader_fault(r, "must be a list of addresses");
+		reader_leave(r, outer);
+		return;
+	}
+	n = json_object_array_length(seeds);
+	if (n > SEEDS_MAX)
+		reader_fault(r, "must have at most %d addresses", SEEDS_MAX);
+	for (i = 0; i < n && i < SEEDS_MAX; i++) {
+		len = reader_enter_index(r, i);
+		if (!field_addr(r, json_object_array_get_idx(seeds, i),
+				&s->seeds[s->seed_count]))
+			s->seed_count++;
+		reader_leave(r, len);
+	}
+	reader_leave(r, outer);
+}
+
+static void check_together(struct reader *r, const struct settings *s)
+{
+	if (s->store_kind == STORE_ETCD && !addr_is_set(&s->store))
+		reader_fault_at(r, "store.address", "is missing");
+	if (s->memory_limit < s->body_limit)
+		reader_fault_at(r, "limits.memory_bytes",
+				"must be at least limits.body_bytes");
+}
+
+/* Reports the fault that stands first in the text. */
+static int report(const struct note_faults *faults, const char *text,
+		  const char *name, struct error *err)
+{
+	const struct note_fault *first = NULL;
+	unsigned line = 0, l;
+	size_t i;
+
+	for (i = 0; i < faults->n; i++) {
+		l = scan_line(text, strlen(text), faults->items[i].path);
+		if (first && l >= line)
+			continue;
+		first = &faults->items[i];
+		line = l;
+	}
+	return error_set(err, ERROR_INPUT, "settings", name, "%s:%u: %s: %s",
+			 name, line, first->path, first->text);
+}
+
+/*
+ * Reads settings from text; name is the file that faults are reported of.
+ * Returns -1 with the first fault in err, as "name:line: member: fault".
+ */
+int settings_parse(struct settings *s, const char *text, const char *name,
+		   struct error *err)
+{
+	struct note_faults faults = {0};
+	struct reader r = {.faults = &faults};
+	struct json_object *obj;
+	struct error json_err;
+	unsigned line;
+	int rc = 0;
+
+	*s = defaults;
+	obj = json_read(text, strlen(text), &line, &json_err);
+	if (!obj)
+		return error_set(err, ERROR_INPUT, "settings", name,
+				 "%s:%u: %s", name, line, json_err.text);
+	scan_duplicates(text, strlen(text), &r);
+	fields_read(&r, obj, settings_fields, COUNT(settings_fields), s, false);
+	read_seeds(&r, obj, s);
+	if (!faults.n)
+		check_together(&r, s);
+	if (faults.n)
+		rc = report(&faults, text, name, err);
+	note_faults_free(&faults);
+	json_object_put(obj);
+	return rc;
+}
+
+/* Reads the settings file of a node; see settings_parse for the faults. */
+int settings_load(struct settings *s, const char *path, struct error *err)
+{
+	struct buffer text = {0};
+	char piece[4096];
+	FILE *f = fopen(path, "re");
+	size_t n;
+	int rc = 0;
+
+	if (!f)
+		return error_set(err, ERROR_IO, "settings", path, "%s: %s",
+				 path, strerror(errno));
+	while (!rc && (n = fread(piece, 1, sizeof(piece), f)) > 0)
+		rc = buffer_append(&text, piece, n, SETTINGS_SIZE_MAX);
+	if (!rc && ferror(f))
+		rc = error_set(err, ERROR_IO, "settings", path, "%s: %s", path,
+			       strerror(errno));
+	else if (rc || buffer_append(&text, "", 1, SETTINGS_SIZE_MAX) < 0)
+		rc = error_set(err, ERROR_LIMIT, "settings", path,
+			       "%s: larger than %d bytes", path,
+			       SETTINGS_SIZE_MAX);
+	if (!rc && text.data)
+		rc = settings_parse(s, (char *)text.data, path, err);
+	fclose(f);
+	buffer_free(&text);
+	return rc;
+}
--- /dev/null
+++ b/test/test_config.c
@@ -0,0 +1,251 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "conf/conf.h"
+
+static struct config *apply(struct config *c, const char *text)
+{
+	struct note_faults f;
+	struct config *n = config_apply(c, config_number(c) + 1, text,
+					strlen(text), NULL, &f);
+
+	if (!n)
+		fail_msg("%s: %s", f.items[0].path, f.items[0].text);
+	config_put(c);
+	return n;
+}
+
+struct match {
+	const char *method;
+	const char *path;
+	const char *route; /* NULL: none */
+};
+
+static const char *const patterns[][3] = {
+	{"root", "GET", "/"},
+	{"literal", "GET", "/rafts/new"},
+	{"param", "GET", "/rafts/{id}"},
+	{"deep", "GET", "/rafts/{id}/history"},
+	{"rest", "GET", "/rafts/**"},
+	{"post", "POST", "/rafts/{id}"},
+	{"fork", "GET", "/f/a/{x}/c"},
+	{"fork2", "GET", "/f/{x}/b/d"},
+	{"slash", "GET", "/s/"},
+	{"escape", "GET", "/caf%C3%A9/%7Euser"},
+};
+
+static const struct match matches[] = {
+	{"GET", "/", "root"},
+	{"GET", "/?q=/rafts/new", "root"},
+	{"GET", "/rafts/new", "literal"},
+	{"GET", "/rafts/n%65w?x=1", "literal"},
+	{"GET", "/rafts/7", "param"},
+	{"GET", "/rafts/7/history", "deep"},
+	{"GET", "/rafts/new/history", "deep"},
+	{"GET", "/rafts/7/other", "rest"},
+	{"GET", "/rafts", "rest"},
+	{"GET", "/rafts/", "rest"},
+	{"GET", "/rafts//history", "rest"},
+	{"POST", "/rafts/7", "post"},
+	{"POST", "/rafts/7/history", NULL},
+	{"PUT", "/rafts/7", NULL},
+	{"GET", "/f/a/b/c", "fork"},
+	{"GET", "/f/a/b/d", "fork2"},
+	{"GET", "/s/", "slash"},
+	{"GET", "/s", NULL},
+	{"GET", "/caf%c3%a9/~user", "escape"},
+	{"GET", "/Rafts/7", NULL},
+	{"GET", "/rafts/7/../8", NULL},
+	{"GET", "/rafts/%2e%2E/8", NULL},
+	{"GET", "/rafts/%zz", NULL},
+	{"GET", "/rafts/%4", NULL},
+	{"GET", "rafts/7", NULL},
+	{"GET", "", NULL},
+	{"A-METHOD-LONGER-THAN-ANY", "/", NULL},
+};
+
+static struct config *with_patterns(void)
+{
+	struct buffer b = {0};
+	struct config *c = config_new();
+	size_t i;
+
+	buffer_printf(&b, "{\"release\": \"r\", \"added\": {\"services\":"
+			  "[{\"name\": \"s\"}], \"routes\": [");
+	for (i = 0; i < sizeof(patterns) / sizeof(*patterns); i++)
+		buffer_printf(&b,
+			      "%s{\"name\": \"%s\", \"method\": \"%s\","
+			      "\"path\": \"%s\", \"service\": \"s\"}",
+			      i ? "," : "", patterns[i][0], patterns[i][1],
+			      patterns[i][2]);
+	buffer_printf(&b, "]}}");
+	c = apply(c, (char *)b.data);
+	buffer_free(&b);
+	return c;
+}
+
+static void the_closest_pattern_wins(void **state)
+{
+	struct config *c = with_patterns();
+	const struct route *r;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(matches) / sizeof(*matches); i++) {
+		r = config_match(c, matches[i].method, matches[i].path);
+		if (!r != !matches[i].route ||
+		    (r && strcmp(r->name, matches[i].route)))
+			fail_msg("%s: %s", matches[i].path,
+				 r ? r->name : "none");
+	}
+	config_put(c);
+}
+
+static void a_very_long_segment_matches_a_parameter(void **state)
+{
+	struct config *c = with_patterns();
+	char path[2 * PATTERN_SIZE];
+
+	(void)state;
+	memset(path, 'a', sizeof(path));
+	memcpy(path, "/rafts/", 7);
+	path[sizeof(path) - 1] = 0;
+	assert_string_equal(config_match(c, "GET", path)->name, "param");
+	config_put(c);
+}
+
+static struct config *with_accounts(int from, int step, int n)
+{
+	struct config *c = config_new();
+	char text[512];
+	int i, id = from;
+
+	for (i = 0; i < n; i++, id = (id + step) % n) {
+		snprintf(text, sizeof(text),
+			 "{\"release\": \"r%d\", \"added\": {\"accounts\": [{"
+			 "\"name\": \"a%d\", \"rate\": %d.25, \"burst\": 2}],"
+			 "\"keys\": [{\"id\": \"k%d\", \"account\": \"a%d\","
+			 "\"hash\": \"%064x\"}]}}",
+			 i, id, id + 1, id, id, id + 1);
+		c = apply(c, text);
+	}
+	return c;
+}
+
+/* All but the releases, which differ as the order of the notes did. */
+static void assert_equal_accounts(struct config *a, struct config *b)
+{
+	const struct account *x = NULL, *y = NULL;
+
+	do {
+		x = config_next_account(a, x);
+		y = config_next_account(b, y);
+		assert_int_equal(!x, !y);
+		if (x)
+			assert_memory_equal(x, y, sizeof(*x));
+	} while (x);
+}
+
+static void order_of_items_is_free_of_history(void **state)
+{
+	struct config *a = with_accounts(0, 1, 997);
+	struct config *b = with_accounts(5, 31, 997);
+
+	(void)state;
+	assert_equal_accounts(a, b);
+	config_put(a);
+	config_put(b);
+}
+
+static void snapshots_round_trip(void **state)
+{
+	struct config *a = with_accounts(0, 1, 500), *b, *c = with_patterns();
+	struct buffer x = {0}, y = {0};
+	uint8_t hash[KEY_HASH_SIZE] = {0};
+	struct error err;
+
+	(void)state;
+	hash[KEY_HASH_SIZE - 1] = 7;
+	assert_int_equal(config_pack(a, &x), 0);
+	b = config_unpack(x.data, x.len, &err);
+	assert_non_null(b);
+	assert_equal_accounts(a, b);
+	assert_string_equal(config_key(b, hash)->id, "k6");
+	assert_int_equal(config_number(b), 500);
+	assert_int_equal(config_release_number(b, "r7"), 8);
+	assert_int_equal(config_pack(b, &y), 0);
+	assert_int_equal(x.len, y.len);
+	assert_memory_equal(x.data, y.data, x.len);
+	config_put(a);
+	config_put(b);
+	buffer_free(&x);
+	assert_int_equal(config_pack(c, &x), 0);
+	b = config_unpack(x.data, x.len, &err);
+	assert_string_equal(config_match(b, "GET", "/rafts/7")->name, "param");
+	config_put(b);
+	config_put(c);
+	buffer_free(&x);
+	buffer_free(&y);
+}
+
+static void broken_snapshots_are_refused(void **state)
+{
+	struct config *a = with_accounts(0, 1, 3), *b;
+	static const uint8_t huge_array[] = {1, 0xdd, 255, 255, 255, 255};
+	struct buffer x = {0};
+	struct error err;
+	size_t i;
+	uint8_t old;
+
+	(void)state;
+	assert_int_equal(config_pack(a, &x), 0);
+	for (i = 0; i < x.len; i++) {
+		assert_null(config_unpack(x.data, i, &err));
+		/* A changed byte may be valid, but never crashes. */
+		old = x.data[i];
+		x.data[i] = (uint8_t)(old ^ 0xc1);
+		b = config_unpack(x.data, x.len, &err);
+		config_put(b);
+		x.data[i] = old;
+	}
+	assert_null(config_unpack(huge_array, sizeof(huge_array), &err));
+	config_put(a);
+	buffer_free(&x);
+}
+
+static void releases_are_remembered_within_bounds(void **state)
+{
+	struct config *c = config_new();
+	char text[64];
+	int i;
+
+	(void)state;
+	for (i = 1; i <= RELEASES_KEPT + 2; i++) {
+		snprintf(text, sizeof(text), "{\"release\": \"r%d\"}", i);
+		c = apply(c, text);
+	}
+	assert_int_equal(config_release_number(c, "r2"), 0);
+	assert_int_equal(config_release_number(c, "r3"), 3);
+	assert_int_equal(config_release_number(c, "r4000"), 4000);
+	config_put(c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_closest_pattern_wins),
+		cmocka_unit_test(a_very_long_segment_matches_a_parameter),
+		cmocka_unit_test(order_of_items_is_free_of_history),
+		cmocka_unit_test(snapshots_round_trip),
+		cmocka_unit_test(broken_snapshots_are_refused),
+		cmocka_unit_test(releases_are_remembered_within_bounds),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
