--- a/src/conf/check.c
+++ b/src/conf/check.c
@@ -57,6 +57,49 @@
 	}
 }
 
+/* One reference: items of kind name an item of target at offset. */
+struct reference {
+	enum section_kind kind;
+	enum section_kind target;
+	size_t offset;
+	const char *member;
+};
+
+static const struct reference references[] = {
+	{SECTION_ROUTES, SECTION_SERVICES, offsetof(struct route, service),
+	 "service"},
+	{SECTION_KEYS, SECTION_ACCOUNTS, offsetof(struct access_key, account),
+	 "account"},
+};
+
+/* Faults items that the note names and that refer to nothing. */
+static void check_touched(struct change *ch, const struct reference *ref)
+{
+	char path[JSON_PATH_SIZE + NAME_SIZE];
+	const struct touched *t;
+	const char *item, *name;
+
+	for (t = ch->touched[ref->kind]; t; t = t->next) {
+		item = find(ch->next, ref->kind, t->name);
+		name = item ? item + ref->offset : "";
+		if (!*name || find(ch->next, ref->target, name))
+			continue;
+		snprintf(path, sizeof(path), "%s.%s", t->path, ref->member);
+		reader_fault_at(&ch->r, path, "there is no %s %s",
+				kinds[ref->target].one, name);
+	}
+}
+
+static bool withdraws(const struct change *ch, enum section_kind kind)
+{
+	const struct touched *t;
+
+	for (t = ch->touched[kind]; t; t = t->next)
+		if (!find(ch->next, kind, t->name))
+			return true;
+	return false;
+}
+
 /* Notes down that user still refers to an item that was withdrawn. */
 static void add_user(struct touched *t, const char *user)
 {
@@ -68,52 +111,39 @@
 		memcpy(t->users + sizeof(t->users) - 5, " ...", 5);
 }
 
-/*
- * Faults references from items of kind to items of target that are gone:
- * at the item if the note names it, else at the withdrawal.
- */
-static void check_references(struct change *ch, enum section_kind kind,
-			     enum section_kind target, size_t offset,
-			     const char *member)
+/* Faults withdrawals of items that others, which stay, still refer to. */
+static void check_withdrawn(struct change *ch, const struct reference *ref)
 {
-	char path[JSON_PATH_SIZE + NAME_SIZE];
-	const char *item = NULL, *ref;
+	const char *item = NULL, *name;
 	struct touched *t;
 
-	while ((item = section_next(&ch->next->by_name[kind], item))) {
-		ref = item + offset;
-		if (!*ref || find(ch->next, target, ref))
-			continue;
-		t = find_touched(ch, kind, item);
-		if (t) {
-			snprintf(path, sizeof(path), "%s.%s", t->path, member);
-			reader_fault_at(&ch->r, path, "there is no %s %s",
-					kinds[target].one, ref);
-			continue;
-		}
-		t = find_touched(ch, target, ref);
-		if (t)
+	if (!withdraws(ch, ref->target))
+		return;
+	while ((item = section_next(&ch->next->by_name[ref->kind], item))) {
+		name = item + ref->offset;
+		t = find_touched(ch, ref->target, name);
+		if (t && !find(ch->next, ref->target, name) &&
+		    !find_touched(ch, ref->kind, item))
 			add_user(t, item);
 	}
-	for (t = ch->touched[target]; t; t = t->next)
+	for (t = ch->touched[ref->target]; t; t = t->next)
 		if (t->users[0])
 			reader_fault_at(&ch->r, t->path,
 					"%s still has %s %s; withdraw them too",
-					t->name, kinds[kind].section, t->users);
+					t->name, kinds[ref->kind].section,
+					t->users);
 }
 
 /* Faults references to nothing and items outside the operator's team. */
 void check_change(struct change *ch)
 {
+	size_t i;
 	int kind;
 
-	if (ch->touched[SECTION_ROUTES] || ch->touched[SECTION_SERVICES])
-		check_references(ch, SECTION_ROUTES, SECTION_SERVICES,
-				 offsetof(struct route, service), "service");
-	if (ch->touched[SECTION_KEYS] || ch->touched[SECTION_ACCOUNTS])
-		check_references(ch, SECTION_KEYS, SECTION_ACCOUNTS,
-				 offsetof(struct access_key, account),
-				 "account");
+	for (i = 0; i < sizeof(references) / sizeof(*references); i++) {
+		check_touched(ch, &references[i]);
+		check_withdrawn(ch, &references[i]);
+	}
 	for (kind = 0; ch->team && kind < SECTIONS; kind++)
 		check_teams(ch, (enum section_kind)kind);
 }
--- a/src/conf/section.c
+++ b/src/conf/section.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define SHARD_MIN 4
 
@@ -58,12 +59,9 @@
 
 static uint64_t hash_of(const struct section *s, const void *key)
 {
-	uint64_t hash;
-
 	if (!s->key_len)
 		return name_hash(key);
-	memcpy(&hash, key, sizeof(hash));
-	return hash;
+	return XXH3_64bits(key, s->key_len);
 }
 
 static int compare(const struct section *s, const struct entry *e,
@@ -85,11 +83,16 @@
 static uint32_t position(const struct section *s, const struct shard *sh,
 			 uint64_t hash, const void *key)
 {
-	uint32_t i = 0;
+	uint32_t from = 0, to = sh->n, i;
 
-	while (i < sh->n && compare(s, &sh->entries[i], hash, key) < 0)
-		i++;
-	return i;
+	while (from < to) {
+		i = from + (to - from) / 2;
+		if (compare(s, &sh->entries[i], hash, key) < 0)
+			from = i + 1;
+		else
+			to = i;
+	}
+	return from;
 }
 
 static void shard_put(struct shard *sh)
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -236,6 +236,76 @@
 	config_put(c);
 }
 
+struct example {
+	const char *dir;
+	const char *const *data_centres;
+	const char *last;  /* a route that is shed last */
+	const char *first; /* one that is shed first */
+	const char *once;  /* one that runs at most once */
+	const char *key;
+	const char *account;
+};
+
+static const char *const aralsk_dcs[] = {"aktau", "atyrau", "bautino", "kuryk",
+					 NULL};
+static const char *const trinacria_dcs[] = {"palermo", "catania", "messina",
+					    NULL};
+
+static const struct example examples[] = {
+	{"aralsk", aralsk_dcs, "raft-readiness", "raft-history",
+	 "certificate-issue", "demo-aralsk-inspectors", "inspectors"},
+	{"trinacria", trinacria_dcs, "screening", "roster-lookup", "case-open",
+	 "demo-trinacria-volunteers", "volunteers"},
+};
+
+static struct config *load_note(const char *path)
+{
+	struct buffer b = {0};
+	char piece[4096];
+	FILE *f = fopen(path, "re");
+	struct config *c;
+	size_t n;
+
+	assert_non_null(f);
+	while ((n = fread(piece, 1, sizeof(piece), f)) > 0)
+		assert_int_equal(buffer_append(&b, piece, n, NOTE_TEXT_MAX), 0);
+	fclose(f);
+	assert_int_equal(buffer_append(&b, "", 1, NOTE_TEXT_MAX), 0);
+	c = apply(config_new(), (char *)b.data);
+	buffer_free(&b);
+	return c;
+}
+
+static void examples_apply(void **state)
+{
+	const struct example *e = examples;
+	const char *const *dc;
+	uint8_t hash[KEY_HASH_SIZE];
+	struct settings s;
+	struct error err;
+	struct config *c;
+	char path[128];
+
+	(void)state;
+	for (; e < examples + sizeof(examples) / sizeof(*examples); e++) {
+		snprintf(path, sizeof(path), "examples/%s/note.json", e->dir);
+		c = load_note(path);
+		assert_int_equal(config_route(c, e->last)->shed, SHED_LAST);
+		assert_int_equal(config_route(c, e->first)->shed, SHED_FIRST);
+		assert_true(config_route(c, e->once)->once);
+		key_hash(hash, e->key);
+		assert_string_equal(config_key(c, hash)->account, e->account);
+		config_put(c);
+		for (dc = e->data_centres; *dc; dc++) {
+			snprintf(path, sizeof(path),
+				 "examples/%s/settings-%s.json", e->dir, *dc);
+			if (settings_load(&s, path, &err) < 0)
+				fail_msg("%s", err.text);
+			assert_string_equal(s.data_centre, *dc);
+		}
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -245,6 +315,7 @@
 		cmocka_unit_test(snapshots_round_trip),
 		cmocka_unit_test(broken_snapshots_are_refused),
 		cmocka_unit_test(releases_are_remembered_within_bounds),
+		cmocka_unit_test(examples_apply),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
