Claim idempotency keys in the store before a request runs

A request of a once-only route may run at most once over all nodes, whatever the store loses. A claim is a record that is created only if absent; it carries a random token, so that a node whose answer was lost recognises its own when it tries again, and only a claim that the store is certain to hold lets a request run. Claims have no lease until they are done: while a holder is paused or dead nobody else gets the key, and repeats are told running, unresolved or the first answer.

Done claims of one hour share a lease of 48 hours.

--- /dev/null
+++ b/src/control/claims.c
@@ -0,0 +1,374 @@
+#include "control/claims_impl.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CLAIMS_MAX (1U << 20)
+#define BATCHES_MAX 16
+#define LISTS_MAX 16
+#define CLAIM_HASH_SIZE 20
+#define CLAIM_KEY_LEN (sizeof(CLAIM_PREFIX) - 1 + 2 * CLAIM_HASH_SIZE)
+
+/* Makes a controller; NULL when memory is short. */
+struct claims *claims_new(const struct claims_options *o, int64_t now)
+{
+	struct claims *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->options = *o;
+	c->started_us = now;
+	c->batch_max = STORE_TXN_OPS_MAX;
+	addr_format(&o->self, c->self);
+	table_init(&c->table, sizeof(struct claim *), CLAIMS_MAX);
+	table_init(&c->batches, sizeof(struct batch *), BATCHES_MAX);
+	table_init(&c->lists, sizeof(void *), LISTS_MAX);
+	return c;
+}
+
+/*
+ * Frees the controller without a report. The store must deliver nothing to
+ * it afterwards.
+ */
+void claims_free(struct claims *c)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&c->table, handle, &item)))
+		claim_remove(c, *(struct claim **)item);
+	while ((handle = table_next(&c->batches, handle, &item)))
+		free(*(struct batch **)item);
+	claims_lists_free(c);
+	table_free(&c->table);
+	table_free(&c->batches);
+	free(c);
+}
+
+/* Returns a claim, or NULL when it is gone. */
+struct claim *claim_get(const struct claims *c, uint64_t handle)
+{
+	struct claim **e = table_get(&c->table, handle);
+
+	return e ? *e : NULL;
+}
+
+static bool owns_key(const struct claim *e)
+{
+	return e->phase != PHASE_WAIT && e->phase != PHASE_CHECK;
+}
+
+/* Forgets a claim here; nothing is written. */
+void claim_remove(struct claims *c, struct claim *e)
+{
+	if (owns_key(e))
+		HASH_DELETE(hh, c->by_key, e);
+	table_remove(&c->table, e->handle);
+	buffer_free(&e->value);
+	free(e);
+}
+
+/* Tells the requester, once. */
+void claim_report(struct claim *e, enum claim_state state,
+		  const struct message *answer, int64_t now)
+{
+	if (!e->waited_for)
+		return;
+	e->waited_for = false;
+	e->done.fn(e->done.ctx, e->done.tag, state, e->handle, answer, now);
+}
+
+/* Hands a call to the store; its result comes with ctx the controller. */
+void claim_submit(struct claims *c, struct store_op *op, uint64_t tag,
+		  void (*fn)(void *ctx, uint64_t tag,
+			     const struct store_result *r, int64_t now),
+		  int64_t now)
+{
+	struct store_done done = {.ctx = c, .tag = tag, .fn = fn};
+
+	op->timeout_us = CLAIM_CALL_US;
+	store_submit(c->options.store, op, &done, now);
+}
+
+static void hash_part(crypto_generichash_state *h, const char *text)
+{
+	/* With its NUL, so that no two lists of parts look alike. */
+	crypto_generichash_update(h, (const unsigned char *)text,
+				  strlen(text) + 1);
+}
+
+static void make_key(char key[CLAIM_KEY_SIZE], const char *account,
+		     const char *route, const char *name)
+{
+	unsigned char hash[CLAIM_HASH_SIZE];
+	crypto_generichash_state h;
+	char hex[2 * CLAIM_HASH_SIZE + 1];
+
+	crypto_generichash_init(&h, NULL, 0, sizeof(hash));
+	hash_part(&h, account);
+	hash_part(&h, route);
+	hash_part(&h, name);
+	crypto_generichash_final(&h, hash, sizeof(hash));
+	sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
+	snprintf(key, CLAIM_KEY_SIZE, CLAIM_PREFIX "%s", hex);
+}
+
+static struct claim *add_claim(struct claims *c)
+{
+	struct claim *e = calloc(1, sizeof(*e));
+	void *item;
+
+	if (!e)
+		return NULL;
+	e->handle = table_add(&c->table, &item);
+	if (!e->handle) {
+		free(e);
+		return NULL;
+	}
+	*(struct claim **)item = e;
+	return e;
+}
+
+/*
+ * Claims an idempotency key. done is called once, from a later tick or
+ * answer of the store, except that a controller without room for one more
+ * claim says CLAIM_STORE_OUT at once. fingerprint is a hash of method,
+ * target and body. No request may run before CLAIM_FRESH.
+ */
+void claims_begin(struct claims *c, const char *account, const char *route,
+		  const char *key, uint64_t fingerprint, const char *request,
+		  int64_t deadline_us, const struct claim_done *done,
+		  int64_t now)
+{
+	struct claim *e = add_claim(c);
+	struct claim_record *r;
+
+	if (!e) {
+		done->fn(done->ctx, done->tag, CLAIM_STORE_OUT, 0, NULL, now);
+		return;
+	}
+	e->phase = PHASE_WAIT;
+	e->deadline_us = deadline_us;
+	e->done = *done;
+	e->waited_for = true;
+	make_key(e->key, account, route, key);
+	r = &e->record;
+	r->incarnation = c->options.incarnation;
+	r->fingerprint = fingerprint;
+	r->wall_us = clock_wall_us();
+	random_token(r->token, sizeof(r->token));
+	snprintf(r->holder, sizeof(r->holder), "%s", c->self);
+	snprintf(r->request, sizeof(r->request), "%s", request);
+	snprintf(r->account, sizeof(r->account), "%s", account);
+	snprintf(r->route, sizeof(r->route), "%s", route);
+}
+
+/* The requester no longer waits; a claim that is still won is released. */
+void claims_forget(struct claims *c, uint64_t tag)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&c->table, handle, &item))) {
+		struct claim *e = *(struct claim **)item;
+
+		if (e->waited_for && e->done.tag == tag)
+			e->waited_for = false;
+	}
+}
+
+/* Records that the store holds our claim, and lets the request run. */
+void claim_won(struct claims *c, struct claim *e, int64_t mod_revision,
+	       int64_t now)
+{
+	e->expected = mod_revision;
+	e->in_flight = false;
+	e->phase = PHASE_HELD;
+	buffer_free(&e->value);
+	if (!e->waited_for || now >= e->deadline_us) {
+		claim_report(e, CLAIM_STORE_OUT, NULL, now);
+		claim_end(c, e, FINAL_REMOVED, now);
+		return;
+	}
+	claim_report(e, CLAIM_FRESH, NULL, now);
+}
+
+/* Has the end of a claim that we hold written. */
+void claim_end(struct claims *c, struct claim *e, enum final final, int64_t now)
+{
+	static const enum record_state states[] = {
+		[FINAL_DONE] = RECORD_DONE,
+		[FINAL_UNRESOLVED] = RECORD_UNRESOLVED,
+		[FINAL_REMOVED] = RECORD_CLAIMED,
+	};
+
+	(void)c;
+	e->phase = PHASE_FINAL;
+	e->final = final;
+	e->ended_us = now;
+	e->not_before_us = now;
+	e->record.state = states[final];
+	buffer_free(&e->value);
+	if (final != FINAL_REMOVED && record_encode(&e->record, &e->value) < 0)
+		abort();
+}
+
+/* Fills in what is kept of an answer; its body is not copied. */
+static void keep_answer(struct claim_record *r, const struct message *answer)
+{
+	const char *type = message_header(answer, "content-type");
+
+	if (answer->body.len > CLAIM_ANSWER_MAX ||
+	    (type && strlen(type) >= sizeof(r->content_type)))
+		return;
+	r->status = answer->status;
+	if (type)
+		snprintf(r->content_type, sizeof(r->content_type), "%s", type);
+	r->body = answer->body.data;
+	r->body_len = answer->body.len;
+}
+
+static struct claim *get_held(const struct claims *c, uint64_t handle)
+{
+	struct claim *e = claim_get(c, handle);
+
+	return e && e->phase == PHASE_HELD ? e : NULL;
+}
+
+/*
+ * The request ran. Its answer, up to 16 KiB, is written until the store has
+ * it; repeats get it from then on.
+ */
+void claims_finish(struct claims *c, uint64_t claim,
+		   const struct message *answer, int64_t now)
+{
+	struct claim *e = get_held(c, claim);
+
+	if (!e)
+		return;
+	if (answer)
+		keep_answer(&e->record, answer);
+	claim_end(c, e, FINAL_DONE, now);
+	e->record.body = NULL;
+	e->record.body_len = 0;
+}
+
+/* The request was certainly not run: the key may be claimed again. */
+void claims_release(struct claims *c, uint64_t claim, int64_t now)
+{
+	struct claim *e = get_held(c, claim);
+
+	if (e)
+		claim_end(c, e, FINAL_REMOVED, now);
+}
+
+/* The request may have run, and nobody knows what became of it. */
+void claims_abandon(struct claims *c, uint64_t claim, int64_t now)
+{
+	struct claim *e = get_held(c, claim);
+
+	if (e)
+		claim_end(c, e, FINAL_UNRESOLVED, now);
+}
+
+static void repeat_here(struct claims *c, struct claim *e,
+			const struct claim *other, int64_t now)
+{
+	struct store_entry entry = {.value = other->value.data,
+				    .len = other->value.len};
+
+	if (e->record.fingerprint != other->record.fingerprint) {
+		claim_report(e, CLAIM_MISMATCH, NULL, now);
+	} else if (other->phase == PHASE_FINAL && other->value.len) {
+		claim_judge(c, e, &entry, now);
+		return;
+	} else {
+		claim_report(e, CLAIM_RUNNING, NULL, now);
+	}
+	claim_remove(c, e);
+}
+
+static struct claim *key_owner(const struct claims *c, const char *key)
+{
+	struct claim *e;
+
+	HASH_FIND_BYHASHVALUE(hh, c->by_key, key, CLAIM_KEY_LEN,
+			      (unsigned)name_hash(key), e);
+	return e;
+}
+
+/* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
+static void own_key(struct claims *c, struct claim *e)
+{
+	HASH_ADD_BYHASHVALUE(hh, c->by_key, key, CLAIM_KEY_LEN,
+			     (unsigned)name_hash(e->key), e);
+}
+
+/* Takes a waiting claim on when no other of this node is in its way. */
+static void start_claim(struct claims *c, struct claim *e, int64_t now)
+{
+	const struct claim *other = key_owner(c, e->key);
+
+	if (!other) {
+		if (record_encode(&e->record, &e->value) < 0)
+			abort();
+		e->phase = PHASE_CREATE;
+		own_key(c, e);
+		return;
+	}
+	/* The end of one that is being created or released is awaited. */
+	if (other->phase == PHASE_HELD ||
+	    (other->phase == PHASE_FINAL && other->final != FINAL_REMOVED))
+		repeat_here(c, e, other, now);
+}
+
+static void tick_claim(struct claims *c, struct claim *e, int64_t now)
+{
+	switch (e->phase) {
+	case PHASE_WAIT:
+	case PHASE_CREATE:
+		if (now >= e->deadline_us)
+			claim_report(e, CLAIM_STORE_OUT, NULL, now);
+		if (!e->waited_for && !e->in_flight)
+			claim_check(c, e, 0, now);
+		else if (e->phase == PHASE_WAIT)
+			start_claim(c, e, now);
+		return;
+	case PHASE_CHECK:
+		claim_check_tick(c, e, now);
+		return;
+	case PHASE_HELD:
+	case PHASE_FINAL:
+		return;
+	}
+}
+
+/* Reports deadlines, starts what waits and writes what is due. */
+void claims_tick(struct claims *c, int64_t now)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&c->table, handle, &item)))
+		tick_claim(c, *(struct claim **)item, now);
+	if (c->table.count)
+		claims_lease_tick(c, now);
+	claims_flush(c, now);
+}
+
+/* Whether nothing is left to be run, written or settled. */
+bool claims_idle(const struct claims *c)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&c->table, handle, &item))) {
+		const struct claim *e = *(struct claim **)item;
+
+		if (e->phase != PHASE_CHECK || !e->checks)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/control/claims_lease.c
@@ -0,0 +1,47 @@
+#include "control/claims_impl.h"
+
+/* Done claims of one hour share a lease and leave the store with it. */
+#define LEASE_TTL_S (48 * 3600)
+#define LEASE_USE_US (3600 * USEC_PER_SEC)
+/* Past this age a lease keeps claims too short to be worth it. */
+#define LEASE_STALE_US (24 * LEASE_USE_US)
+#define LEASE_RETRY_US USEC_PER_SEC
+
+static void granted(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct claims *c = ctx;
+
+	(void)tag;
+	c->lease_asked = false;
+	if (r->outcome != STORE_DONE || !r->lease) {
+		/* One that was granted unknown to us ends by itself. */
+		c->lease_retry_us = now + LEASE_RETRY_US;
+		return;
+	}
+	c->lease = r->lease;
+	c->lease_granted_us = now;
+}
+
+/* Asks for a lease when there is none or it has served its hour. */
+void claims_lease_tick(struct claims *c, int64_t now)
+{
+	struct store_op op = {
+		.kind = STORE_LEASE_GRANT,
+		.lease = {.ttl_s = LEASE_TTL_S},
+	};
+
+	if (c->lease && now - c->lease_granted_us >= LEASE_STALE_US)
+		c->lease = 0;
+	if (c->lease_asked || now < c->lease_retry_us ||
+	    (c->lease && now - c->lease_granted_us < LEASE_USE_US))
+		return;
+	c->lease_asked = true;
+	claim_submit(c, &op, 0, granted, now);
+}
+
+/* The store does not know the lease any more. */
+void claims_lease_lost(struct claims *c)
+{
+	c->lease = 0;
+}
--- /dev/null
+++ b/src/control/claims_list.c
@@ -0,0 +1,148 @@
+#include "control/claims_impl.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PAGE_SIZE 64
+
+/* One listing, read from the store page by page. */
+struct list {
+	void *ctx;
+	uint64_t tag;
+	void (*done)(void *ctx, uint64_t tag, const char *json,
+		     const struct error *err);
+	struct json_object *claims;
+	char after[STORE_KEY_SIZE];
+};
+
+static void free_list(struct claims *c, uint64_t handle)
+{
+	struct list **slot = table_get(&c->lists, handle);
+	struct list *l = *slot;
+
+	table_remove(&c->lists, handle);
+	json_object_put(l->claims);
+	free(l);
+}
+
+/* Frees the listings under way without a report. */
+void claims_lists_free(struct claims *c)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&c->lists, handle, &item)))
+		free_list(c, handle);
+	table_free(&c->lists);
+}
+
+static void add_text(struct json_object *o, const char *name, const char *text)
+{
+	json_object_object_add(o, name, json_object_new_string(text));
+}
+
+static void add_record(struct claims *c, struct list *l,
+		       const struct store_entry *e, int64_t now)
+{
+	struct json_object *o;
+	struct claim_record r;
+	char since[32];
+	bool runs;
+
+	if (record_decode(&r, e->value, e->len) < 0) {
+		o = json_object_new_object();
+		add_text(o, "claim", e->key);
+		add_text(o, "state", "malformed");
+		json_object_array_add(l->claims, o);
+		return;
+	}
+	if (r.state == RECORD_DONE)
+		return;
+	runs = r.state == RECORD_CLAIMED && claim_holder_lives(c, &r, now);
+	format_wall_time(r.wall_us, since);
+	o = json_object_new_object();
+	add_text(o, "claim", e->key);
+	add_text(o, "state", runs ? "running" : "unresolved");
+	add_text(o, "account", r.account);
+	add_text(o, "route", r.route);
+	add_text(o, "request", r.request);
+	add_text(o, "holder", r.holder);
+	add_text(o, "since", since);
+	json_object_array_add(l->claims, o);
+}
+
+static void ask_page(struct claims *c, struct list *l, uint64_t handle,
+		     int64_t now);
+
+static void page_done(void *ctx, uint64_t tag, const struct store_result *r,
+		      int64_t now)
+{
+	struct claims *c = ctx;
+	struct list **slot = table_get(&c->lists, tag);
+	struct list *l;
+	size_t i;
+
+	if (!slot)
+		return;
+	l = *slot;
+	if (r->outcome != STORE_DONE) {
+		l->done(l->ctx, l->tag, NULL, &r->err);
+		free_list(c, tag);
+		return;
+	}
+	for (i = 0; i < r->n; i++)
+		add_record(c, l, &r->entries[i], now);
+	if (r->n == PAGE_SIZE) {
+		memcpy(l->after, r->entries[r->n - 1].key, sizeof(l->after));
+		ask_page(c, l, tag, now);
+		return;
+	}
+	l->done(l->ctx, l->tag, json_object_to_json_string(l->claims), NULL);
+	free_list(c, tag);
+}
+
+static void ask_page(struct claims *c, struct list *l, uint64_t handle,
+		     int64_t now)
+{
+	struct store_op op = {
+		.kind = STORE_LIST,
+		.priority = STORE_CONFIG,
+		.list = {.prefix = CLAIM_PREFIX,
+			 .after = *l->after ? l->after : NULL,
+			 .limit = PAGE_SIZE},
+	};
+
+	claim_submit(c, &op, handle, page_done, now);
+}
+
+/*
+ * Lists the claims without an outcome as a JSON array, each "running" or
+ * "unresolved". done is called once, with json NULL and err when the store
+ * does not answer.
+ */
+void claims_list(struct claims *c, void *ctx, uint64_t tag,
+		 void (*done)(void *ctx, uint64_t tag, const char *json,
+			      const struct error *err),
+		 int64_t now)
+{
+	struct list *l = calloc(1, sizeof(*l));
+	struct error err;
+	uint64_t handle;
+	void *item;
+
+	handle = l ? table_add(&c->lists, &item) : 0;
+	if (!handle) {
+		free(l);
+		error_set(&err, ERROR_LIMIT, "claims-list", NULL,
+			  "too many listings at once");
+		done(ctx, tag, NULL, &err);
+		return;
+	}
+	*(struct list **)item = l;
+	l->ctx = ctx;
+	l->tag = tag;
+	l->done = done;
+	l->claims = json_object_new_array();
+	ask_page(c, l, handle, now);
+}
