Add members: probes, gossip, anti-entropy and seeds

SWIM with indirect probes, suspicion that grows with log2(n) and is refuted by version, and incarnations from the wall clock. Changes ride on probes and on paced gossip, least sent first; drains are told at once. At most three seeds a data centre hold a lease in the store; the settings list stands in.

Another's verdict of death only starts a suspicion, unless the member had half its time to refute here as well: when two sides of a partition meet, neither talks the other's members down. A node that was paused forgives its suspects and refutes its own suspicion.

members_left is new: the last word after a drain.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -42,6 +42,8 @@
 void members_set_upstreams(struct members *m, const struct upstream_info *u,
 			   size_t n, int64_t now);
 void members_leave(struct members *m, int64_t now);
+/* The last word after a drain: this node is gone. */
+void members_left(struct members *m, int64_t now);
 const struct member_info *members_find(const struct members *m,
 				       const struct addr *nodes);
 /* Walks all known members, self included; NULL starts and ends. */
--- /dev/null
+++ b/src/control/members.c
@@ -0,0 +1,264 @@
+#include "control/members_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TOLD_AT_ONCE 8 /* members that hear of a drain before the rest */
+
+static struct members *new_members(const struct members_options *o)
+{
+	struct members *m = calloc(1, sizeof(*m));
+
+	if (!m)
+		return NULL;
+	m->options = *o;
+	m->rng = gsl_rng_alloc(gsl_rng_taus2);
+	m->seeds = calloc(o->seed_count + 1, sizeof(*m->seeds));
+	if (!m->rng || !m->seeds) {
+		members_free(m);
+		return NULL;
+	}
+	gsl_rng_set(m->rng, o->seed ? o->seed : 1);
+	if (o->seed_count)
+		memcpy(m->seeds, o->seeds, o->seed_count * sizeof(*m->seeds));
+	return m;
+}
+
+static int64_t phase(struct members *m, int64_t period_us)
+{
+	return (int64_t)(gsl_rng_uniform(m->rng) * (double)period_us);
+}
+
+/* Starts with self alone; NULL without memory. */
+struct members *members_new(const struct members_options *o, int64_t now)
+{
+	struct members *m = new_members(o);
+	struct member_info self = o->self;
+
+	if (!m)
+		return NULL;
+	members_gossip_init(m, now);
+	self.state = MEMBER_ALIVE;
+	self.version = 1;
+	m->started_us = now;
+	m->ticked_us = now;
+	m->probed_us = now - phase(m, PROBE_PERIOD_US);
+	m->pull_due_us = now + phase(m, USEC_PER_SEC);
+	m->gone_due_us = now + phase(m, 5 * USEC_PER_SEC);
+	m->join_due_us = now;
+	if (o->store)
+		m->seat = seat_new(m);
+	if (!member_add(m, &self, now) || (o->store && !m->seat)) {
+		members_free(m);
+		return NULL;
+	}
+	return m;
+}
+
+/*
+ * Frees everything; nobody is told. A store that still has calls of these
+ * members must be closed before it reports them.
+ */
+void members_free(struct members *m)
+{
+	struct member *b, *tmp;
+
+	if (!m)
+		return;
+	HASH_ITER(hh, m->by_addr, b, tmp)
+	member_remove(m, b);
+	free(m->probes.items);
+	free(m->local.items);
+	free(m->remote.items);
+	free(m->gone.items);
+	free(m->seat);
+	if (m->rng)
+		gsl_rng_free(m->rng);
+	free(m->seeds);
+	free(m);
+}
+
+/* After a pause this node blames nobody, and takes back its own suspicion. */
+static void after_pause(struct members *m, int64_t now)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_NOTICE, "paused");
+	log_int(&line, "ms", (now - m->ticked_us) / USEC_PER_MSEC);
+	log_emit(&line);
+	m->probing = false;
+	m->probed_us = now;
+	m->pull_due_us = now;
+	members_forgive(m, now);
+	members_announce(m, now);
+}
+
+/* Does what is due; to be called every 50 ms. */
+void members_tick(struct members *m, int64_t now)
+{
+	if (now - m->ticked_us > PAUSE_US)
+		after_pause(m, now);
+	m->ticked_us = now;
+	members_probe_tick(m, now);
+	members_judge(m, now);
+	members_gossip_tick(m, now);
+	members_pull_tick(m, now);
+	members_join_tick(m, now);
+	if (m->seat)
+		seat_tick(m->seat, now);
+}
+
+/* Takes a message of another member's controller. */
+void members_receive(struct members *m, const struct peer_msg *msg, int64_t now)
+{
+	/* What queued up during a pause must not be judged before it. */
+	if (now - m->ticked_us > PAUSE_US)
+		members_tick(m, now);
+	switch (msg->kind) {
+	case PEER_PROBE:
+	case PEER_PROBE_ACK:
+	case PEER_PROBE_FOR:
+		members_merge(m, msg->probe.changes, msg->probe.change_count,
+			      now);
+		members_probe_receive(m, msg);
+		break;
+	case PEER_MEMBERS_PULL:
+		members_answer_pull(m, msg, now);
+		break;
+	case PEER_MEMBERS:
+		members_merge(m, msg->members.items, msg->members.n, now);
+		break;
+	default:
+		break;
+	}
+}
+
+static bool same_upstreams(const struct member_info *self,
+			   const struct upstream_info *u, size_t n)
+{
+	size_t i;
+
+	if (self->upstream_count != n)
+		return false;
+	for (i = 0; i < n; i++) {
+		const struct upstream_info *v = &self->upstreams[i];
+
+		if (strcmp(u[i].service, v->service) ||
+		    !addr_equal(&u[i].addr, &v->addr) ||
+		    u[i].slots != v->slots ||
+		    u[i].connections != v->connections ||
+		    u[i].state != v->state)
+			return false;
+	}
+	return true;
+}
+
+/* Replaces what this host announces; the first UPSTREAMS_PER_HOST_MAX. */
+void members_set_upstreams(struct members *m, const struct upstream_info *u,
+			   size_t n, int64_t now)
+{
+	struct member_info self = m->self->info;
+
+	if (n > UPSTREAMS_PER_HOST_MAX)
+		n = UPSTREAMS_PER_HOST_MAX;
+	if (same_upstreams(&self, u, n))
+		return;
+	if (n)
+		memcpy(self.upstreams, u, n * sizeof(*u));
+	self.upstream_count = (uint8_t)n;
+	self.version++;
+	member_update(m, m->self, &self, now);
+	members_gossip(m, TOLD_AT_ONCE);
+}
+
+static void say_last(struct members *m, enum member_state state, int64_t now)
+{
+	struct member_info self = m->self->info;
+	size_t i;
+
+	self.state = state;
+	for (i = 0; i < self.upstream_count; i++)
+		self.upstreams[i].state =
+			state == MEMBER_LEFT ? UPSTREAM_GONE : UPSTREAM_LEAVING;
+	self.version++;
+	member_update(m, m->self, &self, now);
+	if (m->seat)
+		seat_release(m->seat, now);
+	members_gossip(m, TOLD_AT_ONCE);
+}
+
+/* A planned stop begins: no new work for this node or its upstreams. */
+void members_leave(struct members *m, int64_t now)
+{
+	say_last(m, MEMBER_LEAVING, now);
+}
+
+/* The drain is over; this node is not probed or suspected any more. */
+void members_left(struct members *m, int64_t now)
+{
+	say_last(m, MEMBER_LEFT, now);
+}
+
+/* Returns a member, self included, or NULL. */
+const struct member_info *members_find(const struct members *m,
+				       const struct addr *nodes)
+{
+	const struct member *b = member_find(m, nodes);
+
+	return b ? &b->info : NULL;
+}
+
+/* Walks all that are known, those dead and left included. */
+const struct member_info *members_next(const struct members *m,
+				       const struct member_info *after)
+{
+	const struct member *b = (const struct member *)after;
+
+	b = b ? b->hh.next : m->by_addr;
+	return b ? &b->info : NULL;
+}
+
+/* Returns what this node says of itself. */
+const struct member_info *members_self(const struct members *m)
+{
+	return &m->self->info;
+}
+
+/* Counts the members in one state, self included. */
+size_t members_count(const struct members *m, enum member_state state)
+{
+	return m->counts[state];
+}
+
+/* Returns a random other member that is alive, or NULL. */
+const struct member_info *members_random(struct members *m, bool elsewhere)
+{
+	struct member *b =
+		set_random(elsewhere ? &m->remote : &m->local, m->rng);
+
+	return b ? &b->info : NULL;
+}
+
+/*
+ * Returns how many living members of the own data centre come before self
+ * for a topic, or -1 when most or more do.
+ */
+int members_rank(const struct members *m, uint64_t topic, int most)
+{
+	uint64_t own = pair_hash(m->self->hash, topic);
+	int before = 0;
+	uint32_t i;
+
+	if (m->self->info.state != MEMBER_ALIVE)
+		return -1;
+	for (i = 0; i < m->local.n && before < most; i++)
+		if (pair_hash(m->local.items[i]->hash, topic) > own)
+			before++;
+	return before < most ? before : -1;
+}
+
+/* Tells whether self is among the first k by rendezvous hash. */
+bool members_chosen(const struct members *m, uint64_t topic, size_t k)
+{
+	return members_rank(m, topic, k > INT32_MAX ? INT32_MAX : (int)k) >= 0;
+}
--- /dev/null
+++ b/src/control/members_gossip.c
@@ -0,0 +1,172 @@
+#include "control/members_impl.h"
+
+#include <math.h>
+#include <string.h>
+
+#define GOSSIP_PERIOD_US (50 * USEC_PER_MSEC)
+#define GOSSIP_FANOUT 3
+#define GOSSIP_BYTES_S 8000 /* beyond the probes */
+#define GOSSIP_BURST 16000
+#define ENVELOPE_BYTES 128 /* of a datagram, besides its changes */
+#define SENDS_FACTOR 3	   /* sends of a change, times ln(n) */
+#define SENDS_MIN 8
+
+/* The newest change of a member has been sent to nobody yet. */
+void news_add(struct members *m, struct member *b)
+{
+	news_remove(m, b);
+	b->sends = 0;
+	b->news = true;
+	m->news_count++;
+	DL_APPEND2(m->news[0], b, news_prev, news_next);
+}
+
+/* Its newest change need not be passed on any more. */
+void news_remove(struct members *m, struct member *b)
+{
+	if (!b->news)
+		return;
+	DL_DELETE2(m->news[b->sends], b, news_prev, news_next);
+	b->news = false;
+	m->news_count--;
+}
+
+static uint8_t sends_wanted(const struct members *m)
+{
+	double n = SENDS_FACTOR * log(HASH_COUNT(m->by_addr) + 1.0);
+
+	if (n < SENDS_MIN)
+		return SENDS_MIN;
+	return n < NEWS_SENDS_MAX - 1 ? (uint8_t)n : NEWS_SENDS_MAX - 1;
+}
+
+static void count_send(struct members *m, struct member *b)
+{
+	uint8_t sends = b->sends + 1;
+
+	news_remove(m, b);
+	if (sends >= sends_wanted(m))
+		return;
+	b->sends = sends;
+	b->news = true;
+	m->news_count++;
+	DL_APPEND2(m->news[sends], b, news_prev, news_next);
+}
+
+struct picks {
+	struct member *items[CHANGES_MAX];
+	size_t n;
+	size_t bytes;
+};
+
+static bool pick(struct picks *p, struct member *b)
+{
+	size_t i, bytes = member_info_wire_size(&b->info);
+
+	if (p->n == CHANGES_MAX ||
+	    p->bytes + bytes > DATAGRAM_MAX - ENVELOPE_BYTES)
+		return false;
+	for (i = 0; i < p->n; i++)
+		if (p->items[i] == b)
+			return true;
+	p->bytes += bytes;
+	p->items[p->n++] = b;
+	return true;
+}
+
+/*
+ * First what the receiver must hear: who speaks, if it is a stranger, and
+ * what is claimed of the receiver itself, so that it can refute. Then news,
+ * least sent first.
+ */
+static void pick_changes(struct members *m, const struct addr *to,
+			 struct picks *p)
+{
+	struct member *b = member_find(m, to);
+	int i;
+
+	if (!b || b->info.state == MEMBER_DEAD)
+		pick(p, m->self);
+	if (b &&
+	    (b->info.state == MEMBER_SUSPECT || b->info.state == MEMBER_DEAD))
+		pick(p, b);
+	for (i = 0; i < NEWS_SENDS_MAX; i++) {
+		for (b = m->news[i]; b; b = b->news_next)
+			if (!addr_equal(&b->info.nodes, to) && !pick(p, b))
+				return;
+	}
+}
+
+/*
+ * Sends one datagram with as many changes as fit. Returns the bytes of the
+ * changes, or -1 when it was not sent.
+ */
+int members_tell(struct members *m, enum peer_msg_kind kind,
+		 const struct addr *to, uint64_t sequence,
+		 const struct addr *target)
+{
+	struct peer_msg msg = {.kind = kind};
+	struct picks p = {0};
+	size_t i;
+
+	pick_changes(m, to, &p);
+	for (i = 0; i < p.n; i++)
+		m->changes[i] = p.items[i]->info;
+	msg.probe.sequence = sequence;
+	if (target)
+		msg.probe.target = *target;
+	msg.probe.changes = m->changes;
+	msg.probe.change_count = p.n;
+	if (m->options.io.datagram(m->options.io.ctx, to, &msg) < 0)
+		return -1;
+	for (i = 0; i < p.n; i++)
+		if (p.items[i]->news)
+			count_send(m, p.items[i]);
+	return (int)p.bytes + ENVELOPE_BYTES;
+}
+
+/* Returns a random member that is alive, of any data centre, or NULL. */
+struct member *members_any(struct members *m)
+{
+	uint32_t n = m->local.n + m->remote.n, i;
+
+	if (!n)
+		return NULL;
+	i = (uint32_t)gsl_rng_uniform_int(m->rng, n);
+	return i < m->local.n ? m->local.items[i]
+			      : m->remote.items[i - m->local.n];
+}
+
+/* Tells news to so many members, at once. */
+void members_gossip(struct members *m, uint32_t fanout)
+{
+	while (fanout-- && m->news_count) {
+		struct member *b = members_any(m);
+		int bytes;
+
+		if (!b)
+			return;
+		bytes = members_tell(m, PEER_PROBE_ACK, &b->info.nodes, 0,
+				     NULL);
+		if (bytes > 0)
+			m->news_budget.level -= bytes;
+	}
+}
+
+/* Tells news every period, as far as the byte budget goes. */
+void members_gossip_tick(struct members *m, int64_t now)
+{
+	bucket_refill(&m->news_budget, now);
+	if (now < m->gossip_due_us || !m->news_count)
+		return;
+	m->gossip_due_us = now + GOSSIP_PERIOD_US;
+	if (m->news_budget.level > 0)
+		members_gossip(m, GOSSIP_FANOUT);
+}
+
+/* Bounds what gossip may send beyond the probes. */
+void members_gossip_init(struct members *m, int64_t now)
+{
+	bucket_init(&m->news_budget, GOSSIP_BYTES_S, GOSSIP_BURST, GOSSIP_BURST,
+		    now);
+}
--- /dev/null
+++ b/src/control/members_impl.h
@@ -0,0 +1,184 @@
+/*
+ * Inside the member controller. A record is kept for each member; sets of
+ * records give random and round-robin choices without walking the table.
+ */
+#ifndef CONTROL_MEMBERS_IMPL_H
+#define CONTROL_MEMBERS_IMPL_H
+
+#include <gsl/gsl_rng.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "control/control.h"
+#include "policy/policy.h"
+
+#define MEMBERS_KNOWN_MAX 32768
+#define CHANGES_MAX 16	  /* in one datagram */
+#define NEWS_SENDS_MAX 40 /* times that one change is passed on, at most */
+#define RELAYS_MAX 64	  /* probes made for others at once */
+#define SEEDS_FOUND_MAX 64
+#define PROBE_PERIOD_US USEC_PER_SEC
+#define PAUSE_US (2 * USEC_PER_SEC) /* gap between ticks after a pause */
+
+struct member;
+
+/* Members in no order; each knows its place, so removal is cheap. */
+struct member_set {
+	struct member **items;
+	uint32_t n;
+	uint32_t size;
+};
+
+enum set_kind {
+	SET_PROBES, /* everyone that is probed in turn */
+	SET_PLACE,  /* one of local, remote and gone */
+	SET_KINDS
+};
+
+struct member {
+	struct member_info info; /* first: walks cast it back */
+	UT_hash_handle hh;	 /* by info.nodes */
+	uint64_t hash;		 /* of info.nodes */
+	uint64_t data_centre;	 /* hash of its name */
+	uint64_t digest;	 /* its part of its bucket's digest */
+	int64_t since_us;	 /* in this state */
+	struct member *bucket_prev;
+	struct member *bucket_next;
+	struct member *news_prev;
+	struct member *news_next;
+	struct member *suspect_prev;
+	struct member *suspect_next;
+	struct member_set *sets[SET_KINDS];
+	uint32_t places[SET_KINDS];
+	uint8_t sends; /* of its newest change */
+	bool news;
+	bool suspect;
+};
+
+/* A probe made for another member, that waits for its ack. */
+struct relay {
+	uint64_t sequence;
+	struct addr asker;
+	uint64_t asker_sequence;
+};
+
+enum seat_state {
+	SEAT_NONE,
+	SEAT_BUSY, /* a call to the store is under way */
+	SEAT_HELD,
+};
+
+/* This node's entry among the seeds in the store. */
+struct seat {
+	struct members *members;
+	struct store *store;
+	uint32_t conflicts;
+	enum seat_state state;
+	int64_t lease;
+	int64_t due_us;
+	int64_t list_due_us;
+	int64_t list_wait_us;
+	bool listed; /* the seeds in the store were read */
+	char key[STORE_KEY_SIZE];
+	char value[ADDR_TEXT_SIZE];
+};
+
+struct members {
+	struct members_options options;
+	struct addr *seeds; /* from the settings */
+	gsl_rng *rng;
+	struct member *by_addr;
+	struct member *self;
+	struct member_set probes;
+	struct member_set local; /* alive, in the own data centre */
+	struct member_set remote;
+	struct member_set gone; /* dead or left */
+	uint32_t counts[MEMBER_DEAD + 1];
+	struct member *buckets[MEMBERS_DIGESTS];
+	uint64_t digests[MEMBERS_DIGESTS];
+	struct member *suspects; /* longest first */
+	struct member *news[NEWS_SENDS_MAX];
+	uint32_t news_count;
+	struct bucket news_budget; /* bytes */
+	struct member_info changes[CHANGES_MAX];
+
+	uint32_t probe_cursor;
+	uint32_t gone_cursor;
+	bool probing;
+	bool asked_others;
+	struct addr target;
+	uint64_t sequence;
+	uint64_t last_sequence;
+	struct relay relays[RELAYS_MAX];
+	uint32_t next_relay;
+
+	int64_t started_us;
+	int64_t ticked_us;
+	int64_t probed_us;
+	int64_t gossip_due_us;
+	int64_t pull_due_us;
+	int64_t gone_due_us;
+	int64_t join_due_us;
+	int64_t healed_us; /* when one came back from the dead last */
+	uint32_t pulls;
+
+	struct addr found[SEEDS_FOUND_MAX]; /* seeds in the store */
+	size_t found_count;
+	struct seat *seat;
+};
+
+/* members_table.c */
+struct member *member_find(const struct members *m, const struct addr *nodes);
+struct member *member_add(struct members *m, const struct member_info *info,
+			  int64_t now);
+void member_update(struct members *m, struct member *b,
+		   const struct member_info *info, int64_t now);
+void member_remove(struct members *m, struct member *b);
+
+/* members_set.c */
+int set_add(struct member_set *s, struct member *b, enum set_kind kind);
+void set_remove(struct member *b, enum set_kind kind);
+void set_swap(struct member_set *s, uint32_t i, uint32_t j, enum set_kind kind);
+struct member *set_random(const struct member_set *s, gsl_rng *rng);
+
+/* members_merge.c */
+void members_merge(struct members *m, const struct member_info *items, size_t n,
+		   int64_t now);
+void members_announce(struct members *m, int64_t now);
+void members_suspect(struct members *m, struct member *b, int64_t now);
+void members_judge(struct members *m, int64_t now);
+void members_forgive(struct members *m, int64_t now);
+int64_t suspicion_us(const struct members *m);
+
+/* members_gossip.c */
+void news_add(struct members *m, struct member *b);
+void news_remove(struct members *m, struct member *b);
+int members_tell(struct members *m, enum peer_msg_kind kind,
+		 const struct addr *to, uint64_t sequence,
+		 const struct addr *target);
+struct member *members_any(struct members *m);
+void members_gossip_init(struct members *m, int64_t now);
+void members_gossip(struct members *m, uint32_t fanout);
+void members_gossip_tick(struct members *m, int64_t now);
+
+/* members_probe.c */
+void members_probe_tick(struct members *m, int64_t now);
+void members_probe_receive(struct members *m, const struct peer_msg *msg);
+
+/* members_pull.c */
+void members_pull(struct members *m, const struct addr *from, int64_t now);
+void members_pull_tick(struct members *m, int64_t now);
+void members_answer_pull(struct members *m, const struct peer_msg *msg,
+			 int64_t now);
+
+/* members_join.c */
+void members_join_tick(struct members *m, int64_t now);
+
+/* members_seat.c */
+struct seat *seat_new(struct members *m);
+void seat_tick(struct seat *s, int64_t now);
+void seat_list(struct seat *s, int64_t now);
+void seat_release(struct seat *s, int64_t now);
+int members_rank(const struct members *m, uint64_t topic, int most);
+
+#endif
--- /dev/null
+++ b/src/control/members_join.c
@@ -0,0 +1,55 @@
+#include "control/members_impl.h"
+
+#include <string.h>
+
+#define JOIN_PERIOD_US USEC_PER_SEC	  /* while nobody is known */
+#define SEED_CHECK_US (30 * USEC_PER_SEC) /* once somebody is */
+#define JOIN_PROBES 3
+
+static const struct addr *random_seed(struct members *m)
+{
+	size_t i, n = m->options.seed_count + m->found_count;
+
+	if (!n)
+		return NULL;
+	i = gsl_rng_uniform_int(m->rng, n);
+	return i < m->options.seed_count ? &m->seeds[i]
+					 : &m->found[i - m->options.seed_count];
+}
+
+static bool is_alive(const struct members *m, const struct addr *a)
+{
+	const struct member *b = member_find(m, a);
+
+	return b && b->info.state == MEMBER_ALIVE;
+}
+
+static void try_seed(struct members *m, bool pull, int64_t now)
+{
+	const struct addr *seed = random_seed(m);
+
+	if (!seed || is_alive(m, seed))
+		return;
+	members_tell(m, PEER_PROBE, seed, ++m->last_sequence, NULL);
+	if (pull)
+		members_pull(m, seed, now);
+}
+
+/*
+ * A node that knows nobody asks seeds until one answers. One that knows
+ * others still tries a seed now and then, so that two groups which started
+ * apart find each other.
+ */
+void members_join_tick(struct members *m, int64_t now)
+{
+	bool alone = !m->local.n && !m->remote.n;
+	int i;
+
+	if (now < m->join_due_us)
+		return;
+	m->join_due_us = now + (alone ? JOIN_PERIOD_US : SEED_CHECK_US);
+	if (alone && m->seat)
+		seat_list(m->seat, now);
+	for (i = 0; i < (alone ? JOIN_PROBES : 1); i++)
+		try_seed(m, alone && i == 0, now);
+}
--- /dev/null
+++ b/src/control/members_merge.c
@@ -0,0 +1,172 @@
+#include "control/members_impl.h"
+
+#include <math.h>
+
+#define SUSPICION_MIN_US (2 * USEC_PER_SEC)
+#define HEAL_PERIOD_US USEC_PER_SEC
+
+/* Time that a suspect has to refute: room for log2(n) rounds of probes. */
+int64_t suspicion_us(const struct members *m)
+{
+	double n = HASH_COUNT(m->by_addr) + 1;
+	int64_t us = (int64_t)(log2(n) * (double)PROBE_PERIOD_US);
+
+	return us > SUSPICION_MIN_US ? us : SUSPICION_MIN_US;
+}
+
+/* What others say of a member counts above its own word of that version. */
+static int state_rank(enum member_state s)
+{
+	switch (s) {
+	case MEMBER_ALIVE:
+	case MEMBER_LEAVING:
+		return 0;
+	case MEMBER_SUSPECT:
+		return 1;
+	case MEMBER_LEFT:
+		return 2;
+	case MEMBER_DEAD:
+		return 3;
+	}
+	return 0;
+}
+
+static bool is_newer(const struct member_info *a, const struct member_info *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation > b->incarnation;
+	if (a->version != b->version)
+		return a->version > b->version;
+	return state_rank(a->state) > state_rank(b->state);
+}
+
+/* Gives self a version above every claim, and passes it on. */
+void members_announce(struct members *m, int64_t now)
+{
+	struct member_info self = m->self->info;
+
+	self.version++;
+	member_update(m, m->self, &self, now);
+}
+
+/* Somebody's word about this node itself: refuted unless it is old. */
+static void hear_of_self(struct members *m, const struct member_info *info,
+			 int64_t now)
+{
+	struct member_info *self = &m->self->info;
+
+	if (info->incarnation < self->incarnation ||
+	    (info->incarnation == self->incarnation &&
+	     info->version < self->version))
+		return;
+	if (info->incarnation == self->incarnation &&
+	    info->version == self->version &&
+	    state_rank(info->state) <= state_rank(self->state))
+		return;
+	/* The clock of an earlier process may have been ahead. */
+	if (info->incarnation > self->incarnation)
+		self->incarnation = info->incarnation + 1;
+	else if (info->version > self->version)
+		self->version = info->version;
+	members_announce(m, now);
+}
+
+/*
+ * Another's verdict of death is taken only when the member has had half the
+ * time to refute its suspicion here as well. So two sides that declared each
+ * other dead while they were apart can't talk each other's members down
+ * when they meet again.
+ */
+static enum member_state heard_state(const struct members *m,
+				     const struct member *b,
+				     const struct member_info *info,
+				     int64_t now)
+{
+	if (info->state != MEMBER_DEAD || b->info.state == MEMBER_DEAD ||
+	    b->info.state == MEMBER_LEFT)
+		return info->state;
+	if (b->info.state == MEMBER_SUSPECT &&
+	    info->incarnation == b->info.incarnation &&
+	    now - b->since_us >= suspicion_us(m) / 2)
+		return MEMBER_DEAD;
+	return MEMBER_SUSPECT;
+}
+
+/* One that comes back may know of others that were out of reach too. */
+static void heal(struct members *m, const struct member_info *info, int64_t now)
+{
+	if (now - m->healed_us < HEAL_PERIOD_US)
+		return;
+	m->healed_us = now;
+	members_pull(m, &info->nodes, now);
+}
+
+static void hear(struct members *m, const struct member_info *info, int64_t now)
+{
+	struct member *b = member_find(m, &info->nodes);
+	struct member_info news;
+
+	if (b == m->self) {
+		hear_of_self(m, info, now);
+		return;
+	}
+	if (!b) {
+		/* Those gone before they were known are no news. */
+		if (info->state != MEMBER_DEAD && info->state != MEMBER_LEFT)
+			member_add(m, info, now);
+		return;
+	}
+	news = *info;
+	news.state = heard_state(m, b, info, now);
+	if (!is_newer(&news, &b->info))
+		return;
+	if (b->info.state == MEMBER_DEAD && news.state == MEMBER_ALIVE)
+		heal(m, info, now);
+	member_update(m, b, &news, now);
+}
+
+/* Takes in what another node knows. */
+void members_merge(struct members *m, const struct member_info *items, size_t n,
+		   int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (addr_is_set(&items[i].nodes))
+			hear(m, &items[i], now);
+}
+
+/* This node's own probes failed: starts the time to refute. */
+void members_suspect(struct members *m, struct member *b, int64_t now)
+{
+	struct member_info info = b->info;
+
+	if (info.state != MEMBER_ALIVE && info.state != MEMBER_LEAVING)
+		return;
+	info.state = MEMBER_SUSPECT;
+	member_update(m, b, &info, now);
+	/* The suspect itself should hear of it first. */
+	members_tell(m, PEER_PROBE_ACK, &b->info.nodes, 0, NULL);
+}
+
+/* Declares dead who has not refuted in time. */
+void members_judge(struct members *m, int64_t now)
+{
+	int64_t limit_us = suspicion_us(m);
+
+	while (m->suspects && now - m->suspects->since_us >= limit_us) {
+		struct member_info info = m->suspects->info;
+
+		info.state = MEMBER_DEAD;
+		member_update(m, m->suspects, &info, now);
+	}
+}
+
+/* After a pause of this node: every suspect gets the whole time again. */
+void members_forgive(struct members *m, int64_t now)
+{
+	struct member *b;
+
+	for (b = m->suspects; b; b = b->suspect_next)
+		b->since_us = now;
+}
--- /dev/null
+++ b/src/control/members_probe.c
@@ -0,0 +1,155 @@
+#include "control/members_impl.h"
+
+#define INDIRECT_AFTER_US (300 * USEC_PER_MSEC)
+#define INDIRECT_COUNT 3
+#define GONE_PERIOD_US (5 * USEC_PER_SEC)
+#define DEAD_KEPT_US (2 * 3600 * USEC_PER_SEC)
+#define LEFT_KEPT_US (600 * USEC_PER_SEC)
+
+static void shuffle(struct members *m)
+{
+	uint32_t i;
+
+	for (i = m->probes.n; i > 1; i--)
+		set_swap(&m->probes, i - 1,
+			 (uint32_t)gsl_rng_uniform_int(m->rng, i), SET_PROBES);
+	m->probe_cursor = 0;
+}
+
+static struct member *next_target(struct members *m)
+{
+	if (!m->probes.n)
+		return NULL;
+	if (m->probe_cursor >= m->probes.n)
+		shuffle(m);
+	return m->probes.items[m->probe_cursor++];
+}
+
+static void end_probe(struct members *m, int64_t now)
+{
+	struct member *b;
+
+	if (!m->probing)
+		return;
+	m->probing = false;
+	b = member_find(m, &m->target);
+	if (b)
+		members_suspect(m, b, now);
+}
+
+static void start_probe(struct members *m, int64_t now)
+{
+	struct member *b = next_target(m);
+
+	m->probed_us = now;
+	if (!b)
+		return;
+	m->probing = true;
+	m->asked_others = false;
+	m->target = b->info.nodes;
+	m->sequence = ++m->last_sequence;
+	members_tell(m, PEER_PROBE, &m->target, m->sequence, NULL);
+}
+
+static void ask_others(struct members *m)
+{
+	int i;
+
+	m->asked_others = true;
+	for (i = 0; i < INDIRECT_COUNT; i++) {
+		struct member *b = members_any(m);
+
+		if (b && !addr_equal(&b->info.nodes, &m->target))
+			members_tell(m, PEER_PROBE_FOR, &b->info.nodes,
+				     m->sequence, &m->target);
+	}
+}
+
+/* Tries one of the dead again, so that a partition heals by itself. */
+static void probe_dead(struct members *m, int64_t now)
+{
+	struct member *b = set_random(&m->gone, m->rng);
+
+	if (now < m->gone_due_us)
+		return;
+	m->gone_due_us = now + GONE_PERIOD_US;
+	if (b && b->info.state == MEMBER_DEAD)
+		members_tell(m, PEER_PROBE, &b->info.nodes, ++m->last_sequence,
+			     NULL);
+}
+
+/* Looks at one of those gone, and forgets it when its time is over. */
+static void forget_one(struct members *m, int64_t now)
+{
+	struct member *b;
+	int64_t kept_us;
+
+	if (!m->gone.n)
+		return;
+	b = m->gone.items[m->gone_cursor++ % m->gone.n];
+	kept_us = b->info.state == MEMBER_DEAD ? DEAD_KEPT_US : LEFT_KEPT_US;
+	if (now - b->since_us >= kept_us)
+		member_remove(m, b);
+}
+
+/* One member a period is probed, then through others, then suspected. */
+void members_probe_tick(struct members *m, int64_t now)
+{
+	if (m->probing && !m->asked_others &&
+	    now - m->probed_us >= INDIRECT_AFTER_US)
+		ask_others(m);
+	if (now - m->probed_us >= PROBE_PERIOD_US) {
+		end_probe(m, now);
+		start_probe(m, now);
+	}
+	probe_dead(m, now);
+	forget_one(m, now);
+}
+
+static void probe_for(struct members *m, const struct peer_msg *msg)
+{
+	struct relay *r = &m->relays[m->next_relay++ % RELAYS_MAX];
+
+	r->sequence = ++m->last_sequence;
+	r->asker = msg->from;
+	r->asker_sequence = msg->probe.sequence;
+	members_tell(m, PEER_PROBE, &msg->probe.target, r->sequence, NULL);
+}
+
+static void pass_ack(struct members *m, const struct peer_msg *msg)
+{
+	int i;
+
+	for (i = 0; i < RELAYS_MAX; i++) {
+		struct relay *r = &m->relays[i];
+
+		if (!r->sequence || r->sequence != msg->probe.sequence)
+			continue;
+		members_tell(m, PEER_PROBE_ACK, &r->asker, r->asker_sequence,
+			     &msg->from);
+		r->sequence = 0;
+	}
+}
+
+/* Answers probes, makes them for others, and takes acks. */
+void members_probe_receive(struct members *m, const struct peer_msg *msg)
+{
+	uint64_t sequence = msg->probe.sequence;
+
+	switch (msg->kind) {
+	case PEER_PROBE:
+		members_tell(m, PEER_PROBE_ACK, &msg->from, sequence, NULL);
+		break;
+	case PEER_PROBE_FOR:
+		probe_for(m, msg);
+		break;
+	case PEER_PROBE_ACK:
+		if (m->probing && sequence == m->sequence)
+			m->probing = false;
+		else if (sequence)
+			pass_ack(m, msg);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/src/control/members_seat.c
@@ -0,0 +1,255 @@
+#include "control/members_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * The store names at most SEATS nodes of each data centre as seeds, under
+ * seeds/DC/INDEX with a lease. The first nodes of a data centre by
+ * rendezvous hash take them, beginning with the index that is their rank.
+ */
+#define PREFIX "seeds/"
+#define SEATS 3
+#define LEASE_TTL_S 20
+#define KEEP_PERIOD_US (6 * USEC_PER_SEC)
+#define RETRY_US (10 * USEC_PER_SEC)
+#define FIRST_TRY_US USEC_PER_SEC
+#define LIST_MIN_US USEC_PER_SEC /* doubles while nobody is found */
+#define LIST_MAX_US (16 * USEC_PER_SEC)
+#define TIMEOUT_US (2 * USEC_PER_SEC)
+
+/* What a call to the store was for; the tag of its result. */
+enum seat_step {
+	STEP_LIST,
+	STEP_GRANT,
+	STEP_TAKE,
+	STEP_READ_BACK,
+	STEP_KEEP,
+	STEP_REVOKE,
+};
+
+static void finish(void *ctx, uint64_t tag, const struct store_result *r,
+		   int64_t now);
+
+static void submit(struct seat *s, struct store_op *op, enum seat_step step,
+		   int64_t now)
+{
+	struct store_done done = {.ctx = s, .tag = step, .fn = finish};
+
+	op->priority = STORE_SEED;
+	op->timeout_us = TIMEOUT_US;
+	store_submit(s->store, op, &done, now);
+}
+
+static int64_t jittered(const struct members *m, int64_t us)
+{
+	return us / 2 + (int64_t)(gsl_rng_uniform(m->rng) * (double)us);
+}
+
+static void give_up(struct seat *s, int64_t now)
+{
+	s->state = SEAT_NONE;
+	s->due_us = now + jittered(s->members, RETRY_US);
+}
+
+static void note_seed(struct members *m, const struct store_entry *e)
+{
+	char text[ADDR_TEXT_SIZE];
+	struct addr a;
+
+	if (m->found_count == SEEDS_FOUND_MAX || e->len >= sizeof(text))
+		return;
+	memcpy(text, e->value, e->len);
+	text[e->len] = 0;
+	if (addr_parse(&a, text) < 0 || addr_equal(&a, &m->self->info.nodes))
+		return;
+	m->found[m->found_count++] = a;
+}
+
+static void listed(struct seat *s, const struct store_result *r, int64_t now)
+{
+	struct members *m = s->members;
+	size_t i;
+
+	if (r->outcome != STORE_DONE)
+		return;
+	m->found_count = 0;
+	for (i = 0; i < r->n; i++)
+		note_seed(m, &r->entries[i]);
+	if (!s->listed)
+		s->due_us = now + jittered(m, FIRST_TRY_US);
+	s->listed = true;
+	if (m->found_count && !m->local.n && !m->remote.n)
+		m->join_due_us = now;
+}
+
+/* Reads the seeds of all data centres, when it is time again. */
+void seat_list(struct seat *s, int64_t now)
+{
+	struct store_op op = {.kind = STORE_LIST};
+
+	op.list.prefix = PREFIX;
+	op.list.limit = SEEDS_FOUND_MAX;
+	if (now < s->list_due_us)
+		return;
+	s->list_due_us = now + jittered(s->members, s->list_wait_us);
+	if (s->list_wait_us < LIST_MAX_US)
+		s->list_wait_us *= 2;
+	submit(s, &op, STEP_LIST, now);
+}
+
+static void held(struct seat *s, int64_t now)
+{
+	s->state = SEAT_HELD;
+	s->due_us = now + KEEP_PERIOD_US;
+}
+
+/* After a lost answer: the key says whether the write took effect. */
+static void read_back(struct seat *s, const struct store_result *r, int64_t now)
+{
+	const struct store_entry *e = r->n ? &r->entries[0] : NULL;
+
+	if (r->outcome == STORE_DONE && e && e->len == strlen(s->value) &&
+	    !memcmp(e->value, s->value, e->len))
+		held(s, now);
+	else
+		give_up(s, now);
+}
+
+static void taken(struct seat *s, const struct store_result *r, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET, .key = s->key};
+
+	if (r->outcome == STORE_DONE) {
+		held(s, now);
+	} else if (r->outcome == STORE_UNKNOWN) {
+		submit(s, &op, STEP_READ_BACK, now);
+	} else {
+		/* Ranks change, so a holder may sit on another's index. */
+		s->conflicts++;
+		give_up(s, now);
+	}
+}
+
+static void granted(struct seat *s, const struct store_result *r, int64_t now)
+{
+	struct store_compare absent = {.key = s->key};
+	struct store_write write = {.key = s->key, .value = s->value};
+	struct store_op op = {.kind = STORE_TXN};
+
+	if (r->outcome != STORE_DONE) {
+		give_up(s, now);
+		return;
+	}
+	s->lease = r->lease;
+	write.len = strlen(s->value);
+	write.lease = s->lease;
+	op.txn.compares = &absent;
+	op.txn.compare_count = 1;
+	op.txn.writes = &write;
+	op.txn.write_count = 1;
+	submit(s, &op, STEP_TAKE, now);
+}
+
+static void kept(struct seat *s, const struct store_result *r, int64_t now)
+{
+	/* A lease that is gone took the key with it. */
+	if (r->outcome == STORE_DONE && !r->lease)
+		give_up(s, now);
+	else
+		held(s, now);
+}
+
+static void finish(void *ctx, uint64_t tag, const struct store_result *r,
+		   int64_t now)
+{
+	struct seat *s = ctx;
+
+	switch ((enum seat_step)tag) {
+	case STEP_LIST:
+		listed(s, r, now);
+		break;
+	case STEP_GRANT:
+		granted(s, r, now);
+		break;
+	case STEP_TAKE:
+		taken(s, r, now);
+		break;
+	case STEP_READ_BACK:
+		read_back(s, r, now);
+		break;
+	case STEP_KEEP:
+		kept(s, r, now);
+		break;
+	case STEP_REVOKE:
+		give_up(s, now);
+		break;
+	}
+}
+
+/* Gives the seat back; the store forgets the key with the lease. */
+void seat_release(struct seat *s, int64_t now)
+{
+	struct store_op op = {.kind = STORE_LEASE_REVOKE};
+
+	if (s->state != SEAT_HELD)
+		return;
+	op.lease.id = s->lease;
+	s->state = SEAT_BUSY;
+	submit(s, &op, STEP_REVOKE, now);
+}
+
+static void keep(struct seat *s, int64_t now)
+{
+	struct store_op op = {.kind = STORE_LEASE_KEEP};
+
+	op.lease.id = s->lease;
+	s->state = SEAT_BUSY;
+	submit(s, &op, STEP_KEEP, now);
+}
+
+static void take(struct seat *s, int rank, int64_t now)
+{
+	const struct member_info *self = &s->members->self->info;
+	struct store_op op = {.kind = STORE_LEASE_GRANT};
+
+	snprintf(s->key, sizeof(s->key), PREFIX "%s/%d", self->data_centre,
+		 (rank + s->conflicts) % SEATS);
+	addr_format(&self->nodes, s->value);
+	op.lease.ttl_s = LEASE_TTL_S;
+	s->state = SEAT_BUSY;
+	submit(s, &op, STEP_GRANT, now);
+}
+
+/* Takes, keeps or gives back this node's seat. */
+void seat_tick(struct seat *s, int64_t now)
+{
+	struct members *m = s->members;
+	int rank;
+
+	if (s->state == SEAT_BUSY || !s->listed || now < s->due_us)
+		return;
+	rank = members_rank(m, name_hash(PREFIX), SEATS);
+	if (s->state == SEAT_HELD && rank < 0)
+		seat_release(s, now);
+	else if (s->state == SEAT_HELD)
+		keep(s, now);
+	else if (rank >= 0)
+		take(s, rank, now);
+	else
+		s->due_us = now + jittered(m, RETRY_US);
+}
+
+/* Returns a node's part in the seeds of the store; NULL without memory. */
+struct seat *seat_new(struct members *m)
+{
+	struct seat *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return NULL;
+	s->members = m;
+	s->store = m->options.store;
+	s->list_wait_us = LIST_MIN_US;
+	return s;
+}
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -268,13 +268,13 @@
 {
 	struct links *links = ctx;
 	bool paused = now - links->ticked_us > PAUSE_US;
-	struct link *l, *tmp;
+	struct link *l, *next;
 
 	links->ticked_us = now;
 	if (links->closed)
 		return;
-	DL_FOREACH_SAFE(links->all, l, tmp)
-	{
+	for (l = links->all; l; l = next) {
+		next = l->next;
 		if (paused) {
 			l->heard_us = now;
 			l->asked_us = 0;
--- a/src/net/link_socket.c
+++ b/src/net/link_socket.c
@@ -153,8 +153,8 @@
 {
 	struct link *l;
 
-	DL_FOREACH(links->all, l)
-	lws_sul_cancel(&l->sul);
+	for (l = links->all; l; l = l->next)
+		lws_sul_cancel(&l->sul);
 }
 
 static int on_link(struct lws *wsi, enum lws_callback_reasons reason,
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -11,10 +11,9 @@
 static void release(void *part)
 {
 	struct links *l = part;
-	struct link *link, *tmp;
+	struct link *link;
 
-	DL_FOREACH_SAFE(l->all, link, tmp)
-	{
+	while ((link = l->all)) {
 		while (link->streams)
 			stream_free(link->streams);
 		link_free(link);
--- a/src/wire/peer_members.c
+++ b/src/wire/peer_members.c
@@ -1,11 +1,29 @@
 #include "wire/wire_impl.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #define MEMBER_PARTS 9
 #define UPSTREAM_PARTS 5
 #define MEMBERS_MAX 1024 /* in one message */
 
+#define TEXT_EXTRA 2 /* head of a text shorter than NAME_SIZE */
+#define ADDR_BYTES 20
+#define MEMBER_FIXED 20	  /* heads, incarnation, version, state */
+#define UPSTREAM_FIXED 12 /* head, slots, connections, state */
+
+/* Returns no less than write_member will write. */
+size_t member_info_wire_size(const struct member_info *m)
+{
+	size_t i, n = MEMBER_FIXED + 3 * TEXT_EXTRA + 2 * ADDR_BYTES;
+
+	n += strlen(m->host) + strlen(m->data_centre) + strlen(m->region);
+	for (i = 0; i < m->upstream_count; i++)
+		n += UPSTREAM_FIXED + TEXT_EXTRA + ADDR_BYTES +
+		     strlen(m->upstreams[i].service);
+	return n;
+}
+
 static void write_upstream(struct writer *w, const struct upstream_info *u)
 {
 	write_array(w, UPSTREAM_PARTS);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -209,9 +209,12 @@
 	uint8_t upstream_count;
 };
 
+/* An upper bound of the bytes that a member takes in a message. */
+size_t member_info_wire_size(const struct member_info *m);
+
 enum peer_msg_kind {
 	PEER_PROBE = 1,
-	PEER_PROBE_ACK,
+	PEER_PROBE_ACK, /* with sequence 0: nothing but changes */
 	PEER_PROBE_FOR, /* ask another to probe a target */
 	PEER_MEMBERS_PULL,
 	PEER_MEMBERS,
