--- a/src/control/members.c
+++ b/src/control/members.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define SPREAD_MAX 64  /* of the members in one answer to a pull */
 #define TOLD_AT_ONCE 8 /* members that hear of a drain before the rest */
 
 static struct members *new_members(const struct members_options *o)
@@ -18,7 +19,8 @@
 		members_free(m);
 		return NULL;
 	}
-	gsl_rng_set(m->rng, o->seed ? o->seed : 1);
+	/* Nodes with close seeds must not choose alike. */
+	gsl_rng_set(m->rng, pair_hash(o->seed, name_hash(o->self.host)));
 	if (o->seed_count)
 		memcpy(m->seeds, o->seeds, o->seed_count * sizeof(*m->seeds));
 	return m;
@@ -119,14 +121,15 @@
 	case PEER_PROBE_ACK:
 	case PEER_PROBE_FOR:
 		members_merge(m, msg->probe.changes, msg->probe.change_count,
-			      now);
+			      true, now);
 		members_probe_receive(m, msg);
 		break;
 	case PEER_MEMBERS_PULL:
 		members_answer_pull(m, msg, now);
 		break;
 	case PEER_MEMBERS:
-		members_merge(m, msg->members.items, msg->members.n, now);
+		members_merge(m, msg->members.items, msg->members.n,
+			      msg->members.n <= SPREAD_MAX, now);
 		break;
 	default:
 		break;
--- a/src/control/members_gossip.c
+++ b/src/control/members_gossip.c
@@ -9,16 +9,16 @@
 #define GOSSIP_BURST 16000
 #define ENVELOPE_BYTES 128 /* of a datagram, besides its changes */
 #define SENDS_FACTOR 3	   /* sends of a change, times ln(n) */
-#define SENDS_MIN 8
+#define SENDS_MORE 4 /* and these: ln(n) alone leaves gaps in small groups */
 
-/* The newest change of a member has been sent to nobody yet. */
+/* The newest change goes first; under a flood, pulls bring the older ones. */
 void news_add(struct members *m, struct member *b)
 {
 	news_remove(m, b);
 	b->sends = 0;
 	b->news = true;
 	m->news_count++;
-	DL_APPEND2(m->news[0], b, news_prev, news_next);
+	DL_PREPEND2(m->news[0], b, news_prev, news_next);
 }
 
 /* Its newest change need not be passed on any more. */
@@ -33,10 +33,9 @@
 
 static uint8_t sends_wanted(const struct members *m)
 {
-	double n = SENDS_FACTOR * log(HASH_COUNT(m->by_addr) + 1.0);
+	double n =
+		SENDS_FACTOR * log(HASH_COUNT(m->by_addr) + 1.0) + SENDS_MORE;
 
-	if (n < SENDS_MIN)
-		return SENDS_MIN;
 	return n < NEWS_SENDS_MAX - 1 ? (uint8_t)n : NEWS_SENDS_MAX - 1;
 }
 
--- a/src/control/members_impl.h
+++ b/src/control/members_impl.h
@@ -143,7 +143,7 @@
 
 /* members_merge.c */
 void members_merge(struct members *m, const struct member_info *items, size_t n,
-		   int64_t now);
+		   bool spread, int64_t now);
 void members_announce(struct members *m, int64_t now);
 void members_suspect(struct members *m, struct member *b, int64_t now);
 void members_judge(struct members *m, int64_t now);
--- a/src/control/members_merge.c
+++ b/src/control/members_merge.c
@@ -101,7 +101,20 @@
 	members_pull(m, &info->nodes, now);
 }
 
-static void hear(struct members *m, const struct member_info *info, int64_t now)
+static void meet(struct members *m, const struct member_info *info, bool spread,
+		 int64_t now)
+{
+	struct member *b = NULL;
+
+	/* Those gone before they were known are no news. */
+	if (info->state != MEMBER_DEAD && info->state != MEMBER_LEFT)
+		b = member_add(m, info, now);
+	if (b && !spread)
+		news_remove(m, b);
+}
+
+static void hear(struct members *m, const struct member_info *info, bool spread,
+		 int64_t now)
 {
 	struct member *b = member_find(m, &info->nodes);
 	struct member_info news;
@@ -111,9 +124,7 @@
 		return;
 	}
 	if (!b) {
-		/* Those gone before they were known are no news. */
-		if (info->state != MEMBER_DEAD && info->state != MEMBER_LEFT)
-			member_add(m, info, now);
+		meet(m, info, spread, now);
 		return;
 	}
 	news = *info;
@@ -125,15 +136,15 @@
 	member_update(m, b, &news, now);
 }
 
-/* Takes in what another node knows. */
+/* Takes in what another node knows; spread passes on members that are new. */
 void members_merge(struct members *m, const struct member_info *items, size_t n,
-		   int64_t now)
+		   bool spread, int64_t now)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++)
 		if (addr_is_set(&items[i].nodes))
-			hear(m, &items[i], now);
+			hear(m, &items[i], spread, now);
 }
 
 /* This node's own probes failed: starts the time to refute. */
