--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -182,6 +182,10 @@
 			    const char *text, size_t len, const char *team,
 			    struct note_faults *faults);
 
+/* Names the items that two notes both touch, "accounts a, routes b". */
+void note_overlap(struct buffer *out, const char *a, size_t a_len,
+		  const char *b, size_t b_len);
+
 /* Snapshots: the whole configuration as msgpack bytes, and back. */
 int config_pack(const struct config *c, struct buffer *out);
 struct config *config_unpack(const void *data, size_t len, struct error *err);
--- /dev/null
+++ b/src/conf/overlap.c
@@ -0,0 +1,83 @@
+#include "conf/conf_impl.h"
+
+#include <stdio.h>
+
+#define OVERLAP_TEXT_MAX 4096 /* bytes */
+
+struct walk {
+	struct json_object *other; /* names of the other note, or NULL */
+	struct json_object *names; /* names of this one */
+	struct buffer *out;
+};
+
+static void visit(struct walk *w, const char *section, const char *name)
+{
+	char key[2 * NAME_SIZE];
+
+	snprintf(key, sizeof(key), "%.63s %.63s", section, name);
+	if (json_object_object_get_ex(w->names, key, NULL))
+		return;
+	json_object_object_add(w->names, key, NULL);
+	if (w->other && json_object_object_get_ex(w->other, key, NULL) &&
+	    w->out->len < OVERLAP_TEXT_MAX)
+		buffer_printf(w->out, "%s%s", w->out->len ? ", " : "", key);
+}
+
+static void visit_section(struct walk *w, const char *section,
+			  struct json_object *list)
+{
+	struct json_object *item, *name;
+	size_t i;
+
+	if (!json_object_is_type(list, json_type_array)) {
+		visit(w, section, "");
+		return;
+	}
+	for (i = 0; i < json_object_array_length(list); i++) {
+		item = json_object_array_get_idx(list, i);
+		name = item;
+		if (json_object_is_type(item, json_type_object) &&
+		    !json_object_object_get_ex(item, "name", &name))
+			json_object_object_get_ex(item, "id", &name);
+		visit(w, section, json_object_get_string(name) ?: "");
+	}
+}
+
+/* Names what a note touches; what other touches too goes to w->out. */
+static void walk_note(struct walk *w, const char *text, size_t len)
+{
+	static const char *const parts[] = {"added", "changed", "withdrawn"};
+	struct json_object *note, *sections;
+	unsigned line;
+	size_t i;
+
+	w->names = json_object_new_object();
+	note = json_read(text, len, &line, NULL);
+	for (i = 0; note && i < sizeof(parts) / sizeof(*parts); i++) {
+		if (!json_object_object_get_ex(note, parts[i], &sections) ||
+		    !json_object_is_type(sections, json_type_object))
+			continue;
+		json_object_object_foreach(sections, section, list)
+		{
+			visit_section(w, section, list);
+		}
+	}
+	json_object_put(note);
+}
+
+/* Appends "accounts a, routes b": the items that both notes touch. */
+void note_overlap(struct buffer *out, const char *a, size_t a_len,
+		  const char *b, size_t b_len)
+{
+	struct buffer found = {0};
+	struct walk first = {0}, second = {.out = &found};
+
+	walk_note(&first, a, a_len);
+	second.other = first.names;
+	walk_note(&second, b, b_len);
+	if (found.len)
+		buffer_printf(out, "%s", (char *)found.data);
+	json_object_put(first.names);
+	json_object_put(second.names);
+	buffer_free(&found);
+}
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -94,6 +94,12 @@
 void notes_append(struct notes *n, const char *text, size_t len,
 		  const char *operator_name, const char *team,
 		  const struct append_done *done, int64_t now);
+/* Lists up to limit stored notes after a number, as a JSON array. */
+void notes_history(struct notes *n, uint64_t after, uint32_t limit, void *ctx,
+		   uint64_t tag,
+		   void (*done)(void *ctx, uint64_t tag, const char *json,
+				const struct error *err),
+		   int64_t now);
 /* NULL until there is one. */
 struct config *notes_config(const struct notes *n);
 /* Time since the platform, or a peer that reaches it, was heard. */
--- /dev/null
+++ b/src/control/notes.c
@@ -0,0 +1,168 @@
+#include "control/notes_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define NEAR_NEWEST 4 /* notes; older ones are not pushed */
+
+/* Returns a controller that has no configuration yet, or NULL. */
+struct notes *notes_new(const struct notes_options *o, int64_t now)
+{
+	struct notes *n = calloc(1, sizeof(*n));
+
+	if (!n)
+		return NULL;
+	n->o = *o;
+	n->started_us = now;
+	n->kept_from = 1;
+	n->config = config_new();
+	if (n->config)
+		return n;
+	free(n);
+	return NULL;
+}
+
+/* The store must be closed before: its answers come here. */
+void notes_free(struct notes *n)
+{
+	if (!n)
+		return;
+	append_free(n);
+	fetch_free(n);
+	writer_free(n);
+	peer_free(n);
+	kept_free(n);
+	config_put(n->config);
+	free(n);
+}
+
+/* Number of the newest note that was applied; 0 before the first. */
+uint64_t notes_number(const struct notes *n)
+{
+	return config_number(n->config);
+}
+
+/* Returns the configuration in force, or NULL before the first. */
+struct config *notes_config(const struct notes *n)
+{
+	return notes_number(n) ? n->config : NULL;
+}
+
+/* Draws from a fixed sequence that the seed gives. */
+uint64_t notes_random(struct notes *n)
+{
+	return pair_hash(n->o.seed, ++n->draws);
+}
+
+/* Records that our number was the newest one at a time. */
+void notes_confirm(struct notes *n, int64_t at_us)
+{
+	if (!n->confirmed || at_us > n->confirmed_us)
+		n->confirmed_us = at_us;
+	n->confirmed = true;
+}
+
+/*
+ * Microseconds since our number was known to be the newest: told by the
+ * store, or by a peer that says how long ago it knew. INT64_MAX: never.
+ */
+int64_t notes_stale_us(const struct notes *n, int64_t now)
+{
+	if (!n->confirmed)
+		return INT64_MAX;
+	return now > n->confirmed_us ? now - n->confirmed_us : 0;
+}
+
+/* Puts c in force if it is newer; takes the caller's reference. */
+void notes_adopt(struct notes *n, struct config *c, const char *source,
+		 int64_t now)
+{
+	struct log_line line;
+
+	if (config_number(c) <= notes_number(n)) {
+		config_put(c);
+		return;
+	}
+	config_put(n->config);
+	n->config = c;
+	if (n->wanted < config_number(c))
+		n->wanted = config_number(c);
+	counter_add(COUNTER_NOTES_APPLIED, 1);
+	log_start(&line, LOG_NOTICE, "config-in-force");
+	log_int(&line, "number", (int64_t)config_number(c));
+	log_str(&line, "release", config_release(c));
+	log_str(&line, "source", source);
+	log_emit(&line);
+	if (n->o.in_force)
+		n->o.in_force(n->o.ctx, c, now);
+}
+
+/*
+ * A stored note was valid when it was written, so a fault here means that
+ * this process is older than the one that checked it.
+ */
+static void refuse(struct notes *n, uint64_t number,
+		   const struct note_faults *faults)
+{
+	struct log_line line;
+
+	if (n->refused == number)
+		return;
+	n->refused = number;
+	log_start(&line, LOG_ERR, "note-refused");
+	log_int(&line, "number", (int64_t)number);
+	if (faults->n) {
+		log_str(&line, "path", faults->items[0].path);
+		log_str(&line, "fault", faults->items[0].text);
+	}
+	log_emit(&line);
+}
+
+static int apply(struct notes *n, const struct kept_note *k, int64_t now)
+{
+	struct note_faults faults;
+	struct config *c = config_apply(n->config, k->number, k->text, k->len,
+					NULL, &faults);
+
+	if (!c) {
+		refuse(n, k->number, &faults);
+		note_faults_free(&faults);
+		return -1;
+	}
+	notes_adopt(n, c, "note", now);
+	return 0;
+}
+
+/*
+ * Takes in a note from anywhere, in any order. It is applied when it is the
+ * next one, kept when it is a little ahead, and dropped otherwise.
+ */
+void notes_arrived(struct notes *n, uint64_t number, const char *text,
+		   size_t len, int64_t now)
+{
+	const struct kept_note *k;
+
+	if (number > n->wanted)
+		n->wanted = number;
+	if (number <= notes_number(n) ||
+	    number > notes_number(n) + NOTES_AHEAD || kept_get(n, number))
+		return;
+	if (kept_put(n, number, text, len) < 0)
+		return;
+	while ((k = kept_get(n, notes_number(n) + 1))) {
+		if (apply(n, k, now) < 0)
+			return;
+		if (k->number + NEAR_NEWEST > n->wanted)
+			peer_push(n, k, now);
+	}
+}
+
+/* Moves everything on; call every 50 ms. */
+void notes_tick(struct notes *n, int64_t now)
+{
+	fetch_tick(n, now);
+	append_tick(n, now);
+	writer_tick(n, now);
+	peer_tick(n, now);
+	transfer_tick(n, now);
+}
--- /dev/null
+++ b/src/control/notes_append.c
@@ -0,0 +1,338 @@
+/*
+ * Appending a note: catch up, check, write notes/N+1 if it is absent. An
+ * answer that was lost is settled by catching up again: the release tells
+ * whether the write took effect, and a write that is still on its way can
+ * do no harm, as every try compares the same head.
+ */
+#include "control/notes_impl.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define APPENDS_MAX 32
+#define TRIES_MAX 16
+#define RETRY_US (200 * USEC_PER_MSEC)
+#define PATIENCE_US (5 * USEC_PER_SEC) /* when nothing was written */
+#define SETTLE_US (15 * USEC_PER_SEC)  /* when a write is in doubt */
+#define FAULT_LINES_MAX (64 * 1024)    /* bytes */
+
+enum append_step {
+	APPEND_WAITING,
+	APPEND_CATCHING_UP,
+	APPEND_WRITING,
+};
+
+struct append {
+	struct append *prev;
+	struct append *next;
+	enum append_step step;
+	struct note_head head;
+	char operator_name[NAME_SIZE];
+	char team[NAME_SIZE];
+	char *text;
+	size_t len;
+	struct append_done done;
+	int64_t since_us;
+	int64_t next_us;
+	uint64_t number; /* being written */
+	uint64_t wrote;	 /* in doubt, or 0 */
+	uint32_t tries;
+	bool refused; /* too many wait already */
+};
+
+static void free_append(struct append *a)
+{
+	free(a->text);
+	free(a);
+}
+
+/* Reports an append, after which the next one may start. */
+static void report(struct notes *n, struct append *a, enum append_status status,
+		   uint64_t number, const char *text, int64_t now)
+{
+	struct log_line line;
+
+	DL_DELETE(n->appends, a);
+	log_start(&line, LOG_NOTICE, "note-append");
+	log_str(&line, "release", a->head.release);
+	log_str(&line, "operator", a->operator_name);
+	log_int(&line, "status", status);
+	log_int(&line, "number", (int64_t)number);
+	log_emit(&line);
+	a->done.fn(a->done.ctx, a->done.tag, status, number, text, now);
+	free_append(a);
+}
+
+/* Reports the first append. */
+static void finish(struct notes *n, enum append_status status, uint64_t number,
+		   const char *text, int64_t now)
+{
+	report(n, n->appends, status, number, text, now);
+}
+
+static void finish_faults(struct notes *n, const struct note_faults *f,
+			  int64_t now)
+{
+	struct buffer b = {0};
+	size_t i;
+
+	for (i = 0; i < f->n && b.len < FAULT_LINES_MAX; i++)
+		buffer_printf(&b, "%s%s: %s", i ? "\n" : "", f->items[i].path,
+			      f->items[i].text);
+	finish(n, APPEND_INVALID, 0, b.data ? (char *)b.data : "no memory",
+	       now);
+	buffer_free(&b);
+}
+
+/* Names what the notes after a->head.after have changed that a does too. */
+static void finish_conflict(struct notes *n, const struct append *a,
+			    int64_t now)
+{
+	uint64_t number = notes_number(n), i = a->head.after + 1;
+	const struct kept_note *k;
+	struct buffer b = {0}, common = {0};
+	struct note_head head;
+
+	buffer_printf(&b,
+		      "written after note %" PRIu64
+		      ", but the newest is note %" PRIu64 " (%s)",
+		      a->head.after, number, config_release(n->config));
+	if (number > NOTES_SERVED && i + NOTES_SERVED <= number) {
+		buffer_printf(&b, "; older notes are no longer at hand");
+		i = number - NOTES_SERVED + 1;
+	}
+	for (; i <= number && b.len < FAULT_LINES_MAX; i++) {
+		k = kept_get(n, i);
+		if (!k || note_read_head(&head, k->text, k->len, NULL) < 0)
+			continue;
+		common.len = 0;
+		note_overlap(&common, k->text, k->len, a->text, a->len);
+		if (common.len)
+			buffer_printf(&b, "; note %" PRIu64 " (%s) touches %s",
+				      i, head.release, (char *)common.data);
+	}
+	finish(n, APPEND_CONFLICT, number,
+	       b.data ? (char *)b.data : "no memory", now);
+	buffer_free(&b);
+	buffer_free(&common);
+}
+
+static void wait_and_retry(struct notes *n, int64_t now)
+{
+	struct append *a = n->appends;
+	int64_t patience = a->wrote ? SETTLE_US : PATIENCE_US;
+
+	a->step = APPEND_WAITING;
+	a->next_us = now + RETRY_US;
+	if (now - a->since_us < patience && a->tries < TRIES_MAX)
+		return;
+	if (a->wrote)
+		finish(n, APPEND_UNKNOWN, a->wrote,
+		       "the store did not say whether it took the note; send "
+		       "it again, a repeat is recognised",
+		       now);
+	else if (now - a->since_us < patience)
+		finish(n, APPEND_CONFLICT, notes_number(n),
+		       "other operators keep writing", now);
+	else
+		finish(n, APPEND_STORE_OUT, 0,
+		       "the store is out or behind; nothing was written", now);
+}
+
+static void on_written(void *ctx, uint64_t tag, const struct store_result *r,
+		       int64_t now)
+{
+	struct notes *n = ctx;
+	struct append *a = n->appends;
+	uint64_t number;
+
+	(void)tag;
+	switch (r->outcome) {
+	case STORE_DONE:
+		number = a->number;
+		notes_arrived(n, number, a->text, a->len, now);
+		if (notes_number(n) == number)
+			notes_confirm(n, now);
+		finish(n, APPEND_ACCEPTED, number, "", now);
+		return;
+	case STORE_UNKNOWN:
+		a->wrote = a->number;
+		break;
+	case STORE_CONFLICT:
+	case STORE_NOT_DONE:
+		break;
+	}
+	wait_and_retry(n, now);
+}
+
+static void write_note(struct notes *n, int64_t now)
+{
+	struct append *a = n->appends;
+	struct envelope e = {.number = a->number,
+			     .wall_us = clock_wall_us(), /* only recorded */
+			     .text = a->text,
+			     .len = a->len};
+	struct buffer value = {0};
+	char key[NOTE_KEY_SIZE], head[32];
+	struct store_compare compares[] = {
+		{key, 0}, {notes_head_key, n->fetch.head_mod_revision}};
+	struct store_write writes[] = {{.key = key}, {.key = notes_head_key}};
+	struct store_op op = {.kind = STORE_TXN,
+			      .priority = STORE_CONFIG,
+			      .timeout_us = STORE_TIMEOUT_US};
+	struct store_done done = {.ctx = n, .fn = on_written};
+
+	copy_name(e.release, sizeof(e.release), a->head.release);
+	copy_name(e.operator_name, sizeof(e.operator_name), a->operator_name);
+	if (envelope_write(&e, &value) < 0) {
+		buffer_free(&value);
+		finish(n, APPEND_INVALID, 0, "note: too large for the store",
+		       now);
+		return;
+	}
+	note_key(key, a->number);
+	snprintf(head, sizeof(head), "%" PRIu64, a->number);
+	writes[0].value = value.data;
+	writes[0].len = value.len;
+	writes[1].value = head;
+	writes[1].len = strlen(head);
+	op.txn.compares = compares;
+	op.txn.compare_count = 2;
+	op.txn.writes = writes;
+	op.txn.write_count = 2;
+	a->step = APPEND_WRITING;
+	a->tries++;
+	store_submit(n->o.store, &op, &done, now);
+	buffer_free(&value);
+}
+
+/* A release that is in force is a repeat, or another note of that name. */
+static bool finish_known(struct notes *n, const struct append *a, int64_t now)
+{
+	uint64_t number = config_release_number(n->config, a->head.release);
+	char text[128];
+
+	if (!number)
+		return false;
+	if (config_release_text_equal(n->config, number, a->text, a->len)) {
+		finish(n,
+		       number == a->wrote ? APPEND_ACCEPTED : APPEND_REPEATED,
+		       number, "", now);
+		return true;
+	}
+	snprintf(text, sizeof(text),
+		 "release %s is note %" PRIu64 " with another text",
+		 a->head.release, number);
+	finish(n, APPEND_CONFLICT, number, text, now);
+	return true;
+}
+
+/* Checks a note against the newest configuration, and writes it. */
+static void check_and_write(struct notes *n, int64_t now)
+{
+	struct append *a = n->appends;
+	uint64_t number = notes_number(n);
+	struct note_faults faults;
+	struct config *c;
+
+	/* A push was faster than the read, or the store has lost notes. */
+	if (number != n->fetch.head) {
+		wait_and_retry(n, now);
+		return;
+	}
+	if (a->head.release[0] && finish_known(n, a, now))
+		return;
+	if (a->head.has_after && a->head.after != number) {
+		finish_conflict(n, a, now);
+		return;
+	}
+	c = config_apply(n->config, number + 1, a->text, a->len, a->team,
+			 &faults);
+	if (!c) {
+		finish_faults(n, &faults, now);
+		note_faults_free(&faults);
+		return;
+	}
+	config_put(c);
+	a->number = number + 1;
+	write_note(n, now);
+}
+
+/* A round of catching up with the store has ended. */
+void append_fetched(struct notes *n, bool good, int64_t now)
+{
+	if (!n->appends || n->appends->step != APPEND_CATCHING_UP)
+		return;
+	if (good)
+		check_and_write(n, now);
+	else
+		wait_and_retry(n, now);
+}
+
+/* Starts the first append that waits. */
+void append_tick(struct notes *n, int64_t now)
+{
+	struct append *a, *next;
+
+	DL_FOREACH_SAFE(n->appends, a, next)
+	{
+		if (a->refused)
+			report(n, a, APPEND_STORE_OUT, 0,
+			       "too many notes are waiting", now);
+	}
+	a = n->appends;
+	if (!a || a->step != APPEND_WAITING || now < a->next_us)
+		return;
+	if (!n->o.store) {
+		finish(n, APPEND_STORE_OUT, 0, "there is no store", now);
+		return;
+	}
+	a->step = APPEND_CATCHING_UP;
+	fetch_start(n, now);
+}
+
+/*
+ * Appends a note for an operator; team limits what it may touch, NULL or
+ * empty does not. done is called once, and not before this returns. Its
+ * text says why a note was not accepted.
+ */
+void notes_append(struct notes *n, const char *text, size_t len,
+		  const char *operator_name, const char *team,
+		  const struct append_done *done, int64_t now)
+{
+	struct append *a, *other;
+	int count = 0;
+
+	DL_COUNT(n->appends, other, count);
+	a = calloc(1, sizeof(*a));
+	if (a)
+		a->text = malloc(len + 1);
+	if (!a || !a->text)
+		abort();
+	memcpy(a->text, text, len);
+	a->text[len] = 0;
+	a->len = len;
+	a->refused = count >= APPENDS_MAX;
+	a->done = *done;
+	a->since_us = now;
+	snprintf(a->operator_name, sizeof(a->operator_name), "%s",
+		 operator_name);
+	snprintf(a->team, sizeof(a->team), "%s", team ? team : "");
+	note_read_head(&a->head, text, len, NULL);
+	DL_APPEND(n->appends, a);
+	if (n->appends == a && n->o.store)
+		append_tick(n, now);
+}
+
+/* Drops all appends without a report. */
+void append_free(struct notes *n)
+{
+	struct append *a, *next;
+
+	DL_FOREACH_SAFE(n->appends, a, next)
+	free_append(a);
+	n->appends = NULL;
+}
--- /dev/null
+++ b/src/control/notes_fetch.c
@@ -0,0 +1,303 @@
+/*
+ * Catching up with the store, and the watch that a few nodes of each data
+ * centre hold.
+ */
+#include "control/notes_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define WATCHERS 2 /* of each data centre */
+#define LIST_LIMIT 8
+#define HEAD_POLL_US (5 * USEC_PER_SEC)
+#define EMPTY_POLL_US (30 * USEC_PER_SEC) /* of others, without any note */
+#define RETRY_MIN_US (500 * USEC_PER_MSEC)
+#define RETRY_MAX_US (10 * USEC_PER_SEC)
+#define PEERS_FIRST_US (2 * USEC_PER_SEC) /* before a new node reads itself */
+
+static void fetch_list(struct notes *n, int64_t now);
+
+static uint64_t topic(void)
+{
+	return name_hash("notes");
+}
+
+static void submit(struct notes *n, struct store_op *op,
+		   void (*fn)(void *, uint64_t, const struct store_result *,
+			      int64_t),
+		   int64_t now)
+{
+	struct store_done done = {.ctx = n, .fn = fn};
+
+	op->priority = STORE_CONFIG;
+	op->timeout_us = STORE_TIMEOUT_US;
+	store_submit(n->o.store, op, &done, now);
+}
+
+static void watch_event(void *ctx, const struct store_entry *e, int64_t now)
+{
+	uint64_t number = note_key_number(e->key);
+	struct notes *n = ctx;
+	struct envelope env;
+
+	if (!number || !e->value || envelope_read(&env, e->value, e->len) < 0)
+		return;
+	notes_arrived(n, number, env.text, env.len, now);
+	envelope_free(&env);
+	if (notes_number(n) == number)
+		notes_confirm(n, now);
+	else if (notes_number(n) < number)
+		fetch_start(n, now);
+}
+
+static void watch_ended(void *ctx, const struct error *err, int64_t now)
+{
+	struct notes *n = ctx;
+
+	log_error(LOG_INFO, "notes-watch-ended", err);
+	n->watch = 0;
+	n->fetch.next_us = now + RETRY_MIN_US;
+}
+
+static void watch_start(struct notes *n, int64_t now)
+{
+	struct store_watch w = {.prefix = "notes/",
+				.from_revision = n->fetch.revision + 1,
+				.ctx = n,
+				.event = watch_event,
+				.ended = watch_ended};
+
+	if (n->chosen && !n->watch)
+		n->watch = store_watch_start(n->o.store, &w, now);
+}
+
+/* Ends a round; after failures the next one comes later and later. */
+static void fetch_end(struct notes *n, bool good, int64_t now)
+{
+	struct fetch *f = &n->fetch;
+	int64_t wait = RETRY_MIN_US;
+	uint32_t i;
+
+	f->step = FETCH_IDLE;
+	buffer_free(&f->bytes);
+	if (good) {
+		f->failures = 0;
+		f->next_us = now + HEAD_POLL_US;
+		if (!n->chosen)
+			f->next_us = now + EMPTY_POLL_US +
+				     (int64_t)(notes_random(n) % EMPTY_POLL_US);
+		if (notes_number(n) == f->head)
+			notes_confirm(n, f->started_us);
+		watch_start(n, now);
+	} else {
+		for (i = 0; i < f->failures && wait < RETRY_MAX_US; i++)
+			wait *= 2;
+		f->failures++;
+		f->next_us = now + wait / 2 +
+			     (int64_t)(notes_random(n) % (uint64_t)wait);
+	}
+	append_fetched(n, good, now);
+}
+
+static void on_part(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now);
+
+static void fetch_part(struct notes *n, int64_t now)
+{
+	struct fetch *f = &n->fetch;
+	char key[NOTE_KEY_SIZE];
+	struct store_op op = {.kind = STORE_GET, .key = key};
+
+	f->step = FETCH_SNAPSHOT_PART;
+	snapshot_key(key, f->snapshot, f->part);
+	submit(n, &op, on_part, now);
+}
+
+static void on_part(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct notes *n = ctx;
+	struct fetch *f = &n->fetch;
+	struct config *c;
+	struct error err;
+
+	(void)tag;
+	if (r->outcome != STORE_DONE || !r->n ||
+	    buffer_append(&f->bytes, r->entries[0].value, r->entries[0].len,
+			  SNAPSHOT_BYTES_MAX) < 0) {
+		fetch_end(n, false, now);
+		return;
+	}
+	if (++f->part < f->parts) {
+		fetch_part(n, now);
+		return;
+	}
+	c = config_unpack(f->bytes.data, f->bytes.len, &err);
+	buffer_free(&f->bytes);
+	if (!c) {
+		log_error(LOG_ERR, "snapshot-refused", &err);
+		fetch_end(n, false, now);
+		return;
+	}
+	notes_adopt(n, c, "snapshot", now);
+	fetch_list(n, now);
+}
+
+static void on_snapshot_head(void *ctx, uint64_t tag,
+			     const struct store_result *r, int64_t now)
+{
+	struct notes *n = ctx;
+	struct fetch *f = &n->fetch;
+	struct snapshot_head h;
+
+	(void)tag;
+	if (r->outcome != STORE_DONE || !r->n ||
+	    snapshot_head_read(&h, r->entries[0].value, r->entries[0].len) <
+		    0 ||
+	    h.number <= notes_number(n)) {
+		fetch_end(n, false, now);
+		return;
+	}
+	f->snapshot = h.number;
+	f->part = 0;
+	f->parts = h.parts;
+	buffer_free(&f->bytes);
+	fetch_part(n, now);
+}
+
+static void fetch_snapshot(struct notes *n, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET, .key = snapshot_head_key};
+
+	n->fetch.step = FETCH_SNAPSHOT_HEAD;
+	submit(n, &op, on_snapshot_head, now);
+}
+
+static void take_entries(struct notes *n, const struct store_result *r,
+			 int64_t now)
+{
+	struct envelope e;
+	uint64_t number;
+	size_t i;
+
+	for (i = 0; i < r->n; i++) {
+		number = note_key_number(r->entries[i].key);
+		if (!number || envelope_read(&e, r->entries[i].value,
+					     r->entries[i].len) < 0)
+			continue;
+		notes_arrived(n, number, e.text, e.len, now);
+		envelope_free(&e);
+	}
+}
+
+static void on_list(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct notes *n = ctx;
+	uint64_t before = notes_number(n);
+
+	if (r->outcome != STORE_DONE) {
+		fetch_end(n, false, now);
+		return;
+	}
+	/* A push may have applied them meanwhile. */
+	if (before < n->fetch.head && r->n &&
+	    note_key_number(r->entries[0].key) > before + 1) {
+		fetch_snapshot(n, now);
+		return;
+	}
+	take_entries(n, r, now);
+	if (notes_number(n) >= n->fetch.head)
+		fetch_end(n, true, now);
+	else if (notes_number(n) > tag)
+		fetch_list(n, now);
+	else
+		fetch_end(n, false, now);
+}
+
+static void fetch_list(struct notes *n, int64_t now)
+{
+	struct store_done done = {
+		.ctx = n, .tag = notes_number(n), .fn = on_list};
+	char key[NOTE_KEY_SIZE];
+	struct store_op op = {.kind = STORE_LIST,
+			      .priority = STORE_CONFIG,
+			      .timeout_us = STORE_TIMEOUT_US,
+			      .list = {.prefix = "notes/",
+				       .after = key,
+				       .limit = LIST_LIMIT}};
+
+	n->fetch.step = FETCH_LIST;
+	note_key(key, notes_number(n));
+	store_submit(n->o.store, &op, &done, now);
+}
+
+static uint64_t read_number(const struct store_entry *e)
+{
+	char text[32] = "";
+
+	if (e->len < sizeof(text))
+		memcpy(text, e->value, e->len);
+	return strtoull(text, NULL, 10);
+}
+
+static void on_head(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct notes *n = ctx;
+	struct fetch *f = &n->fetch;
+	uint64_t behind;
+
+	(void)tag;
+	if (r->outcome != STORE_DONE) {
+		fetch_end(n, false, now);
+		return;
+	}
+	f->head = r->n ? read_number(&r->entries[0]) : 0;
+	f->head_mod_revision = r->n ? r->entries[0].mod_revision : 0;
+	f->revision = r->revision;
+	if (f->head > n->wanted)
+		n->wanted = f->head;
+	behind = f->head > notes_number(n) ? f->head - notes_number(n) : 0;
+	if (!behind)
+		fetch_end(n, true, now);
+	else if (behind > NOTES_SERVED)
+		fetch_snapshot(n, now);
+	else
+		fetch_list(n, now);
+}
+
+/* Starts to catch up with the store, unless that is going on. */
+void fetch_start(struct notes *n, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET, .key = notes_head_key};
+
+	if (!n->o.store || n->fetch.step != FETCH_IDLE)
+		return;
+	n->fetch.step = FETCH_HEAD;
+	n->fetch.started_us = now;
+	submit(n, &op, on_head, now);
+}
+
+/* Decides who watches the store, and when to read it. */
+void fetch_tick(struct notes *n, int64_t now)
+{
+	bool waited = now - n->started_us >= PEERS_FIRST_US;
+
+	if (!n->o.store)
+		return;
+	n->chosen = members_chosen(n->o.members, topic(), WATCHERS);
+	if (!n->chosen && n->watch) {
+		store_watch_stop(n->o.store, n->watch);
+		n->watch = 0;
+	}
+	if (now >= n->fetch.next_us &&
+	    (n->chosen || (waited && !notes_number(n))))
+		fetch_start(n, now);
+}
+
+/* Frees what a round has read so far. */
+void fetch_free(struct notes *n)
+{
+	buffer_free(&n->fetch.bytes);
+}
--- /dev/null
+++ b/src/control/notes_impl.h
@@ -0,0 +1,181 @@
+/* Shared by the files of the notes controller alone. */
+#ifndef CONTROL_NOTES_IMPL_H
+#define CONTROL_NOTES_IMPL_H
+
+#include "control/control.h"
+
+#define NOTES_KEPT 1024 /* a power of two */
+#define NOTES_AHEAD 24	/* arrived before the one they follow */
+#define NOTES_SERVED (NOTES_KEPT - NOTES_AHEAD)
+#define KEPT_BYTES_MAX (8 * 1024 * 1024)
+#define NOTE_PEER_MAX (48 * 1024) /* bytes of text in one message */
+#define SNAPSHOT_BYTES_MAX (32 * 1024 * 1024)
+#define SNAPSHOT_EVERY 500 /* notes */
+#define STORE_TIMEOUT_US (2 * USEC_PER_SEC)
+#define TRANSFERS_MAX 4
+#define NOTE_KEY_SIZE 64
+
+struct kept_note {
+	uint64_t number; /* 0: empty */
+	size_t len;
+	char *text;
+};
+
+/* Catching up with the store, one at a time. */
+enum fetch_step {
+	FETCH_IDLE,
+	FETCH_HEAD,
+	FETCH_LIST,
+	FETCH_SNAPSHOT_HEAD,
+	FETCH_SNAPSHOT_PART,
+};
+
+struct fetch {
+	enum fetch_step step;
+	int64_t started_us;
+	int64_t next_us; /* not before, after a failure */
+	uint32_t failures;
+	uint64_t head;		   /* newest number in the store */
+	int64_t head_mod_revision; /* 0: there is none */
+	int64_t revision;	   /* of the store when it told head */
+	uint64_t snapshot;	   /* number */
+	uint32_t part;
+	uint32_t parts;
+	struct buffer bytes;
+};
+
+/* What snapshot/head says; the previous one is kept as well. */
+struct snapshot_head {
+	uint64_t number;
+	uint32_t parts;
+	uint64_t previous;
+	uint32_t previous_parts;
+};
+
+enum writer_step {
+	WRITER_IDLE,
+	WRITER_HEAD,
+	WRITER_PART,
+	WRITER_SWITCH,
+	WRITER_SWEEP,
+};
+
+/* Writing snapshots to the store. */
+struct snapshot_writer {
+	enum writer_step step;
+	int64_t next_us;
+	bool due;
+	uint64_t known; /* newest snapshot seen in the store */
+	int64_t head_mod_revision;
+	struct snapshot_head old;
+	struct snapshot_head head;
+	struct buffer bytes;
+	uint32_t part;
+	uint64_t sweep; /* next note to remove */
+};
+
+/* A snapshot that is being sent to a peer. */
+struct transfer {
+	struct addr to;
+	uint32_t part;
+	bool active;
+};
+
+/* A snapshot that is coming in from a peer. */
+struct assembly {
+	struct addr from;
+	uint64_t number;
+	uint32_t part; /* next */
+	uint32_t parts;
+	struct buffer bytes;
+};
+
+struct append;
+
+struct notes {
+	struct notes_options o;
+	struct config *config; /* number 0 until there is one */
+	int64_t started_us;
+	int64_t confirmed_us; /* when our number was the newest */
+	bool confirmed;
+	uint64_t refused; /* a note that this process can't apply */
+	uint64_t draws;	  /* random numbers drawn */
+
+	struct kept_note kept[NOTES_KEPT];
+	size_t kept_bytes;
+	uint64_t kept_from; /* lowest number that may be kept */
+
+	bool chosen;
+	uint64_t watch;
+	struct fetch fetch;
+	struct append *appends;
+	struct snapshot_writer writer;
+
+	uint64_t wanted; /* highest number heard */
+	struct addr wanted_from;
+	uint64_t pulled_after;
+	int64_t pull_us;    /* not before */
+	int64_t confirm_us; /* ask a peer then */
+	uint32_t rounds;    /* of asking */
+
+	struct buffer packed;
+	uint64_t packed_number;
+	int64_t packed_us;
+	struct transfer transfers[TRANSFERS_MAX];
+	struct assembly assembly;
+};
+
+uint64_t notes_number(const struct notes *n);
+uint64_t notes_random(struct notes *n);
+void notes_confirm(struct notes *n, int64_t at_us);
+void notes_arrived(struct notes *n, uint64_t number, const char *text,
+		   size_t len, int64_t now);
+void notes_adopt(struct notes *n, struct config *c, const char *source,
+		 int64_t now);
+
+int kept_put(struct notes *n, uint64_t number, const char *text, size_t len);
+const struct kept_note *kept_get(const struct notes *n, uint64_t number);
+void kept_free(struct notes *n);
+
+/* A note as it lies in the store. */
+struct envelope {
+	uint64_t number;
+	char release[NAME_SIZE];
+	char operator_name[NAME_SIZE];
+	int64_t wall_us;
+	char *text;
+	size_t len;
+};
+
+int envelope_write(const struct envelope *e, struct buffer *out);
+int envelope_read(struct envelope *e, const void *data, size_t len);
+void envelope_free(struct envelope *e);
+void note_key(char key[NOTE_KEY_SIZE], uint64_t number);
+uint64_t note_key_number(const char *key);
+void snapshot_key(char key[NOTE_KEY_SIZE], uint64_t number, uint32_t part);
+int snapshot_head_read(struct snapshot_head *h, const void *data, size_t len);
+int snapshot_head_write(const struct snapshot_head *h, struct buffer *out);
+extern const char notes_head_key[];
+extern const char snapshot_head_key[];
+
+void fetch_start(struct notes *n, int64_t now);
+void fetch_tick(struct notes *n, int64_t now);
+void fetch_free(struct notes *n);
+
+void append_fetched(struct notes *n, bool good, int64_t now);
+void append_tick(struct notes *n, int64_t now);
+void append_free(struct notes *n);
+
+void writer_tick(struct notes *n, int64_t now);
+void writer_free(struct notes *n);
+
+void peer_tick(struct notes *n, int64_t now);
+void peer_push(struct notes *n, const struct kept_note *k, int64_t now);
+void peer_free(struct notes *n);
+void transfer_start(struct notes *n, const struct addr *to, int64_t now);
+void transfer_tick(struct notes *n, int64_t now);
+void assembly_receive(struct notes *n, const struct peer_msg *msg, int64_t now);
+void send_state(struct notes *n, const struct addr *to, bool on_link,
+		int64_t now);
+
+#endif
--- /dev/null
+++ b/src/control/notes_transfer.c
@@ -0,0 +1,157 @@
+/* Snapshots between nodes, in parts over a link, a few at a time. */
+#include "control/notes_impl.h"
+
+#include <string.h>
+
+#define PARTS_PER_TICK 2
+#define PACKED_LAG_MAX 200 /* notes */
+#define PACKED_KEPT_US (60 * USEC_PER_SEC)
+#define PARTS_MAX (SNAPSHOT_BYTES_MAX / NOTE_PEER_MAX)
+#define PART_WAIT_US (2 * USEC_PER_SEC)
+
+static bool any_active(const struct notes *n)
+{
+	size_t i;
+
+	for (i = 0; i < TRANSFERS_MAX; i++)
+		if (n->transfers[i].active)
+			return true;
+	return false;
+}
+
+/* Whether the packed snapshot and the kept notes lead to the newest. */
+static bool packed_good(const struct notes *n)
+{
+	uint64_t i, number = notes_number(n);
+
+	if (!n->packed_number || number - n->packed_number > PACKED_LAG_MAX)
+		return false;
+	for (i = n->packed_number + 1; i <= number; i++)
+		if (!kept_get(n, i) || kept_get(n, i)->len > NOTE_PEER_MAX)
+			return false;
+	return true;
+}
+
+static int pack(struct notes *n, int64_t now)
+{
+	if (!packed_good(n)) {
+		if (any_active(n))
+			return -1;
+		buffer_free(&n->packed);
+		n->packed_number = 0;
+		if (config_pack(n->config, &n->packed) < 0)
+			return -1;
+		n->packed_number = notes_number(n);
+	}
+	n->packed_us = now;
+	return 0;
+}
+
+static bool same_transfer(const struct notes *n, const struct addr *to)
+{
+	size_t i;
+
+	for (i = 0; i < TRANSFERS_MAX; i++)
+		if (n->transfers[i].active &&
+		    addr_equal(&n->transfers[i].to, to))
+			return true;
+	return false;
+}
+
+/* Starts to send a snapshot; a peer that gets none asks another. */
+void transfer_start(struct notes *n, const struct addr *to, int64_t now)
+{
+	struct transfer *t;
+	size_t i;
+
+	if (same_transfer(n, to) || pack(n, now) < 0)
+		return;
+	for (i = 0; i < TRANSFERS_MAX; i++) {
+		t = &n->transfers[i];
+		if (t->active)
+			continue;
+		t->to = *to;
+		t->part = 0;
+		t->active = true;
+		return;
+	}
+}
+
+static void send_part(struct notes *n, struct transfer *t, int64_t now)
+{
+	size_t offset = (size_t)t->part * NOTE_PEER_MAX;
+	size_t len = n->packed.len - offset;
+	struct peer_msg msg = {.kind = PEER_SNAPSHOT};
+
+	msg.snapshot.number = n->packed_number;
+	msg.snapshot.part = t->part;
+	msg.snapshot.parts =
+		(uint32_t)((n->packed.len + NOTE_PEER_MAX - 1) / NOTE_PEER_MAX);
+	msg.snapshot.bytes.data = n->packed.data + offset;
+	msg.snapshot.bytes.len = len < NOTE_PEER_MAX ? len : NOTE_PEER_MAX;
+	if (n->o.io.send(n->o.io.ctx, &t->to, &msg, now) < 0) {
+		t->active = false;
+		return;
+	}
+	if (++t->part < msg.snapshot.parts)
+		return;
+	t->active = false;
+	send_state(n, &t->to, true, now);
+}
+
+/* Sends the next parts, and forgets a packed snapshot after a while. */
+void transfer_tick(struct notes *n, int64_t now)
+{
+	size_t i;
+	int j;
+
+	for (i = 0; i < TRANSFERS_MAX; i++)
+		for (j = 0; j < PARTS_PER_TICK; j++)
+			if (n->transfers[i].active)
+				send_part(n, &n->transfers[i], now);
+	if (n->packed.data && !any_active(n) &&
+	    now - n->packed_us > PACKED_KEPT_US) {
+		buffer_free(&n->packed);
+		n->packed_number = 0;
+	}
+}
+
+static void assembly_start(struct assembly *a, const struct peer_msg *msg)
+{
+	a->from = msg->from;
+	a->number = msg->snapshot.number;
+	a->parts = msg->snapshot.parts;
+	a->part = 0;
+	buffer_free(&a->bytes);
+}
+
+/* Takes one part; parts of another snapshot start anew. */
+void assembly_receive(struct notes *n, const struct peer_msg *msg, int64_t now)
+{
+	struct assembly *a = &n->assembly;
+	struct config *c;
+	struct error err;
+
+	if (msg->snapshot.number <= notes_number(n) ||
+	    msg->snapshot.parts > PARTS_MAX)
+		return;
+	if (!msg->snapshot.part)
+		assembly_start(a, msg);
+	if (!addr_equal(&a->from, &msg->from) ||
+	    a->number != msg->snapshot.number ||
+	    a->part != msg->snapshot.part || a->parts != msg->snapshot.parts ||
+	    buffer_append(&a->bytes, msg->snapshot.bytes.data,
+			  msg->snapshot.bytes.len, SNAPSHOT_BYTES_MAX) < 0)
+		return;
+	n->pull_us = now + PART_WAIT_US;
+	if (++a->part < a->parts)
+		return;
+	c = config_unpack(a->bytes.data, a->bytes.len, &err);
+	buffer_free(&a->bytes);
+	a->number = 0;
+	n->pull_us = now;
+	if (c)
+		notes_adopt(n, c, "peer", now);
+	else
+		log_error(LOG_ERR, "snapshot-refused", &err);
+}
--- /dev/null
+++ b/src/control/notes_writer.c
@@ -0,0 +1,266 @@
+/*
+ * Snapshots in the store, so that old notes can go. One node of each data
+ * centre may write one; packing is canonical, so two that write the same
+ * number write the same bytes, and snapshot/head decides between others.
+ */
+#include "control/notes_impl.h"
+
+#include <string.h>
+
+#define WRITERS 1 /* of each data centre */
+#define PART_SIZE (500 * 1024)
+#define DELAY_US (30 * USEC_PER_SEC) /* spread over data centres */
+#define SWEEP_BATCH 64
+#define SWEEP_EXTRA 1000 /* notes swept again, in case a sweep was cut off */
+#define SWEEP_PAUSE_US (250 * USEC_PER_MSEC)
+
+static uint64_t topic(void)
+{
+	return name_hash("snapshot");
+}
+
+static void submit(struct notes *n, struct store_op *op,
+		   void (*fn)(void *, uint64_t, const struct store_result *,
+			      int64_t),
+		   int64_t now)
+{
+	struct store_done done = {.ctx = n, .fn = fn};
+
+	op->priority = STORE_CONFIG;
+	op->timeout_us = STORE_TIMEOUT_US;
+	store_submit(n->o.store, op, &done, now);
+}
+
+static int64_t random_delay(struct notes *n)
+{
+	return (int64_t)(notes_random(n) % DELAY_US);
+}
+
+static void stop(struct notes *n, int64_t now)
+{
+	struct snapshot_writer *w = &n->writer;
+
+	buffer_free(&w->bytes);
+	w->step = WRITER_IDLE;
+	w->due = false;
+	w->next_us = now + DELAY_US;
+}
+
+static void on_swept(void *ctx, uint64_t tag, const struct store_result *r,
+		     int64_t now)
+{
+	struct notes *n = ctx;
+
+	(void)tag;
+	if (r->outcome == STORE_DONE) {
+		n->writer.sweep += SWEEP_BATCH;
+		n->writer.next_us = now + SWEEP_PAUSE_US;
+	} else {
+		stop(n, now);
+	}
+}
+
+/* Removes a batch of notes that the previous snapshot makes needless. */
+static void sweep(struct notes *n, int64_t now)
+{
+	struct snapshot_writer *w = &n->writer;
+	char keys[SWEEP_BATCH][NOTE_KEY_SIZE];
+	struct store_write writes[SWEEP_BATCH] = {0};
+	struct store_op op = {.kind = STORE_TXN};
+	size_t i;
+
+	for (i = 0; i < SWEEP_BATCH && w->sweep + i <= w->head.previous; i++) {
+		note_key(keys[i], w->sweep + i);
+		writes[i].key = keys[i];
+		writes[i].remove = true;
+	}
+	if (!i) {
+		stop(n, now);
+		return;
+	}
+	op.txn.writes = writes;
+	op.txn.write_count = i;
+	w->next_us = INT64_MAX;
+	submit(n, &op, on_swept, now);
+}
+
+/* Removes all parts of a snapshot; nobody waits for the answer. */
+static void on_removed(void *ctx, uint64_t tag, const struct store_result *r,
+		       int64_t now)
+{
+	(void)ctx;
+	(void)tag;
+	(void)now;
+	if (r->outcome != STORE_DONE)
+		log_error(LOG_WARNING, "snapshot-remove", &r->err);
+}
+
+static void remove_parts(struct notes *n, uint64_t number, uint32_t parts,
+			 int64_t now)
+{
+	char keys[STORE_TXN_OPS_MAX][NOTE_KEY_SIZE];
+	struct store_write writes[STORE_TXN_OPS_MAX] = {0};
+	struct store_op op = {.kind = STORE_TXN};
+	uint32_t i;
+
+	if (!number)
+		return;
+	for (i = 0; i < parts && i < STORE_TXN_OPS_MAX; i++) {
+		snapshot_key(keys[i], number, i);
+		writes[i].key = keys[i];
+		writes[i].remove = true;
+	}
+	op.txn.writes = writes;
+	op.txn.write_count = i;
+	submit(n, &op, on_removed, now);
+}
+
+static void on_switched(void *ctx, uint64_t tag, const struct store_result *r,
+			int64_t now)
+{
+	struct notes *n = ctx;
+	struct snapshot_writer *w = &n->writer;
+	struct snapshot_head other = {0};
+
+	(void)tag;
+	if (r->outcome == STORE_DONE) {
+		w->known = w->head.number;
+		buffer_free(&w->bytes);
+		remove_parts(n, w->old.previous, w->old.previous_parts, now);
+		w->sweep = w->old.previous > SWEEP_EXTRA
+				   ? w->old.previous - SWEEP_EXTRA
+				   : 1;
+		w->step = WRITER_SWEEP;
+		w->next_us = now;
+		return;
+	}
+	/* Beaten: take our parts away, unless they are the winner's too. */
+	if (r->outcome == STORE_CONFLICT && r->n &&
+	    !snapshot_head_read(&other, r->entries[0].value,
+				r->entries[0].len) &&
+	    other.number != w->head.number && other.previous != w->head.number)
+		remove_parts(n, w->head.number, w->head.parts, now);
+	stop(n, now);
+}
+
+static void switch_head(struct notes *n, int64_t now)
+{
+	struct snapshot_writer *w = &n->writer;
+	struct store_compare compare = {snapshot_head_key,
+					w->head_mod_revision};
+	const char *const reads[] = {snapshot_head_key};
+	struct store_write write = {.key = snapshot_head_key};
+	struct store_op op = {.kind = STORE_TXN};
+	struct buffer value = {0};
+
+	if (snapshot_head_write(&w->head, &value) < 0) {
+		stop(n, now);
+		return;
+	}
+	write.value = value.data;
+	write.len = value.len;
+	op.txn.compares = &compare;
+	op.txn.compare_count = 1;
+	op.txn.writes = &write;
+	op.txn.write_count = 1;
+	op.txn.reads = reads;
+	op.txn.read_count = 1;
+	w->step = WRITER_SWITCH;
+	submit(n, &op, on_switched, now);
+	buffer_free(&value);
+}
+
+static void on_part(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now);
+
+static void write_part(struct notes *n, int64_t now)
+{
+	struct snapshot_writer *w = &n->writer;
+	size_t offset = (size_t)w->part * PART_SIZE;
+	size_t len = w->bytes.len - offset;
+	char key[NOTE_KEY_SIZE];
+	struct store_write write = {.key = key,
+				    .value = w->bytes.data + offset,
+				    .len = len < PART_SIZE ? len : PART_SIZE};
+	struct store_op op = {.kind = STORE_TXN};
+
+	op.txn.writes = &write;
+	op.txn.write_count = 1;
+	snapshot_key(key, w->head.number, w->part);
+	w->step = WRITER_PART;
+	submit(n, &op, on_part, now);
+}
+
+/* Writing a part twice does no harm: the bytes are the same. */
+static void on_part(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct notes *n = ctx;
+	struct snapshot_writer *w = &n->writer;
+
+	(void)tag;
+	if (r->outcome != STORE_DONE)
+		stop(n, now);
+	else if (++w->part < w->head.parts)
+		write_part(n, now);
+	else
+		switch_head(n, now);
+}
+
+static void on_head(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct notes *n = ctx;
+	struct snapshot_writer *w = &n->writer;
+
+	(void)tag;
+	memset(&w->old, 0, sizeof(w->old));
+	if (r->outcome != STORE_DONE ||
+	    (r->n && snapshot_head_read(&w->old, r->entries[0].value,
+					r->entries[0].len) < 0)) {
+		stop(n, now);
+		return;
+	}
+	w->known = w->old.number;
+	w->head_mod_revision = r->n ? r->entries[0].mod_revision : 0;
+	if (notes_number(n) < w->known + SNAPSHOT_EVERY ||
+	    config_pack(n->config, &w->bytes) < 0) {
+		stop(n, now);
+		return;
+	}
+	w->head.number = notes_number(n);
+	w->head.parts = (uint32_t)((w->bytes.len + PART_SIZE - 1) / PART_SIZE);
+	w->head.previous = w->old.number;
+	w->head.previous_parts = w->old.parts;
+	w->part = 0;
+	write_part(n, now);
+}
+
+/* Starts a snapshot when enough notes have come, and sweeps after it. */
+void writer_tick(struct notes *n, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET, .key = snapshot_head_key};
+	struct snapshot_writer *w = &n->writer;
+
+	if (!n->o.store || now < w->next_us)
+		return;
+	if (w->step == WRITER_SWEEP)
+		sweep(n, now);
+	if (w->step != WRITER_IDLE ||
+	    notes_number(n) < w->known + SNAPSHOT_EVERY ||
+	    !members_chosen(n->o.members, topic(), WRITERS))
+		return;
+	if (!w->due) {
+		w->due = true;
+		w->next_us = now + random_delay(n);
+		return;
+	}
+	w->step = WRITER_HEAD;
+	submit(n, &op, on_head, now);
+}
+
+/* Frees the snapshot that is being written. */
+void writer_free(struct notes *n)
+{
+	buffer_free(&n->writer.bytes);
+}
--- /dev/null
+++ b/test/notes_world.h
@@ -0,0 +1,405 @@
+/*
+ * Several notes and members controllers over a fake network and one memory
+ * store. Static, as only the programs that need it may link the controllers.
+ */
+#ifndef TEST_NOTES_WORLD_H
+#define TEST_NOTES_WORLD_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+#include <utlist.h>
+
+#include "control/control.h"
+
+#define NODES_MAX 12
+#define STEP_US (10 * USEC_PER_MSEC)
+#define HEAL_US (20 * USEC_PER_SEC)
+#define IN_FORCE_US (2 * USEC_PER_SEC)
+
+struct node {
+	struct world *world;
+	struct members *members;
+	struct notes *notes;
+	struct store *store;
+	struct addr addr;
+	int data_centre;
+	bool up;
+	uint64_t number; /* in force, as the callback told */
+	int backwards;	 /* times it did not rise */
+	uint32_t sent;
+};
+
+struct packet {
+	struct packet *prev;
+	struct packet *next;
+	int64_t due_us;
+	int to;
+	struct buffer bytes;
+};
+
+struct world {
+	int64_t now;
+	uint64_t draws;
+	int n;
+	struct node nodes[NODES_MAX];
+	struct memory_store *shared;
+	struct packet *packets;
+	int loss_percent; /* of datagrams */
+	int twice_percent;
+	int64_t delay_us; /* at most; links keep their order */
+	bool apart;	  /* data centres don't hear each other */
+};
+
+/* What an append ended with. */
+struct outcome_seen {
+	bool done;
+	enum append_status status;
+	uint64_t number;
+	char text[512];
+};
+
+#define SEED 20261203
+#define TICK_US (50 * USEC_PER_MSEC)
+#define APPEND_MAX_US (30 * USEC_PER_SEC)
+
+static uint64_t draw(struct world *w, uint64_t below)
+{
+	return pair_hash(SEED, ++w->draws) % below;
+}
+
+static int find_node(const struct world *w, const struct addr *a)
+{
+	int i;
+
+	for (i = 0; i < w->n; i++)
+		if (addr_equal(&w->nodes[i].addr, a))
+			return i;
+	return -1;
+}
+
+static void put_packet(struct world *w, int to, const struct buffer *b,
+		       int64_t due_us)
+{
+	struct packet *p = calloc(1, sizeof(*p));
+
+	p->to = to;
+	p->due_us = due_us;
+	buffer_append(&p->bytes, b->data, b->len, FRAME_MAX);
+	DL_APPEND(w->packets, p);
+}
+
+static int transmit(struct node *from, const struct addr *to,
+		    struct peer_msg *msg, size_t limit, bool link)
+{
+	struct world *w = from->world;
+	struct buffer b = {0};
+	int i = find_node(w, to);
+	int64_t delay = USEC_PER_MSEC;
+
+	msg->from = from->addr;
+	msg->config_number = from->number;
+	msg->incarnation = members_self(from->members)->incarnation;
+	if (peer_msg_encode(msg, &b) < 0 || b.len > limit || i < 0) {
+		buffer_free(&b);
+		return -1;
+	}
+	from->sent++;
+	if (!link)
+		delay += (int64_t)draw(w, (uint64_t)w->delay_us + 1);
+	if (!w->apart || w->nodes[i].data_centre == from->data_centre) {
+		if (link || (int)draw(w, 100) >= w->loss_percent)
+			put_packet(w, i, &b, w->now + delay);
+		if (!link && (int)draw(w, 100) < w->twice_percent)
+			put_packet(w, i, &b, w->now + 2 * delay);
+	}
+	buffer_free(&b);
+	return 0;
+}
+
+static int send_link(void *ctx, const struct addr *to, struct peer_msg *msg,
+		     int64_t now)
+{
+	(void)now;
+	return transmit(ctx, to, msg, FRAME_MAX, true);
+}
+
+static int send_datagram(void *ctx, const struct addr *to, struct peer_msg *msg)
+{
+	return transmit(ctx, to, msg, DATAGRAM_MAX, false);
+}
+
+static void in_force(void *ctx, struct config *c, int64_t now)
+{
+	struct node *node = ctx;
+
+	(void)now;
+	node->backwards += config_number(c) <= node->number;
+	node->number = config_number(c);
+}
+
+static void start_members(struct world *w, int i)
+{
+	struct members_options o = {
+		.self = {.nodes = w->nodes[i].addr,
+			 .incarnation = (uint64_t)w->now},
+		.seed_count = (size_t)w->n,
+		.io = {&w->nodes[i], send_link, send_datagram},
+		.seed = (uint64_t)i,
+	};
+	struct addr seeds[NODES_MAX];
+	int j;
+
+	for (j = 0; j < w->n; j++)
+		seeds[j] = w->nodes[j].addr;
+	o.seeds = seeds;
+	snprintf(o.self.host, sizeof(o.self.host), "h%d", i);
+	snprintf(o.self.data_centre, sizeof(o.self.data_centre), "dc%d",
+		 w->nodes[i].data_centre);
+	w->nodes[i].members = members_new(&o, w->now);
+}
+
+/* Starts a node, or starts it anew with nothing in memory. */
+static void world_start(struct world *w, int i)
+{
+	struct node *node = &w->nodes[i];
+	struct notes_options o = {
+		.io = {node, send_link, send_datagram},
+		.seed = (uint64_t)i,
+		.ctx = node,
+		.in_force = in_force,
+	};
+
+	node->store = store_open_memory(w->shared);
+	node->number = 0;
+	node->up = true;
+	o.store = node->store;
+	start_members(w, i);
+	o.members = node->members;
+	node->notes = notes_new(&o, w->now);
+}
+
+/* Kills a node. */
+static void world_stop(struct world *w, int i)
+{
+	struct node *node = &w->nodes[i];
+
+	if (!node->up)
+		return;
+	node->up = false;
+	store_close(node->store);
+	notes_free(node->notes);
+	members_free(node->members);
+}
+
+static void world_open(struct world *w, int nodes, int data_centres)
+{
+	char text[32];
+	int i;
+
+	memset(w, 0, sizeof(*w));
+	w->now = USEC_PER_SEC;
+	w->n = nodes;
+	w->shared = memory_store_new();
+	for (i = 0; i < nodes; i++) {
+		w->nodes[i].world = w;
+		w->nodes[i].data_centre = i % data_centres;
+		snprintf(text, sizeof(text), "10.0.0.%d:1", i + 1);
+		addr_parse(&w->nodes[i].addr, text);
+	}
+	for (i = 0; i < nodes; i++)
+		world_start(w, i);
+}
+
+static void free_packet(struct packet *p)
+{
+	buffer_free(&p->bytes);
+	free(p);
+}
+
+static void world_close(struct world *w)
+{
+	struct packet *p, *next;
+	int i;
+
+	for (i = 0; i < w->n; i++)
+		world_stop(w, i);
+	DL_FOREACH_SAFE(w->packets, p, next)
+	free_packet(p);
+	memory_store_free(w->shared);
+}
+
+static void deliver(struct world *w, struct packet *p)
+{
+	struct node *node = &w->nodes[p->to];
+	struct peer_msg msg;
+
+	if (!node->up ||
+	    peer_msg_decode(&msg, p->bytes.data, p->bytes.len, NULL) < 0)
+		return;
+	notes_heard(node->notes, &msg.from, msg.config_number, w->now);
+	notes_receive(node->notes, &msg, w->now);
+	members_receive(node->members, &msg, w->now);
+	peer_msg_free(&msg);
+}
+
+static void step(struct world *w)
+{
+	struct packet *p, *next;
+	int i;
+
+	w->now += STEP_US;
+	for (i = 0; i < w->n; i++)
+		if (w->nodes[i].up)
+			store_tick(w->nodes[i].store, w->now);
+	DL_FOREACH_SAFE(w->packets, p, next)
+	{
+		if (p->due_us > w->now)
+			continue;
+		DL_DELETE(w->packets, p);
+		deliver(w, p);
+		free_packet(p);
+	}
+	for (i = 0; i < w->n && w->now % TICK_US == 0; i++) {
+		if (!w->nodes[i].up)
+			continue;
+		members_tick(w->nodes[i].members, w->now);
+		notes_tick(w->nodes[i].notes, w->now);
+	}
+}
+
+static void world_run(struct world *w, int64_t us)
+{
+	int64_t until = w->now + us;
+
+	while (w->now < until)
+		step(w);
+}
+
+static bool all_have(const struct world *w, uint64_t number)
+{
+	int i;
+
+	for (i = 0; i < w->n; i++)
+		if (w->nodes[i].up && w->nodes[i].number != number)
+			return false;
+	return true;
+}
+
+/* Runs until all nodes that are up have this number, or time is up. */
+static bool world_reaches(struct world *w, uint64_t number, int64_t us)
+{
+	int64_t until = w->now + us;
+
+	while (w->now < until && !all_have(w, number))
+		step(w);
+	return all_have(w, number);
+}
+
+/* Sets faults of the store as seen from a data centre; -1 from all. */
+static void world_store_faults(struct world *w, int data_centre,
+			       const struct store_faults *f)
+{
+	int i;
+
+	for (i = 0; i < w->n; i++)
+		if (w->nodes[i].up &&
+		    (data_centre < 0 || w->nodes[i].data_centre == data_centre))
+			store_set_faults(w->nodes[i].store, f);
+}
+
+static void on_append(void *ctx, uint64_t tag, enum append_status status,
+		      uint64_t number, const char *text, int64_t now)
+{
+	struct outcome_seen *seen = ctx;
+
+	(void)tag;
+	(void)now;
+	seen->done = true;
+	seen->status = status;
+	seen->number = number;
+	snprintf(seen->text, sizeof(seen->text), "%s", text);
+}
+
+static void world_append_start(struct world *w, int i, const char *text,
+			       const char *team, struct outcome_seen *seen)
+{
+	struct append_done done = {.ctx = seen, .fn = on_append};
+
+	memset(seen, 0, sizeof(*seen));
+	notes_append(w->nodes[i].notes, text, strlen(text), "olga", team, &done,
+		     w->now);
+}
+
+static void world_append(struct world *w, int i, const char *text,
+			 const char *team, struct outcome_seen *seen)
+{
+	int64_t until = w->now + APPEND_MAX_US;
+
+	world_append_start(w, i, text, team, seen);
+	while (!seen->done && w->now < until)
+		step(w);
+}
+
+/* Accounts a (team t) and b, and the key k of a with a hash of zeroes. */
+static const char base_note[] =
+	"{\"release\": \"base\", \"added\": {\"accounts\": ["
+	"{\"name\": \"a\", \"team\": \"t\", \"rate\": 1, \"burst\": 1},"
+	"{\"name\": \"b\", \"rate\": 1, \"burst\": 1}], \"keys\": ["
+	"{\"id\": \"k\", \"account\": \"a\", \"hash\": \"00000000000000000000"
+	"00000000000000000000000000000000000000000000\"}]}}";
+
+/* Changes the rate of a; pad makes it too large for a datagram. */
+static const char *rate_note(int i, int pad)
+{
+	static char text[4096];
+
+	snprintf(text, sizeof(text),
+		 "{\"release\": \"r%d\", \"changed\": {\"accounts\": ["
+		 "{\"name\": \"a\", \"rate\": %d}]}}%*s",
+		 i, i + 1, pad, "");
+	return text;
+}
+
+/* Opens a world in which base_note is in force. */
+static void world_begin(struct world *w, int nodes, int data_centres)
+{
+	struct outcome_seen seen;
+
+	world_open(w, nodes, data_centres);
+	world_run(w, 10 * USEC_PER_SEC);
+	world_append(w, 0, base_note, NULL, &seen);
+	assert_int_equal(seen.status, APPEND_ACCEPTED);
+	assert_true(world_reaches(w, 1, IN_FORCE_US));
+}
+
+/* All nodes have this number and the same bytes, and none went back. */
+static void world_assert_same(struct world *w, uint64_t number)
+{
+	struct buffer first = {0}, other = {0};
+	int i, up = -1;
+
+	for (i = 0; i < w->n; i++) {
+		assert_int_equal(w->nodes[i].backwards, 0);
+		if (!w->nodes[i].up)
+			continue;
+		assert_int_equal(w->nodes[i].number, number);
+		other.len = 0;
+		config_pack(notes_config(w->nodes[i].notes),
+			    up < 0 ? &first : &other);
+		if (up >= 0) {
+			assert_int_equal(first.len, other.len);
+			assert_memory_equal(first.data, other.data, first.len);
+		}
+		up = i;
+	}
+	buffer_free(&first);
+	buffer_free(&other);
+}
+
+#endif
