Tell whole answers from cut ones in the client pool

The library reports a chunked answer as completed when the peer closes in the middle of it, and gives up on silent peers by a timeout of its own. The pool now checks each answer's framing itself, and the library's timeout is out of the way of the calls' deadlines.

--- a/src/net/http_headers.c
+++ b/src/net/http_headers.c
@@ -14,33 +14,33 @@
  * others go no further unless given in header_names.
  */
 static const char *const known_names[] = {
-	"idempotency-key",
-	"x-request-id",
-	"mulberryferry-context",
-	"mulberryferry-deadline-ms",
-	"mulberryferry-outcome",
-	"traceparent",
-	"tracestate",
-	"baggage",
-	"b3",
-	"x-b3-traceid",
-	"x-b3-spanid",
-	"x-b3-parentspanid",
-	"x-b3-sampled",
-	"x-correlation-id",
-	"x-forwarded-host",
-	"x-forwarded-proto",
-	"forwarded",
-	"prefer",
-	"preference-applied",
-	"priority",
-	"content-digest",
-	"repr-digest",
-	"signature",
-	"signature-input",
-	"x-requested-with",
-	"deprecation",
-	"sunset",
+	"idempotency-key:",
+	"x-request-id:",
+	"mulberryferry-context:",
+	"mulberryferry-deadline-ms:",
+	"mulberryferry-outcome:",
+	"traceparent:",
+	"tracestate:",
+	"baggage:",
+	"b3:",
+	"x-b3-traceid:",
+	"x-b3-spanid:",
+	"x-b3-parentspanid:",
+	"x-b3-sampled:",
+	"x-correlation-id:",
+	"x-forwarded-host:",
+	"x-forwarded-proto:",
+	"forwarded:",
+	"prefer:",
+	"preference-applied:",
+	"priority:",
+	"content-digest:",
+	"repr-digest:",
+	"signature:",
+	"signature-input:",
+	"x-requested-with:",
+	"deprecation:",
+	"sunset:",
 	NULL,
 };
 
@@ -134,28 +134,37 @@
 	return 0;
 }
 
-static int add_custom(struct lws *wsi, const char *const *names,
-		      const char *connection, struct message *m)
+/* Adds the header of that name, here with its colon, if it came. */
+static int add_custom(struct lws *wsi, const char *key, const char *connection,
+		      struct message *m)
 {
-	char key[NAME_MAX_LEN + 2];
-	char value[NET_IO_SIZE];
-	int n, len;
+	char value[NET_IO_SIZE], name[NAME_MAX_LEN];
+	int n = (int)strlen(key), len = lws_hdr_custom_length(wsi, key, n);
 
-	for (; *names; names++) {
-		n = snprintf(key, sizeof(key), "%s:", *names);
-		if (n >= (int)sizeof(key) || is_hop(*names, connection) ||
-		    message_header(m, *names))
-			continue;
-		len = lws_hdr_custom_length(wsi, key, n);
-		if (len < 0)
-			continue;
-		if (len >= (int)sizeof(value))
-			return -1;
-		value[0] = 0;
-		if (len &&
-		    lws_hdr_custom_copy(wsi, value, sizeof(value), key, n) < 0)
+	if (len < 0)
+		return 0;
+	if (len >= (int)sizeof(value) || n > (int)sizeof(name))
+		return -1;
+	memcpy(name, key, (size_t)n - 1);
+	name[n - 1] = 0;
+	if (is_hop(name, connection) || message_header(m, name))
+		return 0;
+	value[0] = 0;
+	if (len && lws_hdr_custom_copy(wsi, value, sizeof(value), key, n) < 0)
+		return -1;
+	return message_add_header(m, name, value);
+}
+
+static int add_extra(struct lws *wsi, const char *const *names,
+		     const char *connection, struct message *m)
+{
+	char key[NAME_MAX_LEN + 1];
+
+	for (; names && *names; names++) {
+		if (snprintf(key, sizeof(key), "%s:", *names) >=
+		    (int)sizeof(key))
 			return -1;
-		if (message_add_header(m, *names, value) < 0)
+		if (add_custom(wsi, key, connection, m) < 0)
 			return -1;
 	}
 	return 0;
@@ -170,15 +179,18 @@
 		      struct message *m)
 {
 	char connection[256] = "";
+	const char *const *name;
 
 	if (lws_hdr_total_length(wsi, WSI_TOKEN_CONNECTION) > 0 &&
 	    lws_hdr_copy(wsi, connection, sizeof(connection),
 			 WSI_TOKEN_CONNECTION) < 0)
 		return -1;
-	if (add_standard(wsi, connection, m) < 0 ||
-	    add_custom(wsi, known_names, connection, m) < 0)
+	if (add_standard(wsi, connection, m) < 0)
 		return -1;
-	return extra ? add_custom(wsi, extra, connection, m) : 0;
+	for (name = known_names; *name; name++)
+		if (add_custom(wsi, *name, connection, m) < 0)
+			return -1;
+	return add_extra(wsi, extra, connection, m);
 }
 
 static int read_length(struct lws *wsi, int fragment, uint64_t *len)
--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -42,6 +42,10 @@
 	bool sent;		  /* a byte may have left this process */
 	bool established;	  /* the answer's head is whole */
 	bool has_body;		  /* the answer has one */
+	/* Inside lws_http_client_read: our buffer, and where data was found. */
+	const char *room;
+	char *const *data;
+	bool readable; /* the socket had bytes before */
 	size_t body_sent;
 	struct http_body_info body; /* of the answer */
 	uint64_t received;
@@ -88,6 +92,15 @@
 void http_conn_kill(struct http_conn *c);
 void http_conn_free_all(struct net *net);
 
+/* The call on c through its life; -1 closes the connection. */
+int http_call_write_head(struct lws *wsi, struct http_conn *c,
+			 unsigned char **p, size_t room);
+int http_call_write_body(struct lws *wsi, struct http_pool_call *call);
+int http_call_began(struct lws *wsi, struct http_conn *c);
+int http_call_read(struct lws *wsi, struct http_conn *c);
+int http_call_piece(struct http_conn *c, const void *data, size_t len);
+int http_call_completed(struct http_conn *c);
+
 /* What the connection tells its pool. */
 void http_pool_idle(struct http_conn *c);
 void http_pool_ended(struct http_conn *c);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -5,7 +5,8 @@
 #include <string.h>
 
 #define KEEPALIVE_SECS 75
-#define ANSWER_SLICE (64 * 1024) /* bytes given to the socket at once */
+#define BODY_WAIT_US (30 * USEC_PER_SEC) /* for a request's whole body */
+#define ANSWER_SLICE (64 * 1024)	 /* bytes given to the socket at once */
 #define EXCHANGES_MAX (1U << 20)
 
 #define STATUS_BAD_REQUEST 400
@@ -162,8 +163,10 @@
 	if (http_read_headers(wsi, s->options.header_names, m) < 0)
 		return refuse(wsi, c, STATUS_HEADERS_TOO_LARGE,
 			      "Headers too large");
-	if (c->body.len)
+	if (c->body.len) {
+		lws_set_timer_usecs(wsi, BODY_WAIT_US);
 		return 0;
+	}
 	/* libwebsockets waits for a body after these, and would eat the next */
 	if (!c->body.has_length && !strcmp(m->method, "POST"))
 		c->close = true;
@@ -219,6 +222,12 @@
 		s->options.gone(s->options.ctx, exchange, net_now());
 }
 
+/* The timer set for a body is not cancelled when the body has come. */
+static bool is_gathering(const struct server_conn *c)
+{
+	return c->request.target && !c->exchange && !c->answering;
+}
+
 static int server_callback(struct lws *wsi, enum lws_callback_reasons reason,
 			   void *user, void *in, size_t len)
 {
@@ -244,6 +253,8 @@
 		if (c->answering || c->exchange)
 			return 0;
 		return dispatch(wsi, c);
+	case LWS_CALLBACK_TIMER:
+		return is_gathering(c) ? -1 : 0;
 	case LWS_CALLBACK_HTTP_WRITEABLE:
 		return write_answer(wsi, c);
 	case LWS_CALLBACK_CLOSED_HTTP:
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -3,9 +3,13 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #define HEADER_DATA_MAX (8 * 1024) /* bytes of one received header block */
-#define HEADER_WAIT_SECS 10	   /* for a whole header block to arrive */
+#define DESCRIPTORS_MAX 4096
+#define HEADER_WAIT_SECS 10 /* for a request's header block to arrive */
+/* Calls have deadlines of their own; the library's must not come first. */
+#define LIBRARY_WAIT_SECS 3600
 
 struct net_part {
 	struct net_part *next;
@@ -35,6 +39,22 @@
 	log_emit(&line);
 }
 
+/*
+ * libwebsockets walks a table as long as the process's limit of open files
+ * each time a warm connection takes its next call, so a high limit costs
+ * more time than the call.
+ */
+static void limit_descriptors(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) < 0 ||
+	    limit.rlim_cur <= DESCRIPTORS_MAX)
+		return;
+	limit.rlim_cur = DESCRIPTORS_MAX;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 /* Returns microseconds that never step. */
 int64_t net_now(void)
 {
@@ -43,7 +63,7 @@
 
 /*
  * Opens the loop. Broken connections are told by callbacks, so SIGPIPE is
- * ignored in the whole process.
+ * ignored in the whole process; and the soft limit of open files is lowered.
  */
 struct net *net_open(struct error *err)
 {
@@ -55,6 +75,7 @@
 		return NULL;
 	}
 	signal(SIGPIPE, SIG_IGN);
+	limit_descriptors();
 	lws_set_log_level(LLL_ERR, log_library);
 	memset(&info, 0, sizeof(info));
 	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
@@ -62,7 +83,7 @@
 	info.uid = (uid_t)-1;
 	info.pt_serv_buf_size = NET_IO_SIZE;
 	info.max_http_header_data = HEADER_DATA_MAX;
-	info.timeout_secs = HEADER_WAIT_SECS;
+	info.timeout_secs = LIBRARY_WAIT_SECS;
 	info.user = net;
 	net->context = lws_create_context(&info);
 	if (!net->context) {
@@ -174,8 +195,8 @@
 	info.protocols = o->protocols;
 	info.user = o->user;
 	info.keepalive_timeout = o->keepalive_secs;
-	info.timeout_secs = o->timeout_secs ? (unsigned int)o->timeout_secs
-					    : HEADER_WAIT_SECS;
+	info.timeout_secs = LIBRARY_WAIT_SECS;
+	info.timeout_secs_ah_idle = HEADER_WAIT_SECS;
 	if (o->accept_role) {
 		info.options |=
 			LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -37,7 +37,6 @@
 	const char *accept_role;     /* "raw-skt" for raw TCP, NULL for HTTP */
 	const char *accept_protocol; /* of protocols, for raw TCP */
 	int keepalive_secs;	     /* idle HTTP server connections */
-	int timeout_secs;	     /* of handshakes; 0: as for callers */
 	void *user;		     /* lws_vhost_user() */
 };
 
--- /dev/null
+++ b/test/test_http_pool.c
@@ -0,0 +1,476 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/net.h"
+
+#define BODY_LIMIT 1000
+#define LONG_US (20 * USEC_PER_SEC)
+#define SHORT_US (50 * USEC_PER_MSEC)
+
+enum ending {
+	HOLD,	   /* keeps the connection until the client closes it */
+	CLOSE,	   /* closes after the answer */
+	RESET,	   /* resets after the answer */
+	SERVE_TWO, /* answers a second request, then holds */
+};
+
+/* What the peer does with each connection that it accepts. */
+struct script {
+	const char *answer;
+	enum ending ending;
+};
+
+struct peer {
+	int fd;
+	struct addr addr;
+	pthread_t thread;
+	const struct script *scripts; /* one for each connection in turn */
+	size_t n;
+	int requests;
+	atomic_int closed; /* connections */
+};
+
+static bool read_head(int fd)
+{
+	char tail[4] = "", c;
+
+	while (memcmp(tail, "\r\n\r\n", 4) != 0) {
+		if (read(fd, &c, 1) != 1)
+			return false;
+		memmove(tail, tail + 1, 3);
+		tail[3] = c;
+	}
+	return true;
+}
+
+static void serve(struct peer *p, int fd, const struct script *s)
+{
+	static const struct linger reset = {.l_onoff = 1};
+	int i, n = s->ending == SERVE_TWO ? 2 : 1;
+	char c;
+
+	for (i = 0; i < n && read_head(fd); i++) {
+		p->requests++;
+		if (write(fd, s->answer, strlen(s->answer)) < 0)
+			break;
+	}
+	if (s->ending == RESET)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	while ((s->ending == HOLD || s->ending == SERVE_TWO) &&
+	       read(fd, &c, 1) == 1)
+		;
+	close(fd);
+	p->closed++;
+}
+
+static void *peer_main(void *arg)
+{
+	struct peer *p = arg;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < p->n; i++) {
+		fd = accept(p->fd, NULL, NULL);
+		if (fd < 0)
+			break;
+		serve(p, fd, &p->scripts[i]);
+	}
+	return NULL;
+}
+
+static int listen_any(struct addr *a)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&sa, len), 0);
+	assert_int_equal(listen(fd, 16), 0);
+	getsockname(fd, (struct sockaddr *)&sa, &len);
+	addr_parse(a, "127.0.0.1:0");
+	a->port = ntohs(sa.sin_port);
+	return fd;
+}
+
+static void peer_start(struct peer *p, const struct script *scripts, size_t n)
+{
+	memset(p, 0, sizeof(*p));
+	p->fd = listen_any(&p->addr);
+	p->scripts = scripts;
+	p->n = n;
+	assert_int_equal(pthread_create(&p->thread, NULL, peer_main, p), 0);
+}
+
+static void peer_stop(struct peer *p)
+{
+	shutdown(p->fd, SHUT_RDWR);
+	pthread_join(p->thread, NULL);
+	close(p->fd);
+}
+
+/* One run of calls made one after the other. */
+struct run {
+	struct net *net;
+	struct http_pool *pool;
+	const char *method;
+	int64_t deadline_us;
+	int left;
+	int done;
+	enum http_call_status status;
+	int http_status;
+	char body[64];
+	size_t pieces_len;
+	uint64_t call;
+	struct peer *wait_closed; /* before the next call */
+	bool cancel_on_piece;
+	bool stream;
+};
+
+static void start_call(struct run *r, int64_t now);
+
+static void call_done(void *ctx, uint64_t tag, struct http_call_result *res,
+		      int64_t now)
+{
+	struct run *r = ctx;
+
+	assert_int_equal(tag, 7);
+	r->done++;
+	r->status = res->status;
+	r->http_status = res->answer ? res->answer->status : 0;
+	r->body[0] = 0;
+	if (res->answer)
+		snprintf(r->body, sizeof(r->body), "%.*s",
+			 (int)res->answer->body.len,
+			 (char *)res->answer->body.data);
+	while (r->wait_closed && r->wait_closed->closed < r->done)
+		usleep(100);
+	if (--r->left)
+		start_call(r, now);
+	else
+		net_stop(r->net);
+}
+
+static void call_piece(void *ctx, uint64_t tag, const void *data, size_t len,
+		       int64_t now)
+{
+	struct run *r = ctx;
+
+	(void)tag;
+	(void)data;
+	(void)now;
+	r->pieces_len += len;
+	if (!r->cancel_on_piece)
+		return;
+	http_call_cancel(r->pool, r->call);
+	net_stop(r->net);
+}
+
+static void start_call(struct run *r, int64_t now)
+{
+	struct message m = {.target = (char *)"/a?b=c"};
+	struct http_call c = {
+		.request = &m,
+		.deadline_us = now + r->deadline_us,
+		.ctx = r,
+		.tag = 7,
+		.done = call_done,
+		.piece = r->stream ? call_piece : NULL,
+	};
+	struct error err;
+	int done = r->done;
+
+	snprintf(m.method, sizeof(m.method), "%s", r->method);
+	r->call = http_call_start(r->pool, &c, now, &err);
+	assert_int_not_equal(r->call, 0);
+	assert_int_equal(r->done, done);
+}
+
+static void run_calls(struct run *r, const struct addr *a)
+{
+	struct http_pool_options o = {
+		.addr = *a,
+		.connections_max = 1,
+		.body_limit = BODY_LIMIT,
+		.keep_warm_us = LONG_US,
+	};
+	struct error err;
+
+	r->net = net_open(&err);
+	assert_non_null(r->net);
+	r->pool = http_pool_open(r->net, &o, &err);
+	assert_non_null(r->pool);
+	start_call(r, clock_monotonic_us());
+	net_run(r->net);
+	http_pool_close(r->pool);
+	net_close(r->net);
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+#define FIVE "Content-Length: 5\r\n\r\n"
+
+static const struct {
+	const char *name;
+	enum http_call_status status;
+	int http_status;
+	const char *body;
+	const char *method;
+	enum ending ending;
+	const char *answer;
+} answers[] = {
+	{"whole", HTTP_ANSWERED, 200, "hello", "GET", HOLD, HEAD FIVE "hello"},
+	{"whole, close", HTTP_ANSWERED, 200, "hello", "GET", CLOSE,
+	 HEAD FIVE "hello"},
+	{"empty", HTTP_ANSWERED, 200, "", "POST", HOLD,
+	 HEAD "Content-Length: 0\r\n\r\n"},
+	{"chunked", HTTP_ANSWERED, 200, "hello", "GET", HOLD,
+	 CHUNKED "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"},
+	{"chunked, close", HTTP_ANSWERED, 200, "hello", "GET", CLOSE,
+	 CHUNKED "5\r\nhello\r\n0\r\n\r\n"},
+	{"no content", HTTP_ANSWERED, 204, "", "DELETE", HOLD,
+	 "HTTP/1.1 204 No Content\r\n\r\n"},
+	{"not modified", HTTP_ANSWERED, 304, "", "GET", HOLD,
+	 "HTTP/1.1 304 Not Modified\r\n" FIVE},
+	{"head", HTTP_ANSWERED, 200, "", "HEAD", HOLD, HEAD FIVE},
+	{"redirect", HTTP_ANSWERED, 302, "", "GET", HOLD,
+	 "HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n"},
+	{"unauthorized", HTTP_ANSWERED, 401, "hello", "GET", HOLD,
+	 "HTTP/1.1 401 Unauthorized\r\n" FIVE "hello"},
+	/* Not asked for, and libwebsockets takes it for the answer. */
+	{"interim", HTTP_GARBAGE, 0, "", "POST", HOLD,
+	 "HTTP/1.1 100 Continue\r\n\r\n" HEAD FIVE "hello"},
+	{"other protocol", HTTP_BROKEN, 0, "", "GET", CLOSE,
+	 "SSH-2.0-x\r\n\r\n\r\n"},
+	{"binary", HTTP_BROKEN, 0, "", "GET", CLOSE, "\x16\x03\x01\r\n\r\n"},
+	{"status out of range", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 "HTTP/1.1 999 No\r\nContent-Length: 0\r\n\r\n"},
+	{"without length", HTTP_GARBAGE, 0, "", "GET", CLOSE, HEAD "\r\nhello"},
+	{"two lengths", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 HEAD "Content-Length: 3\r\n" FIVE "hello"},
+	{"length no number", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 HEAD "Content-Length: x\r\n\r\n"},
+	{"length too long", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 HEAD "Content-Length: 99999999999999999999\r\n\r\n"},
+	{"length and chunks", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 HEAD "Transfer-Encoding: chunked\r\n" FIVE "hello"},
+	{"bad chunk", HTTP_GARBAGE, 0, "", "GET", HOLD,
+	 CHUNKED "zz\r\nhello\r\n0\r\n\r\n"},
+	{"half body, close", HTTP_BROKEN, 0, "", "GET", CLOSE, HEAD FIVE "hel"},
+	{"half body, reset", HTTP_BROKEN, 0, "", "GET", RESET, HEAD FIVE "hel"},
+	{"half chunk, close", HTTP_BROKEN, 0, "", "GET", CLOSE,
+	 CHUNKED "5\r\nhel"},
+	{"no last chunk, close", HTTP_BROKEN, 0, "", "GET", CLOSE,
+	 CHUNKED "5\r\nhello\r\n"},
+	{"half head, close", HTTP_BROKEN, 0, "", "GET", CLOSE,
+	 HEAD "Content-Len"},
+	{"nothing, close", HTTP_BROKEN, 0, "", "POST", CLOSE, ""},
+	{"nothing, reset", HTTP_BROKEN, 0, "", "GET", RESET, ""},
+	{"nothing", HTTP_TIMED_OUT, 0, "", "GET", HOLD, ""},
+	{"half head", HTTP_TIMED_OUT, 0, "", "GET", HOLD, HEAD},
+	{"half body", HTTP_TIMED_OUT, 0, "", "GET", HOLD, HEAD FIVE "hel"},
+	{"too large", HTTP_TOO_LARGE, 0, "", "GET", HOLD,
+	 HEAD "Content-Length: 1001\r\n\r\nhel"},
+};
+
+static void every_answer_has_its_status(void **state)
+{
+	struct peer peer;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(answers) / sizeof(*answers); i++) {
+		const struct script script = {answers[i].answer,
+					      answers[i].ending};
+		struct run r = {
+			.method = answers[i].method,
+			.deadline_us = answers[i].status == HTTP_TIMED_OUT
+					       ? SHORT_US
+					       : LONG_US,
+			.left = 1,
+		};
+
+		peer_start(&peer, &script, 1);
+		run_calls(&r, &peer.addr);
+		peer_stop(&peer);
+		if (r.status != answers[i].status)
+			print_error("case: %s got %d\n", answers[i].name,
+				    r.status);
+		assert_int_equal(r.status, answers[i].status);
+		assert_int_equal(r.http_status, answers[i].http_status);
+		assert_string_equal(r.body, answers[i].body);
+		assert_int_equal(r.done, 1);
+		assert_int_equal(peer.requests, 1);
+	}
+}
+
+static void refused_is_not_sent(void **state)
+{
+	struct run r = {.method = "POST", .deadline_us = LONG_US, .left = 2};
+	struct addr a;
+	int fd;
+
+	(void)state;
+	fd = listen_any(&a);
+	close(fd);
+	run_calls(&r, &a);
+	assert_int_equal(r.status, HTTP_NOT_SENT);
+	assert_int_equal(r.done, 2);
+}
+
+/* The peer closes while the connection is kept warm; nothing is lost. */
+static void closed_warm_connection_costs_no_call(void **state)
+{
+	static const char hello[] = HEAD "Content-Length: 5\r\n\r\nhello";
+	const struct script scripts[] = {
+		{hello, CLOSE}, {hello, CLOSE}, {hello, CLOSE}, {hello, CLOSE}};
+	struct peer peer;
+	struct run r = {
+		.method = "POST",
+		.deadline_us = LONG_US,
+		.left = 4,
+		.wait_closed = &peer,
+	};
+
+	(void)state;
+	peer_start(&peer, scripts, 4);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.done, 4);
+	assert_int_equal(peer.requests, 4);
+	assert_int_equal(r.status, HTTP_ANSWERED);
+	assert_string_equal(r.body, "hello");
+}
+
+static void warm_connection_is_used_again(void **state)
+{
+	const struct script script = {HEAD "Content-Length: 5\r\n\r\nhello",
+				      SERVE_TWO};
+	struct run r = {.method = "PUT", .deadline_us = LONG_US, .left = 2};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, &script, 1);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.status, HTTP_ANSWERED);
+	assert_int_equal(peer.requests, 2);
+}
+
+static void pieces_come_and_cancel_ends_them(void **state)
+{
+	const struct script script = {CHUNKED "5\r\nhello\r\n", HOLD};
+	struct run r = {
+		.method = "POST",
+		.deadline_us = LONG_US,
+		.left = 1,
+		.stream = true,
+		.cancel_on_piece = true,
+	};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, &script, 1);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer); /* joins once the client has closed */
+	assert_int_equal(r.pieces_len, 5);
+	assert_int_equal(r.done, 0);
+}
+
+struct counted {
+	struct net *net;
+	int by_status[HTTP_TIMED_OUT + 1];
+	int left;
+};
+
+static void count_done(void *ctx, uint64_t tag, struct http_call_result *r,
+		       int64_t now)
+{
+	struct counted *c = ctx;
+
+	(void)tag;
+	(void)now;
+	c->by_status[r->status]++;
+	if (!--c->left)
+		net_stop(c->net);
+}
+
+static void stop_loop(void *ctx, int64_t now)
+{
+	(void)now;
+	net_stop(ctx);
+}
+
+/*
+ * Three calls, one connection, a silent peer: what waited was not sent,
+ * whether the deadline or the end of the pool cuts it short.
+ */
+static void waiting_calls_are_not_sent(void **state)
+{
+	static const int64_t deadlines[] = {SHORT_US, LONG_US};
+	const struct script silent = {"", HOLD};
+	struct http_pool_options o = {.connections_max = 1,
+				      .body_limit = BODY_LIMIT};
+	struct message m = {.method = "GET", .target = (char *)"/"};
+	struct counted c;
+	struct http_pool *pool;
+	struct http_call call = {.request = &m, .ctx = &c, .done = count_done};
+	struct peer peer;
+	struct error err;
+	size_t i;
+	int n;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		peer_start(&peer, &silent, 1);
+		memset(&c, 0, sizeof(c));
+		c.left = 3;
+		c.net = net_open(&err);
+		o.addr = peer.addr;
+		pool = http_pool_open(c.net, &o, &err);
+		for (n = 0; n < 3; n++) {
+			int64_t now = clock_monotonic_us();
+
+			call.deadline_us = now + deadlines[i] / (n ? 2 : 1);
+			assert_int_not_equal(
+				http_call_start(pool, &call, now, &err), 0);
+		}
+		net_at(c.net, clock_monotonic_us() + 2 * SHORT_US, stop_loop,
+		       c.net);
+		net_run(c.net);
+		http_pool_close(pool);
+		net_close(c.net);
+		peer_stop(&peer);
+		assert_int_equal(c.by_status[HTTP_NOT_SENT], 2);
+		assert_int_equal(c.by_status[i ? HTTP_BROKEN : HTTP_TIMED_OUT],
+				 1);
+		assert_int_equal(peer.requests, 1);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_answer_has_its_status),
+		cmocka_unit_test(refused_is_not_sent),
+		cmocka_unit_test(closed_warm_connection_costs_no_call),
+		cmocka_unit_test(warm_connection_is_used_again),
+		cmocka_unit_test(pieces_come_and_cancel_ends_them),
+		cmocka_unit_test(waiting_calls_are_not_sent),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
