Find silent peers of idle links, and bound what arrives

Cause: a link without streams was never asked whether its peer lives, so control messages to a host that vanished were lost until TCP gave up; and a proved peer could have 20,000 bodies under way at once.

--- a/src/net/link.c
+++ b/src/net/link.c
@@ -226,7 +226,7 @@
 	link_queue_frame(l, &f);
 }
 
-/* A peer that is silent while streams are open is asked, then given up. */
+/* A peer that owes an answer and is silent is asked, then given up. */
 static void watch_busy(struct link *l, int64_t now)
 {
 	if (l->heard_us > l->asked_us)
@@ -282,7 +282,8 @@
 		if (l->state == LINK_BACKOFF &&
 		    now - l->retry_at_us > BACKOFF_KEPT_US)
 			link_free(l);
-		else if (l->state == LINK_UP && l->streams)
+		else if (l->state == LINK_UP &&
+			 (l->streams || l->sent_us > l->heard_us))
 			watch_busy(l, now);
 		else if (l->state == LINK_UP)
 			watch_idle(l, now);
--- a/src/net/link_impl.h
+++ b/src/net/link_impl.h
@@ -15,9 +15,10 @@
 
 #define LINK_NONCE_SIZE 32
 #define LINK_LENGTH_SIZE 4
-#define LINK_CREDIT (64 * 1024)		   /* bytes of a body sent unasked */
-#define LINK_QUEUED_MAX (64 * 1024 * 1024) /* bytes waiting on one link */
-#define LINK_STREAMS_MAX 20000		   /* opened by the other side */
+#define LINK_CREDIT (64 * 1024)		     /* bytes of a body sent unasked */
+#define LINK_QUEUED_MAX (64 * 1024 * 1024)   /* bytes waiting on one link */
+#define LINK_ARRIVING_MAX (64 * 1024 * 1024) /* then calls are refused */
+#define LINK_STREAMS_MAX 20000		     /* opened by the other side */
 
 enum link_state {
 	LINK_BACKOFF, /* the last try failed; no connection */
@@ -80,6 +81,7 @@
 	int64_t retry_at_us;
 	int64_t heard_us;
 	int64_t used_us;
+	int64_t sent_us;  /* newest control message */
 	int64_t asked_us; /* when a ping went out that is not answered */
 
 	uint8_t nonce[LINK_NONCE_SIZE];
@@ -98,7 +100,8 @@
 	struct stream *streams;
 	uint32_t next_id;
 	uint32_t last_peer_id;
-	uint32_t calls; /* outgoing streams */
+	uint32_t calls;	 /* outgoing streams */
+	size_t arriving; /* bytes of incoming calls that are not whole */
 };
 
 struct links {
--- a/src/net/link_receive.c
+++ b/src/net/link_receive.c
@@ -40,6 +40,7 @@
 	struct call_head head = s->call_head;
 	struct addr peer = s->link->peer;
 
+	s->link->arriving -= m.body.len;
 	/* The handler may answer, and the stream end, before it returns. */
 	memset(&s->message, 0, sizeof(s->message));
 	s->expected = 0;
@@ -60,6 +61,7 @@
 		return 0;
 	}
 	if (HASH_COUNT(l->streams) - l->calls >= LINK_STREAMS_MAX ||
+	    l->arriving >= LINK_ARRIVING_MAX ||
 	    !(s = stream_new(l, f->stream, false))) {
 		refuse(l, f->stream, REASON_OVERLOADED);
 		return 0;
@@ -158,6 +160,8 @@
 	if (buffer_append(body, f->body.data, f->body.len, s->expected) < 0)
 		return error_set(err, ERROR_MEMORY, "link-receive", NULL,
 				 "out of memory");
+	if (!s->outgoing)
+		l->arriving += f->body.len;
 	if (body->len < s->expected)
 		give_credit(s, f->body.len);
 	else if (s->outgoing)
--- a/src/net/link_stream.c
+++ b/src/net/link_stream.c
@@ -40,6 +40,8 @@
 	HASH_DEL(s->link->streams, s);
 	if (s->outgoing)
 		s->link->calls--;
+	else
+		s->link->arriving -= s->message.body.len;
 	table_remove(&s->link->links->handles, s->handle);
 	s->link->queued -= s->head.len + (s->body.len - s->body_sent);
 	buffer_free(&s->head);
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -244,6 +244,7 @@
 	if (link_queue_frame(link, &f) < 0)
 		return -1;
 	link->used_us = now;
+	link->sent_us = now;
 	counter_add(COUNTER_CONTROL_MESSAGES, 1);
 	counter_add(COUNTER_CONTROL_BYTES, link->queued - before);
 	return 0;
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -284,6 +284,26 @@
 	assert_int_equal(w.reports[0].tag, 2);
 }
 
+static void nodes_may_call_themselves_and_each_other(void **state)
+{
+	struct end a = w.a;
+	size_t i;
+
+	(void)state;
+	call(&w.a.addr, 1, "/1", 0, NULL);
+	call(&w.b.addr, 2, "/2", 0, NULL);
+	w.a.links = w.b.links; /* the next call is from b, to a */
+	call(&a.addr, 3, "/3", 0, NULL);
+	w.a.links = a.links;
+	run_until(&w.reported, 3);
+	call(&w.a.addr, 4, "/4", 0, NULL);
+	run_until(&w.reported, 4);
+	assert_int_equal(w.a.calls, 3);
+	assert_int_equal(w.b.calls, 1);
+	for (i = 0; i < 4; i++)
+		assert_int_equal(w.reports[i].body_len, w.reports[i].tag);
+}
+
 static void cancelled_calls_are_told_and_never_answered(void **state)
 {
 	uint64_t first;
@@ -373,6 +393,22 @@
 	assert_int_equal(w.reports[2].status, LINK_ANSWERED);
 }
 
+static void calls_are_refused_while_too_much_arrives(void **state)
+{
+	(void)state;
+	bring_up();
+	link_of(&w.b)->arriving = LINK_ARRIVING_MAX;
+	call(&w.b.addr, 1, "/1", 1, NULL);
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].outcome, OUTCOME_NOT_RUN);
+	assert_int_equal(w.reports[0].reason, REASON_OVERLOADED);
+	link_of(&w.b)->arriving = 0;
+	call(&w.b.addr, 2, "/1", 100000, NULL);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[1].outcome, OUTCOME_DONE);
+	assert_int_equal(link_of(&w.b)->arriving, 0);
+}
+
 /* An answer that can't be queued whole must not claim to be done. */
 static void an_answer_past_the_queue_is_not_called_done(void **state)
 {
@@ -552,6 +588,34 @@
 	}
 }
 
+/* A peer that never answers the connect, or never says anything. */
+static void mute_peers_are_not_sent_to(void **state)
+{
+	struct addr full, mute;
+	int lfd = listener(&mute), full_fd = listener(&full), fill[8];
+	size_t i;
+
+	(void)state;
+	listen(full_fd, 0);
+	for (i = 0; i < 8; i++) {
+		struct sockaddr_in sa = {.sin_family = AF_INET,
+					 .sin_port = htons(full.port)};
+
+		sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		fill[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)!connect(fill[i], (struct sockaddr *)&sa, sizeof(sa));
+	}
+	call(&mute, 1, "/1", 0, NULL);
+	call(&full, 2, "/1", 0, NULL);
+	run_until(&w.reported, 2);
+	assert_int_equal(w.reports[0].status, LINK_NOT_SENT);
+	assert_int_equal(w.reports[1].status, LINK_NOT_SENT);
+	for (i = 0; i < 8; i++)
+		close(fill[i]);
+	close(lfd);
+	close(full_fd);
+}
+
 /* The opener's hello comes back to it, or is relayed to another node. */
 static void reflected_and_relayed_hellos_are_refused(void **state)
 {
@@ -718,6 +782,20 @@
 	assert_int_equal(w.reports[0].status, LINK_LOST);
 }
 
+/* A control message that nobody acknowledges leads to a ping as well. */
+static void a_silent_peer_loses_its_idle_link(void **state)
+{
+	struct peer_msg m = {.kind = PEER_NOTES_PULL};
+
+	(void)state;
+	bring_up();
+	tick_for(&w.a, 5 * USEC_PER_SEC);
+	assert_int_equal(links_count(w.a.links), 1);
+	links_send(w.a.links, &w.b.addr, &m, w.a.links->ticked_us);
+	tick_for(&w.a, 4 * USEC_PER_SEC);
+	assert_int_equal(links_count(w.a.links), 0);
+}
+
 static void a_pause_of_this_process_blames_nobody(void **state)
 {
 	int64_t now;
@@ -762,19 +840,23 @@
 		TEST(whole_bodies_go_both_ways),
 		TEST(each_gets_its_own_answer_in_any_order),
 		TEST(a_big_answer_holds_no_small_one_back),
+		TEST(nodes_may_call_themselves_and_each_other),
 		TEST(cancelled_calls_are_told_and_never_answered),
 		TEST(a_wrong_secret_carries_nothing),
 		TEST(an_absent_peer_is_not_sent_to_and_backed_off),
 		TEST(lost_links_are_told_on_both_sides),
 		TEST(bodies_past_the_limit_are_refused),
+		TEST(calls_are_refused_while_too_much_arrives),
 		TEST(an_answer_past_the_queue_is_not_called_done),
 		TEST(control_messages_come_with_their_sender),
 		TEST(forged_datagrams_are_counted_and_dropped),
 		TEST(strangers_are_turned_away),
+		TEST(mute_peers_are_not_sent_to),
 		TEST(reflected_and_relayed_hellos_are_refused),
 		TEST(violations_end_the_link),
 		TEST(false_bodies_and_credits_end_the_link),
 		TEST(a_silent_peer_is_given_up_within_3_s),
+		TEST(a_silent_peer_loses_its_idle_link),
 		TEST(a_pause_of_this_process_blames_nobody),
 		TEST(idle_links_close_without_cutting_a_call),
 		cmocka_unit_test(false_lengths_are_refused_before_memory),
--- a/tools/members_slope.c
+++ b/tools/members_slope.c
@@ -137,7 +137,8 @@
 
 	while ((p = group.packets) && p->due_us <= group.now) {
 		DL_DELETE(group.packets, p);
-		if (!peer_msg_decode(&msg, p->bytes.data, p->bytes.len, NULL)) {
+		if (group.nodes[p->to].m &&
+		    !peer_msg_decode(&msg, p->bytes.data, p->bytes.len, NULL)) {
 			members_receive(group.nodes[p->to].m, &msg, group.now);
 			peer_msg_free(&msg);
 		}
@@ -146,6 +147,17 @@
 	}
 }
 
+static void drop_packets(void)
+{
+	struct packet *p;
+
+	while ((p = group.packets)) {
+		DL_DELETE(group.packets, p);
+		buffer_free(&p->bytes);
+		free(p);
+	}
+}
+
 static void step(void)
 {
 	size_t i;
@@ -153,8 +165,9 @@
 	group.now += STEP_US;
 	deliver();
 	for (i = 0; i < group.n; i++)
-		if ((group.now / STEP_US + (int64_t)i) % (TICK_US / STEP_US) ==
-		    0)
+		if (group.nodes[i].m &&
+		    (group.now / STEP_US + (int64_t)i) % (TICK_US / STEP_US) ==
+			    0)
 			members_tick(group.nodes[i].m, group.now);
 }
 
@@ -190,16 +203,11 @@
 
 static void group_end(void)
 {
-	struct packet *p;
 	size_t i;
 
 	for (i = 0; i < group.n; i++)
 		members_free(group.nodes[i].m);
-	while ((p = group.packets)) {
-		DL_DELETE(group.packets, p);
-		buffer_free(&p->bytes);
-		free(p);
-	}
+	drop_packets();
 }
 
 static bool all_know(const struct member_info *self)
@@ -230,6 +238,48 @@
 	return (double)(group.now - start) / USEC_PER_SEC;
 }
 
+static bool is_lost(size_t i)
+{
+	return i % DATA_CENTRES == 0;
+}
+
+static bool all_know_the_lost(void)
+{
+	size_t i, lost = (group.n + DATA_CENTRES - 1) / DATA_CENTRES;
+
+	for (i = 0; i < group.n; i++)
+		if (group.nodes[i].m &&
+		    members_count(group.nodes[i].m, MEMBER_DEAD) < lost)
+			return false;
+	return true;
+}
+
+/* A whole data centre fails at once. */
+static void measure_loss(size_t n)
+{
+	int64_t start;
+	double seconds;
+	size_t i;
+
+	group_start(n);
+	run_for(SETTLE_S);
+	for (i = 0; i < n; i++) {
+		if (!is_lost(i))
+			continue;
+		members_free(group.nodes[i].m);
+		group.nodes[i].m = NULL;
+	}
+	group.bytes = 0;
+	start = group.now;
+	while (!all_know_the_lost() && group.now - start < START_US)
+		step();
+	seconds = (double)(group.now - start) / USEC_PER_SEC;
+	print_measure("data_centre_dead_known_s", seconds, "s", n);
+	print_measure("data_centre_dead_bytes_s",
+		      (double)group.bytes / (double)n / seconds, "B/s", n);
+	group_end();
+}
+
 static void measure_group(size_t n)
 {
 	double quiet_bytes, known_s = 0, slowest_s = 0;
@@ -414,6 +464,8 @@
 	log_set_level(LOG_CRIT);
 	for (i = 0; i < sizeof(groups) / sizeof(*groups); i++)
 		measure_group(groups[i]);
+	for (i = 0; i < sizeof(groups) / sizeof(*groups); i++)
+		measure_loss(groups[i]);
 	for (i = 0; i < sizeof(tables) / sizeof(*tables); i++)
 		measure_one(tables[i]);
 	return 0;
