--- a/test/test_links.c
+++ b/test/test_links.c
@@ -17,6 +17,9 @@
 #define TICKS_MAX 20000 /* of the loop before a test gives up */
 #define BODY_LIMIT (4 * 1024 * 1024)
 #define HELD_MAX 64
+#define HELLO_SIZE 40 /* the three parts of a handshake */
+#define REPLY_SIZE 114
+#define PROOF_SIZE 74
 
 static const uint8_t secret[SECRET_SIZE] = {7};
 static const uint8_t other_secret[SECRET_SIZE] = {8};
@@ -620,7 +623,7 @@
 static void reflected_and_relayed_hellos_are_refused(void **state)
 {
 	uint64_t failures = counter_get(COUNTER_AUTH_FAILURES);
-	uint8_t hello[40], reply[256] = {0};
+	uint8_t hello[HELLO_SIZE], reply[REPLY_SIZE] = {0};
 	struct addr middle;
 	int lfd = listener(&middle), fd, onward;
 
@@ -629,7 +632,7 @@
 	fd = accept_one(lfd);
 	run_until_received(fd, hello, sizeof(hello));
 	memcpy(reply, hello, sizeof(hello));
-	assert_int_equal(send(fd, reply, 114, 0), 114);
+	assert_int_equal(send(fd, reply, REPLY_SIZE, 0), REPLY_SIZE);
 	run_until_closed(fd);
 	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 1);
 
@@ -639,9 +642,9 @@
 	fd = accept_one(lfd);
 	run_until_received(fd, hello, sizeof(hello));
 	onward = dial(&w.b.addr);
-	assert_int_equal(send(onward, hello, sizeof(hello), 0), 40);
-	run_until_received(onward, reply, 114);
-	assert_int_equal(send(fd, reply, 114, 0), 114);
+	assert_int_equal(send(onward, hello, HELLO_SIZE, 0), HELLO_SIZE);
+	run_until_received(onward, reply, REPLY_SIZE);
+	assert_int_equal(send(fd, reply, REPLY_SIZE, 0), REPLY_SIZE);
 	run_until_closed(fd);
 	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 2);
 	close(onward);
@@ -652,6 +655,58 @@
 	assert_int_equal(w.b.calls, 0);
 }
 
+/* Passes n bytes on, and keeps them; the loop runs meanwhile. */
+static void relay(int from, int to, uint8_t *bytes, size_t n)
+{
+	run_until_received(from, bytes, n);
+	assert_int_equal(send(to, bytes, n, 0), n);
+}
+
+/*
+ * A listener in the middle passes a handshake on unchanged, as any network
+ * may. What it kept is worth nothing on another connection, and a byte that
+ * it changes later ends the link before the call is read.
+ */
+static void replayed_and_changed_bytes_are_refused(void **state)
+{
+	uint64_t failures = counter_get(COUNTER_AUTH_FAILURES);
+	uint8_t hello[HELLO_SIZE], proof[PROOF_SIZE], bytes[REPLY_SIZE];
+	struct addr middle;
+	int lfd = listener(&middle), fd, onward, again;
+
+	(void)state;
+	w.b.links->addr.port = middle.port;
+	call(&middle, 1, "/1", 0, NULL);
+	fd = accept_one(lfd);
+	onward = dial(&w.b.addr);
+	relay(fd, onward, hello, HELLO_SIZE);
+	relay(onward, fd, bytes, REPLY_SIZE);
+	relay(fd, onward, proof, PROOF_SIZE);
+	while (!links_count(w.b.links))
+		step();
+	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures);
+
+	again = dial(&w.b.addr);
+	assert_int_equal(send(again, hello, HELLO_SIZE, 0), HELLO_SIZE);
+	run_until_received(again, bytes, REPLY_SIZE);
+	assert_int_equal(send(again, proof, PROOF_SIZE, 0), PROOF_SIZE);
+	run_until_closed(again);
+	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 1);
+
+	run_until_received(fd, bytes, 60);
+	bytes[50] ^= 1;
+	assert_int_equal(send(onward, bytes, 60, 0), 60);
+	while (recv(fd, bytes, 1, MSG_DONTWAIT) == 1)
+		assert_int_equal(send(onward, bytes, 1, 0), 1);
+	run_until_closed(onward);
+	assert_int_equal(counter_get(COUNTER_AUTH_FAILURES), failures + 2);
+	assert_int_equal(w.b.calls, 0);
+	close(fd);
+	run_until(&w.reported, 1);
+	assert_int_equal(w.reports[0].status, LINK_LOST);
+	close(lfd);
+}
+
 /* A proved peer that breaks the rules loses its link, and nothing else. */
 static void violations_end_the_link(void **state)
 {
@@ -853,6 +908,7 @@
 		TEST(strangers_are_turned_away),
 		TEST(mute_peers_are_not_sent_to),
 		TEST(reflected_and_relayed_hellos_are_refused),
+		TEST(replayed_and_changed_bytes_are_refused),
 		TEST(violations_end_the_link),
 		TEST(false_bodies_and_credits_end_the_link),
 		TEST(a_silent_peer_is_given_up_within_3_s),
