--- /dev/null
+++ b/test/claims_world.h
@@ -0,0 +1,229 @@
+/*
+ * Nodes that share a memory store, and what became of their requests. Each
+ * program that tests claims includes it once.
+ */
+#ifndef TEST_CLAIMS_WORLD_H
+#define TEST_CLAIMS_WORLD_H
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "control/control.h"
+
+#define NODES 3
+#define TICK_US (5 * USEC_PER_MSEC)
+#define DEADLINE_MS 500
+#define REQUESTS_MAX 4096
+#define KEYS 32
+#define HOUR_MS (3600 * 1000)
+
+/* Members as the claims see them: one row for each node. */
+struct members {
+	struct member_info rows[NODES];
+};
+
+struct request {
+	int node;
+	int key;
+	int reports;
+	enum claim_state state;
+	uint64_t claim;
+	int status;
+	size_t body_len;
+	bool ended;
+};
+
+static struct {
+	struct memory_store *memory;
+	struct store *stores[NODES];
+	struct claims *claims[NODES];
+	struct members members;
+	bool paused[NODES];
+	int64_t now;
+	struct request requests[REQUESTS_MAX];
+	int request_count;
+	int fresh[KEYS];
+	int held[KEYS]; /* fresh and not released */
+	bool finished[KEYS];
+	char *json;
+} world;
+
+const struct member_info *members_find(const struct members *m,
+				       const struct addr *nodes)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		if (addr_equal(&m->rows[i].nodes, nodes))
+			return &m->rows[i];
+	return NULL;
+}
+
+static inline void start_node(int i, uint64_t incarnation)
+{
+	struct member_info *m = &world.members.rows[i];
+	struct claims_options o = {.members = &world.members,
+				   .incarnation = incarnation};
+	char text[ADDR_TEXT_SIZE];
+
+	snprintf(text, sizeof(text), "127.0.0.1:%d", 7000 + i);
+	addr_parse(&m->nodes, text);
+	m->incarnation = incarnation;
+	m->state = MEMBER_ALIVE;
+	world.stores[i] = store_open_memory(world.memory);
+	o.store = world.stores[i];
+	o.self = m->nodes;
+	world.claims[i] = claims_new(&o, world.now);
+}
+
+/* The process ends without another word; others learn of it later. */
+static inline void crash_node(int i)
+{
+	store_close(world.stores[i]);
+	claims_free(world.claims[i]);
+	world.claims[i] = NULL;
+	world.stores[i] = NULL;
+}
+
+static inline int set_up(void **state)
+{
+	int i;
+
+	(void)state;
+	memset(&world, 0, sizeof(world));
+	world.memory = memory_store_new();
+	for (i = 0; i < NODES; i++)
+		start_node(i, 1);
+	/* Past the time in which members are still being learnt. */
+	world.now = 60 * USEC_PER_SEC;
+	return 0;
+}
+
+static inline int tear_down(void **state)
+{
+	int i;
+
+	(void)state;
+	for (i = 0; i < NODES; i++)
+		if (world.claims[i])
+			crash_node(i);
+	memory_store_free(world.memory);
+	free(world.json);
+	return 0;
+}
+
+static inline void run_ms(int64_t ms)
+{
+	int64_t until = world.now + ms * USEC_PER_MSEC;
+	int i;
+
+	for (; world.now < until; world.now += TICK_US)
+		for (i = 0; i < NODES; i++) {
+			if (!world.claims[i] || world.paused[i])
+				continue;
+			store_tick(world.stores[i], world.now);
+			claims_tick(world.claims[i], world.now);
+		}
+}
+
+static inline void on_state(void *ctx, uint64_t tag, enum claim_state state,
+			    uint64_t claim, const struct message *answer,
+			    int64_t now)
+{
+	struct request *r = &world.requests[tag];
+
+	(void)ctx;
+	(void)now;
+	r->reports++;
+	r->state = state;
+	r->claim = claim;
+	r->status = answer ? answer->status : 0;
+	r->body_len = answer ? answer->body.len : 0;
+	if (state == CLAIM_FRESH) {
+		world.fresh[r->key]++;
+		assert_int_equal(++world.held[r->key], 1);
+	}
+	if (state == CLAIM_DONE)
+		assert_true(world.finished[r->key]);
+}
+
+static inline struct request *begin(int node, int key, uint64_t fingerprint)
+{
+	struct request *r = &world.requests[world.request_count];
+	struct claim_done done = {.tag = (uint64_t)world.request_count++,
+				  .fn = on_state};
+	char name[16];
+
+	memset(r, 0, sizeof(*r));
+	r->node = node;
+	r->key = key;
+	snprintf(name, sizeof(name), "key-%d", key);
+	claims_begin(world.claims[node], "acme", "issue", name, fingerprint,
+		     "request-1", world.now + DEADLINE_MS * USEC_PER_MSEC,
+		     &done, world.now);
+	return r;
+}
+
+static inline void finish(struct request *r, size_t body_len)
+{
+	struct message m = {.status = 201};
+	char *body = calloc(1, body_len + 1);
+
+	world.finished[r->key] = true;
+	message_add_header(&m, "content-type", "text/plain");
+	buffer_append(&m.body, body, body_len, SIZE_MAX);
+	claims_finish(world.claims[r->node], r->claim, &m, world.now);
+	message_free(&m);
+	free(body);
+}
+
+static inline void set_faults(int node, struct store_faults f)
+{
+	store_set_faults(world.stores[node], &f);
+}
+
+static inline enum claim_state repeat(int node, int key)
+{
+	struct request *r = begin(node, key, 1);
+
+	run_ms(DEADLINE_MS + 10);
+	assert_int_equal(r->reports, 1);
+	return r->state;
+}
+
+enum end {
+	END_FINISH,
+	END_FINISH_LARGE,
+	END_RELEASE,
+	END_ABANDON,
+	END_NOT_TOLD,
+};
+
+static inline void end_request(struct request *r, enum end end)
+{
+	switch (end) {
+	case END_FINISH:
+		finish(r, 100);
+		break;
+	case END_FINISH_LARGE:
+		finish(r, 100000);
+		break;
+	case END_RELEASE:
+		world.held[r->key]--;
+		claims_release(world.claims[r->node], r->claim, world.now);
+		break;
+	case END_ABANDON:
+		claims_abandon(world.claims[r->node], r->claim, world.now);
+		break;
+	case END_NOT_TOLD:
+		break;
+	}
+}
+
+#endif
--- /dev/null
+++ b/test/test_claims_random.c
@@ -0,0 +1,105 @@
+#include "claims_world.h"
+
+#include <gsl/gsl_rng.h>
+
+#define SEEDS 60
+#define STEPS 400
+
+/* The first request from a place on that runs on a node at work. */
+static struct request *first_held(unsigned long from)
+{
+	int i, n = world.request_count;
+
+	for (i = 0; i < n; i++) {
+		struct request *r = &world.requests[((int)from + i) % n];
+
+		if (r->reports && r->state == CLAIM_FRESH && !r->ended &&
+		    !world.paused[r->node])
+			return r;
+	}
+	return NULL;
+}
+
+/* One thing that happens to a random node or request. */
+static void random_step(gsl_rng *rng, uint64_t *incarnation)
+{
+	int node = (int)gsl_rng_uniform_int(rng, NODES);
+	static const enum end ends[] = {END_FINISH, END_RELEASE, END_ABANDON};
+	struct store_faults f = {0};
+	struct request *r;
+	int i;
+
+	switch (gsl_rng_uniform_int(rng, 12)) {
+	case 0:
+		f.down = gsl_rng_uniform_int(rng, 2);
+		f.lose_answer = gsl_rng_uniform_int(rng, 2);
+		f.latency_us = (int64_t)gsl_rng_uniform_int(rng, 3000000);
+		set_faults(node, f);
+		break;
+	case 1:
+	case 2:
+		set_faults(node, f);
+		break;
+	case 3:
+		crash_node(node);
+		start_node(node, ++*incarnation);
+		for (i = 0; i < world.request_count; i++)
+			if (world.requests[i].node == node)
+				world.requests[i].ended = true;
+		break;
+	case 4:
+		world.paused[node] = !world.paused[node];
+		world.members.rows[node].state =
+			world.paused[node] ? MEMBER_DEAD : MEMBER_ALIVE;
+		break;
+	case 5:
+	case 6:
+	case 7:
+		r = first_held(gsl_rng_uniform_int(rng, REQUESTS_MAX));
+		if (!r)
+			break;
+		r->ended = true;
+		end_request(r, ends[gsl_rng_uniform_int(rng, 3)]);
+		break;
+	default:
+		begin(node, (int)gsl_rng_uniform_int(rng, KEYS), 1);
+	}
+}
+
+/* on_state checks that no key is fresh again unless it was released. */
+static void random_faults_never_make_a_key_fresh_twice(void **state)
+{
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+	int key, step, fresh = 0, finished = 0;
+	unsigned long seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		uint64_t incarnation = 1;
+
+		gsl_rng_set(rng, seed);
+		set_up(state);
+		for (step = 0; step < STEPS; step++) {
+			random_step(rng, &incarnation);
+			run_ms((int64_t)gsl_rng_uniform_int(rng, 200));
+		}
+		for (key = 0; key < KEYS; key++) {
+			fresh += world.fresh[key];
+			finished += world.finished[key];
+		}
+		tear_down(state);
+	}
+	/* The faults leave enough of the ordinary course to be worth it. */
+	assert_true(fresh > (int)SEEDS * KEYS / 2);
+	assert_true(finished > (int)SEEDS * KEYS / 8);
+	gsl_rng_free(rng);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(random_faults_never_make_a_key_fresh_twice),
+	};
+
+	log_set_level(LOG_CRIT);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
