--- a/src/net/net.c
+++ b/src/net/net.c
@@ -22,6 +22,10 @@
 	char iface[ADDR_TEXT_SIZE];
 };
 
+/*
+ * Failures reach whoever made the call or owns the connection, with the
+ * peer; the library's own words only help to look closer.
+ */
 static void log_library(int level, const char *text)
 {
 	struct log_line line;
@@ -34,7 +38,7 @@
 		n = sizeof(copy) - 1;
 	memcpy(copy, text, n);
 	copy[n] = 0;
-	log_start(&line, LOG_ERR, "net-library");
+	log_start(&line, LOG_DEBUG, "net-library");
 	log_str(&line, "text", copy);
 	log_emit(&line);
 }
