Test the store's client over sockets

A scripted server gives refusals, half answers, garbage, silence and ended streams; a table holds what each must be reported as. With a silent store every call of a flood is reported, and the server has seen no call that was reported as not done. Old watch streams are replaced from the next revision.

--- /dev/null
+++ b/test/test_etcd.c
@@ -0,0 +1,406 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/net.h"
+#include "store/store.h"
+
+#define CALL_TIMEOUT_US (300 * USEC_PER_MSEC)
+#define TICK_US (5 * USEC_PER_MSEC)
+#define FLOOD 400
+
+#define CHUNKS_MAX 4
+
+/* A body with its status, chunks, or bytes that are no HTTP at all. */
+struct reply {
+	const char *raw;
+	const char *body;
+	const char *chunks[CHUNKS_MAX];
+	int status;
+	int missing; /* bytes of the body that never come */
+	bool hold;   /* keeps the connection open */
+};
+
+/* A server that answers each request alike. */
+struct server {
+	int fd;
+	struct addr addr;
+	const struct reply *reply;
+	pthread_mutex_t mutex;
+	char request[4096]; /* the newest one */
+	int requests;
+};
+
+#define SERVERS_MAX 32
+
+/* Threads of past tests may still look at theirs. */
+static struct server servers[SERVERS_MAX];
+static int server_count;
+
+struct connection {
+	struct server *server;
+	int fd;
+};
+
+static void read_request(struct connection *c, char *buf, size_t size)
+{
+	const char *length, *body;
+	size_t len = 0;
+	ssize_t n;
+
+	while ((n = read(c->fd, buf + len, size - 1 - len)) > 0) {
+		len += (size_t)n;
+		buf[len] = 0;
+		body = strstr(buf, "\r\n\r\n");
+		length = strcasestr(buf, "content-length:");
+		if (body && length &&
+		    strlen(body + 4) >= strtoul(length + 15, NULL, 10))
+			return;
+	}
+}
+
+static void write_reply(int fd, const struct reply *r)
+{
+	int i;
+
+	if (r->raw) {
+		dprintf(fd, "%s", r->raw);
+	} else if (r->body) {
+		dprintf(fd, "HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%s",
+			r->status, (int)strlen(r->body) + r->missing, r->body);
+	} else {
+		dprintf(fd, "HTTP/1.1 200 -\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n");
+		for (i = 0; i < CHUNKS_MAX && r->chunks[i]; i++)
+			dprintf(fd, "%zx\r\n%s\r\n", strlen(r->chunks[i]),
+				r->chunks[i]);
+		if (!r->hold)
+			dprintf(fd, "0\r\n\r\n");
+	}
+}
+
+static void *serve(void *arg)
+{
+	struct connection *c = arg;
+	struct server *s = c->server;
+	char buf[4096] = "", rest;
+
+	read_request(c, buf, sizeof(buf));
+	pthread_mutex_lock(&s->mutex);
+	memcpy(s->request, buf, sizeof(buf));
+	s->requests += *buf != 0;
+	pthread_mutex_unlock(&s->mutex);
+	write_reply(c->fd, s->reply);
+	while (s->reply->hold && read(c->fd, &rest, 1) > 0)
+		;
+	close(c->fd);
+	free(c);
+	return NULL;
+}
+
+static void *accept_all(void *arg)
+{
+	struct server *s = arg;
+	pthread_t thread;
+	int fd;
+
+	while ((fd = accept(s->fd, NULL, NULL)) >= 0) {
+		struct connection *c = malloc(sizeof(*c));
+
+		c->server = s;
+		c->fd = fd;
+		pthread_create(&thread, NULL, serve, c);
+		pthread_detach(thread);
+	}
+	return NULL;
+}
+
+static struct server *start_server(const struct reply *reply)
+{
+	struct sockaddr_in in = {.sin_family = AF_INET};
+	struct server *s = &servers[server_count++];
+	socklen_t len = sizeof(in);
+	char text[ADDR_TEXT_SIZE];
+	pthread_t thread;
+
+	in.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	s->reply = reply;
+	pthread_mutex_init(&s->mutex, NULL);
+	s->fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(bind(s->fd, (struct sockaddr *)&in, len), 0);
+	assert_int_equal(listen(s->fd, 64), 0);
+	getsockname(s->fd, (struct sockaddr *)&in, &len);
+	snprintf(text, sizeof(text), "127.0.0.1:%d", ntohs(in.sin_port));
+	addr_parse(&s->addr, text);
+	pthread_create(&thread, NULL, accept_all, s);
+	pthread_detach(thread);
+	return s;
+}
+
+static struct {
+	struct net *net;
+	struct store *store;
+	int awaited; /* reports until the loop is stopped */
+	int outcomes[STORE_UNKNOWN + 1];
+	int64_t revision;
+	char watched[256];
+	int64_t skip_us; /* added to the time that ticks are told */
+} t;
+
+static void report(void)
+{
+	if (!--t.awaited)
+		net_stop(t.net);
+}
+
+static void on_tick(void *ctx, int64_t now)
+{
+	(void)ctx;
+	if (t.store)
+		store_tick(t.store, now + t.skip_us);
+}
+
+static void open_store(const struct addr *a)
+{
+	struct store_options o = {.kind = STORE_ETCD, .addr = *a};
+	struct error err;
+
+	memset(&t, 0, sizeof(t));
+	t.net = net_open(&err);
+	assert_non_null(t.net);
+	o.net = t.net;
+	t.store = store_open(&o, &err);
+	assert_non_null(t.store);
+	net_every(t.net, TICK_US, on_tick, NULL);
+}
+
+static void close_store(void)
+{
+	store_close(t.store);
+	net_close(t.net);
+}
+
+static void on_done(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	(void)ctx;
+	(void)tag;
+	(void)now;
+	t.outcomes[r->outcome]++;
+	t.revision = r->revision;
+	report();
+}
+
+static void put(void)
+{
+	struct store_write write = {"k", "v", 1, 0, false};
+	struct store_op op = {.kind = STORE_TXN,
+			      .timeout_us = CALL_TIMEOUT_US,
+			      .txn = {.writes = &write, .write_count = 1}};
+	struct store_done done = {.fn = on_done};
+
+	t.awaited++;
+	store_submit(t.store, &op, &done, clock_monotonic_us());
+}
+
+struct reply_case {
+	struct reply reply;
+	enum store_outcome outcome;
+};
+
+static void only_certain_failures_are_not_done(void **state)
+{
+	static const struct reply_case cases[] = {
+		{{.status = 200,
+		  .body = "{\"header\":{},\"succeeded\":true}",
+		  .hold = true},
+		 STORE_DONE},
+		{{.status = 400,
+		  .body = "{\"code\":3,\"message\":\"duplicate key\"}",
+		  .hold = true},
+		 STORE_NOT_DONE},
+		{{.status = 503,
+		  .body = "{\"code\":14,\"message\":\"leader changed\"}",
+		  .hold = true},
+		 STORE_UNKNOWN},
+		{{.status = 400, .body = "<p/>", .hold = true}, STORE_UNKNOWN},
+		{{.status = 200, .body = "{}", .hold = true}, STORE_UNKNOWN},
+		{{.status = 200, .body = "{\"he", .missing = 9}, STORE_UNKNOWN},
+		{{.status = 200, .body = "{", .missing = 9, .hold = true},
+		 STORE_UNKNOWN},
+		{{.raw = "garbage\r\n\r\n"}, STORE_UNKNOWN},
+		/* Closed without an answer, and silent past the timeout. */
+		{{.raw = ""}, STORE_UNKNOWN},
+		{{.raw = "", .hold = true}, STORE_UNKNOWN},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct server *s = start_server(&cases[i].reply);
+
+		open_store(&s->addr);
+		put();
+		net_run(t.net);
+		assert_int_equal(t.outcomes[cases[i].outcome], 1);
+		close_store();
+		shutdown(s->fd, SHUT_RDWR);
+	}
+}
+
+static void a_store_that_is_down_did_nothing(void **state)
+{
+	static const struct reply none = {.raw = ""};
+	struct server *s = start_server(&none);
+
+	(void)state;
+	shutdown(s->fd, SHUT_RDWR);
+	close(s->fd);
+	open_store(&s->addr);
+	put();
+	net_run(t.net);
+	assert_int_equal(t.outcomes[STORE_NOT_DONE], 1);
+	close_store();
+}
+
+/* Calls beyond those in flight wait, and end without having been sent. */
+static void a_silent_store_ends_every_call(void **state)
+{
+	static const struct reply silent = {.raw = "", .hold = true};
+	struct server *s = start_server(&silent);
+	int i;
+
+	(void)state;
+	open_store(&s->addr);
+	for (i = 0; i < FLOOD; i++)
+		put();
+	net_run(t.net);
+	assert_int_equal(t.outcomes[STORE_UNKNOWN] + t.outcomes[STORE_NOT_DONE],
+			 FLOOD);
+	assert_true(t.outcomes[STORE_NOT_DONE] > 0);
+	pthread_mutex_lock(&s->mutex);
+	assert_in_range(s->requests, 1, t.outcomes[STORE_UNKNOWN]);
+	pthread_mutex_unlock(&s->mutex);
+	close_store();
+	shutdown(s->fd, SHUT_RDWR);
+}
+
+static void on_event(void *ctx, const struct store_entry *e, int64_t now)
+{
+	size_t n = strlen(t.watched);
+
+	(void)ctx;
+	(void)now;
+	snprintf(t.watched + n, sizeof(t.watched) - n, "%s=%.*s@%d ", e->key,
+		 e->value ? (int)e->len : 4,
+		 e->value ? (const char *)e->value : "gone",
+		 (int)e->mod_revision);
+	report();
+}
+
+static void on_ended(void *ctx, const struct error *err, int64_t now)
+{
+	size_t n = strlen(t.watched);
+
+	(void)ctx;
+	(void)now;
+	snprintf(t.watched + n, sizeof(t.watched) - n, "ended:%s", err->text);
+	report();
+}
+
+#define CREATED "{\"result\":{\"header\":{\"revision\":\"6\"}}}\n"
+#define WRITTEN                                               \
+	"{\"result\":{\"events\":[{\"kv\":{\"key\":\"cC9h\"," \
+	"\"mod_revision\":\"7\",\"value\":\"dg==\"}}]}}\n"
+#define REMOVED                                                  \
+	"{\"result\":{\"events\":[{\"type\":\"DELETE\",\"kv\":{" \
+	"\"key\":\"cC9h\",\"mod_revision\":\"8\"}}]}}\n"
+#define CANCELED "{\"result\":{\"canceled\":true,\"compact_revision\":\"9\"}}\n"
+
+struct watch_case {
+	struct reply reply;
+	int reports;
+	const char *watched;
+};
+
+static void watches_tell_events_and_their_end(void **state)
+{
+	static const struct watch_case cases[] = {
+		{{.chunks = {CREATED, WRITTEN REMOVED}, .hold = true},
+		 2,
+		 "p/a=v@7 p/a=gone@8 "},
+		/* A message in three chunks. */
+		{{.chunks = {CREATED "{\"result\":{\"eve", "nts\":[{\"kv\":{",
+			     "\"key\":\"cC9h\",\"mod_revision\":\"7\"}}]}}\n"},
+		  .hold = true},
+		 1,
+		 "p/a=@7 "},
+		{{.chunks = {CREATED}}, 1, "ended:the stream ended"},
+		{{.chunks = {"garbage\n"}, .hold = true},
+		 1,
+		 "ended:answer is not the gateway's"},
+		{{.chunks = {CANCELED}, .hold = true},
+		 1,
+		 "ended:ended by the store, compacted at revision 9"},
+		{{.raw = ""}, 1, "ended:read failed"},
+	};
+	struct store_watch w = {"p/", 6, NULL, on_event, on_ended};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct server *s = start_server(&cases[i].reply);
+
+		open_store(&s->addr);
+		t.awaited = cases[i].reports;
+		store_watch_start(t.store, &w, clock_monotonic_us());
+		net_run(t.net);
+		assert_string_equal(t.watched, cases[i].watched);
+		assert_non_null(strstr(s->request, "\"start_revision\":\"6\""));
+		close_store();
+		shutdown(s->fd, SHUT_RDWR);
+	}
+}
+
+/* The stream may have died unseen, so another follows it. */
+static void an_old_stream_is_replaced_without_a_gap(void **state)
+{
+	static const struct reply reply = {.chunks = {WRITTEN}, .hold = true};
+	struct store_watch w = {"p/", 6, NULL, on_event, on_ended};
+	struct server *s = start_server(&reply);
+
+	(void)state;
+	open_store(&s->addr);
+	t.awaited = 1;
+	store_watch_start(t.store, &w, clock_monotonic_us());
+	net_run(t.net);
+	t.skip_us = 31 * USEC_PER_SEC;
+	t.awaited = 1;
+	net_run(t.net);
+	assert_non_null(strstr(s->request, "\"start_revision\":\"8\""));
+	close_store();
+	shutdown(s->fd, SHUT_RDWR);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(only_certain_failures_are_not_done),
+		cmocka_unit_test(a_store_that_is_down_did_nothing),
+		cmocka_unit_test(a_silent_store_ends_every_call),
+		cmocka_unit_test(watches_tell_events_and_their_end),
+		cmocka_unit_test(an_old_stream_is_replaced_without_a_gap),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
