Hold account limits over all hosts with slices and loans

Cause: no account may pass its rate and burst counted over all hosts, and no coordinator may stand in the path. Change: a ledger in the store splits each account into slices, moved only by compare-and-swap on pool and slice; nodes without tokens borrow from homes in their data centre. Shared test parts are an archive, so that a test can bring its own members.

--- a/Makefile
+++ b/Makefile
@@ -40,39 +40,44 @@
 
 $(BUILD)/opt/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(WARN) $(OPT) -MMD -c -o $@ $<
+	@echo "CC $<"
+	@$(CC) $(CPPFLAGS) $(WARN) $(OPT) -MMD -c -o $@ $<
 
 $(BUILD)/san/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(WARN) $(SAN) -MMD -c -o $@ $<
+	@echo "CC (sanitized) $<"
+	@$(CC) $(CPPFLAGS) $(WARN) $(SAN) -MMD -c -o $@ $<
 
 $(BUILD)/libmulberryferry.a: $(OBJ)
-	rm -f $@ && ar rcs $@ $^
+	@rm -f $@ && ar rcs $@ $^
 
 $(BUILD)/libmulberryferry-san.a: $(SANOBJ)
-	rm -f $@ && ar rcs $@ $^
+	@rm -f $@ && ar rcs $@ $^
 
 $(BUILD)/mulberryferry: $(BUILD)/opt/src/main.o $(BUILD)/libmulberryferry.a
-	$(CC) -o $@ $^ $(LDLIBS)
+	@$(CC) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/mulberryferry-san: $(BUILD)/san/src/main.o \
 		$(BUILD)/libmulberryferry-san.a
-	$(CC) $(SAN) -o $@ $^ $(LDLIBS)
+	@$(CC) $(SAN) -o $@ $^ $(LDLIBS)
 
 $(BUILD)/tools/%: $(BUILD)/opt/tools/%.o $(BUILD)/libmulberryferry.a
 	@mkdir -p $(@D)
-	$(CC) -o $@ $^ $(LDLIBS)
+	@$(CC) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/test/%: $(BUILD)/san/test/%.o \
-		$(TESTLIB:%.c=$(BUILD)/san/%.o) $(BUILD)/libmulberryferry-san.a
+# Shared parts of tests: an archive, so that each test takes what it names.
+$(BUILD)/libtest.a: $(TESTLIB:%.c=$(BUILD)/san/%.o)
+	@mkdir -p $(@D) && rm -f $@ && ar rcs $@ $^
+
+$(BUILD)/test/%: $(BUILD)/san/test/%.o $(BUILD)/libtest.a \
+		$(BUILD)/libmulberryferry-san.a
 	@mkdir -p $(@D)
-	$(CC) $(SAN) -o $@ $^ $(LDLIBS) -lcmocka
+	@$(CC) $(SAN) -o $@ $^ $(LDLIBS) -lcmocka
 
-# Runs each unit test program, then each script that drives processes.
+# Runs each unit test program, four at a time, and prints each one whole.
 unit: $(TESTBIN)
-	@for t in $(TESTBIN); do \
-		echo "== $$t"; $$t || exit 1; \
-	done
+	@printf '%s\n' $(TESTBIN) | xargs -P 4 -I{} sh -c \
+		'{} >{}.log 2>&1; rc=$$?; echo "== {}"; cat {}.log; exit $$rc'
 
 scripts: all san
 	@for t in $(SCRIPTS); do \
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -112,6 +112,8 @@
 	struct control_io io;
 	struct store *store;
 	struct members *members;
+	struct addr self;
+	uint64_t incarnation;
 	uint64_t seed;
 	void *ctx;
 	/* Tokens of this account came in; waiting requests may try again. */
@@ -219,6 +221,7 @@
 	int64_t took_us; /* queueing time, or time to the answer */
 };
 
+const char *decision_name(enum decision_kind kind);
 struct explain *explain_new(uint32_t ring_size);
 void explain_free(struct explain *e);
 /* Records, counts and logs one decision. */
--- /dev/null
+++ b/src/control/quota_impl.h
@@ -0,0 +1,181 @@
+/*
+ * Account limits over all hosts. The ledger in the store splits each account
+ * into shares; pool and slices of an account always add up to SHARE_ALL,
+ * because every change is one transaction on the pool and one slice.
+ *
+ *   quota/p/ACCOUNT         the share that nobody holds
+ *   quota/s/NODE/ACCOUNT    the share that one node holds
+ *
+ * A holder of share s refills at rate * s up to burst * s, less what it has
+ * lent out. So all tokens that exist never pass the burst, and all refills
+ * together never pass the rate.
+ */
+#ifndef CONTROL_QUOTA_IMPL_H
+#define CONTROL_QUOTA_IMPL_H
+
+#include <gsl/gsl_rng.h>
+#include <uthash.h>
+
+#include "control/control.h"
+
+/* Divides by every number up to 15: small bursts split into whole tokens. */
+#define SHARE_ALL 720720000u
+
+/* A share halves for each half of this without a confirmed write. */
+#define HOLD_US (3600 * USEC_PER_SEC)
+#define BUMP_US (HOLD_US / 4)
+
+#define LOAN_US (200 * USEC_PER_MSEC)
+#define LOANS_IN_MAX 16
+#define LOANS_OUT_MAX 256
+#define ASKS_KEPT 8
+#define HOMES_MAX 24
+#define TOKEN_UNIT 1000.0 /* tokens travel in thousandths */
+
+/* A loan that this node may spend until it expires. */
+struct loan_in {
+	uint64_t id;
+	struct addr lender;
+	double left;
+	int64_t expires_us;
+};
+
+/* A loan that this node gave; it counts against the burst until freed. */
+struct loan_out {
+	uint64_t id;
+	struct addr borrower;
+	double tokens;
+	int64_t expires_us;
+};
+
+/* A question under way or lately asked. */
+struct asked {
+	uint64_t id;
+	int64_t asked_us;
+	uint64_t terms;
+	bool answered;
+};
+
+struct home {
+	struct addr node;
+	bool same_data_centre;
+};
+
+/* A record of the ledger as last read or written. */
+struct ledger_record {
+	uint32_t share;
+	uint64_t incarnation;
+	int64_t mod_revision; /* 0: absent */
+};
+
+struct quota_account {
+	char name[NAME_SIZE];
+	uint64_t topic;
+	double rate;
+	double burst;
+	uint64_t terms; /* of rate and burst: a loan is good for one only */
+	bool withdrawn;
+
+	/* What the ledger says, and what this node wants of it. */
+	struct ledger_record pool;
+	struct ledger_record slice;
+	uint32_t share;	  /* confirmed */
+	uint32_t desired; /* spends at most this, even before confirmed */
+	int64_t confirmed_us;
+	bool writing;
+	int64_t sent_us;
+	uint32_t proposed;
+	bool creates_pool;
+	int64_t next_write_us;
+	uint32_t failures;
+
+	/* Tokens. */
+	double level;
+	int64_t refilled_us;
+	double lent;
+	struct loan_in loans_in[LOANS_IN_MAX];
+	size_t loans_in_count;
+	struct loan_out *loans_out;
+	size_t loans_out_count;
+
+	/* Demand, and the round of questions to lenders. */
+	double demand_s;
+	uint32_t demand_count;
+	int64_t demand_at_us;
+	uint32_t waiting;
+	bool asking;
+	size_t ask_next;
+	struct asked asked[ASKS_KEPT];
+	size_t asked_at;
+	int64_t quiet_until_us;
+	int64_t quiet_us;
+	double got_in_round;
+	struct home homes[HOMES_MAX];
+	size_t home_count;
+	int64_t homes_at_us;
+	bool is_home;
+	int64_t not_home_since_us;
+	int64_t active_us; /* last demand or question; 0: never */
+	uint32_t home_share;
+
+	UT_hash_handle hh;
+};
+
+struct reclaim;
+
+struct quota {
+	struct quota_options o;
+	char self[ADDR_TEXT_SIZE];
+	struct quota_account *accounts;
+	struct quota_account *cursor; /* of the walk over the tick */
+	struct config *config;
+	gsl_rng *rng;
+	uint64_t next_id;
+	bool listed; /* slices of an earlier process here were looked for */
+	bool listing;
+	int64_t next_list_us;
+	char list_after[STORE_KEY_SIZE];
+	uint32_t writes; /* under way */
+	int64_t next_bump_us;
+	bool bumping;
+	struct quota_account *bumped[STORE_TXN_OPS_MAX];
+	size_t bumped_count;
+	int64_t bump_sent_us;
+	bool leaving;
+	int64_t leave_until_us;
+	struct reclaim *reclaim;
+};
+
+struct quota_account *quota_find(struct quota *q, const char *name);
+
+/* Tokens. */
+double quota_factor(const struct quota_account *a, int64_t now);
+void quota_refill(struct quota_account *a, int64_t now);
+double quota_ahead(const struct quota_account *a);
+bool quota_spend(struct quota *q, struct quota_account *a, int64_t now);
+
+/* Ledger. */
+void ledger_slice_key(const struct quota *q, const char *account,
+		      char key[STORE_KEY_SIZE]);
+void ledger_pool_key(const char *account, char key[STORE_KEY_SIZE]);
+int ledger_read(struct ledger_record *r, const struct store_entry *e);
+void ledger_write_text(const struct ledger_record *r, char text[96]);
+void ledger_tick(struct quota *q, int64_t now);
+
+/* Homes: the nodes that hold slices of an account. */
+void homes_update(struct quota *q, struct quota_account *a, int64_t now);
+
+/* Loans. */
+void loans_expire(struct quota *q, struct quota_account *a, int64_t now);
+bool loans_start_round(struct quota *q, struct quota_account *a, int64_t now);
+void loans_tick(struct quota *q, struct quota_account *a, int64_t now);
+void loans_receive(struct quota *q, const struct peer_msg *msg, int64_t now);
+void loans_spent(struct quota *q, struct quota_account *a,
+		 const struct loan_in *loan);
+
+/* Slices of hosts that went silent. */
+struct reclaim *reclaim_new(void);
+void reclaim_free(struct reclaim *r);
+void reclaim_tick(struct quota *q, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/control/quota_reclaim.c
@@ -0,0 +1,253 @@
+#include "control/quota_impl.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SLICE_PREFIX "quota/s/"
+#define SCAN_US (HOLD_US / 12)
+#define PAGE 500
+#define CALL_TIMEOUT_US (2 * USEC_PER_SEC)
+
+/* Clocks of two hosts may run apart by so much over a hold. */
+#define UNCHANGED_US (HOLD_US / 2 + HOLD_US / 50)
+
+/* A slice of a host that is not alive, and since when it is unchanged. */
+struct silent_slice {
+	char key[STORE_KEY_SIZE];
+	char account[NAME_SIZE];
+	struct ledger_record slice;
+	struct ledger_record pool;
+	int64_t since_us;
+	uint64_t scan; /* last scan that saw it */
+	bool writing;
+	uint32_t taken;
+	UT_hash_handle hh;
+};
+
+struct reclaim {
+	struct silent_slice *slices;
+	int64_t next_scan_us;
+	uint64_t scan;
+	bool scanning;
+	char after[STORE_KEY_SIZE];
+};
+
+/* Makes an empty record of silent slices; NULL when memory is short. */
+struct reclaim *reclaim_new(void)
+{
+	return calloc(1, sizeof(struct reclaim));
+}
+
+/* Frees it. */
+void reclaim_free(struct reclaim *r)
+{
+	struct silent_slice *s, *next;
+
+	HASH_ITER(hh, r->slices, s, next)
+	{
+		HASH_DEL(r->slices, s);
+		free(s);
+	}
+	free(r);
+}
+
+static int split_key(const char *key, struct addr *node, const char **account)
+{
+	char text[ADDR_TEXT_SIZE];
+	const char *p = key + strlen(SLICE_PREFIX);
+	const char *slash = strchr(p, '/');
+	size_t n;
+
+	if (!slash)
+		return -1;
+	n = (size_t)(slash - p);
+	if (n >= sizeof(text))
+		return -1;
+	memcpy(text, p, n);
+	text[n] = 0;
+	*account = slash + 1;
+	return addr_parse(node, text);
+}
+
+static bool holder_lives(struct quota *q, const struct addr *node)
+{
+	const struct member_info *m = members_find(q->o.members, node);
+
+	return m && m->state != MEMBER_DEAD && m->state != MEMBER_LEFT;
+}
+
+static void see_slice(struct quota *q, const struct store_entry *e, int64_t now)
+{
+	struct reclaim *r = q->reclaim;
+	struct ledger_record record;
+	struct silent_slice *s;
+	const char *account;
+	struct addr node;
+
+	if (split_key(e->key, &node, &account) < 0 ||
+	    ledger_read(&record, e) < 0 || holder_lives(q, &node))
+		return;
+	HASH_FIND_STR(r->slices, e->key, s);
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			return;
+		copy_name(s->key, sizeof(s->key), e->key);
+		copy_name(s->account, sizeof(s->account), account);
+		HASH_ADD_STR(r->slices, key, s);
+		s->since_us = now;
+	} else if (s->slice.mod_revision != record.mod_revision) {
+		s->since_us = now;
+	}
+	s->slice = record;
+	s->scan = r->scan;
+}
+
+static void end_scan(struct reclaim *r, int64_t now)
+{
+	struct silent_slice *s, *next;
+
+	r->after[0] = 0;
+	r->next_scan_us = now + SCAN_US;
+	HASH_ITER(hh, r->slices, s, next)
+	{
+		if (s->scan == r->scan || s->writing)
+			continue;
+		HASH_DEL(r->slices, s);
+		free(s);
+	}
+}
+
+static void scanned(void *ctx, uint64_t tag, const struct store_result *result,
+		    int64_t now)
+{
+	struct quota *q = ctx;
+	struct reclaim *r = q->reclaim;
+	size_t i;
+
+	(void)tag;
+	r->scanning = false;
+	if (result->outcome != STORE_DONE) {
+		r->next_scan_us = now + SCAN_US / 10;
+		return;
+	}
+	for (i = 0; i < result->n; i++)
+		see_slice(q, &result->entries[i], now);
+	if (result->n == PAGE)
+		copy_name(r->after, sizeof(r->after),
+			  result->entries[PAGE - 1].key);
+	else
+		end_scan(r, now);
+}
+
+static void scan(struct quota *q, int64_t now)
+{
+	struct reclaim *r = q->reclaim;
+	struct store_op op = {.kind = STORE_LIST,
+			      .priority = STORE_QUOTA,
+			      .timeout_us = CALL_TIMEOUT_US};
+	struct store_done done = {.ctx = q, .fn = scanned};
+
+	if (!r->after[0])
+		r->scan++;
+	op.list.prefix = SLICE_PREFIX;
+	op.list.after = r->after[0] ? r->after : NULL;
+	op.list.limit = PAGE;
+	r->scanning = true;
+	store_submit(q->o.store, &op, &done, now);
+}
+
+static void take_reads(struct silent_slice *s, const struct store_result *r,
+		       int64_t now)
+{
+	struct ledger_record slice = {0};
+	size_t i;
+
+	for (i = 0; i < r->n; i++)
+		if (!strcmp(r->entries[i].key, s->key))
+			ledger_read(&slice, &r->entries[i]);
+		else
+			ledger_read(&s->pool, &r->entries[i]);
+	/* Its holder lives after all, or somebody else took the half. */
+	if (slice.mod_revision != s->slice.mod_revision)
+		s->since_us = now;
+	s->slice = slice;
+}
+
+static void taken(void *ctx, uint64_t tag, const struct store_result *r,
+		  int64_t now)
+{
+	struct silent_slice *s = (struct silent_slice *)(uintptr_t)tag;
+
+	(void)ctx;
+	s->writing = false;
+	if (r->outcome == STORE_DONE) {
+		s->slice.share -= s->taken;
+		s->slice.mod_revision = r->revision;
+		s->since_us = now;
+	} else if (r->outcome == STORE_CONFLICT) {
+		take_reads(s, r, now);
+	}
+}
+
+/*
+ * Moves half of a slice to the pool. The lower half goes, since the holder
+ * may still use the exact half of an odd share.
+ */
+static void take_half(struct quota *q, struct silent_slice *s, int64_t now)
+{
+	char pool_key[STORE_KEY_SIZE], pool_text[96], slice_text[96];
+	const char *const reads[] = {pool_key, s->key};
+	struct ledger_record pool = s->pool, slice = s->slice;
+	struct store_compare compares[] = {
+		{.key = pool_key, .mod_revision = s->pool.mod_revision},
+		{.key = s->key, .mod_revision = s->slice.mod_revision}};
+	struct store_write writes[] = {{.key = pool_key, .value = pool_text},
+				       {.key = s->key, .value = slice_text}};
+	struct store_op op = {.kind = STORE_TXN,
+			      .priority = STORE_QUOTA,
+			      .timeout_us = CALL_TIMEOUT_US};
+	struct store_done done = {
+		.ctx = q, .tag = (uint64_t)(uintptr_t)s, .fn = taken};
+
+	ledger_pool_key(s->account, pool_key);
+	s->taken = slice.share / 2;
+	pool.share += s->taken;
+	slice.share -= s->taken;
+	ledger_write_text(&pool, pool_text);
+	ledger_write_text(&slice, slice_text);
+	writes[0].len = strlen(pool_text);
+	writes[1].len = strlen(slice_text);
+	op.txn.compares = compares;
+	op.txn.compare_count = 2;
+	op.txn.writes = writes;
+	op.txn.write_count = 2;
+	op.txn.reads = reads;
+	op.txn.read_count = 2;
+	s->writing = true;
+	store_submit(q->o.store, &op, &done, now);
+}
+
+/*
+ * One node of each data centre looks for slices of hosts that are not
+ * alive, and takes a half of each that stayed unchanged for half a hold.
+ */
+void reclaim_tick(struct quota *q, int64_t now)
+{
+	struct reclaim *r = q->reclaim;
+	struct silent_slice *s, *next;
+
+	if (r->scanning || !q->config || q->leaving)
+		return;
+	HASH_ITER(hh, r->slices, s, next)
+	if (!s->writing && s->slice.share > 1 &&
+	    now - s->since_us >= UNCHANGED_US)
+		take_half(q, s, now);
+	if (now < r->next_scan_us)
+		return;
+	if (members_chosen(q->o.members, name_hash("quota-reclaim"), 1))
+		scan(q, now);
+	else
+		r->next_scan_us = now + SCAN_US / 10;
+}
--- a/src/wire/peer_loan.c
+++ b/src/wire/peer_loan.c
@@ -8,7 +8,7 @@
 	write_array(w, LOAN_PARTS);
 	write_uint(w, a->id);
 	write_text(w, a->account);
-	write_uint(w, a->config_number);
+	write_uint(w, a->terms);
 	write_uint(w, a->tokens);
 	write_uint(w, a->spare);
 }
@@ -21,7 +21,7 @@
 	reader_sub(r, &sub, LOAN_PARTS);
 	a->id = read_uint(&sub, UINT64_MAX);
 	read_text(&sub, a->account, sizeof(a->account));
-	a->config_number = read_uint(&sub, UINT64_MAX);
+	a->terms = read_uint(&sub, UINT64_MAX);
 	a->tokens = (uint32_t)read_uint(&sub, UINT32_MAX);
 	a->spare = (uint32_t)read_uint(&sub, UINT32_MAX);
 	r->bad |= sub.bad;
@@ -33,7 +33,7 @@
 	write_array(w, LOAN_PARTS);
 	write_uint(w, g->id);
 	write_text(w, g->account);
-	write_uint(w, g->config_number);
+	write_uint(w, g->terms);
 	write_uint(w, g->tokens);
 	write_uint(w, g->spare);
 }
@@ -46,7 +46,7 @@
 	reader_sub(r, &sub, LOAN_PARTS);
 	g->id = read_uint(&sub, UINT64_MAX);
 	read_text(&sub, g->account, sizeof(g->account));
-	g->config_number = read_uint(&sub, UINT64_MAX);
+	g->terms = read_uint(&sub, UINT64_MAX);
 	g->tokens = (uint32_t)read_uint(&sub, UINT32_MAX);
 	g->spare = (uint32_t)read_uint(&sub, UINT32_MAX);
 	r->bad |= sub.bad;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -233,16 +233,16 @@
 struct loan_ask {
 	uint64_t id; /* unique at the borrower, so a repeat is known */
 	char account[NAME_SIZE];
-	uint64_t config_number;
-	uint32_t tokens;
-	uint32_t spare; /* what the asker itself could lend */
+	uint64_t terms;	 /* hash of rate and burst at the asker */
+	uint32_t tokens; /* thousandths wanted, or spent */
+	uint32_t spare;	 /* thousandths that go back unspent */
 };
 
 struct loan_grant {
 	uint64_t id;
 	char account[NAME_SIZE];
-	uint64_t config_number;
-	uint32_t tokens; /* 0: none to spare */
+	uint64_t terms;
+	uint32_t tokens; /* thousandths; 0: none to spare */
 	uint32_t spare;	 /* left at the lender, a hint */
 };
 
--- /dev/null
+++ b/test/quota_fleet.c
@@ -0,0 +1,411 @@
+#include "quota_fleet.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#define WAIT_US (20 * USEC_PER_MSEC)
+#define ACCOUNT "aral"
+
+struct fleet_datagram {
+	struct peer_msg msg;
+	size_t to;
+	int64_t at_us;
+	struct fleet_datagram *next;
+};
+
+struct fleet_waiting {
+	size_t node;
+	int64_t until_us;
+	struct fleet_waiting *prev, *next;
+};
+
+struct wake_target {
+	struct fleet *fleet;
+	size_t node;
+};
+
+static struct wake_target targets[FLEET_MAX];
+
+static bool reachable(const struct fleet *f, size_t a, size_t b)
+{
+	bool a_cut = a % f->o.centres == f->cut_centre;
+	bool b_cut = b % f->o.centres == f->cut_centre;
+
+	return a_cut == b_cut;
+}
+
+static void fly(struct fleet *f, size_t to, const struct peer_msg *msg)
+{
+	struct fleet_datagram *d = calloc(1, sizeof(*d));
+
+	d->msg = *msg;
+	d->to = to;
+	d->at_us = f->now + f->o.delay_us +
+		   (int64_t)(gsl_rng_uniform(f->rng) * (double)f->o.delay_us);
+	LL_PREPEND(f->flying, d);
+}
+
+static int send(void *ctx, const struct addr *to, struct peer_msg *msg)
+{
+	struct wake_target *t = ctx;
+	struct fleet *f = t->fleet;
+	size_t i;
+
+	msg->from = f->nodes[t->node].addr;
+	for (i = 0; i < f->o.nodes; i++) {
+		if (!addr_equal(&f->nodes[i].addr, to) ||
+		    !reachable(f, t->node, i) ||
+		    gsl_rng_uniform(f->rng) < f->o.loss)
+			continue;
+		fly(f, i, msg);
+		if (gsl_rng_uniform(f->rng) < f->o.duplicate)
+			fly(f, i, msg);
+	}
+	return 0;
+}
+
+static void count_spent(struct fleet *f)
+{
+	double passed = (double)(f->now - f->reference_us) / USEC_PER_SEC;
+
+	f->reference_level += f->reference_rate * passed;
+	if (f->reference_level > f->reference_burst)
+		f->reference_level = f->reference_burst;
+	f->reference_us = f->now;
+	f->reference_level -= 1;
+	if (f->reference_level < f->worst_level)
+		f->worst_level = f->reference_level;
+	f->taken++;
+}
+
+static enum quota_verdict try_take(struct fleet *f, size_t node, bool first)
+{
+	int64_t retry;
+	enum quota_verdict v = quota_take(f->nodes[node].quota, ACCOUNT, first,
+					  f->now, &retry);
+
+	if (v == QUOTA_TAKEN)
+		count_spent(f);
+	return v;
+}
+
+static void retry_waiting(struct fleet *f, size_t node)
+{
+	struct fleet_waiting *w, *next;
+
+	DL_FOREACH_SAFE(f->waiting, w, next)
+	{
+		if (w->node != node)
+			continue;
+		if (try_take(f, node, false) == QUOTA_WAIT &&
+		    f->now < w->until_us)
+			continue;
+		DL_DELETE(f->waiting, w);
+		free(w);
+	}
+}
+
+static void wake(void *ctx, const char *account, int64_t now)
+{
+	struct wake_target *t = ctx;
+
+	(void)account;
+	(void)now;
+	retry_waiting(t->fleet, t->node);
+}
+
+/* What the controllers ask of members: everybody reachable is alive. */
+static struct fleet *members_fleet;
+
+struct members {
+	size_t node;
+};
+
+static struct members views[FLEET_MAX];
+
+static void open_node(struct fleet *f, size_t i)
+{
+	struct fleet_node *n = &f->nodes[i];
+	struct quota_options o = {.store = n->store,
+				  .members = &views[i],
+				  .self = n->addr,
+				  .seed = f->o.seed + i,
+				  .ctx = &targets[i],
+				  .wake = wake};
+
+	o.io.ctx = &targets[i];
+	o.io.datagram = send;
+	o.incarnation = ++n->incarnation;
+	n->info.incarnation = n->incarnation;
+	n->quota = quota_new(&o, f->now);
+	assert(n->quota);
+	quota_config(n->quota, f->config, f->now);
+	n->dead = false;
+}
+
+static struct config *make_config(const struct config *from, uint64_t number,
+				  const char *section, double rate,
+				  double burst)
+{
+	struct note_faults faults = {0};
+	struct config *c;
+	char text[256];
+
+	snprintf(text, sizeof(text),
+		 "{\"release\":\"r%u\",\"%s\":{\"accounts\":[{\"name\":"
+		 "\"" ACCOUNT "\",\"rate\":%g,\"burst\":%g}]}}",
+		 (unsigned)number, section, rate, burst);
+	c = config_apply(from, number, text, strlen(text), NULL, &faults);
+	if (!c && faults.n)
+		fprintf(stderr, "%s: %s\n", faults.items[0].path,
+			faults.items[0].text);
+	assert(c);
+	return c;
+}
+
+/* Opens the fleet; every node starts at once. */
+void fleet_open(struct fleet *f, const struct fleet_options *o)
+{
+	struct config *empty = config_new();
+	size_t i;
+
+	memset(f, 0, sizeof(*f));
+	f->o = *o;
+	f->now = 1000 * USEC_PER_SEC;
+	f->cut_centre = SIZE_MAX;
+	f->rng = gsl_rng_alloc(gsl_rng_taus2);
+	gsl_rng_set(f->rng, o->seed);
+	f->memory = memory_store_new();
+	f->config = make_config(empty, 1, "added", o->rate, o->burst);
+	config_put(empty);
+	f->reference_rate = o->rate;
+	f->reference_burst = o->burst;
+	f->reference_level = o->burst;
+	f->reference_us = f->now;
+	bucket_init(&f->central, o->rate, o->burst, o->burst, f->now);
+	f->worst_level = o->burst;
+	members_fleet = f;
+	for (i = 0; i < o->nodes; i++) {
+		struct fleet_node *n = &f->nodes[i];
+		char text[ADDR_TEXT_SIZE];
+
+		targets[i].fleet = f;
+		targets[i].node = i;
+		views[i].node = i;
+		n->index = i;
+		snprintf(text, sizeof(text), "10.0.%u.%u:7000",
+			 (unsigned)(i % o->centres), (unsigned)i);
+		addr_parse(&n->addr, text);
+		n->info.nodes = n->addr;
+		snprintf(n->info.data_centre, sizeof(n->info.data_centre),
+			 "dc%u", (unsigned)(i % o->centres));
+		n->store = store_open_memory(f->memory);
+	}
+	for (i = 0; i < o->nodes; i++)
+		open_node(f, i);
+}
+
+/* Frees everything. */
+void fleet_close(struct fleet *f)
+{
+	struct fleet_datagram *d, *d_next;
+	struct fleet_waiting *w, *w_next;
+	size_t i;
+
+	for (i = 0; i < f->o.nodes; i++) {
+		store_close(f->nodes[i].store);
+		if (f->nodes[i].quota)
+			quota_free(f->nodes[i].quota);
+	}
+	LL_FOREACH_SAFE(f->flying, d, d_next)
+	free(d);
+	DL_FOREACH_SAFE(f->waiting, w, w_next)
+	free(w);
+	memory_store_free(f->memory);
+	config_put(f->config);
+	gsl_rng_free(f->rng);
+}
+
+static void deliver(struct fleet *f)
+{
+	struct fleet_datagram *d, *next, *due = NULL;
+	struct fleet_node *n;
+
+	LL_FOREACH_SAFE(f->flying, d, next)
+	{
+		if (d->at_us > f->now)
+			continue;
+		LL_DELETE(f->flying, d);
+		LL_PREPEND(due, d);
+	}
+	while ((d = due)) {
+		LL_DELETE(due, d);
+		n = &f->nodes[d->to];
+		/* What reaches a paused process waits in its socket. */
+		if (n->paused) {
+			d->at_us = f->now + f->o.step_us;
+			LL_PREPEND(f->flying, d);
+			continue;
+		}
+		if (!n->dead)
+			quota_receive(n->quota, &d->msg, f->now);
+		free(d);
+	}
+}
+
+/* One bucket in one place would have refused so many. */
+static void count_central(struct fleet *f)
+{
+	if (!bucket_take(&f->central, 1, f->now))
+		f->central_refused++;
+}
+
+static void arrive(struct fleet *f)
+{
+	double p = f->o.demand_s * (double)f->o.step_us / USEC_PER_SEC;
+	struct fleet_waiting *w;
+	size_t node;
+
+	for (; gsl_rng_uniform(f->rng) < p; p -= 1) {
+		node = gsl_rng_uniform(f->rng) < f->o.skew
+			       ? 0
+			       : gsl_rng_uniform_int(f->rng, f->o.nodes);
+		if (f->nodes[node].dead || f->nodes[node].paused)
+			continue;
+		f->arrived++;
+		count_central(f);
+		if (try_take(f, node, true) != QUOTA_WAIT)
+			continue;
+		w = calloc(1, sizeof(*w));
+		w->node = node;
+		w->until_us = f->now + WAIT_US;
+		DL_APPEND(f->waiting, w);
+	}
+}
+
+static void step(struct fleet *f)
+{
+	size_t i;
+
+	f->now += f->o.step_us;
+	deliver(f);
+	arrive(f);
+	for (i = 0; i < f->o.nodes; i++) {
+		if (f->nodes[i].paused || f->nodes[i].dead)
+			continue;
+		if (f->now % (5 * USEC_PER_MSEC) < f->o.step_us) {
+			store_tick(f->nodes[i].store, f->now);
+			quota_tick(f->nodes[i].quota, f->now);
+			retry_waiting(f, i);
+		}
+	}
+}
+
+/* Runs so long in virtual time. */
+void fleet_run(struct fleet *f, int64_t us)
+{
+	int64_t end = f->now + us;
+
+	while (f->now < end)
+		step(f);
+	f->refused = f->arrived - f->taken;
+}
+
+/* Puts another rate and burst in force on every node at once. */
+void fleet_set_rate(struct fleet *f, double rate, double burst)
+{
+	struct config *c = make_config(f->config, 2, "changed", rate, burst);
+	size_t i;
+
+	config_put(f->config);
+	f->config = c;
+	f->reference_rate = rate;
+	f->reference_burst = burst;
+	for (i = 0; i < f->o.nodes; i++)
+		if (!f->nodes[i].dead)
+			quota_config(f->nodes[i].quota, c, f->now);
+}
+
+/* Starts a new process at the address of a node. */
+void fleet_restart(struct fleet *f, size_t node)
+{
+	fleet_kill(f, node);
+	open_node(f, node);
+}
+
+/* Ends a process without any word. */
+void fleet_kill(struct fleet *f, size_t node)
+{
+	struct fleet_node *n = &f->nodes[node];
+
+	store_close(n->store);
+	n->store = store_open_memory(f->memory);
+	if (n->quota)
+		quota_free(n->quota);
+	n->quota = NULL;
+	n->dead = true;
+}
+
+/* Sets the same faults on every client of the store. */
+void fleet_store_faults(struct fleet *f, const struct store_faults *faults)
+{
+	size_t i;
+
+	for (i = 0; i < f->o.nodes; i++)
+		store_set_faults(f->nodes[i].store, faults);
+}
+
+/* Forgets counts of arrivals, not the reference bucket. */
+void fleet_reset_counts(struct fleet *f)
+{
+	f->arrived = 0;
+	f->taken = 0;
+	f->refused = 0;
+	f->central_refused = 0;
+}
+
+static bool sees(const struct members *m, size_t i)
+{
+	return i == m->node || (!members_fleet->nodes[i].dead &&
+				reachable(members_fleet, m->node, i));
+}
+
+const struct member_info *members_next(const struct members *m,
+				       const struct member_info *after)
+{
+	size_t i = 0;
+
+	if (after)
+		while (&members_fleet->nodes[i++].info != after)
+			;
+	for (; i < members_fleet->o.nodes; i++)
+		if (sees(m, i))
+			return &members_fleet->nodes[i].info;
+	return NULL;
+}
+
+const struct member_info *members_self(const struct members *m)
+{
+	return &members_fleet->nodes[m->node].info;
+}
+
+const struct member_info *members_find(const struct members *m,
+				       const struct addr *nodes)
+{
+	size_t i;
+
+	for (i = 0; i < members_fleet->o.nodes; i++)
+		if (sees(m, i) &&
+		    addr_equal(&members_fleet->nodes[i].addr, nodes))
+			return &members_fleet->nodes[i].info;
+	return NULL;
+}
+
+bool members_chosen(const struct members *m, uint64_t topic, size_t k)
+{
+	(void)topic;
+	return m->node < members_fleet->o.centres * k;
+}
--- /dev/null
+++ b/test/quota_fleet.h
@@ -0,0 +1,74 @@
+/*
+ * A fleet of quota controllers on one memory store, with datagrams that can
+ * be lost, doubled or late, in virtual time.
+ */
+#ifndef TEST_QUOTA_FLEET_H
+#define TEST_QUOTA_FLEET_H
+
+#include <gsl/gsl_rng.h>
+
+#include "control/control.h"
+#include "policy/policy.h"
+#include "store/store.h"
+
+#define FLEET_MAX 24
+
+struct fleet_options {
+	size_t nodes;
+	size_t centres;
+	double rate;
+	double burst;
+	double demand_s;  /* arrivals per second over all nodes */
+	double skew;	  /* share of the arrivals that go to node 0 */
+	double loss;	  /* share of datagrams lost */
+	double duplicate; /* share of datagrams sent twice */
+	int64_t delay_us; /* one way, at most twice as long */
+	int64_t step_us;  /* of virtual time */
+	unsigned long seed;
+};
+
+struct fleet_node {
+	struct quota *quota;
+	struct store *store;
+	struct addr addr;
+	uint64_t incarnation;
+	struct member_info info;
+	bool paused;
+	bool dead;
+	size_t index;
+};
+
+struct fleet_waiting;
+struct fleet_datagram;
+
+struct fleet {
+	struct fleet_options o;
+	struct fleet_node nodes[FLEET_MAX];
+	struct memory_store *memory;
+	struct config *config;
+	gsl_rng *rng;
+	int64_t now;
+	struct fleet_datagram *flying;
+	struct fleet_waiting *waiting;
+	size_t cut_centre; /* reaches no other; SIZE_MAX: none */
+	uint64_t arrived, taken, refused, central_refused;
+	struct bucket central;
+	/* Reference bucket: below zero only if the bound was broken. */
+	double reference_rate;
+	double reference_burst;
+	double reference_level;
+	double worst_level;
+	int64_t reference_us;
+};
+
+void fleet_open(struct fleet *f, const struct fleet_options *o);
+void fleet_close(struct fleet *f);
+void fleet_run(struct fleet *f, int64_t us);
+void fleet_set_rate(struct fleet *f, double rate, double burst);
+void fleet_restart(struct fleet *f, size_t node);
+void fleet_kill(struct fleet *f, size_t node);
+void fleet_store_faults(struct fleet *f, const struct store_faults *faults);
+/* Forgets counts, so that a later part can be judged alone. */
+void fleet_reset_counts(struct fleet *f);
+
+#endif
--- /dev/null
+++ b/test/test_quota.c
@@ -0,0 +1,322 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "control/quota_impl.h"
+#include "quota_fleet.h"
+
+/* Rounding of doubles over a run, in tokens. */
+#define ROUNDING 1e-6
+
+#define REFUSED_WITHIN_RATE 0.5 /* percent */
+#define HOUR_US (3600 * USEC_PER_SEC)
+
+static const struct fleet_options usual = {
+	.nodes = 12,
+	.centres = 3,
+	.rate = 120,
+	.burst = 24,
+	.demand_s = 108,
+	.loss = 0.01,
+	.duplicate = 0.01,
+	.delay_us = 300,
+	.step_us = USEC_PER_MSEC,
+	.seed = 7,
+};
+
+static void assert_bound(const struct fleet *f, const char *name)
+{
+	if (f->worst_level < -ROUNDING)
+		print_error("%s: %.6f tokens over rate and burst\n", name,
+			    -f->worst_level);
+	assert_true(f->worst_level >= -ROUNDING);
+}
+
+static double percent(uint64_t part, uint64_t whole)
+{
+	return whole ? 100.0 * (double)part / (double)whole : 0;
+}
+
+struct bound_case {
+	const char *name;
+	double demand_s;
+	double skew;
+	double loss;
+	double duplicate;
+	int64_t delay_us;
+	double burst;
+};
+
+static void the_bound_holds_over_all_nodes(void **state)
+{
+	static const struct bound_case cases[] = {
+		{"within rate", 108, 0, 0.01, 0.01, 300, 24},
+		{"five times the rate", 600, 0, 0.01, 0.01, 300, 24},
+		{"all on one node", 600, 1, 0.01, 0.01, 300, 24},
+		{"one in three lost", 600, 0, 0.33, 0, 300, 24},
+		{"half doubled", 600, 0, 0, 0.5, 300, 24},
+		{"slow messages", 600, 0, 0.05, 0.05, 90000, 24},
+		{"slower than a loan", 600, 0, 0.05, 0.05, 250000, 24},
+		{"fewer tokens than nodes", 600, 0, 0.01, 0.01, 300, 5},
+		{"a single token", 600, 0, 0.01, 0.01, 300, 1},
+	};
+	struct fleet_options o = usual;
+	struct fleet f;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		o.demand_s = cases[i].demand_s;
+		o.skew = cases[i].skew;
+		o.loss = cases[i].loss;
+		o.duplicate = cases[i].duplicate;
+		o.delay_us = cases[i].delay_us;
+		o.burst = cases[i].burst;
+		fleet_open(&f, &o);
+		fleet_run(&f, 3 * USEC_PER_SEC);
+		fleet_reset_counts(&f);
+		fleet_run(&f, 30 * USEC_PER_SEC);
+		print_message("%s: %llu arrived, refused %.2f%%, by one "
+			      "central bucket %.2f%%\n",
+			      cases[i].name, (unsigned long long)f.arrived,
+			      percent(f.refused, f.arrived),
+			      percent(f.central_refused, f.arrived));
+		assert_true(f.taken > 0);
+		assert_bound(&f, cases[i].name);
+		if (cases[i].demand_s < o.rate)
+			assert_true(percent(f.refused, f.arrived) <=
+				    REFUSED_WITHIN_RATE);
+		fleet_close(&f);
+	}
+}
+
+enum fault {
+	FAULT_NONE,
+	FAULT_STORE_DOWN,
+	FAULT_STORE_SLOW,
+	FAULT_ANSWERS_LOST,
+	FAULT_CENTRE_CUT,
+	FAULT_PAUSED,
+	FAULT_KILLED,
+	FAULT_RESTARTED,
+	FAULT_RATE_LOWERED,
+	FAULT_LEAVING,
+	FAULT_COUNT
+};
+
+static const char *const fault_names[] = {
+	"none",	  "store down", "store slow", "answers lost", "centre cut",
+	"paused", "killed",	"restarted",  "rate lowered", "leaving"};
+
+static void begin(struct fleet *f, enum fault fault)
+{
+	struct store_faults faults = {0};
+
+	switch (fault) {
+	case FAULT_STORE_DOWN:
+		faults.down = true;
+		fleet_store_faults(f, &faults);
+		break;
+	case FAULT_STORE_SLOW:
+		faults.latency_us = 3 * USEC_PER_SEC;
+		fleet_store_faults(f, &faults);
+		break;
+	case FAULT_ANSWERS_LOST:
+		faults.lose_answer = true;
+		fleet_store_faults(f, &faults);
+		break;
+	case FAULT_CENTRE_CUT:
+		f->cut_centre = 1;
+		break;
+	case FAULT_PAUSED:
+		f->nodes[0].paused = true;
+		f->nodes[4].paused = true;
+		break;
+	case FAULT_KILLED:
+		if (!f->nodes[5].dead)
+			fleet_kill(f, 5);
+		break;
+	case FAULT_RESTARTED:
+		fleet_restart(f, 0);
+		fleet_restart(f, 7);
+		break;
+	case FAULT_RATE_LOWERED:
+		if (f->reference_rate > 60)
+			fleet_set_rate(f, 60, 12);
+		break;
+	case FAULT_LEAVING:
+		quota_leave(f->nodes[2].quota, f->now);
+		break;
+	case FAULT_NONE:
+	case FAULT_COUNT:
+		break;
+	}
+}
+
+static void end(struct fleet *f)
+{
+	struct store_faults none = {0};
+
+	fleet_store_faults(f, &none);
+	f->cut_centre = SIZE_MAX;
+	f->nodes[0].paused = false;
+	f->nodes[4].paused = false;
+}
+
+/* Each fault with each other, over a time longer than a hold. */
+static void the_bound_holds_under_pairs_of_faults(void **state)
+{
+	struct fleet_options o = usual;
+	char name[64];
+	struct fleet f;
+	int a, b;
+
+	(void)state;
+	o.demand_s = 300;
+	for (a = 0; a < FAULT_COUNT; a++) {
+		for (b = a; b < FAULT_COUNT; b++) {
+			o.seed = (unsigned long)(a * FAULT_COUNT + b + 1);
+			snprintf(name, sizeof(name), "%s and %s",
+				 fault_names[a], fault_names[b]);
+			fleet_open(&f, &o);
+			fleet_run(&f, 3 * USEC_PER_SEC);
+			begin(&f, a);
+			fleet_run(&f, 2 * USEC_PER_SEC);
+			begin(&f, b);
+			fleet_run(&f, 3 * USEC_PER_SEC);
+			end(&f);
+			fleet_run(&f, 5 * USEC_PER_SEC);
+			assert_bound(&f, name);
+			fleet_close(&f);
+		}
+	}
+}
+
+static const struct fleet_options slow = {
+	.nodes = 6,
+	.centres = 3,
+	.rate = 30,
+	.burst = 30,
+	.demand_s = 40,
+	.delay_us = 1000,
+	.step_us = 20 * USEC_PER_MSEC,
+	.seed = 11,
+};
+
+static double shares_held(struct fleet *f)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < f->o.nodes; i++)
+		if (!f->nodes[i].dead)
+			sum += quota_find(f->nodes[i].quota, "aral")->share;
+	return sum / SHARE_ALL;
+}
+
+static size_t first_holder(struct fleet *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->o.nodes; i++)
+		if (quota_find(f->nodes[i].quota, "aral")->share)
+			return i;
+	return 0;
+}
+
+static void a_dead_holders_slice_comes_back_by_halves(void **state)
+{
+	struct fleet f;
+	size_t holder;
+
+	(void)state;
+	fleet_open(&f, &slow);
+	fleet_run(&f, 60 * USEC_PER_SEC);
+	assert_true(shares_held(&f) > 0.999);
+	holder = first_holder(&f);
+	fleet_kill(&f, holder);
+	assert_true(shares_held(&f) < 0.7);
+	fleet_run(&f, HOUR_US);
+	assert_true(shares_held(&f) > 0.8);
+	assert_bound(&f, "dead holder");
+	fleet_close(&f);
+}
+
+static void a_restart_at_the_address_takes_the_slice_over(void **state)
+{
+	struct fleet f;
+
+	(void)state;
+	fleet_open(&f, &slow);
+	fleet_run(&f, 60 * USEC_PER_SEC);
+	fleet_restart(&f, first_holder(&f));
+	fleet_run(&f, 10 * USEC_PER_SEC);
+	assert_true(shares_held(&f) > 0.999);
+	assert_bound(&f, "restarted holder");
+	fleet_close(&f);
+}
+
+static void a_planned_stop_returns_the_slice(void **state)
+{
+	struct fleet f;
+	size_t holder;
+
+	(void)state;
+	fleet_open(&f, &slow);
+	fleet_run(&f, 60 * USEC_PER_SEC);
+	holder = first_holder(&f);
+	quota_leave(f.nodes[holder].quota, f.now);
+	fleet_run(&f, 2 * USEC_PER_SEC);
+	assert_true(quota_idle(f.nodes[holder].quota));
+	fleet_kill(&f, holder);
+	fleet_run(&f, 30 * USEC_PER_SEC);
+	assert_true(shares_held(&f) > 0.999);
+	assert_bound(&f, "planned stop");
+	fleet_close(&f);
+}
+
+/* Half an hour costs nothing; after hours what is left fades. */
+static void a_store_outage_degrades_slowly(void **state)
+{
+	struct store_faults down = {.down = true}, none = {0};
+	struct fleet f;
+	uint64_t before;
+
+	(void)state;
+	fleet_open(&f, &slow);
+	fleet_run(&f, 120 * USEC_PER_SEC);
+	fleet_store_faults(&f, &down);
+	fleet_reset_counts(&f);
+	fleet_run(&f, HOUR_US / 3);
+	before = f.taken;
+	assert_true((double)before > 0.97 * f.o.rate * 1200);
+	fleet_run(&f, 3 * HOUR_US);
+	fleet_reset_counts(&f);
+	fleet_run(&f, HOUR_US / 3);
+	assert_true(f.taken < before / 4);
+	fleet_store_faults(&f, &none);
+	fleet_run(&f, 120 * USEC_PER_SEC);
+	fleet_reset_counts(&f);
+	fleet_run(&f, HOUR_US / 3);
+	assert_true((double)f.taken > 0.97 * f.o.rate * 1200);
+	assert_bound(&f, "store outage");
+	fleet_close(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_bound_holds_over_all_nodes),
+		cmocka_unit_test(the_bound_holds_under_pairs_of_faults),
+		cmocka_unit_test(a_dead_holders_slice_comes_back_by_halves),
+		cmocka_unit_test(a_restart_at_the_address_takes_the_slice_over),
+		cmocka_unit_test(a_planned_stop_returns_the_slice),
+		cmocka_unit_test(a_store_outage_degrades_slowly),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
