--- a/src/base/name.c
+++ b/src/base/name.c
@@ -29,13 +29,16 @@
 	return 0;
 }
 
-/* Fills text with size - 1 unguessable characters of [a-z0-9]. */
+/* Fills text with size - 1 unguessable characters, five bits each. */
 void random_token(char *text, size_t size)
 {
-	static const char alphabet[] = "abcdefghijklmnopqrstuvwxyz0123456789";
+	static const char alphabet[] = "abcdefghijkmnpqrstuvwxyz23456789";
 	size_t i;
 
+	if (!size)
+		return;
+	randombytes_buf(text, size - 1);
 	for (i = 0; i + 1 < size; i++)
-		text[i] = alphabet[randombytes_uniform(sizeof(alphabet) - 1)];
+		text[i] = alphabet[(unsigned char)text[i] % 32];
 	text[i] = 0;
 }
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -12,5 +12,6 @@
 };
 
 int cmd_main(int argc, char **argv);
+int cmd_node(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/filter/chain.c
@@ -0,0 +1,169 @@
+#include "filter/filter.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "node/node.h"
+
+/* Finds the request of an exchange, so that a lost caller cancels it. */
+struct exchange_index {
+	uint64_t exchange;
+	uint64_t request;
+	UT_hash_handle hh;
+};
+
+/* Returns the request, or NULL when it has ended. */
+struct request *request_get(struct node *n, uint64_t handle)
+{
+	return table_get(&n->requests, handle);
+}
+
+static enum filter_result run_stage(struct node *n, struct request *r,
+				    int64_t now)
+{
+	switch (r->stage) {
+	case STAGE_CONTEXT:
+		return filter_context(n, r, now);
+	case STAGE_ROUTE:
+		return filter_route(n, r, now);
+	case STAGE_KEY:
+		return filter_key(n, r, now);
+	case STAGE_IDENTITY:
+		return filter_identity(n, r, now);
+	case STAGE_DEADLINE:
+		return filter_deadline(n, r, now);
+	case STAGE_SHED:
+		return filter_shed(n, r, now);
+	case STAGE_LIMIT:
+		return filter_limit(n, r, now);
+	case STAGE_CLAIM:
+		return filter_claim(n, r, now);
+	case STAGE_PLACE:
+		return filter_place(n, r, now);
+	case STAGE_ENDED:
+		break;
+	}
+	return FILTER_END;
+}
+
+/*
+ * Runs the chain from the present stage until the request waits or ends.
+ * A filter that returns FILTER_END has freed the request.
+ */
+void request_resume(struct node *n, uint64_t handle, int64_t now)
+{
+	struct request *r = request_get(n, handle);
+
+	while (r && run_stage(n, r, now) == FILTER_NEXT) {
+		r = request_get(n, handle);
+		if (r)
+			r->stage++;
+	}
+}
+
+/* Answers before there is a request to hold; nothing ran. */
+static void refuse_unheld(struct node *n, struct http_server *server,
+			  uint64_t exchange, enum reason reason)
+{
+	struct message m = {0};
+	char text[256];
+	int len;
+
+	(void)n;
+	m.status = reason_status(reason);
+	len = snprintf(text, sizeof(text),
+		       "{\"title\":\"%s\",\"status\":%d,\"reason\":\"%s\"}",
+		       reason_sentence(reason), m.status, reason_code(reason));
+	message_add_header(&m, "content-type", "application/problem+json");
+	message_add_header(&m, "mulberryferry-outcome", "not-run");
+	message_add_header(&m, "retry-after", "1");
+	buffer_append(&m.body, text, (size_t)len, sizeof(text));
+	http_server_answer(server, exchange, &m);
+	message_free(&m);
+	counter_add(COUNTER_REFUSED, 1);
+}
+
+static struct http_server *server_of(struct node *n, enum request_origin o)
+{
+	return o == ORIGIN_CALLER ? n->callers : n->services;
+}
+
+static uint64_t add_request(struct node *n, struct message *msg,
+			    struct request **r)
+{
+	uint64_t handle;
+	void *item;
+
+	if (n->body_bytes + msg->body.len > n->settings.memory_limit)
+		return 0;
+	handle = table_add(&n->requests, &item);
+	if (!handle)
+		return 0;
+	*r = item;
+	(*r)->handle = handle;
+	(*r)->message = *msg;
+	memset(msg, 0, sizeof(*msg));
+	n->body_bytes += (*r)->message.body.len;
+	return handle;
+}
+
+/*
+ * Holds a request and runs its filters. A request past the limits of this
+ * node, or before there is a configuration, is refused at once.
+ */
+void request_start(struct node *n, enum request_origin origin,
+		   uint64_t exchange, struct message *msg, int64_t now)
+{
+	struct exchange_index *index;
+	struct request *r;
+	uint64_t handle;
+
+	counter_add(origin == ORIGIN_CALLER ? COUNTER_REQUESTS
+					    : COUNTER_SUB_CALLS,
+		    1);
+	if (!n->config) {
+		refuse_unheld(n, server_of(n, origin), exchange,
+			      REASON_NOT_CONFIGURED);
+		return;
+	}
+	index = calloc(1, sizeof(*index));
+	handle = index ? add_request(n, msg, &r) : 0;
+	if (!handle) {
+		free(index);
+		refuse_unheld(n, server_of(n, origin), exchange,
+			      REASON_OVERLOADED);
+		return;
+	}
+	index->exchange = exchange;
+	index->request = handle;
+	HASH_ADD(hh, n->exchanges, exchange, sizeof(exchange), index);
+	r->origin = origin;
+	r->exchange = exchange;
+	r->arrived_us = now;
+	r->config = config_get(n->config);
+	request_resume(n, handle, now);
+}
+
+/* Returns the request that an exchange belongs to, or 0. */
+uint64_t request_of_exchange(struct node *n, uint64_t exchange)
+{
+	struct exchange_index *index;
+
+	HASH_FIND(hh, n->exchanges, &exchange, sizeof(exchange), index);
+	return index ? index->request : 0;
+}
+
+/* Forgets the exchange: its caller has gone or has its answer. */
+void request_drop_exchange(struct node *n, struct request *r)
+{
+	struct exchange_index *index;
+
+	if (!r->exchange)
+		return;
+	HASH_FIND(hh, n->exchanges, &r->exchange, sizeof(r->exchange), index);
+	if (index) {
+		HASH_DEL(n->exchanges, index);
+		free(index);
+	}
+	r->exchange = 0;
+}
--- /dev/null
+++ b/src/filter/claim.c
@@ -0,0 +1,91 @@
+#include "filter/filter.h"
+
+#include <xxhash.h>
+
+#include "node/node.h"
+
+#define KEY_MAX 200
+
+static uint64_t fingerprint(const struct message *m)
+{
+	uint64_t head = pair_hash(name_hash(m->method), name_hash(m->target));
+
+	return pair_hash(head, XXH3_64bits(m->body.data, m->body.len));
+}
+
+static void answer_kept(struct node *n, struct request *r,
+			const struct message *kept, int64_t now)
+{
+	struct message answer = {0};
+
+	if (!kept) {
+		request_refuse(n, r, REASON_CLAIM_UNKNOWN, OUTCOME_DONE, now);
+		return;
+	}
+	if (message_copy(&answer, kept) < 0) {
+		request_refuse(n, r, REASON_OVERLOADED, OUTCOME_DONE, now);
+		return;
+	}
+	request_answer(n, r, &answer, now);
+	message_free(&answer);
+}
+
+static void claimed(void *ctx, uint64_t tag, enum claim_state state,
+		    uint64_t claim, const struct message *answer, int64_t now)
+{
+	struct node *n = ctx;
+	struct request *r = request_get(n, tag);
+
+	if (!r) {
+		if (state == CLAIM_FRESH)
+			claims_release(n->claims, claim, now);
+		return;
+	}
+	r->claiming = false;
+	switch (state) {
+	case CLAIM_FRESH:
+		r->claim = claim;
+		r->stage = STAGE_PLACE;
+		request_resume(n, tag, now);
+		return;
+	case CLAIM_DONE:
+		answer_kept(n, r, answer, now);
+		return;
+	case CLAIM_RUNNING:
+		request_refuse(n, r, REASON_CLAIM_RUNNING, OUTCOME_UNKNOWN,
+			       now);
+		return;
+	case CLAIM_UNRESOLVED:
+		request_refuse(n, r, REASON_CLAIM_UNKNOWN, OUTCOME_UNKNOWN,
+			       now);
+		return;
+	case CLAIM_MISMATCH:
+		request_refuse(n, r, REASON_IDEMPOTENCY_MISMATCH,
+			       OUTCOME_NOT_RUN, now);
+		return;
+	case CLAIM_STORE_OUT:
+		request_refuse(n, r, REASON_STORE_OUT, OUTCOME_NOT_RUN, now);
+		return;
+	}
+}
+
+/*
+ * On a route that may run once only, claims the idempotency key in the
+ * store before the first byte goes out.
+ */
+enum filter_result filter_claim(struct node *n, struct request *r, int64_t now)
+{
+	const char *key = message_header(&r->message, "idempotency-key");
+	struct claim_done done = {.ctx = n, .tag = r->handle, .fn = claimed};
+
+	if (!r->route->once)
+		return FILTER_NEXT;
+	if (!key || !*key || strlen(key) > KEY_MAX)
+		return request_refuse(n, r, REASON_NO_IDEMPOTENCY_KEY,
+				      OUTCOME_NOT_RUN, now);
+	r->claiming = true;
+	claims_begin(n->claims, r->account ? r->account->name : "",
+		     r->route->name, key, fingerprint(&r->message), r->id,
+		     r->deadline_us, &done, now);
+	return FILTER_WAIT;
+}
--- /dev/null
+++ b/src/filter/deadline.c
@@ -0,0 +1,47 @@
+#include "filter/filter.h"
+
+#include <stdlib.h>
+
+#include "node/node.h"
+
+#define DEADLINE_HEADER "mulberryferry-deadline-ms"
+#define DEADLINE_MAX_MS (24 * 3600 * 1000L)
+
+static int header_deadline_us(const struct request *r, int64_t *us)
+{
+	const char *text = message_header(&r->message, DEADLINE_HEADER);
+	char *end;
+	long ms;
+
+	if (!text)
+		return 0;
+	ms = strtol(text, &end, 10);
+	if (*end || end == text || ms <= 0 || ms > DEADLINE_MAX_MS)
+		return -1;
+	*us = ms * USEC_PER_MSEC;
+	return 1;
+}
+
+/*
+ * The earliest of the route's deadline, the caller's wish and, for a
+ * sub-call, what is left of its root's.
+ */
+enum filter_result filter_deadline(struct node *n, struct request *r,
+				   int64_t now)
+{
+	int64_t at = r->arrived_us + r->route->deadline_us;
+	int64_t wish_us;
+	int given = header_deadline_us(r, &wish_us);
+
+	if (given < 0)
+		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
+				      now);
+	if (given && r->arrived_us + wish_us < at)
+		at = r->arrived_us + wish_us;
+	if (!r->deadline_us || at < r->deadline_us)
+		r->deadline_us = at;
+	if (r->deadline_us <= now)
+		return request_refuse(n, r, REASON_DEADLINE, OUTCOME_NOT_RUN,
+				      now);
+	return FILTER_NEXT;
+}
--- /dev/null
+++ b/src/filter/end.c
@@ -0,0 +1,214 @@
+#include "filter/filter.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "node/node.h"
+
+#define RETRY_AFTER_MS 1000
+
+/* Records, counts and logs what was decided on a request. */
+void request_record(struct node *n, const struct request *r,
+		    enum decision_kind kind, enum reason reason,
+		    const char *peer, int64_t took_us)
+{
+	struct decision d = {.kind = kind, .reason = reason};
+	struct known_upstream *u = directory_get(n->directory, r->upstream);
+
+	d.wall_us = clock_wall_us();
+	memcpy(d.request, r->id, sizeof(d.request));
+	memcpy(d.root, r->root, sizeof(d.root));
+	if (r->account)
+		memcpy(d.account, r->account->name, sizeof(d.account));
+	if (r->route) {
+		memcpy(d.route, r->route->name, sizeof(d.route));
+		memcpy(d.service, r->route->service, sizeof(d.service));
+	}
+	if (peer)
+		snprintf(d.peer, sizeof(d.peer), "%s", peer);
+	else if (u)
+		addr_format(&u->member, d.peer);
+	d.attempt = r->attempt;
+	d.took_us = took_us;
+	explain_add(n->explain, &d);
+}
+
+static void record_end(struct node *n, struct request *r,
+		       enum decision_kind kind, enum reason reason,
+		       enum outcome outcome, int status, int64_t now)
+{
+	struct decision d = {.kind = kind,
+			     .reason = reason,
+			     .outcome = outcome,
+			     .status = status,
+			     .attempt = r->attempt,
+			     .took_us = now - r->arrived_us};
+
+	d.wall_us = clock_wall_us();
+	memcpy(d.request, r->id, sizeof(d.request));
+	memcpy(d.root, r->root, sizeof(d.root));
+	if (r->account)
+		memcpy(d.account, r->account->name, sizeof(d.account));
+	if (r->route) {
+		memcpy(d.route, r->route->name, sizeof(d.route));
+		memcpy(d.service, r->route->service, sizeof(d.service));
+	}
+	explain_add(n->explain, &d);
+}
+
+static void settle_claim(struct node *n, struct request *r,
+			 enum outcome outcome, const struct message *answer,
+			 int64_t now)
+{
+	if (r->claiming)
+		claims_forget(n->claims, r->handle);
+	if (!r->claim)
+		return;
+	switch (outcome) {
+	case OUTCOME_DONE:
+		claims_finish(n->claims, r->claim, answer, now);
+		break;
+	case OUTCOME_NOT_RUN:
+		claims_release(n->claims, r->claim, now);
+		break;
+	case OUTCOME_UNKNOWN:
+		claims_abandon(n->claims, r->claim, now);
+		break;
+	}
+}
+
+static void free_request(struct node *n, struct request *r)
+{
+	struct call *parent = gates_call_get(n, r->parent);
+
+	if (parent)
+		parent->allowance += r->allowance;
+	identity_remove(n, r);
+	request_drop_exchange(n, r);
+	n->body_bytes -= r->message.body.len;
+	message_free(&r->message);
+	config_put(r->config);
+	table_remove(&n->requests, r->handle);
+}
+
+static void give(struct node *n, struct request *r, struct message *m,
+		 enum outcome outcome)
+{
+	char seconds[16];
+
+	if (!r->exchange)
+		return;
+	message_remove_header(m, "x-request-id");
+	message_remove_header(m, "mulberryferry-outcome");
+	if (r->id[0])
+		message_add_header(m, "x-request-id",
+				   r->origin == ORIGIN_CALLER ? r->root
+							      : r->id);
+	message_add_header(m, "mulberryferry-outcome", outcome_name(outcome));
+	if (r->retry_after_ms) {
+		snprintf(seconds, sizeof(seconds), "%u",
+			 (r->retry_after_ms + 999) / 1000);
+		message_add_header(m, "retry-after", seconds);
+	}
+	http_server_answer(r->origin == ORIGIN_CALLER ? n->callers
+						      : n->services,
+			   r->exchange, m);
+}
+
+static void problem_body(struct message *m, const struct request *r,
+			 enum reason reason, enum outcome outcome)
+{
+	struct json_object *o = json_object_new_object();
+	const char *text;
+
+	json_object_object_add(o, "title",
+			       json_object_new_string(reason_sentence(reason)));
+	json_object_object_add(o, "status", json_object_new_int(m->status));
+	json_object_object_add(o, "reason",
+			       json_object_new_string(reason_code(reason)));
+	json_object_object_add(o, "outcome",
+			       json_object_new_string(outcome_name(outcome)));
+	json_object_object_add(o, "request", json_object_new_string(r->root));
+	text = json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
+	buffer_append(&m->body, text, strlen(text), SIZE_MAX);
+	json_object_put(o);
+}
+
+static bool has_retry_after(enum reason reason)
+{
+	int status = reason_status(reason);
+
+	return status == 429 || status == 503;
+}
+
+/*
+ * Ends a request without an answer of an upstream: a problem document says
+ * why, and whether it ran. outcome must be true.
+ */
+enum filter_result request_refuse(struct node *n, struct request *r,
+				  enum reason reason, enum outcome outcome,
+				  int64_t now)
+{
+	struct message m = {0};
+
+	/* An earlier attempt may have run even if the last one did not. */
+	if (outcome == OUTCOME_NOT_RUN && r->may_have_run)
+		outcome = OUTCOME_UNKNOWN;
+	if (r->limited && outcome == OUTCOME_NOT_RUN)
+		quota_give_back(n->quota, r->account->name, now);
+	settle_claim(n, r, outcome, NULL, now);
+	m.status = reason_status(reason);
+	if (!r->retry_after_ms && has_retry_after(reason))
+		r->retry_after_ms = RETRY_AFTER_MS;
+	message_add_header(&m, "content-type", "application/problem+json");
+	problem_body(&m, r, reason, outcome);
+	record_end(n, r,
+		   reason == REASON_CANCELLED ? DECISION_CANCELLED
+					      : DECISION_REFUSED,
+		   reason, outcome, m.status, now);
+	counter_add(COUNTER_REFUSED, 1);
+	if (r->origin == ORIGIN_CALLER)
+		counter_add(COUNTER_WASTED, r->runs);
+	give(n, r, &m, outcome);
+	message_free(&m);
+	free_request(n, r);
+	return FILTER_END;
+}
+
+/* Ends a request with the whole answer of an upstream. */
+enum filter_result request_answer(struct node *n, struct request *r,
+				  struct message *answer, int64_t now)
+{
+	settle_claim(n, r, OUTCOME_DONE, answer, now);
+	record_end(n, r, DECISION_ANSWERED, REASON_NONE, OUTCOME_DONE,
+		   answer->status, now);
+	counter_add(COUNTER_ANSWERED, 1);
+	if (r->origin == ORIGIN_CALLER && answer->status >= 500)
+		counter_add(COUNTER_WASTED, r->runs);
+	give(n, r, answer, OUTCOME_DONE);
+	free_request(n, r);
+	return FILTER_END;
+}
+
+/*
+ * The caller went away. The chain is cancelled down to the upstream, except
+ * that a once-only call that was sent runs on, so that its outcome is kept.
+ */
+void request_cancel(struct node *n, uint64_t handle, int64_t now)
+{
+	struct request *r = request_get(n, handle);
+
+	if (!r)
+		return;
+	request_drop_exchange(n, r);
+	counter_add(COUNTER_CANCELLED, 1);
+	if (r->in_flight && r->route->once)
+		return;
+	if (r->link_call)
+		links_cancel(n->links, r->link_call);
+	if (r->local_call)
+		gates_cancel_call(n, r->local_call, now);
+	request_refuse(n, r, REASON_CANCELLED,
+		       r->in_flight ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, now);
+}
--- /dev/null
+++ b/src/filter/filter.h
@@ -0,0 +1,118 @@
+/*
+ * The filters that a request passes at its entry node, in order. A filter
+ * lets the request through, parks it until something comes back, or ends it.
+ */
+#ifndef FILTER_FILTER_H
+#define FILTER_FILTER_H
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "control/control.h"
+#include "wire/wire.h"
+
+struct node;
+
+enum request_origin {
+	ORIGIN_CALLER,	/* root of a chain */
+	ORIGIN_SERVICE, /* sub-call of a service on this host */
+};
+
+enum filter_stage {
+	STAGE_CONTEXT,
+	STAGE_ROUTE,
+	STAGE_KEY,
+	STAGE_IDENTITY,
+	STAGE_DEADLINE,
+	STAGE_SHED,
+	STAGE_LIMIT,
+	STAGE_CLAIM,
+	STAGE_PLACE,
+	STAGE_ENDED,
+};
+
+enum filter_result {
+	FILTER_NEXT,
+	FILTER_WAIT,
+	FILTER_END, /* answered, or refused through request_refuse */
+};
+
+struct request {
+	uint64_t handle;
+	uint64_t exchange; /* 0: the caller has gone */
+	enum request_origin origin;
+	enum filter_stage stage;
+	char id[REQUEST_ID_SIZE];
+	char root[REQUEST_ID_SIZE];
+	struct message message;
+	struct config *config;
+	const struct route *route;
+	const struct account *account; /* NULL on open routes */
+	uint64_t parent;	       /* gate call of a sub-call */
+	uint64_t identity;	       /* entry in the table of identities */
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t limit_wait_until_us;
+	uint16_t lot;
+	enum shed_class cls;
+	uint8_t allowance;
+	uint8_t depth;
+	uint8_t attempt;
+	uint16_t runs;	   /* upstream executions so far */
+	bool may_have_run; /* an attempt whose outcome is unknown */
+	bool limited;	   /* spent a token */
+	uint64_t claim;
+	bool claiming;
+	uint32_t shed_unseen[SHED_CLASSES];
+	uint64_t upstream; /* directory handle of the present attempt */
+	uint64_t tried[4];
+	uint64_t link_call;
+	uint64_t local_call;
+	int64_t sent_us;
+	bool in_flight;
+	enum reason last_reason;
+	uint32_t retry_after_ms;
+};
+
+/* Starts a request; msg is moved. The answer goes to the exchange. */
+void request_start(struct node *n, enum request_origin origin,
+		   uint64_t exchange, struct message *msg, int64_t now);
+/* Goes on at the present stage after a wait. */
+void request_resume(struct node *n, uint64_t handle, int64_t now);
+/* The caller went away. */
+void request_cancel(struct node *n, uint64_t handle, int64_t now);
+
+uint64_t request_of_exchange(struct node *n, uint64_t exchange);
+void request_drop_exchange(struct node *n, struct request *r);
+struct request *request_get(struct node *n, uint64_t handle);
+
+/* Ends of a request; each frees it. All return FILTER_END. */
+enum filter_result request_refuse(struct node *n, struct request *r,
+				  enum reason reason, enum outcome outcome,
+				  int64_t now);
+enum filter_result request_answer(struct node *n, struct request *r,
+				  struct message *answer, int64_t now);
+
+void request_record(struct node *n, const struct request *r,
+		    enum decision_kind kind, enum reason reason,
+		    const char *peer, int64_t took_us);
+
+enum filter_result filter_context(struct node *n, struct request *r,
+				  int64_t now);
+enum filter_result filter_route(struct node *n, struct request *r, int64_t now);
+enum filter_result filter_key(struct node *n, struct request *r, int64_t now);
+enum filter_result filter_identity(struct node *n, struct request *r,
+				   int64_t now);
+void identity_remove(struct node *n, struct request *r);
+enum filter_result filter_deadline(struct node *n, struct request *r,
+				   int64_t now);
+enum filter_result filter_shed(struct node *n, struct request *r, int64_t now);
+enum filter_result filter_limit(struct node *n, struct request *r, int64_t now);
+void limit_retry(struct node *n, const char *account, int64_t now);
+enum filter_result filter_claim(struct node *n, struct request *r, int64_t now);
+enum filter_result filter_place(struct node *n, struct request *r, int64_t now);
+/* The answer of the gate to the present attempt; answer may be moved. */
+void place_answered(struct node *n, uint64_t request,
+		    const struct answer_head *head, struct message *answer,
+		    int64_t now);
+
+#endif
--- /dev/null
+++ b/src/filter/identity.c
@@ -0,0 +1,138 @@
+#include "filter/filter.h"
+
+#include <ctype.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node.h"
+
+/* Leaves room for the suffixes of sub-calls. */
+#define ROOT_ID_MAX 40
+#define MADE_ID_SIZE 25
+
+#define LOT_SPAN_US (10 * USEC_PER_SEC)
+
+/* Identities of roots that callers chose and that still run here. */
+struct identity {
+	uint64_t hash;
+	UT_hash_handle hh;
+};
+
+struct identities {
+	struct identity *first;
+};
+
+/* Makes an empty set; NULL when memory is short. */
+struct identities *identities_new(void)
+{
+	return calloc(1, sizeof(struct identities));
+}
+
+/* Frees the set and all in it. */
+void identities_free(struct identities *ids)
+{
+	struct identity *id, *next;
+
+	HASH_ITER(hh, ids->first, id, next)
+	{
+		HASH_DEL(ids->first, id);
+		free(id);
+	}
+	free(ids);
+}
+
+static bool id_is_valid(const char *id)
+{
+	size_t n = strlen(id);
+
+	if (!n || n > ROOT_ID_MAX)
+		return false;
+	for (; *id; id++)
+		if (!isalnum((unsigned char)*id) && !strchr("-_", *id))
+			return false;
+	return true;
+}
+
+static uint64_t identity_hash(const struct request *r)
+{
+	return pair_hash(name_hash(r->account ? r->account->name : ""),
+			 name_hash(r->root));
+}
+
+static int identity_add(struct node *n, struct request *r)
+{
+	struct identity *id;
+
+	r->identity = identity_hash(r);
+	HASH_FIND(hh, n->identities->first, &r->identity, sizeof(r->identity),
+		  id);
+	if (id) {
+		r->identity = 0;
+		return -1;
+	}
+	id = calloc(1, sizeof(*id));
+	if (!id) {
+		r->identity = 0;
+		return 0;
+	}
+	id->hash = r->identity;
+	HASH_ADD(hh, n->identities->first, hash, sizeof(id->hash), id);
+	return 0;
+}
+
+/* Forgets the identity of a root that has ended. */
+void identity_remove(struct node *n, struct request *r)
+{
+	struct identity *id;
+
+	if (!r->identity)
+		return;
+	HASH_FIND(hh, n->identities->first, &r->identity, sizeof(r->identity),
+		  id);
+	r->identity = 0;
+	if (!id)
+		return;
+	HASH_DEL(n->identities->first, id);
+	free(id);
+}
+
+/*
+ * Draws the lot of a root. Callers choose identities, so the draw is keyed
+ * and changes with time: none can find one that always passes. A resend
+ * within the same span meets the same answer.
+ */
+static uint16_t draw_lot(const struct node *n, const struct request *r,
+			 int64_t now)
+{
+	uint64_t span = (uint64_t)(now / LOT_SPAN_US);
+
+	return root_lot(r->root, pair_hash(n->lot_key, span));
+}
+
+/*
+ * Gives a root its identity and its lot. A second request of the account
+ * with the identity of one that still runs starts no second chain here.
+ */
+enum filter_result filter_identity(struct node *n, struct request *r,
+				   int64_t now)
+{
+	const char *given = message_header(&r->message, "x-request-id");
+
+	if (r->origin == ORIGIN_SERVICE)
+		return FILTER_NEXT;
+	if (!given) {
+		random_token(r->root, MADE_ID_SIZE);
+	} else if (!id_is_valid(given)) {
+		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
+				      now);
+	} else {
+		copy_name(r->root, sizeof(r->root), given);
+		if (identity_add(n, r) < 0)
+			return request_refuse(n, r, REASON_DUPLICATE,
+					      OUTCOME_NOT_RUN, now);
+	}
+	memcpy(r->id, r->root, sizeof(r->id));
+	r->lot = draw_lot(n, r, now);
+	return FILTER_NEXT;
+}
--- /dev/null
+++ b/src/filter/key.c
@@ -0,0 +1,56 @@
+#include "filter/filter.h"
+
+#include <string.h>
+#include <strings.h>
+
+#include "node/node.h"
+
+#define BEARER "Bearer "
+
+static const struct account *account_of_key(const struct config *c,
+					    const char *authorization)
+{
+	uint8_t hash[KEY_HASH_SIZE];
+	const struct access_key *key;
+
+	if (strncasecmp(authorization, BEARER, strlen(BEARER)))
+		return NULL;
+	key_hash(hash, authorization + strlen(BEARER));
+	key = config_key(c, hash);
+	return key ? config_account(c, key->account) : NULL;
+}
+
+static bool config_too_old(struct node *n, const struct account *a, int64_t now)
+{
+	return a->refuse_stale_us &&
+	       notes_stale_us(n->notes, now) > a->refuse_stale_us;
+}
+
+/*
+ * Maps the key to its client account, by the configuration now in force
+ * and for each request anew, so a withdrawn key ends with its note. The key
+ * goes no further: no upstream, node, log line or record sees it.
+ */
+enum filter_result filter_key(struct node *n, struct request *r, int64_t now)
+{
+	const char *authorization;
+
+	if (r->origin == ORIGIN_SERVICE)
+		return FILTER_NEXT;
+	authorization = message_header(&r->message, "authorization");
+	if (authorization && !r->route->open)
+		r->account = account_of_key(r->config, authorization);
+	message_remove_header(&r->message, "authorization");
+	if (r->route->open)
+		return FILTER_NEXT;
+	if (!authorization)
+		return request_refuse(n, r, REASON_NO_KEY, OUTCOME_NOT_RUN,
+				      now);
+	if (!r->account)
+		return request_refuse(n, r, REASON_BAD_KEY, OUTCOME_NOT_RUN,
+				      now);
+	if (config_too_old(n, r->account, now))
+		return request_refuse(n, r, REASON_STALE_CONFIG,
+				      OUTCOME_NOT_RUN, now);
+	return FILTER_NEXT;
+}
--- /dev/null
+++ b/src/filter/limit.c
@@ -0,0 +1,70 @@
+#include "filter/filter.h"
+
+#include <string.h>
+
+#include "node/node.h"
+
+/* How long a request may wait for a loan of tokens. */
+#define LIMIT_WAIT_US (20 * USEC_PER_MSEC)
+
+static int park(struct node *n, const struct request *r)
+{
+	size_t limit = n->settings.requests_max * sizeof(r->handle);
+
+	return buffer_append(&n->limit_waiting, &r->handle, sizeof(r->handle),
+			     limit);
+}
+
+/*
+ * Lets the parked requests try again: those of one account when its tokens
+ * came in, or all of them when account is NULL, so that waits end.
+ */
+void limit_retry(struct node *n, const char *account, int64_t now)
+{
+	struct buffer waiting = n->limit_waiting;
+	struct request *r;
+	uint64_t handle;
+	size_t at;
+
+	memset(&n->limit_waiting, 0, sizeof(n->limit_waiting));
+	for (at = 0; at < waiting.len; at += sizeof(handle)) {
+		memcpy(&handle, waiting.data + at, sizeof(handle));
+		r = request_get(n, handle);
+		if (!r || r->stage != STAGE_LIMIT)
+			continue;
+		if (account && strcmp(r->account->name, account))
+			park(n, r);
+		else
+			request_resume(n, handle, now);
+	}
+	buffer_free(&waiting);
+}
+
+/*
+ * Spends one token of the account. Sub-calls were paid for by their root.
+ * When the tokens are on other hosts the request waits a little for a loan.
+ */
+enum filter_result filter_limit(struct node *n, struct request *r, int64_t now)
+{
+	bool first = !r->limit_wait_until_us;
+	int64_t retry_us = 0;
+
+	if (r->origin == ORIGIN_SERVICE || !r->account)
+		return FILTER_NEXT;
+	switch (quota_take(n->quota, r->account->name, first, now, &retry_us)) {
+	case QUOTA_TAKEN:
+		r->limited = true;
+		return FILTER_NEXT;
+	case QUOTA_WAIT:
+		if (first)
+			r->limit_wait_until_us = now + LIMIT_WAIT_US;
+		if (now < r->limit_wait_until_us && park(n, r) == 0)
+			return FILTER_WAIT;
+		break;
+	case QUOTA_REFUSED:
+		break;
+	}
+	counter_add(COUNTER_OVER_RATE, 1);
+	r->retry_after_ms = (uint32_t)(retry_us / USEC_PER_MSEC);
+	return request_refuse(n, r, REASON_OVER_RATE, OUTCOME_NOT_RUN, now);
+}
--- /dev/null
+++ b/src/filter/place.c
@@ -0,0 +1,281 @@
+#include "filter/filter.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/node.h"
+
+#define CANDIDATES_MAX 64
+#define BLIND_RETRIES 3 /* of OVERLOAD_OFF */
+
+static bool was_tried(const struct request *r, uint64_t upstream)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(r->tried) / sizeof(*r->tried); i++)
+		if (r->tried[i] == upstream)
+			return true;
+	return false;
+}
+
+static uint64_t pick_upstream(struct node *n, struct request *r, int64_t now)
+{
+	struct balance_candidate c[CANDIDATES_MAX];
+	uint64_t handles[CANDIDATES_MAX];
+	struct known_upstream *u;
+	size_t count, i;
+	int picked;
+
+	count = directory_list(n->directory, r->route->service, handles,
+			       CANDIDATES_MAX);
+	for (i = 0; i < count; i++) {
+		u = directory_get(n->directory, handles[i]);
+		c[i].load = &u->load;
+		c[i].slots = u->info.slots;
+		c[i].same_data_centre = u->same_data_centre;
+		c[i].tried = was_tried(r, handles[i]);
+	}
+	picked = balance_pick(c, count, node_random(n), now);
+	return picked < 0 ? 0 : handles[picked];
+}
+
+static void fill_head(struct call_head *h, struct request *r,
+		      const struct known_upstream *u, int64_t now)
+{
+	memset(h, 0, sizeof(*h));
+	memcpy(h->request, r->id, sizeof(h->request));
+	memcpy(h->root, r->root, sizeof(h->root));
+	memcpy(h->service, r->route->service, sizeof(h->service));
+	memcpy(h->route, r->route->name, sizeof(h->route));
+	if (r->account)
+		memcpy(h->account, r->account->name, sizeof(h->account));
+	h->upstream = u->info.addr;
+	h->cls = r->cls;
+	h->lot = r->lot;
+	h->deadline_ms = (uint32_t)((r->deadline_us - now) / USEC_PER_MSEC);
+	h->allowance = allowance_lend(&r->allowance);
+	h->depth = r->depth;
+	h->attempt = r->attempt;
+	h->once = r->route->once;
+	memcpy(h->shed_unseen, r->shed_unseen, sizeof(h->shed_unseen));
+	memset(r->shed_unseen, 0, sizeof(r->shed_unseen));
+}
+
+static void add_unseen(struct node *n, struct request *r)
+{
+	uint32_t own[SHED_CLASSES];
+	size_t i;
+
+	cutoffs_take_unseen(n->cutoffs, name_hash(r->route->name),
+			    r->account ? name_hash(r->account->name) : 0, own);
+	for (i = 0; i < SHED_CLASSES; i++)
+		r->shed_unseen[i] += own[i];
+}
+
+static void link_done(void *ctx, uint64_t tag, struct link_result *result,
+		      int64_t now)
+{
+	struct node *n = ctx;
+	struct answer_head lost = {.outcome = OUTCOME_UNKNOWN,
+				   .reason = REASON_LINK_LOST};
+	size_t i;
+
+	if (result->status == LINK_ANSWERED) {
+		place_answered(n, tag, result->head, result->answer, now);
+		return;
+	}
+	if (result->status == LINK_NOT_SENT)
+		lost.outcome = OUTCOME_NOT_RUN;
+	else
+		lost.runs = 1;
+	for (i = 0; i < SHED_CLASSES; i++)
+		lost.admission.open[i] = ADMIT_ALL;
+	place_answered(n, tag, &lost, NULL, now);
+}
+
+static int send_call(struct node *n, struct request *r,
+		     const struct known_upstream *u,
+		     const struct call_head *head, int64_t now,
+		     struct error *err)
+{
+	struct link_call call = {
+		.to = u->member,
+		.head = head,
+		.message = &r->message,
+		.ctx = n,
+		.tag = r->handle,
+		.done = link_done,
+	};
+	struct message copy = {0};
+
+	if (!addr_equal(&u->member, &n->self)) {
+		r->link_call = links_call(n->links, &call, now, err);
+		return r->link_call ? 0 : -1;
+	}
+	if (message_copy(&copy, &r->message) < 0)
+		return error_set(err, ERROR_MEMORY, "place", NULL,
+				 "no memory for the message");
+	r->local_call = gates_call(n, REPLY_LOCAL, r->handle, head, &copy, now);
+	message_free(&copy);
+	return r->local_call ? 0 : -1;
+}
+
+static void remember_tried(struct request *r)
+{
+	size_t last = sizeof(r->tried) / sizeof(*r->tried) - 1;
+
+	memmove(r->tried + 1, r->tried, last * sizeof(*r->tried));
+	r->tried[0] = r->upstream;
+}
+
+/* Chooses an upstream and sends the call to its gate. */
+enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
+{
+	struct known_upstream *u;
+	struct call_head head;
+	struct error err;
+
+	if (now + USEC_PER_MSEC >= r->deadline_us)
+		return request_refuse(n, r, REASON_DEADLINE, OUTCOME_NOT_RUN,
+				      now);
+	r->upstream = pick_upstream(n, r, now);
+	u = directory_get(n->directory, r->upstream);
+	if (!u)
+		return request_refuse(n, r, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN,
+				      now);
+	if (!r->attempt)
+		add_unseen(n, r);
+	fill_head(&head, r, u, now);
+	remember_tried(r);
+	r->sent_us = now;
+	if (send_call(n, r, u, &head, now, &err) < 0) {
+		log_error(LOG_WARNING, "place", &err);
+		r->allowance += head.allowance;
+		return request_refuse(n, r, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN,
+				      now);
+	}
+	r->in_flight = true;
+	load_sent(&u->load, now);
+	if (!r->attempt)
+		retry_ratio_call(service_retry_ratio(n, r->route->service));
+	request_record(n, r, DECISION_PLACED, REASON_NONE, NULL, 0);
+	return FILTER_WAIT;
+}
+
+/* A retry that waits for its back-off. */
+struct pending_retry {
+	struct node *node;
+	uint64_t request;
+};
+
+static void retry_now(void *ctx, int64_t now)
+{
+	struct pending_retry *p = ctx;
+
+	request_resume(p->node, p->request, now);
+	free(p);
+}
+
+static bool may_retry(struct node *n, struct request *r, enum outcome outcome,
+		      enum reason reason)
+{
+	if (r->route->once && outcome != OUTCOME_NOT_RUN)
+		return false;
+	if (config_overload_mode(r->config) == OVERLOAD_OFF)
+		return r->attempt < BLIND_RETRIES;
+	if (!retry_allowed(outcome, reason, r->route->once))
+		return false;
+	if (!r->allowance)
+		return false;
+	return retry_ratio_take(service_retry_ratio(n, r->route->service));
+}
+
+static bool start_retry(struct node *n, struct request *r, enum outcome outcome,
+			enum reason reason, int64_t now)
+{
+	struct pending_retry *p;
+	int64_t at;
+
+	if (!may_retry(n, r, outcome, reason))
+		return false;
+	at = now + retry_backoff_us(r->attempt + 1U, node_random(n));
+	if (at + USEC_PER_MSEC >= r->deadline_us)
+		return false;
+	p = calloc(1, sizeof(*p));
+	if (!p)
+		return false;
+	p->node = n;
+	p->request = r->handle;
+	if (net_at(n->net, at, retry_now, p) < 0) {
+		free(p);
+		return false;
+	}
+	if (r->allowance)
+		r->allowance--;
+	r->attempt++;
+	counter_add(COUNTER_RETRIES, 1);
+	request_record(n, r, DECISION_RETRIED, reason, NULL, now - r->sent_us);
+	return true;
+}
+
+/* An upstream that answers so has shed or failed; another may do better. */
+static bool status_is_retriable(int status)
+{
+	return status == 502 || status == 503 || status == 504;
+}
+
+static void learn(struct node *n, struct request *r,
+		  const struct answer_head *head, int64_t now)
+{
+	struct known_upstream *u = directory_get(n->directory, r->upstream);
+	uint64_t account = r->account ? name_hash(r->account->name) : 0;
+	struct call *parent = gates_call_get(n, r->parent);
+
+	if (u && head->outcome == OUTCOME_DONE)
+		load_answered(&u->load, head, now - r->sent_us, now);
+	else if (u)
+		load_failed(&u->load, now);
+	if (u && head->leaving)
+		u->info.state = UPSTREAM_LEAVING;
+	if (head->reason != REASON_LINK_LOST)
+		cutoffs_fold(n->cutoffs, name_hash(r->route->name), account,
+			     &head->admission, now);
+	if (head->outcome != OUTCOME_NOT_RUN)
+		r->may_have_run = true;
+	r->runs += head->runs;
+	r->allowance += head->allowance_left;
+	if (parent) {
+		parent->met = admission_min(parent->met, head->admission);
+		parent->runs += head->runs;
+	}
+}
+
+/* Gives the outcome, sends the call again, or refuses it. */
+void place_answered(struct node *n, uint64_t request,
+		    const struct answer_head *head, struct message *answer,
+		    int64_t now)
+{
+	struct request *r = request_get(n, request);
+	bool retriable;
+
+	if (!r)
+		return;
+	r->in_flight = false;
+	r->link_call = 0;
+	r->local_call = 0;
+	learn(n, r, head, now);
+	if (!r->exchange && !r->route->once) {
+		request_refuse(n, r, REASON_CANCELLED, head->outcome, now);
+		return;
+	}
+	retriable = head->outcome != OUTCOME_DONE || !answer ||
+		    (status_is_retriable(answer->status) && !r->route->once);
+	if (retriable && start_retry(n, r, head->outcome, head->reason, now))
+		return;
+	if (head->outcome == OUTCOME_DONE && answer) {
+		request_answer(n, r, answer, now);
+		return;
+	}
+	r->retry_after_ms = head->retry_after_ms;
+	request_refuse(n, r, head->reason, head->outcome, now);
+}
--- /dev/null
+++ b/src/node/calls.c
@@ -0,0 +1,450 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "node/gates.h"
+
+/* Returns the call of a handle, or NULL when it has ended. */
+struct call *gates_call_get(struct node *n, uint64_t handle)
+{
+	return table_get(&n->calls, handle);
+}
+
+/* Returns the running call that gave out a context token, or NULL. */
+struct call *gates_call_by_token(struct node *n, const char *token)
+{
+	struct call_index *index;
+	struct call *c;
+
+	if (strlen(token) != TOKEN_SIZE - 1)
+		return NULL;
+	HASH_FIND(hh_token, n->by_token, token, TOKEN_SIZE - 1, index);
+	if (!index)
+		return NULL;
+	c = gates_call_get(n, index->call);
+	return c && c->started_us ? c : NULL;
+}
+
+static int index_call(struct node *n, struct call *c)
+{
+	struct call_index *index = calloc(1, sizeof(*index));
+
+	if (!index)
+		return -1;
+	random_token(index->token, sizeof(index->token));
+	memcpy(c->token, index->token, sizeof(c->token));
+	index->call = c->handle;
+	c->index = index;
+	HASH_ADD(hh_token, n->by_token, token, TOKEN_SIZE - 1, index);
+	if (c->reply_kind != REPLY_LINK)
+		return 0;
+	index->stream = c->reply.stream;
+	HASH_ADD(hh_stream, n->by_stream, stream, sizeof(index->stream), index);
+	return 0;
+}
+
+static void unindex_call(struct node *n, struct call *c)
+{
+	struct call_index *index = c->index;
+
+	HASH_DELETE(hh_token, n->by_token, index);
+	if (c->reply_kind == REPLY_LINK)
+		HASH_DELETE(hh_stream, n->by_stream, index);
+	free(index);
+}
+
+static void free_call(struct node *n, struct call *c)
+{
+	uint64_t handle = c->handle;
+
+	if (c->index)
+		unindex_call(n, c);
+	message_free(&c->message);
+	table_remove(&n->calls, handle);
+}
+
+/* A local answer waits for the next turn of the loop: no re-entry. */
+struct local_answer {
+	struct node *node;
+	uint64_t request;
+	struct answer_head head;
+	struct message message;
+	bool has_message;
+};
+
+static void give_local_answer(void *ctx, int64_t now)
+{
+	struct local_answer *a = ctx;
+
+	place_answered(a->node, a->request, &a->head,
+		       a->has_message ? &a->message : NULL, now);
+	message_free(&a->message);
+	free(a);
+}
+
+static void answer_locally(struct node *n, uint64_t request,
+			   const struct answer_head *head,
+			   const struct message *m, int64_t now)
+{
+	struct local_answer *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		return;
+	a->node = n;
+	a->request = request;
+	a->head = *head;
+	if (m && message_copy(&a->message, m) == 0)
+		a->has_message = true;
+	if (net_at(n->net, now, give_local_answer, a) < 0) {
+		message_free(&a->message);
+		free(a);
+	}
+}
+
+static void record_call(struct node *n, const struct call *c,
+			enum decision_kind kind, enum reason reason,
+			int64_t took_us)
+{
+	struct decision d = {.kind = kind,
+			     .reason = reason,
+			     .attempt = c->head.attempt,
+			     .took_us = took_us};
+
+	d.wall_us = clock_wall_us();
+	memcpy(d.request, c->head.request, sizeof(d.request));
+	memcpy(d.root, c->head.root, sizeof(d.root));
+	memcpy(d.account, c->head.account, sizeof(d.account));
+	memcpy(d.route, c->head.route, sizeof(d.route));
+	memcpy(d.service, c->head.service, sizeof(d.service));
+	addr_format(&c->head.upstream, d.peer);
+	explain_add(n->explain, &d);
+}
+
+static void fill_load(struct node *n, const struct call *c,
+		      struct answer_head *head, int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, c->upstream);
+	struct gate_report report;
+
+	head->allowance_left = c->allowance;
+	head->runs = c->runs;
+	head->admission = c->met;
+	head->leaving = n->stopping;
+	if (c->started_us)
+		head->service_us = (uint32_t)(now - c->started_us);
+	if (!u)
+		return;
+	gate_report(u->gate, &report);
+	head->queue_us = (uint32_t)report.queue_us;
+	head->in_flight = report.running + report.queued;
+	head->leaving |= u->info.state != UPSTREAM_READY;
+	head->admission = admission_min(
+		c->met,
+		gate_admission(u->gate, c->head.account[0]
+						? name_hash(c->head.account)
+						: 0));
+}
+
+/* Answers the entry and frees the call. */
+static void end_call(struct node *n, struct call *c, enum outcome outcome,
+		     enum reason reason, const struct message *m, int64_t now)
+{
+	struct answer_head head = {.outcome = outcome, .reason = reason};
+
+	fill_load(n, c, &head, now);
+	if (c->reply_kind == REPLY_LINK)
+		links_answer(n->links, c->reply.stream, &head, m);
+	else
+		answer_locally(n, c->reply.request, &head, m, now);
+	free_call(n, c);
+}
+
+static void cancel_sub_calls(struct node *n, uint64_t parent, int64_t now)
+{
+	struct request *r;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->requests, h, &item))) {
+		r = item;
+		if (r->parent == parent && r->exchange)
+			request_cancel(n, h, now);
+	}
+}
+
+static enum outcome outcome_of(enum http_call_status status)
+{
+	switch (status) {
+	case HTTP_ANSWERED:
+		return OUTCOME_DONE;
+	case HTTP_NOT_SENT:
+		return OUTCOME_NOT_RUN;
+	case HTTP_BROKEN:
+	case HTTP_GARBAGE:
+	case HTTP_TOO_LARGE:
+	case HTTP_TIMED_OUT:
+		break;
+	}
+	return OUTCOME_UNKNOWN;
+}
+
+static enum reason reason_of(enum http_call_status status)
+{
+	switch (status) {
+	case HTTP_ANSWERED:
+		return REASON_NONE;
+	case HTTP_GARBAGE:
+	case HTTP_TOO_LARGE:
+		return REASON_UPSTREAM_GARBAGE;
+	case HTTP_TIMED_OUT:
+		return REASON_DEADLINE;
+	case HTTP_NOT_SENT:
+	case HTTP_BROKEN:
+		break;
+	}
+	return REASON_UPSTREAM_FAILED;
+}
+
+static void upstream_done(void *ctx, uint64_t tag, struct http_call_result *r,
+			  int64_t now)
+{
+	struct node *n = ctx;
+	struct call *c = gates_call_get(n, tag);
+	struct local_upstream *u;
+	uint64_t upstream;
+
+	if (!c)
+		return;
+	upstream = c->upstream;
+	u = gates_upstream(n, upstream);
+	if (u)
+		gate_done(u->gate, tag,
+			  r->status == HTTP_ANSWERED && r->answer->status < 500,
+			  now);
+	if (r->status != HTTP_ANSWERED) {
+		counter_add(COUNTER_UPSTREAM_FAILURES, 1);
+		log_error(LOG_WARNING, "upstream", &r->err);
+	}
+	if (r->status == HTTP_NOT_SENT)
+		c->runs--;
+	cancel_sub_calls(n, tag, now);
+	end_call(n, c, outcome_of(r->status), reason_of(r->status),
+		 r->status == HTTP_ANSWERED ? r->answer : NULL, now);
+	gates_pump(n, upstream, now);
+}
+
+static void add_call_headers(struct call *c, int64_t now)
+{
+	char ms[24];
+
+	snprintf(ms, sizeof(ms), "%lld",
+		 (long long)((c->deadline_us - now) / USEC_PER_MSEC));
+	message_remove_header(&c->message, "x-request-id");
+	message_remove_header(&c->message, "mulberryferry-deadline-ms");
+	message_add_header(&c->message, "x-request-id", c->head.request);
+	message_add_header(&c->message, "mulberryferry-deadline-ms", ms);
+	message_add_header(&c->message, "mulberryferry-context", c->token);
+}
+
+static void run_call(struct node *n, struct local_upstream *u, struct call *c,
+		     int64_t waited_us, int64_t now)
+{
+	struct http_call http = {
+		.request = &c->message,
+		.deadline_us = c->deadline_us,
+		.ctx = n,
+		.tag = c->handle,
+		.done = upstream_done,
+	};
+	struct error err;
+
+	c->started_us = now;
+	c->waited_us = waited_us;
+	add_call_headers(c, now);
+	c->http_call = http_call_start(u->pool, &http, now, &err);
+	record_call(n, c, DECISION_RUN, REASON_NONE, waited_us);
+	if (c->http_call) {
+		c->runs++;
+		counter_add(COUNTER_UPSTREAM_RUNS, 1);
+		return;
+	}
+	log_error(LOG_WARNING, "upstream", &err);
+	gate_done(u->gate, c->handle, false, now);
+	end_call(n, c, OUTCOME_NOT_RUN, REASON_UPSTREAM_FAILED, NULL, now);
+}
+
+/* Drops what must not run any more, then runs what the gate lets through. */
+void gates_pump(struct node *n, uint64_t upstream, int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, upstream);
+	struct gate_drop drop;
+	struct call *c;
+	int64_t waited_us;
+	uint64_t id;
+
+	if (!u)
+		return;
+	while (gate_next_drop(u->gate, now, &drop)) {
+		c = gates_call_get(n, drop.id);
+		if (!c)
+			continue;
+		record_call(n, c, DECISION_DROPPED, drop.reason,
+			    now - c->arrived_us);
+		end_call(n, c, OUTCOME_NOT_RUN, drop.reason, NULL, now);
+	}
+	while ((id = gate_next(u->gate, now, &waited_us))) {
+		c = gates_call_get(n, id);
+		if (c)
+			run_call(n, u, c, waited_us, now);
+		else
+			gate_done(u->gate, id, false, now);
+	}
+}
+
+static uint32_t account_weight(struct node *n, const char *account)
+{
+	const struct account *a = NULL;
+
+	if (n->config && account[0])
+		a = config_account(n->config, account);
+	return a ? a->weight : 1;
+}
+
+static enum gate_verdict offer(struct node *n, struct local_upstream *u,
+			       struct call *c, enum reason *why, int64_t now)
+{
+	struct gate_call g = {
+		.id = c->handle,
+		.weight = account_weight(n, c->head.account),
+		.cls = c->head.cls,
+		.lot = c->head.lot,
+		.deadline_us = c->deadline_us,
+	};
+
+	if (c->head.account[0])
+		g.account = name_hash(c->head.account);
+	memcpy(g.shed_unseen, c->head.shed_unseen, sizeof(g.shed_unseen));
+	return gate_offer(u->gate, &g, why, now);
+}
+
+static struct call *add_call(struct node *n, enum reply_kind kind,
+			     uint64_t reply, const struct call_head *head,
+			     struct message *msg, int64_t now)
+{
+	struct call *c;
+	void *item;
+	uint64_t h = table_add(&n->calls, &item);
+	size_t i;
+
+	if (!h)
+		return NULL;
+	c = item;
+	c->handle = h;
+	c->reply_kind = kind;
+	if (kind == REPLY_LINK)
+		c->reply.stream = reply;
+	else
+		c->reply.request = reply;
+	c->head = *head;
+	c->message = *msg;
+	memset(msg, 0, sizeof(*msg));
+	c->arrived_us = now;
+	c->deadline_us = now + head->deadline_ms * USEC_PER_MSEC;
+	c->allowance = head->allowance;
+	for (i = 0; i < SHED_CLASSES; i++)
+		c->met.open[i] = ADMIT_ALL;
+	return c;
+}
+
+/*
+ * Takes a call for an upstream of this host into its gate. The entry hears
+ * the outcome through its reply; returns 0 when the call could not be held,
+ * with the refusal already on its way.
+ */
+uint64_t gates_call(struct node *n, enum reply_kind kind, uint64_t reply,
+		    const struct call_head *head, struct message *msg,
+		    int64_t now)
+{
+	struct local_upstream *u =
+		gates_find(n, &head->upstream, head->service);
+	struct call *c = add_call(n, kind, reply, head, msg, now);
+	struct answer_head refusal = {.outcome = OUTCOME_NOT_RUN,
+				      .reason = REASON_OVERLOADED,
+				      .allowance_left = head->allowance,
+				      .leaving = n->stopping};
+	enum reason why = REASON_NO_UPSTREAM;
+	uint64_t handle;
+
+	memset(refusal.admission.open, 0xff, sizeof(refusal.admission.open));
+	if (!c || index_call(n, c) < 0) {
+		if (c)
+			free_call(n, c);
+		if (kind == REPLY_LINK)
+			links_answer(n->links, reply, &refusal, NULL);
+		return 0;
+	}
+	handle = c->handle;
+	if (!u || u->info.state == UPSTREAM_GONE) {
+		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
+		return handle;
+	}
+	c->upstream = u->handle;
+	if (offer(n, u, c, &why, now) == GATE_REFUSED) {
+		record_call(n, c, DECISION_DROPPED, why, 0);
+		end_call(n, c, OUTCOME_NOT_RUN, why, NULL, now);
+		return handle;
+	}
+	record_call(n, c, DECISION_QUEUED, REASON_NONE, 0);
+	gates_pump(n, u->handle, now);
+	return handle;
+}
+
+/* The entry no longer wants the call: nothing is answered. */
+void gates_cancel_call(struct node *n, uint64_t call, int64_t now)
+{
+	struct call *c = gates_call_get(n, call);
+	struct local_upstream *u;
+	uint64_t upstream;
+
+	if (!c)
+		return;
+	upstream = c->upstream;
+	u = gates_upstream(n, upstream);
+	if (u) {
+		if (c->http_call)
+			http_call_cancel(u->pool, c->http_call);
+		gate_cancel(u->gate, call, now);
+	}
+	record_call(n, c, DECISION_CANCELLED, REASON_CANCELLED,
+		    now - c->arrived_us);
+	cancel_sub_calls(n, call, now);
+	free_call(n, c);
+	gates_pump(n, upstream, now);
+}
+
+/* The link of an incoming call broke, or its entry cancelled it. */
+void gates_cancel_stream(struct node *n, uint64_t stream, int64_t now)
+{
+	struct call_index *index;
+	struct call *c;
+
+	HASH_FIND(hh_stream, n->by_stream, &stream, sizeof(stream), index);
+	if (!index)
+		return;
+	c = gates_call_get(n, index->call);
+	/* A once-only call that runs is let finish; its answer is dropped. */
+	if (c && c->head.once && c->started_us)
+		return;
+	gates_cancel_call(n, index->call, now);
+}
+
+/* Frees every call without an answer, when the node closes. */
+void calls_free(struct node *n)
+{
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item)))
+		free_call(n, item);
+	table_free(&n->calls);
+}
--- /dev/null
+++ b/src/node/directory.c
@@ -0,0 +1,282 @@
+#include "node/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define UPSTREAMS_MAX 65536
+
+/* How many upstreams of one service this node talks to. */
+#define OWN_SUBSET 24
+#define OTHER_SUBSET 8
+
+struct service_entry {
+	char name[NAME_SIZE];
+	uint64_t *handles; /* own data centre first, then by rendezvous hash */
+	size_t count;
+	size_t size;
+	UT_hash_handle hh;
+};
+
+/* Which upstreams a member announced. */
+struct member_entry {
+	struct addr member;
+	uint64_t handles[UPSTREAMS_PER_HOST_MAX];
+	size_t count;
+	UT_hash_handle hh;
+};
+
+struct directory {
+	struct node *node;
+	struct service_entry *services;
+	struct member_entry *members;
+};
+
+/* Makes an empty directory; NULL when memory is short. */
+struct directory *directory_new(struct node *n)
+{
+	struct directory *d = calloc(1, sizeof(*d));
+
+	if (!d)
+		return NULL;
+	d->node = n;
+	table_init(&n->upstreams, sizeof(struct known_upstream), UPSTREAMS_MAX);
+	return d;
+}
+
+/* Frees the directory and its table of upstreams. */
+void directory_free(struct directory *d)
+{
+	struct service_entry *s, *s_next;
+	struct member_entry *m, *m_next;
+
+	HASH_ITER(hh, d->services, s, s_next)
+	{
+		HASH_DEL(d->services, s);
+		free(s->handles);
+		free(s);
+	}
+	HASH_ITER(hh, d->members, m, m_next)
+	{
+		HASH_DEL(d->members, m);
+		free(m);
+	}
+	table_free(&d->node->upstreams);
+	free(d);
+}
+
+/* Returns what is known of an upstream, or NULL when it has gone. */
+struct known_upstream *directory_get(struct directory *d, uint64_t handle)
+{
+	return table_get(&d->node->upstreams, handle);
+}
+
+static uint64_t rank(const struct directory *d, const struct known_upstream *u)
+{
+	char self[ADDR_TEXT_SIZE], other[ADDR_TEXT_SIZE];
+
+	addr_format(&d->node->self, self);
+	addr_format(&u->info.addr, other);
+	return pair_hash(name_hash(self), name_hash(other));
+}
+
+static bool goes_before(const struct directory *d,
+			const struct known_upstream *a,
+			const struct known_upstream *b)
+{
+	if (a->same_data_centre != b->same_data_centre)
+		return a->same_data_centre;
+	return rank(d, a) < rank(d, b);
+}
+
+static struct service_entry *service_entry(struct directory *d,
+					   const char *name)
+{
+	struct service_entry *s;
+
+	HASH_FIND_STR(d->services, name, s);
+	if (s)
+		return s;
+	s = calloc(1, sizeof(*s));
+	if (!s || copy_name(s->name, sizeof(s->name), name) < 0) {
+		free(s);
+		return NULL;
+	}
+	HASH_ADD_STR(d->services, name, s);
+	return s;
+}
+
+static int service_insert(struct directory *d, uint64_t handle)
+{
+	struct known_upstream *u = directory_get(d, handle);
+	struct service_entry *s = service_entry(d, u->info.service);
+	uint64_t *p;
+	size_t at;
+
+	if (!s)
+		return -1;
+	if (s->count == s->size) {
+		p = realloc(s->handles, (s->size + 8) * sizeof(*p));
+		if (!p)
+			return -1;
+		s->handles = p;
+		s->size += 8;
+	}
+	for (at = s->count; at > 0; at--) {
+		if (!goes_before(d, u, directory_get(d, s->handles[at - 1])))
+			break;
+		s->handles[at] = s->handles[at - 1];
+	}
+	s->handles[at] = handle;
+	s->count++;
+	return 0;
+}
+
+static void service_remove(struct directory *d, uint64_t handle)
+{
+	struct known_upstream *u = directory_get(d, handle);
+	struct service_entry *s = service_entry(d, u->info.service);
+	size_t i;
+
+	for (i = 0; s && i < s->count; i++) {
+		if (s->handles[i] != handle)
+			continue;
+		memmove(s->handles + i, s->handles + i + 1,
+			(s->count - i - 1) * sizeof(*s->handles));
+		s->count--;
+		break;
+	}
+	table_remove(&d->node->upstreams, handle);
+}
+
+static bool member_serves(const struct member_info *m)
+{
+	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT ||
+	       m->state == MEMBER_LEAVING;
+}
+
+static const struct upstream_info *announced(const struct member_info *m,
+					     const struct known_upstream *u)
+{
+	size_t i;
+
+	if (!member_serves(m))
+		return NULL;
+	for (i = 0; i < m->upstream_count; i++)
+		if (addr_equal(&m->upstreams[i].addr, &u->info.addr) &&
+		    !strcmp(m->upstreams[i].service, u->info.service))
+			return &m->upstreams[i];
+	return NULL;
+}
+
+static void drop_missing(struct directory *d, struct member_entry *e,
+			 const struct member_info *m)
+{
+	const struct upstream_info *info;
+	struct known_upstream *u;
+	size_t i = 0;
+
+	while (i < e->count) {
+		u = directory_get(d, e->handles[i]);
+		info = announced(m, u);
+		if (info && info->state != UPSTREAM_GONE) {
+			u->info = *info;
+			if (m->state == MEMBER_LEAVING)
+				u->info.state = UPSTREAM_LEAVING;
+			i++;
+			continue;
+		}
+		service_remove(d, e->handles[i]);
+		e->handles[i] = e->handles[--e->count];
+	}
+}
+
+static bool is_known(const struct directory *d, const struct member_entry *e,
+		     const struct upstream_info *info)
+{
+	const struct known_upstream *u;
+	size_t i;
+
+	for (i = 0; i < e->count; i++) {
+		u = table_get(&d->node->upstreams, e->handles[i]);
+		if (addr_equal(&u->info.addr, &info->addr) &&
+		    !strcmp(u->info.service, info->service))
+			return true;
+	}
+	return false;
+}
+
+static void add_upstream(struct directory *d, struct member_entry *e,
+			 const struct member_info *m,
+			 const struct upstream_info *info)
+{
+	struct known_upstream *u;
+	uint64_t handle;
+	void *item;
+
+	if (e->count == UPSTREAMS_PER_HOST_MAX)
+		return;
+	handle = table_add(&d->node->upstreams, &item);
+	if (!handle)
+		return;
+	u = item;
+	u->member = m->nodes;
+	u->info = *info;
+	if (m->state == MEMBER_LEAVING)
+		u->info.state = UPSTREAM_LEAVING;
+	u->same_data_centre =
+		!strcmp(m->data_centre, d->node->settings.data_centre);
+	if (service_insert(d, handle) < 0) {
+		table_remove(&d->node->upstreams, handle);
+		return;
+	}
+	e->handles[e->count++] = handle;
+}
+
+/* Takes over what a member announces; what it no longer has is dropped. */
+void directory_update(struct directory *d, const struct member_info *m)
+{
+	struct member_entry *e;
+	size_t i;
+
+	HASH_FIND(hh, d->members, &m->nodes, sizeof(m->nodes), e);
+	if (!e) {
+		e = calloc(1, sizeof(*e));
+		if (!e)
+			return;
+		e->member = m->nodes;
+		HASH_ADD(hh, d->members, member, sizeof(e->member), e);
+	}
+	drop_missing(d, e, m);
+	for (i = 0; member_serves(m) && i < m->upstream_count; i++)
+		if (m->upstreams[i].state != UPSTREAM_GONE &&
+		    !is_known(d, e, &m->upstreams[i]))
+			add_upstream(d, e, m, &m->upstreams[i]);
+	if (!e->count) {
+		HASH_DEL(d->members, e);
+		free(e);
+	}
+}
+
+/*
+ * Lists upstreams of a service that take new work: a stable subset of this
+ * node's own, so that links stay few, with some of other data centres.
+ */
+size_t directory_list(struct directory *d, const char *service,
+		      uint64_t *handles, size_t max)
+{
+	size_t own = 0, other = 0, n = 0, i;
+	const struct known_upstream *u;
+	struct service_entry *s;
+
+	HASH_FIND_STR(d->services, service, s);
+	for (i = 0; s && i < s->count && n < max; i++) {
+		u = directory_get(d, s->handles[i]);
+		if (u->info.state != UPSTREAM_READY)
+			continue;
+		if (u->same_data_centre ? own++ >= OWN_SUBSET
+					: other++ >= OTHER_SUBSET)
+			continue;
+		handles[n++] = s->handles[i];
+	}
+	return n;
+}
--- /dev/null
+++ b/src/node/gates.h
@@ -0,0 +1,13 @@
+/* Shared by the files of the gates. */
+#ifndef NODE_GATES_H
+#define NODE_GATES_H
+
+#include "node/node.h"
+
+struct local_upstream *gates_upstream(struct node *n, uint64_t handle);
+struct local_upstream *gates_find(struct node *n, const struct addr *a,
+				  const char *service);
+/* Lets the gate of one upstream name the next calls to run or drop. */
+void gates_pump(struct node *n, uint64_t upstream, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/node/listeners.c
@@ -0,0 +1,199 @@
+#include "node/listeners.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define ANNOUNCEMENT_PATH "/mulberryferry/v1/announcement"
+#define LOCAL_CONNECTIONS_MAX 4096
+#define ADMIN_CONNECTIONS_MAX 256
+#define ADMIN_BODY_LIMIT (1024 * 1024)
+
+static void on_caller(void *ctx, uint64_t exchange, struct message *msg,
+		      const char *peer, int64_t now)
+{
+	(void)peer;
+	request_start(ctx, ORIGIN_CALLER, exchange, msg, now);
+}
+
+static void answer_status(struct http_server *s, uint64_t exchange, int status,
+			  const char *text)
+{
+	struct message m = {.status = status};
+
+	message_add_header(&m, "content-type", "text/plain");
+	buffer_append(&m.body, text, strlen(text), SIZE_MAX);
+	http_server_answer(s, exchange, &m);
+	message_free(&m);
+}
+
+static void take_announcement(struct node *n, uint64_t exchange,
+			      const struct message *msg, int64_t now)
+{
+	struct upstream_info u;
+	struct error err;
+
+	if (announcement_read(&u, (const char *)msg->body.data, msg->body.len,
+			      &err) < 0) {
+		log_error(LOG_WARNING, "announcement-refused", &err);
+		answer_status(n->services, exchange, 400, err.text);
+		return;
+	}
+	gates_announce(n, &u, now);
+	answer_status(n->services, exchange, 200, "ok\n");
+}
+
+static void on_service(void *ctx, uint64_t exchange, struct message *msg,
+		       const char *peer, int64_t now)
+{
+	struct node *n = ctx;
+
+	(void)peer;
+	if (!strcmp(msg->target, ANNOUNCEMENT_PATH) &&
+	    !strcmp(msg->method, "PUT"))
+		take_announcement(n, exchange, msg, now);
+	else
+		request_start(n, ORIGIN_SERVICE, exchange, msg, now);
+}
+
+static void on_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	request_cancel(ctx, request_of_exchange(ctx, exchange), now);
+}
+
+static void on_admin(void *ctx, uint64_t exchange, struct message *msg,
+		     const char *peer, int64_t now)
+{
+	(void)peer;
+	admin_request(ctx, exchange, msg, now);
+}
+
+static void on_admin_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	(void)ctx;
+	(void)exchange;
+	(void)now;
+}
+
+static void on_call(void *ctx, uint64_t stream, const struct addr *peer,
+		    const struct call_head *head, struct message *msg,
+		    int64_t now)
+{
+	(void)peer;
+	gates_call(ctx, REPLY_LINK, stream, head, msg, now);
+}
+
+static void on_cancelled(void *ctx, uint64_t stream, int64_t now)
+{
+	gates_cancel_stream(ctx, stream, now);
+}
+
+static void on_peer(void *ctx, const struct peer_msg *msg, int64_t now)
+{
+	struct node *n = ctx;
+
+	notes_heard(n->notes, &msg->from, msg->config_number, now);
+	switch (msg->kind) {
+	case PEER_PROBE:
+	case PEER_PROBE_ACK:
+	case PEER_PROBE_FOR:
+	case PEER_MEMBERS_PULL:
+	case PEER_MEMBERS:
+		members_receive(n->members, msg, now);
+		break;
+	case PEER_NOTES_PULL:
+	case PEER_NOTE:
+	case PEER_SNAPSHOT:
+		notes_receive(n->notes, msg, now);
+		break;
+	case PEER_LOAN_ASK:
+	case PEER_LOAN_GRANT:
+	case PEER_LOAN_SPENT:
+		quota_receive(n->quota, msg, now);
+		break;
+	case PEER_QUERY:
+	case PEER_QUERY_ANSWER:
+		admin_peer(n, msg, now);
+		break;
+	}
+}
+
+static int open_http(struct node *n, struct error *err)
+{
+	const struct settings *s = &n->settings;
+	struct http_server_options o = {.listen = s->callers,
+					.body_limit = s->body_limit,
+					.connections_max = s->connections_max,
+					.ctx = n,
+					.request = on_caller,
+					.gone = on_gone};
+
+	n->callers = http_server_open(n->net, &o, err);
+	if (!n->callers)
+		return -1;
+	o.listen = s->services;
+	o.connections_max = LOCAL_CONNECTIONS_MAX;
+	o.request = on_service;
+	n->services = http_server_open(n->net, &o, err);
+	if (!n->services)
+		return -1;
+	o.listen = s->admin;
+	o.connections_max = ADMIN_CONNECTIONS_MAX;
+	o.body_limit = ADMIN_BODY_LIMIT;
+	o.request = on_admin;
+	o.gone = on_admin_gone;
+	n->admin = http_server_open(n->net, &o, err);
+	return n->admin ? 0 : -1;
+}
+
+/* Opens the HTTP listeners and the links; -1 with err set. */
+int listeners_open(struct node *n, struct error *err)
+{
+	struct links_options o = {.listen = n->settings.nodes,
+				  .body_limit = n->settings.body_limit,
+				  .ctx = n,
+				  .call = on_call,
+				  .cancelled = on_cancelled,
+				  .peer = on_peer};
+
+	if (open_http(n, err) < 0)
+		return -1;
+	memcpy(o.secret, n->settings.secret, sizeof(o.secret));
+	n->links = links_open(n->net, &o, err);
+	if (!n->links)
+		return -1;
+	links_addr(n->links, &n->self);
+	return 0;
+}
+
+/* Writes one line with the addresses listened on. */
+void listeners_log(const struct node *n)
+{
+	char text[ADDR_TEXT_SIZE];
+	struct log_line line;
+	struct addr a;
+
+	log_start(&line, LOG_NOTICE, "listening");
+	log_str(&line, "host", n->settings.host);
+	log_str(&line, "data_centre", n->settings.data_centre);
+	http_server_addr(n->callers, &a);
+	addr_format(&a, text);
+	log_str(&line, "callers", text);
+	http_server_addr(n->services, &a);
+	addr_format(&a, text);
+	log_str(&line, "services", text);
+	addr_format(&n->self, text);
+	log_str(&line, "nodes", text);
+	http_server_addr(n->admin, &a);
+	addr_format(&a, text);
+	log_str(&line, "admin", text);
+	log_emit(&line);
+}
+
+/* Closes gates, links and their calls; the loop closes the servers. */
+void listeners_close(struct node *n)
+{
+	gates_close(n);
+	if (n->links)
+		links_close(n->links);
+	n->links = NULL;
+}
--- /dev/null
+++ b/src/node/node.c
@@ -0,0 +1,352 @@
+#include "node/node.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "node/listeners.h"
+
+#define CALLS_MAX 65536
+#define CUTOFFS_MAX 32768
+#define EXPLAIN_RING 32768
+
+#define FAST_TICK_US (5 * USEC_PER_MSEC)
+#define SLOW_TICK_US (50 * USEC_PER_MSEC)
+#define STORE_TICK_US (10 * USEC_PER_MSEC)
+
+/* Other nodes must have heard of the stop before the last gate closes. */
+#define STOP_LINGER_US (3 * USEC_PER_SEC)
+
+static volatile sig_atomic_t stop_asked;
+
+static void on_signal(int number)
+{
+	(void)number;
+	stop_asked = 1;
+}
+
+/* Draws 64 bits that spread choices; they never guard a secret. */
+uint64_t node_random(struct node *n)
+{
+	uint64_t high = gsl_rng_get(n->rng);
+
+	return high << 32 | gsl_rng_get(n->rng);
+}
+
+static int io_send(void *ctx, const struct addr *to, struct peer_msg *msg,
+		   int64_t now)
+{
+	struct node *n = ctx;
+
+	msg->config_number = n->config ? config_number(n->config) : 0;
+	msg->incarnation = n->incarnation;
+	return links_send(n->links, to, msg, now);
+}
+
+static int io_datagram(void *ctx, const struct addr *to, struct peer_msg *msg)
+{
+	struct node *n = ctx;
+
+	msg->config_number = n->config ? config_number(n->config) : 0;
+	msg->incarnation = n->incarnation;
+	return links_datagram(n->links, to, msg);
+}
+
+static void member_changed(void *ctx, const struct member_info *m, int64_t now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	if (n->directory)
+		directory_update(n->directory, m);
+}
+
+static void config_in_force(void *ctx, struct config *c, int64_t now)
+{
+	struct node *n = ctx;
+	struct log_line line;
+
+	if (n->config)
+		config_put(n->config);
+	n->config = config_get(c);
+	if (n->quota)
+		quota_config(n->quota, c, now);
+	gates_config(n);
+	log_start(&line, LOG_NOTICE, "config-in-force");
+	log_int(&line, "number", (int64_t)config_number(c));
+	log_str(&line, "release", config_release(c));
+	log_emit(&line);
+}
+
+static void quota_wake(void *ctx, const char *account, int64_t now)
+{
+	limit_retry(ctx, account, now);
+}
+
+static void fast_tick(void *ctx, int64_t now)
+{
+	struct node *n = ctx;
+
+	quota_tick(n->quota, now);
+	claims_tick(n->claims, now);
+	limit_retry(n, NULL, now);
+	gates_tick(n, now);
+	if (stop_asked && !n->stopping)
+		node_stop(n, now);
+}
+
+static void slow_tick(void *ctx, int64_t now)
+{
+	struct node *n = ctx;
+
+	members_tick(n->members, now);
+	notes_tick(n->notes, now);
+	if (n->stopping)
+		node_stop_step(n, now);
+}
+
+static void store_timer(void *ctx, int64_t now)
+{
+	struct node *n = ctx;
+
+	store_tick(n->store, now);
+}
+
+static void gate_timer(void *ctx, int64_t now)
+{
+	gates_step(ctx, now);
+}
+
+static int start_timers(struct node *n, struct error *err)
+{
+	if (net_every(n->net, FAST_TICK_US, fast_tick, n) < 0 ||
+	    net_every(n->net, STORE_TICK_US, store_timer, n) < 0 ||
+	    net_every(n->net, SLOW_TICK_US, slow_tick, n) < 0 ||
+	    net_every(n->net, GATE_STEP_US, gate_timer, n) < 0)
+		return error_set(err, ERROR_MEMORY, "start", NULL,
+				 "no memory for timers");
+	return 0;
+}
+
+static struct control_io node_io(struct node *n)
+{
+	struct control_io io = {
+		.ctx = n, .send = io_send, .datagram = io_datagram};
+
+	return io;
+}
+
+static int open_members(struct node *n, int64_t now)
+{
+	const struct settings *s = &n->settings;
+	struct members_options o = {
+		.seeds = s->seeds,
+		.seed_count = s->seed_count,
+		.io = node_io(n),
+		.store = n->store,
+		.seed = node_random(n),
+		.ctx = n,
+		.changed = member_changed,
+	};
+
+	memcpy(o.self.host, s->host, sizeof(o.self.host));
+	memcpy(o.self.data_centre, s->data_centre, sizeof(o.self.data_centre));
+	memcpy(o.self.region, s->region, sizeof(o.self.region));
+	o.self.nodes = n->self;
+	http_server_addr(n->admin, &o.self.admin);
+	o.self.incarnation = n->incarnation;
+	n->members = members_new(&o, now);
+	return n->members ? 0 : -1;
+}
+
+static int open_controllers(struct node *n, struct error *err)
+{
+	int64_t now = clock_monotonic_us();
+	struct notes_options notes = {.io = node_io(n),
+				      .store = n->store,
+				      .seed = node_random(n),
+				      .ctx = n,
+				      .in_force = config_in_force};
+	struct quota_options quota = {.io = node_io(n),
+				      .store = n->store,
+				      .self = n->self,
+				      .incarnation = n->incarnation,
+				      .seed = node_random(n),
+				      .ctx = n,
+				      .wake = quota_wake};
+	struct claims_options claims = {.store = n->store,
+					.self = n->self,
+					.incarnation = n->incarnation};
+
+	n->explain = explain_new(EXPLAIN_RING);
+	n->cutoffs = cutoffs_new(CUTOFFS_MAX);
+	n->directory = directory_new(n);
+	n->identities = identities_new();
+	if (!n->explain || !n->cutoffs || !n->directory || !n->identities ||
+	    open_members(n, now) < 0)
+		return error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
+	notes.members = n->members;
+	quota.members = n->members;
+	claims.members = n->members;
+	n->quota = quota_new(&quota, now);
+	n->claims = claims_new(&claims, now);
+	n->notes = notes_new(&notes, now);
+	if (!n->notes || !n->quota || !n->claims)
+		return error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
+	return 0;
+}
+
+static int open_store(struct node *n, struct error *err)
+{
+	struct store_options o = {.kind = n->settings.store_kind,
+				  .net = n->net,
+				  .addr = n->settings.store,
+				  .calls_s = n->settings.store_calls_s};
+
+	n->store = store_open(&o, err);
+	return n->store ? 0 : -1;
+}
+
+static int open_parts(struct node *n, struct error *err)
+{
+	n->net = net_open(err);
+	if (!n->net || listeners_open(n, err) < 0 || open_store(n, err) < 0 ||
+	    open_controllers(n, err) < 0 || start_timers(n, err) < 0)
+		return -1;
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	signal(SIGPIPE, SIG_IGN);
+	listeners_log(n);
+	return 0;
+}
+
+/* Opens listeners and controllers of one node; NULL with err set. */
+struct node *node_open(const struct settings *s, struct error *err)
+{
+	struct node *n = calloc(1, sizeof(*n));
+
+	if (!n) {
+		error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
+		return NULL;
+	}
+	n->settings = *s;
+	n->incarnation = (uint64_t)clock_wall_us();
+	n->lot_key = XXH3_64bits(s->secret, sizeof(s->secret));
+	n->rng = gsl_rng_alloc(gsl_rng_taus2);
+	gsl_rng_set(n->rng, (unsigned long)pair_hash(n->incarnation,
+						     name_hash(s->host)));
+	table_init(&n->requests, sizeof(struct request), s->requests_max);
+	table_init(&n->calls, sizeof(struct call), CALLS_MAX);
+	table_init(&n->local_upstreams, sizeof(struct local_upstream),
+		   UPSTREAMS_PER_HOST_MAX);
+	if (open_parts(n, err) < 0) {
+		node_close(n);
+		return NULL;
+	}
+	return n;
+}
+
+/* Runs until a planned stop has ended. */
+void node_run(struct node *n)
+{
+	net_run(n->net);
+}
+
+/* Begins a planned stop: leaves, takes nothing new, finishes the rest. */
+void node_stop(struct node *n, int64_t now)
+{
+	struct log_line line;
+
+	n->stopping = true;
+	n->stopping_since_us = now;
+	n->stop_at_us = now + n->settings.stop_grace_us;
+	members_leave(n->members, now);
+	gates_tell_members(n, now);
+	http_server_drain(n->callers);
+	log_start(&line, LOG_NOTICE, "stopping");
+	log_int(&line, "requests", n->requests.count);
+	log_int(&line, "calls", n->calls.count);
+	log_emit(&line);
+}
+
+static void log_stopped(struct node *n, int64_t now)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_NOTICE, "stopped");
+	log_int(&line, "answered", (int64_t)counter_get(COUNTER_ANSWERED));
+	log_int(&line, "refused", (int64_t)counter_get(COUNTER_REFUSED));
+	log_int(&line, "cut_requests", n->requests.count);
+	log_int(&line, "cut_calls", n->calls.count);
+	log_int(&line, "took_ms", (now - n->stopping_since_us) / USEC_PER_MSEC);
+	log_emit(&line);
+}
+
+/* Ends the planned stop once nothing is left to finish, or time is up. */
+void node_stop_step(struct node *n, int64_t now)
+{
+	bool busy = n->requests.count || n->calls.count;
+
+	if (now < n->stop_at_us) {
+		if (busy || now - n->stopping_since_us < STOP_LINGER_US)
+			return;
+		quota_leave(n->quota, now);
+		if (!quota_idle(n->quota) || !claims_idle(n->claims))
+			return;
+	}
+	log_stopped(n, now);
+	net_stop(n->net);
+}
+
+static void free_requests(struct node *n)
+{
+	struct request *r;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->requests, h, &item))) {
+		r = item;
+		request_drop_exchange(n, r);
+		if (n->identities)
+			identity_remove(n, r);
+		message_free(&r->message);
+		config_put(r->config);
+	}
+	table_free(&n->requests);
+}
+
+/* Closes everything; what is still open is cut. */
+void node_close(struct node *n)
+{
+	if (n->notes)
+		notes_free(n->notes);
+	if (n->quota)
+		quota_free(n->quota);
+	if (n->claims)
+		claims_free(n->claims);
+	if (n->members)
+		members_free(n->members);
+	if (n->store)
+		store_close(n->store);
+	listeners_close(n);
+	calls_free(n);
+	free_requests(n);
+	if (n->directory)
+		directory_free(n->directory);
+	if (n->identities)
+		identities_free(n->identities);
+	if (n->cutoffs)
+		cutoffs_free(n->cutoffs);
+	if (n->explain)
+		explain_free(n->explain);
+	if (n->config)
+		config_put(n->config);
+	service_retries_free(n);
+	buffer_free(&n->limit_waiting);
+	gsl_rng_free(n->rng);
+	if (n->net)
+		net_close(n->net);
+	free(n);
+}
--- /dev/null
+++ b/src/node/node.h
@@ -0,0 +1,165 @@
+/*
+ * One node: its listeners, controllers and tables, and the gates in front
+ * of the upstreams on its host.
+ */
+#ifndef NODE_NODE_H
+#define NODE_NODE_H
+
+#include <gsl/gsl_rng.h>
+#include <uthash.h>
+
+#include "base/base.h"
+#include "conf/conf.h"
+#include "control/control.h"
+#include "filter/filter.h"
+#include "net/net.h"
+#include "policy/policy.h"
+#include "store/store.h"
+
+#define TOKEN_SIZE 33 /* context token with NUL */
+
+/* An upstream on this host, as it announced itself. */
+struct local_upstream {
+	uint64_t handle;
+	struct upstream_info info;
+	struct http_pool *pool;
+	struct gate *gate;
+	int64_t heard_us;
+};
+
+enum reply_kind {
+	REPLY_LINK,  /* to the entry node over a link */
+	REPLY_LOCAL, /* the entry is this node */
+};
+
+/* A call at the gate of an upstream on this host. */
+struct call {
+	uint64_t handle;
+	enum reply_kind reply_kind;
+	union {
+		uint64_t stream;
+		uint64_t request;
+	} reply;
+	struct call_head head;
+	struct message message;
+	uint64_t upstream; /* local_upstream */
+	int64_t arrived_us;
+	int64_t started_us; /* 0 while queued */
+	int64_t deadline_us;
+	int64_t waited_us;
+	uint64_t http_call;
+	char token[TOKEN_SIZE];
+	uint8_t allowance; /* left for sub-calls */
+	uint16_t runs;
+	uint32_t sub_calls;   /* made so far, for their identities */
+	struct admission met; /* least that sub-calls met */
+	struct call_index *index;
+};
+
+/* Finds calls by context token and by stream. */
+struct call_index {
+	char token[TOKEN_SIZE];
+	uint64_t stream;
+	uint64_t call;
+	UT_hash_handle hh_token;
+	UT_hash_handle hh_stream;
+};
+
+/* An upstream anywhere, as this node sees it. */
+struct known_upstream {
+	struct addr member;
+	struct upstream_info info;
+	bool same_data_centre;
+	struct upstream_load load;
+};
+
+struct directory;
+struct identities;
+
+struct node {
+	struct settings settings;
+	struct net *net;
+	struct http_server *callers;
+	struct http_server *services;
+	struct http_server *admin;
+	struct links *links;
+	struct store *store;
+	struct members *members;
+	struct notes *notes;
+	struct quota *quota;
+	struct claims *claims;
+	struct explain *explain;
+	struct cutoffs *cutoffs;
+	struct config *config;
+	struct directory *directory;
+	struct identities *identities;
+	struct exchange_index *exchanges;
+	struct service_retries *retries;
+	struct call_index *by_token;
+	struct call_index *by_stream;
+	struct table requests;
+	struct table calls;
+	struct table upstreams;
+	struct table local_upstreams;
+	struct addr self;
+	uint64_t incarnation;
+	gsl_rng *rng;
+	uint64_t lot_key;	     /* of the cluster secret */
+	struct buffer limit_waiting; /* handles of parked requests */
+	size_t body_bytes;	     /* of requests held now */
+	bool stopping;
+	int64_t stop_at_us;
+	int64_t stopping_since_us;
+};
+
+/* Opens listeners and controllers; NULL with err set. */
+struct node *node_open(const struct settings *s, struct error *err);
+/* Runs until a planned stop has ended. */
+void node_run(struct node *n);
+void node_close(struct node *n);
+/* Begins a planned stop. */
+void node_stop(struct node *n, int64_t now);
+/* Looks whether a planned stop has ended. */
+void node_stop_step(struct node *n, int64_t now);
+uint64_t node_random(struct node *n);
+
+/* Gates: announcements and calls. */
+int announcement_read(struct upstream_info *u, const char *text, size_t len,
+		      struct error *err);
+void gates_announce(struct node *n, const struct upstream_info *u, int64_t now);
+void gates_tick(struct node *n, int64_t now);
+void gates_step(struct node *n, int64_t now);
+void gates_config(struct node *n);
+void gates_close(struct node *n);
+void calls_free(struct node *n);
+void gates_tell_members(struct node *n, int64_t now);
+/* Takes a call from a link or from this node; msg is moved. */
+uint64_t gates_call(struct node *n, enum reply_kind kind, uint64_t reply,
+		    const struct call_head *head, struct message *msg,
+		    int64_t now);
+void gates_cancel_stream(struct node *n, uint64_t stream, int64_t now);
+void gates_cancel_call(struct node *n, uint64_t call, int64_t now);
+struct call *gates_call_by_token(struct node *n, const char *token);
+struct call *gates_call_get(struct node *n, uint64_t handle);
+
+/* Directory: upstreams of a service, own data centre first. */
+struct directory *directory_new(struct node *n);
+void directory_free(struct directory *d);
+void directory_update(struct directory *d, const struct member_info *m);
+size_t directory_list(struct directory *d, const char *service,
+		      uint64_t *handles, size_t max);
+struct known_upstream *directory_get(struct directory *d, uint64_t handle);
+
+struct retry_ratio *service_retry_ratio(struct node *n, const char *service);
+void service_retries_free(struct node *n);
+
+struct identities *identities_new(void);
+void identities_free(struct identities *ids);
+
+/* Requests on the admin listener. */
+void admin_request(struct node *n, uint64_t exchange, struct message *msg,
+		   int64_t now);
+/* Queries between nodes, for requests that concern several of them. */
+void admin_peer(struct node *n, const struct peer_msg *msg, int64_t now);
+
+#endif
--- /dev/null
+++ b/src/node/service_retries.c
@@ -0,0 +1,51 @@
+#include "node/node.h"
+
+#include <stdlib.h>
+
+/* The retry ratio of one service on this node. */
+struct service_retries {
+	char name[NAME_SIZE];
+	struct retry_ratio ratio;
+	UT_hash_handle hh;
+};
+
+/* Stands in when memory is short: it never lets a retry through. */
+static struct retry_ratio no_retries;
+
+static uint32_t percent_of(struct node *n, const char *service)
+{
+	const struct service *s = config_service(n->config, service);
+
+	return s ? s->retry_percent : 0;
+}
+
+/* Returns the retry ratio of a service by the configuration in force. */
+struct retry_ratio *service_retry_ratio(struct node *n, const char *service)
+{
+	struct service_retries *s;
+	uint32_t percent = percent_of(n, service);
+
+	HASH_FIND_STR(n->retries, service, s);
+	if (!s) {
+		s = calloc(1, sizeof(*s));
+		if (!s)
+			return &no_retries;
+		copy_name(s->name, sizeof(s->name), service);
+		retry_ratio_init(&s->ratio, percent);
+		HASH_ADD_STR(n->retries, name, s);
+	}
+	s->ratio.percent = percent;
+	return &s->ratio;
+}
+
+/* Frees the ratios of all services. */
+void service_retries_free(struct node *n)
+{
+	struct service_retries *s, *next;
+
+	HASH_ITER(hh, n->retries, s, next)
+	{
+		HASH_DEL(n->retries, s);
+		free(s);
+	}
+}
--- a/src/policy/lot.c
+++ b/src/policy/lot.c
@@ -1,12 +1,13 @@
 #include "policy/policy.h"
 
 /*
- * Draws the lot of a root from its identity, so that a resend under the
- * same identity meets the same answer on every host.
+ * Draws the lot of a root from its identity under a key that hosts share,
+ * so that a resend with the same identity meets the same answer on every
+ * host and nobody outside can choose a lot.
  */
-uint16_t root_lot(const char *root_id)
+uint16_t root_lot(const char *root_id, uint64_t key)
 {
-	return (uint16_t)(name_hash(root_id) >> 48);
+	return (uint16_t)(pair_hash(name_hash(root_id), key) >> 48);
 }
 
 /* ADMIT_ALL admits every lot, the highest one too. */
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -15,7 +15,7 @@
 #include "wire/wire.h"
 
 /* The lot of a root: the same for each resend under one identity. */
-uint16_t root_lot(const char *root_id);
+uint16_t root_lot(const char *root_id, uint64_t key);
 /* Whether a lot is below the admitted share. */
 bool lot_admitted(uint16_t lot, uint16_t open);
 
