--- /dev/null
+++ b/test/harness.bash
@@ -0,0 +1,103 @@
+# Starts real processes for the scripts in test/ and tools/, waits until they
+# listen, and ends each by its own id. Source it; then use the functions.
+
+set -u
+BUILD=${BUILD:-build}
+BIN=${BIN:-$BUILD/mulberryferry}
+TOOLS=${TOOLS:-$BUILD/tools}
+WORK=$(mktemp -d)
+PIDS=()
+SECRET=$(printf '5a%.0s' $(seq 32))
+
+fail() {
+	echo "FAILED: $*" >&2
+	exit 1
+}
+
+# Ends what was started, newest first, and waits for it.
+end_all() {
+	local i
+	for ((i = ${#PIDS[@]} - 1; i >= 0; i--)); do
+		kill -CONT "${PIDS[i]}" 2>/dev/null
+		kill -KILL "${PIDS[i]}" 2>/dev/null
+		wait "${PIDS[i]}" 2>/dev/null
+	done
+	rm -rf "$WORK"
+}
+trap end_all EXIT
+
+# wait_for SECONDS COMMAND...: until the command succeeds.
+wait_for() {
+	local tries=$(($1 * 20))
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		((tries-- > 0)) || return 1
+		sleep 0.05
+	done
+}
+
+# field FILE EVENT KEY: value of KEY in the first line of that event.
+field() {
+	sed -n "s/.*event=$2 .*\b$3=\([^ ]*\).*/\1/p" "$1" | head -n 1
+}
+
+# run NAME COMMAND...: in the background; output to WORK/NAME.{out,log}.
+run() {
+	local name=$1
+	shift
+	"$@" >"$WORK/$name.out" 2>"$WORK/$name.log" &
+	PIDS+=($!)
+	eval "pid_${name//-/_}=$!"
+}
+
+listening() {
+	sed -n 's/^listening=//p' "$WORK/$1.out" | head -n 1
+}
+
+# start_store: sets STORE to its address.
+start_store() {
+	run store "$TOOLS/store" "$@"
+	wait_for 5 test -s "$WORK/store.out" || fail "store did not start"
+	STORE=$(listening store)
+}
+
+# start_node NAME DATA_CENTRE [MORE SETTINGS]: sets callers_NAME and so on.
+start_node() {
+	local name=$1 dc=$2 more=${3:-} seeds=${SEEDS:-} var=${1//-/_} l
+	cat >"$WORK/$name.json" <<-END
+	{
+		"host": "$name", "data_centre": "$dc", "region": "test",
+		"listen": {"callers": "127.0.0.1:0", "services": "127.0.0.1:0",
+			"nodes": "${NODES_ADDR:-127.0.0.1:0}",
+			"admin": "127.0.0.1:0"},
+		"seeds": [$seeds],
+		"store": {"kind": "${STORE_KIND:-etcd}",
+			"address": "${STORE:-127.0.0.1:1}"},
+		"secret": "$SECRET"$more
+	}
+	END
+	run "$name" "$BIN" node --settings "$WORK/$name.json"
+	wait_for 10 grep -q event=listening "$WORK/$name.log" ||
+		fail "$name did not start: $(cat "$WORK/$name.log")"
+	for l in callers services nodes admin; do
+		eval "${l}_$var=$(field "$WORK/$name.log" listening $l)"
+	done
+	[ -n "${SEEDS:-}" ] || eval "SEEDS=\"\\\"\$nodes_$var\\\"\""
+}
+
+# start_upstream NAME NODE SERVICE [OPTIONS]
+start_upstream() {
+	local name=$1 node=${2//-/_} service=$3
+	shift 3
+	local services="services_$node"
+	run "$name" "$TOOLS/upstream" --node "${!services}" \
+		--service "$service" "$@"
+	wait_for 5 test -s "$WORK/$name.out" || fail "$name did not start"
+	eval "addr_${name//-/_}=$(listening "$name")"
+}
+
+# ready NODE: the node has a configuration and serves.
+ready() {
+	local admin="admin_${1//-/_}"
+	curl -sf -o /dev/null "http://${!admin}/readyz"
+}
