Take slices ahead of the first request, and say when there are none yet

Cause: the first request to a fresh system was refused as over rate, which was not true: no host held a slice yet. Change: homes look at one account a tick, two seconds after the start; until a node has seen tokens of an account it says no-quota, not over-rate.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -124,6 +124,7 @@
 	QUOTA_TAKEN,
 	QUOTA_WAIT, /* a loan was asked for; try again on wake */
 	QUOTA_REFUSED,
+	QUOTA_NONE_YET, /* no slice in reach since this node started */
 };
 
 struct quota *quota_new(const struct quota_options *o, int64_t now);
--- a/src/control/quota.c
+++ b/src/control/quota.c
@@ -39,6 +39,7 @@
 	/* Identities of questions must not repeat over restarts. */
 	q->next_id = o->incarnation << 16;
 	q->next_bump_us = now + BUMP_US;
+	q->opened_us = now;
 	return q;
 }
 
@@ -117,8 +118,10 @@
 	a->withdrawn = !config_account(c, a->name);
 	while ((conf = config_next_account(c, conf))) {
 		a = quota_find(q, conf->name);
-		if (!a)
+		if (!a) {
 			a = add_account(q, conf->name, now);
+			q->eager_done = false;
+		}
 		if (!a)
 			return;
 		set_terms(a, conf->rate, conf->burst, now);
@@ -255,6 +258,8 @@
 		a->waiting += first;
 		return QUOTA_WAIT;
 	}
+	if (!a->seen_tokens)
+		return QUOTA_NONE_YET;
 	if (a->rate > 0)
 		*retry_after_us = (int64_t)(USEC_PER_SEC / a->rate) + 1;
 	return QUOTA_REFUSED;
--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -110,6 +110,7 @@
 	int64_t quiet_until_us;
 	int64_t quiet_us;
 	double got_in_round;
+	bool seen_tokens; /* of a slice or a loan, since the start */
 	struct home homes[HOMES_MAX];
 	size_t home_count;
 	int64_t homes_at_us;
@@ -131,6 +132,9 @@
 	struct config *config;
 	gsl_rng *rng;
 	uint64_t next_id;
+	int64_t opened_us;
+	struct quota_account *eager; /* next one without demand to look at */
+	bool eager_done;
 	bool listed; /* slices of an earlier process here were looked for */
 	bool listing;
 	int64_t next_list_us;
--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -17,6 +17,9 @@
 #define ACCOUNTS_PER_TICK 64
 #define WRITES_MAX 8
 
+/* A node that starts learns of the others in this time. */
+#define SETTLE_US (2 * USEC_PER_SEC)
+
 /* A node stays a home for so long after others have come to rank first. */
 #define HOME_LINGER_US (30 * USEC_PER_SEC)
 
@@ -137,6 +140,8 @@
 	a->confirmed_us = a->sent_us;
 	a->failures = 0;
 	quota_refill(a, now);
+	if (a->share)
+		a->seen_tokens = true;
 	/* Nobody held a token of an account that had no pool before. */
 	if (a->creates_pool && first)
 		a->level = a->burst * a->share / SHARE_ALL;
@@ -399,6 +404,28 @@
 	free(b);
 }
 
+/*
+ * Lets homes take slices before the first request: one account a tick,
+ * since finding homes looks at every member, and not before the members of
+ * a running system are known.
+ */
+static void look_ahead(struct quota *q, int64_t now)
+{
+	if (q->eager_done || now - q->opened_us < SETTLE_US)
+		return;
+	if (!q->eager)
+		q->eager = q->accounts;
+	else
+		q->eager = q->eager->hh.next;
+	if (!q->eager) {
+		q->eager_done = true;
+		return;
+	}
+	homes_update(q, q->eager, now);
+	if (q->eager->is_home && !q->eager->active_us)
+		q->eager->active_us = now;
+}
+
 /* Moves the ledger on: recovery after a restart, shares, signs of life. */
 void ledger_tick(struct quota *q, int64_t now)
 {
@@ -413,6 +440,7 @@
 	}
 	if (!q->bumping && now >= q->next_bump_us && !q->leaving)
 		bump(q, now);
+	look_ahead(q, now);
 	for (i = 0; i < ACCOUNTS_PER_TICK && q->writes < WRITES_MAX; i++) {
 		if (!q->cursor)
 			q->cursor = q->accounts;
--- a/src/control/quota_loans.c
+++ b/src/control/quota_loans.c
@@ -243,6 +243,7 @@
 	loan->left = msg->loan_grant.tokens / TOKEN_UNIT;
 	loan->expires_us = asked->asked_us + LOAN_US;
 	a->got_in_round += loan->left;
+	a->seen_tokens = true;
 }
 
 static void receive_grant(struct quota *q, struct quota_account *a,
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -139,7 +139,7 @@
 {
 	int status = reason_status(reason);
 
-	return status == 429 || status == 503;
+	return status == 429 || status == 503 || reason == REASON_CLAIM_RUNNING;
 }
 
 /*
--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -63,6 +63,9 @@
 		break;
 	case QUOTA_REFUSED:
 		break;
+	case QUOTA_NONE_YET:
+		return request_refuse(n, r, REASON_NO_QUOTA, OUTCOME_NOT_RUN,
+				      now);
 	}
 	counter_add(COUNTER_OVER_RATE, 1);
 	r->retry_after_ms = (uint32_t)(retry_us / USEC_PER_MSEC);
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -34,6 +34,10 @@
 	[REASON_OVER_RATE] = {"over-rate", 429,
 			      "The client account has used up its rate and "
 			      "burst, counted over all hosts."},
+	[REASON_NO_QUOTA] = {"no-quota", 503,
+			     "No host that can be reached holds tokens of the "
+			     "client account yet; this passes in seconds "
+			     "unless the platform's store is out."},
 	[REASON_SHED] = {"shed", 503,
 			 "A service needed for this request is overloaded, "
 			 "and requests of this importance are being shed."},
