End requests at their deadline, and look for sub-calls only if there are any

Cause: a hung link would have held a request past its deadline until the link was found dead; and each finished call walked the table of requests. Conclusion: the caller hears at its deadline; the walk is gone from the usual path.

--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -38,6 +38,7 @@
 		return request_refuse(n, r, REASON_BAD_CONTEXT, OUTCOME_NOT_RUN,
 				      now);
 	parent->sub_calls++;
+	parent->open_sub_calls++;
 	make_sub_id(r, parent);
 	memcpy(r->root, parent->head.root, sizeof(r->root));
 	r->parent = parent->handle;
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -8,6 +8,9 @@
 
 #define RETRY_AFTER_MS 1000
 
+/* The gate's own answer about a deadline may be on its way for so long. */
+#define EXPIRE_LAG_US (20 * USEC_PER_MSEC)
+
 /* Records, counts and logs what was decided on a request. */
 void request_record(struct node *n, const struct request *r,
 		    enum decision_kind kind, enum reason reason,
@@ -82,8 +85,10 @@
 {
 	struct call *parent = gates_call_get(n, r->parent);
 
-	if (parent)
+	if (parent) {
 		parent->allowance += r->allowance;
+		parent->open_sub_calls--;
+	}
 	identity_remove(n, r);
 	request_drop_exchange(n, r);
 	n->body_bytes -= r->message.body.len;
@@ -191,6 +196,28 @@
 	return FILTER_END;
 }
 
+/*
+ * Ends requests whose answer did not come by their deadline, as when the
+ * link to their gate hangs: the caller is told at once.
+ */
+void requests_expire(struct node *n, int64_t now)
+{
+	struct request *r;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->requests, h, &item))) {
+		r = item;
+		if (!r->in_flight || now < r->deadline_us + EXPIRE_LAG_US)
+			continue;
+		if (r->link_call)
+			links_cancel(n->links, r->link_call);
+		if (r->local_call)
+			gates_cancel_call(n, r->local_call, now);
+		request_refuse(n, r, REASON_DEADLINE, OUTCOME_UNKNOWN, now);
+	}
+}
+
 /*
  * The caller went away. The chain is cancelled down to the upstream, except
  * that a once-only call that was sent runs on, so that its outcome is kept.
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -83,6 +83,9 @@
 
 uint64_t request_of_exchange(struct node *n, uint64_t exchange);
 void request_drop_exchange(struct node *n, struct request *r);
+/* Every 50 ms. */
+void requests_expire(struct node *n, int64_t now);
+
 struct request *request_get(struct node *n, uint64_t handle);
 
 /* Ends of a request; each frees it. All return FILTER_END. */
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -161,10 +161,13 @@
 
 static void cancel_sub_calls(struct node *n, uint64_t parent, int64_t now)
 {
+	const struct call *c = gates_call_get(n, parent);
 	struct request *r;
 	uint64_t h = 0;
 	void *item;
 
+	if (!c || !c->open_sub_calls)
+		return;
 	while ((h = table_next(&n->requests, h, &item))) {
 		r = item;
 		if (r->parent == parent && r->exchange)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -103,6 +103,7 @@
 
 	members_tick(n->members, now);
 	notes_tick(n->notes, now);
+	requests_expire(n, now);
 	if (n->stopping)
 		node_stop_step(n, now);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -51,7 +51,8 @@
 	char token[TOKEN_SIZE];
 	uint8_t allowance; /* left for sub-calls */
 	uint16_t runs;
-	uint32_t sub_calls;   /* made so far, for their identities */
+	uint32_t sub_calls; /* made so far, for their identities */
+	uint32_t open_sub_calls;
 	struct admission met; /* least that sub-calls met */
 	struct call_index *index;
 };
