--- a/src/control/claims_batch.c
+++ b/src/control/claims_batch.c
@@ -4,6 +4,11 @@
 #include <string.h>
 
 #define BATCHES_IN_FLIGHT 2
+/*
+ * A second batch waits this long for the first: what comes meanwhile shares
+ * one write, and a call that hangs holds up others no longer.
+ */
+#define BATCH_WAIT_US (50 * USEC_PER_MSEC)
 #define BATCH_BYTES_MAX (512 * 1024)
 #define BACKOFF_MIN_US (10 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (500 * USEC_PER_MSEC)
@@ -87,6 +92,14 @@
 	claim_submit(c, &op, tag, batch_done, now);
 }
 
+static bool may_start(const struct claims *c, int64_t now)
+{
+	if (!c->batches.count)
+		return true;
+	return c->batches.count < BATCHES_IN_FLIGHT &&
+	       now - c->batch_started_us >= BATCH_WAIT_US;
+}
+
 /* Writes what is due, in batches. */
 void claims_flush(struct claims *c, int64_t now)
 {
@@ -95,7 +108,7 @@
 	size_t bytes;
 	void *item;
 
-	while (c->batches.count < BATCHES_IN_FLIGHT) {
+	while (may_start(c, now)) {
 		b = calloc(1, sizeof(*b));
 		if (!b)
 			return;
@@ -108,6 +121,7 @@
 			return;
 		}
 		*(struct batch **)item = b;
+		c->batch_started_us = now;
 		submit(c, b, tag, now);
 	}
 }
--- a/src/control/claims_impl.h
+++ b/src/control/claims_impl.h
@@ -82,12 +82,13 @@
 	struct claims_options options;
 	char self[ADDR_TEXT_SIZE];
 	int64_t started_us;
-	struct table table;   /* of struct claim * */
-	struct claim *by_key; /* the one that may write each key */
-	struct table batches; /* of struct batch * */
-	struct table lists;   /* of struct list * */
-	int64_t backoff_us;   /* grows while the store fails */
-	size_t batch_max;     /* claims in one transaction */
+	struct table table;	  /* of struct claim * */
+	struct claim *by_key;	  /* the one that may write each key */
+	struct table batches;	  /* of struct batch * */
+	struct table lists;	  /* of struct list * */
+	int64_t batch_started_us; /* the newest one */
+	int64_t backoff_us;	  /* grows while the store fails */
+	size_t batch_max;	  /* claims in one transaction */
 	int64_t lease;
 	int64_t lease_granted_us;
 	int64_t lease_retry_us;
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -170,9 +170,13 @@
 };
 
 struct claims *claims_new(const struct claims_options *o, int64_t now);
+/* The store must not be ticked afterwards: it still knows c. */
 void claims_free(struct claims *c);
 void claims_tick(struct claims *c, int64_t now); /* every 5 ms */
-/* fingerprint is a hash of method, target and body. */
+/*
+ * fingerprint is a hash of method, target and body. done is called later,
+ * but at once with CLAIM_STORE_OUT when there is no room for a claim.
+ */
 void claims_begin(struct claims *c, const char *account, const char *route,
 		  const char *key, uint64_t fingerprint, const char *request,
 		  int64_t deadline_us, const struct claim_done *done,
@@ -184,7 +188,7 @@
 void claims_release(struct claims *c, uint64_t claim, int64_t now);
 void claims_abandon(struct claims *c, uint64_t claim, int64_t now);
 bool claims_idle(const struct claims *c);
-/* Lists claims without an outcome as JSON, when the store answers. */
+/* Lists claims without an outcome as a JSON array, when the store answers. */
 void claims_list(struct claims *c, void *ctx, uint64_t tag,
 		 void (*done)(void *ctx, uint64_t tag, const char *json,
 			      const struct error *err),
--- /dev/null
+++ b/tools/claim_writes.c
@@ -0,0 +1,172 @@
+/*
+ * Measures store writes for each claim, and the wait for a claim, against
+ * the rate of claims at one node, in simulated time over a memory store.
+ */
+#include "control/control.h"
+
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_sort.h>
+#include <gsl/gsl_statistics.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEED 1
+#define TICK_US (5 * USEC_PER_MSEC)
+#define RUN_US (10 * USEC_PER_SEC)
+#define STORE_LATENCY_US (5 * USEC_PER_MSEC)
+#define SERVICE_US 100000.0
+#define ANSWER_BYTES 500
+#define DEADLINE_US (5 * USEC_PER_SEC)
+#define CLAIMS_MAX 200000
+#define P99 0.99
+
+struct one {
+	int64_t begun_us;
+	int64_t finish_us;
+	uint64_t claim;
+	bool fresh;
+	bool finished;
+};
+
+static struct {
+	gsl_rng *rng;
+	struct claims *claims;
+	struct one *ones;
+	double *waits;
+	size_t begun;
+	size_t won;
+	size_t oldest; /* all before it are finished */
+} run;
+
+static void on_state(void *ctx, uint64_t tag, enum claim_state state,
+		     uint64_t claim, const struct message *answer, int64_t now)
+{
+	struct one *o = &run.ones[tag];
+
+	(void)ctx;
+	(void)answer;
+	if (state != CLAIM_FRESH)
+		return;
+	o->fresh = true;
+	o->claim = claim;
+	o->finish_us = now + (int64_t)gsl_ran_exponential(run.rng, SERVICE_US);
+	run.waits[run.won++] = (double)(now - o->begun_us) / USEC_PER_MSEC;
+}
+
+static void begin(int64_t now)
+{
+	struct claim_done done = {.tag = run.begun, .fn = on_state};
+	char key[32];
+
+	snprintf(key, sizeof(key), "%zu", run.begun);
+	run.ones[run.begun++].begun_us = now;
+	claims_begin(run.claims, "account", "route", key, 1, "request",
+		     now + DEADLINE_US, &done, now);
+}
+
+static void finish_due(int64_t now)
+{
+	static uint8_t body[ANSWER_BYTES];
+	struct message m = {.status = 201,
+			    .body = {.data = body, .len = sizeof(body)}};
+	size_t i;
+
+	for (i = run.oldest; i < run.begun; i++) {
+		struct one *o = &run.ones[i];
+
+		if (o->fresh && !o->finished && o->finish_us <= now) {
+			claims_finish(run.claims, o->claim, &m, now);
+			o->finished = true;
+		}
+		if (o->finished && i == run.oldest)
+			run.oldest++;
+	}
+}
+
+static void drive(struct store *s, unsigned rate)
+{
+	double next = 0;
+	int64_t now;
+
+	for (now = 0; now < RUN_US || !claims_idle(run.claims);
+	     now += TICK_US) {
+		while (next <= (double)now && now < RUN_US &&
+		       run.begun < CLAIMS_MAX) {
+			begin((int64_t)next);
+			next += gsl_ran_exponential(
+				run.rng, (double)USEC_PER_SEC / rate);
+		}
+		finish_due(now);
+		store_tick(s, now);
+		claims_tick(run.claims, now);
+	}
+}
+
+/* A load at one node, and its budget of store calls; 0 is no cap. */
+struct load {
+	unsigned claims_s;
+	uint32_t calls_s;
+};
+
+static void print(const struct load *l, const char *name, double value,
+		  const char *unit)
+{
+	printf("measure=%s_at_%u_s", name, l->claims_s);
+	if (l->calls_s)
+		printf("_capped_%u_s", l->calls_s);
+	printf(" value=%.3f unit=%s target=- baseline=- runs=1\n", value, unit);
+}
+
+static int measure(const struct load *l)
+{
+	struct store_faults faults = {.latency_us = STORE_LATENCY_US};
+	struct store_options so = {.kind = STORE_MEMORY, .calls_s = l->calls_s};
+	struct claims_options co = {.incarnation = 1};
+	uint64_t writes = counter_get(COUNTER_STORE_WRITES);
+	struct error err;
+
+	co.store = store_open(&so, &err);
+	addr_parse(&co.self, "127.0.0.1:1");
+	if (!co.store)
+		return -1;
+	store_set_faults(co.store, &faults);
+	run.claims = claims_new(&co, 0);
+	run.begun = run.won = run.oldest = 0;
+	gsl_rng_set(run.rng, SEED);
+	drive(co.store, l->claims_s);
+	store_close(co.store);
+	claims_free(run.claims);
+	gsl_sort(run.waits, 1, run.won);
+	print(l, "store_writes_per_claim",
+	      (double)(counter_get(COUNTER_STORE_WRITES) - writes) /
+		      (double)run.won,
+	      "writes");
+	print(l, "claims_won", (double)run.won / (double)run.begun, "share");
+	print(l, "claim_wait_p99",
+	      gsl_stats_quantile_from_sorted_data(run.waits, 1, run.won, P99),
+	      "ms");
+	return 0;
+}
+
+int main(void)
+{
+	static const struct load loads[] = {
+		{1, 0},	   {10, 0},   {50, 0},	  {100, 0},
+		{500, 0},  {1000, 0}, {5000, 0},  {100, 20},
+		{100, 40}, {500, 40}, {1000, 40}, {2000, 40},
+	};
+	size_t i;
+
+	run.rng = gsl_rng_alloc(gsl_rng_taus2);
+	run.ones = calloc(CLAIMS_MAX, sizeof(*run.ones));
+	run.waits = calloc(CLAIMS_MAX, sizeof(*run.waits));
+	if (!run.rng || !run.ones || !run.waits)
+		return EXIT_FAILURE;
+	for (i = 0; i < sizeof(loads) / sizeof(*loads); i++) {
+		memset(run.ones, 0, CLAIMS_MAX * sizeof(*run.ones));
+		if (measure(&loads[i]) < 0)
+			return EXIT_FAILURE;
+	}
+	return EXIT_SUCCESS;
+}
