Replay traces through the policies, and mend what that showed

The causes, by the replay's counts: - calls were dropped from the deep queue at 20 ms, less than the noise of its arrivals over one step; the backlog allowed is now at least two sigmas of these arrivals, and the age limit 250 ms in overload; - a backlog of unimportant calls closed the door to important ones; the backlog now counts only against its own class and those below; - cutoffs differed between the gates of one service, so that the mean at the entry fitted none; balance now counts the told shed share, and blurs scores so that callers do not run to the same upstream together; - deep hops compare two thirds of the lot, since work was spent already; - Little's law was corrected by a trim that fell with each long queue; it is now an integrator of idle slots and surplus; - after a slow-down the smoothed service time took 1.4 s to come back; a step that it cannot explain now cuts its memory short. A gate with an unused slot and no queue refuses nothing, and calls that are overdue no longer hold the queue when others are offered: found by the test of the failure limit, where every slot stood idle.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,11 @@
 
 $(BUILD)/tools/%: $(BUILD)/opt/tools/%.o $(BUILD)/libmulberryferry.a
 	@mkdir -p $(@D)
-	@$(CC) -o $@ $^ $(LDLIBS)
+	@$(CC) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(LDLIBS)
+
+# The replay tool shares its model with the replay test.
+$(BUILD)/tools/replay: $(patsubst %.c,$(BUILD)/opt/%.o,\
+	$(wildcard test/replay_*.c))
 
 # Shared parts of tests: an archive, so that each test takes what it names.
 $(BUILD)/libtest.a: $(TESTLIB:%.c=$(BUILD)/san/%.o)
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -3,6 +3,10 @@
 #define LATENCY_GAIN 0.1 /* of each answer in the smoothed latency */
 #define ERROR_GAIN 0.1	 /* of each call in the error share */
 #define ERROR_MAX 0.95	 /* share beyond which the score stops rising */
+#define BLUR_LEAST 0.2	 /* random part of a score, over the score */
+#define BLUR_SHED 8.0	 /* the same, for each unit of shed share */
+#define SHED_GAIN 0.02	 /* of each answer in the shed share */
+#define SHED_WEIGHT 0.9	 /* of the shed share in the score */
 #define LATENCY_UNKNOWN_US 1000.0
 #define TOLD_FADE_US USEC_PER_SEC	 /* until a told queue says nothing */
 #define KNOWN_FADE_US (5 * USEC_PER_SEC) /* the same for what was measured */
@@ -55,6 +59,13 @@
 	l->error_share = EJECT_SHARE / 2;
 }
 
+/* Failures of the upstream itself, not of what it called. */
+static bool own_failure(enum reason reason)
+{
+	return reason == REASON_UPSTREAM_FAILED ||
+	       reason == REASON_UPSTREAM_GARBAGE || reason == REASON_LINK_LOST;
+}
+
 /*
  * Takes in an answer or a refusal by the gate. Only whole answers move the
  * latency, so that failing fast does not look like being fast.
@@ -62,14 +73,20 @@
 void load_answered(struct upstream_load *l, const struct answer_head *h,
 		   int64_t latency_us, int64_t now)
 {
+	double open = 0;
+	int cls;
+
 	take_back(l);
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		open += (double)h->admission.open[cls] / ADMIT_ALL;
+	l->shed_share += (1 - open / SHED_CLASSES - l->shed_share) * SHED_GAIN;
 	l->queue_us = h->queue_us;
 	l->in_flight = h->in_flight;
 	if (h->outcome == OUTCOME_NOT_RUN) {
 		l->heard_us = now;
 		return;
 	}
-	count_result(l, h->reason != REASON_NONE, now);
+	count_result(l, own_failure(h->reason), now);
 	if (h->reason != REASON_NONE)
 		return;
 	if (l->latency_us <= 0)
@@ -86,30 +103,56 @@
 	count_result(l, true, now);
 }
 
+/* Takes back a call that this node gave up; it says nothing of the upstream */
+void load_cancelled(struct upstream_load *l)
+{
+	take_back(l);
+}
+
+/*
+ * Returns what to expect of upstreams of which nothing is known: the mean of
+ * what is known of the others, the newest counting most, in microseconds.
+ */
+static double typical_latency(const struct balance_candidate *c, size_t n,
+			      int64_t now)
+{
+	double sum = 0, weight = 0, w;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (c[i].load->latency_us <= 0)
+			continue;
+		w = fade(now - c[i].load->heard_us, KNOWN_FADE_US);
+		sum += c[i].load->latency_us * w;
+		weight += w;
+	}
+	return weight > 0 ? sum / weight : LATENCY_UNKNOWN_US;
+}
+
 /* Returns the time that a call sent now is expected to take, microseconds. */
-static double score(const struct balance_candidate *c, int64_t now)
+static double score(const struct balance_candidate *c, double typical_us,
+		    int64_t now)
 {
 	const struct upstream_load *l = c->load;
-	int64_t age = now - l->heard_us;
-	double told = fade(age, TOLD_FADE_US);
+	double told = fade(now - l->heard_us, TOLD_FADE_US);
+	double known = fade(now - l->heard_us, KNOWN_FADE_US);
 	double slots = c->slots ? c->slots : 1;
-	double latency = l->latency_us, errors, calls, warm;
+	double latency = typical_us, errors, calls, warm;
 
-	if (latency <= 0)
-		latency = LATENCY_UNKNOWN_US;
-	else
-		latency *= 0.1 + 0.9 * fade(age, KNOWN_FADE_US);
+	if (l->latency_us > 0)
+		latency += (l->latency_us - typical_us) * known;
 	warm = l->first_us ? (double)(now - l->first_us) / WARM_UP_US : 0;
 	if (warm < 1)
 		slots *= WARM_UP_SHARE + (1 - WARM_UP_SHARE) * warm;
 	calls = l->outstanding;
 	if (l->in_flight * told > calls)
 		calls = l->in_flight * told;
-	errors = l->error_share * fade(age, KNOWN_FADE_US);
+	errors = l->error_share * known;
 	if (errors > ERROR_MAX)
 		errors = ERROR_MAX;
-	return l->queue_us * told +
-	       latency * (1 + calls / slots) / (1 - errors) +
+	return (l->queue_us * told +
+		latency * (1 + calls / slots) / (1 - errors)) /
+		       (1 - SHED_WEIGHT * l->shed_share * told) +
 	       (c->same_data_centre ? 0 : ELSEWHERE_US);
 }
 
@@ -132,11 +175,26 @@
 	return ahead < n / EJECTED_PART;
 }
 
+/*
+ * Scores are blurred, so that shares move with the difference between
+ * scores: every caller hears the same news at about the same time, and would
+ * else run to the same upstream.
+ */
+static double blurred(const struct balance_candidate *c, uint64_t random,
+		      double typical_us, int64_t now)
+{
+	double blur = BLUR_LEAST + BLUR_SHED * c->load->shed_share;
+
+	return score(c, typical_us, now) *
+	       (1 + blur * (double)(random >> 32) / UINT32_MAX);
+}
+
 /* Which candidates a draw looks at. */
 struct draw {
 	bool here;  /* own data centre, or else the others */
 	bool tried; /* also those of earlier attempts */
 	uint64_t seed;
+	double typical_us;
 };
 
 static bool eligible(const struct balance_candidate *c, size_t n, size_t i,
@@ -157,11 +215,22 @@
 	return -1;
 }
 
+/* Whether candidate i scores better than j in this draw. */
+static bool better(const struct balance_candidate *c, int i, int j,
+		   const struct draw *d, int64_t now)
+{
+	double one = blurred(&c[i], pair_hash(d->seed, 2), d->typical_us, now);
+	double other =
+		blurred(&c[j], pair_hash(d->seed, 3), d->typical_us, now);
+
+	return one < other;
+}
+
 /* The better of two random candidates, or -1 when none is eligible. */
 static int draw_two(const struct balance_candidate *c, size_t n,
 		    const struct draw *d, int64_t now)
 {
-	uint64_t random = pair_hash(d->seed, d->here);
+	uint64_t random = pair_hash(d->seed, 1);
 	size_t i, count = 0, first, second;
 	int a, b;
 
@@ -175,7 +244,7 @@
 		return a;
 	second = (first + 1 + (random >> 32) % (count - 1)) % count;
 	b = nth_eligible(c, n, second, d, now);
-	return score(&c[b], now) < score(&c[a], now) ? b : a;
+	return better(c, b, a, d, now) ? b : a;
 }
 
 /*
@@ -187,14 +256,17 @@
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now)
 {
-	struct draw d = {.seed = seed};
+	struct draw d = {.seed = seed,
+			 .typical_us = typical_latency(c, n, now)};
 	int here, there;
 
 	for (;;) {
 		d.here = true;
 		here = draw_two(c, n, &d, now);
 		d.here = false;
+		d.seed = pair_hash(d.seed, 4);
 		there = draw_two(c, n, &d, now);
+		d.seed = pair_hash(d.seed, 5);
 		if (here >= 0 || there >= 0 || d.tried)
 			break;
 		d.tried = true;
@@ -203,5 +275,5 @@
 		return there;
 	if (there < 0)
 		return here;
-	return score(&c[there], now) < score(&c[here], now) ? there : here;
+	return better(c, there, here, &d, now) ? there : here;
 }
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -3,7 +3,8 @@
 #include <stdlib.h>
 #include <utlist.h>
 
-#define AGE_MAX_US (100 * USEC_PER_MSEC) /* in the queue, beyond the target */
+#define AGE_MAX_US (250 * USEC_PER_MSEC)   /* in the queue, in overload */
+#define AGE_CALM_US (1000 * USEC_PER_MSEC) /* the same, otherwise */
 
 /* Makes the gate of one upstream; NULL when memory is out. */
 struct gate *gate_new(const struct gate_options *o, int64_t now)
@@ -113,6 +114,36 @@
 	DL_APPEND(g->drops, it);
 }
 
+/* Tells why a queued call must not run any more, or REASON_NONE. */
+static enum reason overdue(const struct gate *g, const struct gate_item *it,
+			   int64_t now)
+{
+	int64_t age_max = g->overload ? AGE_MAX_US : AGE_CALM_US;
+
+	if (now > it->start_by_us)
+		return REASON_DEADLINE;
+	if (now - it->offered_us > age_max)
+		return REASON_QUEUE_TIMEOUT;
+	return REASON_NONE;
+}
+
+static void drop_overdue(struct gate *g, int64_t now)
+{
+	struct gate_item *it;
+	enum reason why;
+	int cls;
+
+	while ((it = queue_first_due(g)) && now > it->start_by_us)
+		drop_item(g, it, REASON_DEADLINE);
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		while ((it = g->classes[cls])) {
+			why = overdue(g, it, now);
+			if (why == REASON_NONE)
+				break;
+			drop_item(g, it, why);
+		}
+}
+
 /* Judges a call at the door; may make a less important one give way. */
 static enum reason judge(struct gate *g, const struct gate_call *c,
 			 const struct gate_account *a, bool enforce,
@@ -120,8 +151,11 @@
 {
 	struct gate_item *victim;
 	int64_t half = (int64_t)g->service_us / 2;
+	/* An unused slot costs nothing, whatever the cutoff says. */
+	bool idle = g->running < g->limit && !g->queued;
 
-	if (!lot_admitted(c->lot, a->demand[c->cls].open))
+	if (!idle && !lot_admitted(lot_at_depth(c->lot, c->depth),
+				   a->demand[c->cls].open))
 		return REASON_SHED;
 	if (now + expected_wait_us(g, c, a) + half > c->deadline_us)
 		return REASON_DEADLINE;
@@ -176,6 +210,8 @@
 		return GATE_REFUSED;
 	demand_arrival(a, c);
 	*why = REASON_NONE;
+	if (g->o.mode == OVERLOAD_ENFORCE)
+		drop_overdue(g, now);
 	if (g->o.mode != OVERLOAD_OFF)
 		*why = judge(g, c, a, g->o.mode == OVERLOAD_ENFORCE, now);
 	if (*why != REASON_NONE && g->o.mode == OVERLOAD_ENFORCE)
@@ -187,21 +223,6 @@
 	return GATE_QUEUED;
 }
 
-/* Tells why a queued call must not run any more, or REASON_NONE. */
-static enum reason overdue(const struct gate *g, const struct gate_item *it,
-			   int64_t now)
-{
-	int64_t age_max = g->o.queue_target_us * 2;
-
-	if (now > it->start_by_us)
-		return REASON_DEADLINE;
-	if (!g->overload)
-		age_max += AGE_MAX_US;
-	if (now - it->offered_us > age_max)
-		return REASON_QUEUE_TIMEOUT;
-	return REASON_NONE;
-}
-
 /* Returns the id of the call that starts now, and how long it queued. */
 uint64_t gate_next(struct gate *g, int64_t now, int64_t *waited_us)
 {
@@ -230,23 +251,6 @@
 	return 0;
 }
 
-static void drop_overdue(struct gate *g, int64_t now)
-{
-	struct gate_item *it;
-	enum reason why;
-	int cls;
-
-	while ((it = queue_first_due(g)) && now > it->start_by_us)
-		drop_item(g, it, REASON_DEADLINE);
-	for (cls = 0; cls < SHED_CLASSES; cls++)
-		while ((it = g->classes[cls])) {
-			why = overdue(g, it, now);
-			if (why == REASON_NONE)
-				break;
-			drop_item(g, it, why);
-		}
-}
-
 /*
  * Names a call that was queued and will not run: past its deadline, past
  * the queueing target, or pushed out of a full queue. It is forgotten here.
--- a/src/policy/gate_demand.c
+++ b/src/policy/gate_demand.c
@@ -1,8 +1,13 @@
 #include "policy/gate_impl.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-#define DEMAND_DECAY 0.75 /* per step; a window of four steps */
+#define DEMAND_DECAY 0.9 /* per step */
+#define CHANGE_SIGMAS 4	 /* off the expected count: demand has changed */
+#define CHANGE_KEEP 0.2	 /* of what was counted before */
+#define COUNT_MANY 50	 /* arrivals that make a good estimate */
+#define DECAY_FEW 0.95	 /* per step with fewer */
 #define TOLD_GAIN 0.25
 #define SPAN_MIN_S 0.004 /* below this, lots tell too little */
 #define FLOOR_RISE 8	 /* steps for the floor to follow open upwards */
@@ -79,9 +84,17 @@
 static void estimate(struct gate_demand *d, double dt_s)
 {
 	double told = (d->arrivals + d->unseen) / dt_s;
+	double span_s = dt_s * d->floor / ADMIT_ALL;
+	double expected = d->rate * span_s, keep;
 
-	d->count = d->count * DEMAND_DECAY + d->below;
-	d->span_s = d->span_s * DEMAND_DECAY + dt_s * d->floor / ADMIT_ALL;
+	/* Demand has changed: what was counted before says little. */
+	if (fabs(d->below - expected) > CHANGE_SIGMAS * sqrt(expected + 1)) {
+		d->count *= CHANGE_KEEP;
+		d->span_s *= CHANGE_KEEP;
+	}
+	keep = d->count < COUNT_MANY ? DECAY_FEW : DEMAND_DECAY;
+	d->count = d->count * keep + d->below;
+	d->span_s = d->span_s * keep + span_s;
 	d->told += (told - d->told) * TOLD_GAIN;
 	if (d->span_s >= SPAN_MIN_S)
 		d->rate = d->count / d->span_s;
@@ -193,24 +206,33 @@
 	}
 }
 
-/* Admits rate calls a second: by class, then max-min between accounts. */
-void demand_allocate(struct gate *g, double rate)
+/*
+ * Admits rate calls a second: by class, then max-min between accounts. A
+ * backlog past goal is worked off in drain_s, at the cost of its own class
+ * and the less important ones, behind which it does not queue.
+ */
+void demand_allocate(struct gate *g, double rate, double goal, double drain_s)
 {
 	const struct gate_account *a;
-	double want;
+	double want, left, taken = 0, backlog = 0;
 	int cls;
 
 	for (cls = SHED_LAST; cls >= SHED_FIRST; cls--) {
 		want = 0;
 		for (a = g->accounts; a; a = a->hh.next)
 			want += a->demand[cls].rate;
-		if (rate > 0 && want <= rate) {
+		backlog += g->class_n[cls];
+		left = rate + (goal - backlog) / drain_s - taken;
+		if (left < 0)
+			left = 0;
+		if (left > 0 && want <= left) {
 			open_class(g, cls, ADMIT_ALL);
-		} else {
-			g->open[cls] = want > 0 ? share_of(rate, want) : 0;
-			share_class(g, cls, rate);
+			taken += want;
+			continue;
 		}
-		rate = want < rate ? rate - want : 0;
+		g->open[cls] = want > 0 ? share_of(left, want) : 0;
+		share_class(g, cls, left);
+		taken += left;
 	}
 }
 
--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -106,7 +106,7 @@
 void demand_arrival(struct gate_account *a, const struct gate_call *c);
 void demand_step(struct gate *g, double dt_s, int64_t now);
 double demand_total(const struct gate *g);
-void demand_allocate(struct gate *g, double rate);
+void demand_allocate(struct gate *g, double rate, double goal, double drain_s);
 void demand_open_all(struct gate *g);
 
 #endif
--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -1,21 +1,27 @@
 #include "policy/gate_impl.h"
 
+#include <math.h>
+
 #define WINDOW_SHORT 0.6 /* decay per step when many calls end */
 #define WINDOW_LONG 0.9
-#define WINDOW_MANY 30	    /* calls ended in a step */
-#define DRAIN_S 0.2	    /* surplus backlog is worked off in this */
-#define TRIM_MIN 0.7	    /* of the rate that Little's law gives */
-#define TRIM_MAX 2.0	    /* the same */
-#define TRIM_FALL 0.97	    /* per step with a long backlog */
-#define IDLE_SHARE 0.02	    /* of slot time that may stay unused */
-#define CALM_SHARE 0.95	    /* of capacity; demand below is no overload */
-#define CALM_STEPS 3	    /* in a row that end an overload */
-#define CAP_FALL 0.8	    /* per step in which the upstream fails */
-#define CAP_RISE 1.1	    /* per step in which it does not */
-#define FAIL_SHARE 0.5	    /* of ended calls that counts as failing */
-#define FAIL_MIN 5	    /* ended calls that tell anything */
-#define COLD_SHARE 0.1	    /* of the slots at a cold start */
-#define RATE_MIN_SHARE 0.1  /* of capacity, always admitted */
+#define CHANGE_SIGMAS 3 /* off the expected count of ended calls */
+#define CHANGE_KEEP 0.2 /* of what was summed before */
+#define WINDOW_MANY 30	/* calls ended in a step */
+#define DRAIN_S 0.6	/* surplus backlog is worked off in this */
+#define TRIM_MIN 0.8	/* of the rate that Little's law gives */
+#define TRIM_MAX 1.5	/* the same */
+#define TRIM_GAIN 1.0	/* per second, of idle slots and surplus */
+#define SURPLUS_MAX 0.3 /* of capacity */
+#define SUDDEN 4	/* backlogs of the goal that need no full step */
+#define CALM_SHARE 0.95 /* of capacity; demand below is no overload */
+#define CALM_STEPS 3	/* in a row that end an overload */
+#define CAP_FALL 0.8	/* per step in which the upstream fails */
+#define CAP_RISE 1.1	/* per step in which it does not */
+#define FAIL_SHARE 0.5	/* of ended calls that counts as failing */
+#define FAIL_MIN 5	/* ended calls that tell anything */
+#define COLD_SHARE 0.1	/* of the slots at a cold start */
+#define NOISE 2.0	/* sigmas of the arrivals in a step that queue freely */
+#define CAPACITY_MIN 0.1    /* calls a second */
 #define UNLIMITED_RATE 1e12 /* calls a second */
 
 /* Adds the slot time since the last change of running; before each change. */
@@ -66,12 +72,18 @@
 		g->cap = g->o.slots;
 }
 
-/* Smooths slot time per call that ended; Little's law turns it into rate. */
+/*
+ * Smooths slot time per call that ended; Little's law turns it into a rate.
+ * A step that the smoothed time can't explain cuts the memory short.
+ */
 static void measure_service(struct gate *g)
 {
 	double keep = g->ended >= WINDOW_MANY || !g->running ? WINDOW_SHORT
 							     : WINDOW_LONG;
+	double expected = g->service_us > 0 ? g->busy / g->service_us : 0;
 
+	if (fabs(g->ended - expected) > CHANGE_SIGMAS * sqrt(expected + 1))
+		keep = CHANGE_KEEP;
 	g->busy_sum = g->busy_sum * keep + g->busy;
 	g->ended_sum = g->ended_sum * keep + g->ended;
 	if (g->ended_sum >= 1)
@@ -80,13 +92,15 @@
 		g->service_us = 0;
 }
 
-/* The correction follows unused slots upwards and a long backlog down. */
-static void move_trim(struct gate *g, double idle, double backlog, double goal)
+/*
+ * Integrates what Little's law gets wrong, such as calls that are dropped
+ * after they were admitted: up with unused slots, down with a long backlog.
+ */
+static void move_trim(struct gate *g, double idle, double surplus, double dt_s)
 {
-	if (idle > IDLE_SHARE && !g->queued)
-		g->trim *= 1 + idle / 2;
-	else if (backlog > 2 * goal)
-		g->trim *= TRIM_FALL;
+	if (surplus > SURPLUS_MAX)
+		surplus = SURPLUS_MAX;
+	g->trim += (idle - surplus) * TRIM_GAIN * dt_s;
 	if (g->trim > TRIM_MAX)
 		g->trim = TRIM_MAX;
 	if (g->trim < TRIM_MIN)
@@ -99,7 +113,7 @@
  */
 static void judge_overload(struct gate *g, double capacity, double goal)
 {
-	if (g->queued_min > goal) {
+	if (g->queued_min > goal || g->queued > SUDDEN * goal) {
 		if (!g->overload)
 			g->trim = 1;
 		g->overload = true;
@@ -126,18 +140,19 @@
 	move_cap(g);
 	if (g->service_us > 0)
 		capacity = g->limit / g->service_us * USEC_PER_SEC;
+	if (capacity < CAPACITY_MIN)
+		capacity = CAPACITY_MIN;
 	goal = capacity * (double)g->o.queue_target_us / USEC_PER_SEC;
-	if (goal < 1)
-		goal = 1;
+	if (goal < NOISE * sqrt(capacity * dt / USEC_PER_SEC))
+		goal = NOISE * sqrt(capacity * dt / USEC_PER_SEC);
 	idle = g->limit ? 1 - g->busy / (dt * g->limit) : 0;
 	judge_overload(g, capacity, goal);
 	if (g->overload && g->o.mode != OVERLOAD_OFF) {
-		move_trim(g, idle, g->queued, goal);
-		rate = capacity * g->trim + (goal - g->queued) / DRAIN_S;
-		if (rate < capacity * RATE_MIN_SHARE)
-			rate = capacity * RATE_MIN_SHARE;
+		move_trim(g, idle, (g->queued - goal) / (capacity * DRAIN_S),
+			  dt / USEC_PER_SEC);
+		rate = capacity * g->trim;
 		g->admitted_s = rate;
-		demand_allocate(g, rate);
+		demand_allocate(g, rate, goal, DRAIN_S);
 	} else {
 		g->admitted_s = 0;
 		demand_open_all(g);
--- a/src/policy/lot.c
+++ b/src/policy/lot.c
@@ -1,5 +1,7 @@
 #include "policy/policy.h"
 
+#define MARGIN 3 /* a deep hop compares two thirds of the lot */
+
 /*
  * Draws the lot of a root from its identity under a key that hosts share,
  * so that a resend with the same identity meets the same answer on every
@@ -10,6 +12,12 @@
 	return (uint16_t)(pair_hash(name_hash(root_id), key) >> 48);
 }
 
+/* Returns the lot to compare at a hop with so many sub-calls above it. */
+uint16_t lot_at_depth(uint16_t lot, uint32_t depth)
+{
+	return depth ? (uint16_t)(lot - lot / MARGIN) : lot;
+}
+
 /* ADMIT_ALL admits every lot, the highest one too. */
 bool lot_admitted(uint16_t lot, uint16_t open)
 {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -16,6 +16,12 @@
 
 /* The lot of a root: the same for each resend under one identity. */
 uint16_t root_lot(const char *root_id, uint64_t key);
+/*
+ * The lot as compared at a depth, 0 at the entry: deeper hops, where work
+ * was spent already, admit somewhat more, so that cutoffs that move between
+ * the hops waste little.
+ */
+uint16_t lot_at_depth(uint16_t lot, uint32_t depth);
 /* Whether a lot is below the admitted share. */
 bool lot_admitted(uint16_t lot, uint16_t open);
 
@@ -49,7 +55,8 @@
 	uint64_t account; /* name_hash; 0 on open routes */
 	uint32_t weight;
 	enum shed_class cls;
-	uint16_t lot;
+	uint16_t lot;	/* of the root */
+	uint32_t depth; /* sub-calls above it */
 	int64_t deadline_us;
 	uint32_t shed_unseen[SHED_CLASSES];
 };
@@ -78,7 +85,10 @@
 uint64_t gate_next(struct gate *g, int64_t now, int64_t *waited_us);
 /* Takes the next queued call that must not run any more, or returns false */
 bool gate_next_drop(struct gate *g, int64_t now, struct gate_drop *d);
-/* A running call ended; ok is false for errors and timeouts. */
+/*
+ * A running call ended; ok is false for errors and timeouts of the upstream
+ * itself, not for those that a failed sub-call explains.
+ */
 void gate_done(struct gate *g, uint64_t id, bool ok, int64_t now);
 /* A queued or running call was cancelled. */
 void gate_cancel(struct gate *g, uint64_t id, int64_t now);
@@ -138,15 +148,16 @@
 
 /* Balance: what this node measured of one upstream. */
 struct upstream_load {
-	uint32_t outstanding; /* calls of this node */
-	double latency_us;    /* smoothed */
-	double error_share;   /* smoothed, 0 to 1 */
-	uint32_t queue_us;    /* newest the gate told */
-	uint32_t in_flight;   /* newest the gate told */
+	double latency_us;  /* smoothed */
+	double error_share; /* smoothed, 0 to 1 */
+	double shed_share;  /* told by its cutoffs, smoothed, 0 to 1 */
 	int64_t heard_us;
 	int64_t first_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
 	uint32_t ejections;
+	uint32_t outstanding; /* calls of this node */
+	uint32_t queue_us;    /* newest the gate told */
+	uint32_t in_flight;   /* newest the gate told */
 };
 
 struct balance_candidate {
@@ -160,6 +171,7 @@
 void load_answered(struct upstream_load *l, const struct answer_head *h,
 		   int64_t latency_us, int64_t now);
 void load_failed(struct upstream_load *l, int64_t now);
+void load_cancelled(struct upstream_load *l); /* by this node itself */
 /* Returns an index, or -1 when there is no candidate. */
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now);
--- /dev/null
+++ b/test/test_policy_balance.c
@@ -0,0 +1,273 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "policy/policy.h"
+
+#define MS USEC_PER_MSEC
+#define N_MAX 9
+#define PICKS 1000
+
+/* Warm upstreams that answer in 5 ms; the first two are near. */
+struct fixture {
+	struct upstream_load loads[N_MAX];
+	struct balance_candidate c[N_MAX];
+	size_t n;
+	int64_t now;
+};
+
+static void answer(struct fixture *f, size_t i, enum reason reason,
+		   uint32_t queue_us, int64_t latency_us)
+{
+	struct answer_head h = {
+		.outcome = reason ? OUTCOME_UNKNOWN : OUTCOME_DONE,
+		.reason = reason,
+		.queue_us = queue_us,
+		.admission = {{ADMIT_ALL, ADMIT_ALL, ADMIT_ALL}},
+	};
+
+	load_sent(&f->loads[i], f->now);
+	load_answered(&f->loads[i], &h, latency_us, f->now);
+}
+
+static void set_up(struct fixture *f, size_t n)
+{
+	size_t i, k;
+
+	memset(f, 0, sizeof(*f));
+	f->n = n;
+	for (i = 0; i < n; i++) {
+		f->c[i] = (struct balance_candidate){&f->loads[i], 100, i < 2,
+						     false};
+		f->now = 1;
+		load_sent(&f->loads[i], f->now);
+		load_cancelled(&f->loads[i]);
+		f->now = 10 * USEC_PER_SEC;
+		for (k = 0; k < 50; k++)
+			answer(f, i, REASON_NONE, 0, 5 * MS);
+	}
+}
+
+static void count_picks(const struct fixture *f, uint32_t picks[N_MAX])
+{
+	uint64_t seed;
+	int i;
+
+	memset(picks, 0, N_MAX * sizeof(*picks));
+	for (seed = 0; seed < PICKS; seed++) {
+		i = balance_pick(f->c, f->n, seed, f->now);
+		assert_in_range(i, 0, f->n - 1);
+		picks[i]++;
+	}
+}
+
+static uint32_t near(const uint32_t picks[N_MAX])
+{
+	return picks[0] + picks[1];
+}
+
+static void nothing_to_pick_from(void **state)
+{
+	(void)state;
+	assert_int_equal(balance_pick(NULL, 0, 1, 0), -1);
+}
+
+static void own_data_centre_comes_first(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX];
+
+	(void)state;
+	set_up(&f, 4);
+	count_picks(&f, picks);
+	assert_int_equal(near(picks), PICKS);
+	assert_true(picks[0] > PICKS / 4 && picks[1] > PICKS / 4);
+}
+
+static void spills_when_the_detour_pays(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX];
+
+	(void)state;
+	set_up(&f, 4);
+	answer(&f, 0, REASON_NONE, 50 * MS, 5 * MS);
+	answer(&f, 1, REASON_NONE, 50 * MS, 5 * MS);
+	count_picks(&f, picks);
+	assert_int_equal(near(picks), 0);
+}
+
+static void more_outstanding_means_fewer(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX], i;
+
+	(void)state;
+	set_up(&f, 2);
+	for (i = 0; i < 100; i++)
+		load_sent(&f.loads[0], f.now);
+	count_picks(&f, picks);
+	assert_true(picks[0] < picks[1] / 4);
+}
+
+/* Each row sets upstream 0 up to mislead; it must not get more than most. */
+static void claims_idle_but_is_slow(struct fixture *f)
+{
+	uint32_t k;
+
+	for (k = 0; k < 50; k++)
+		answer(f, 0, REASON_NONE, 0, 200 * MS);
+}
+
+static void fails_fast(struct fixture *f)
+{
+	uint32_t k;
+
+	for (k = 0; k < 5; k++)
+		answer(f, 0, REASON_UPSTREAM_FAILED, 0, 10);
+	assert_true(f->loads[0].latency_us > 4 * MS);
+}
+
+static void refuses_fast(struct fixture *f)
+{
+	struct answer_head h = {.outcome = OUTCOME_NOT_RUN,
+				.reason = REASON_SHED};
+	uint32_t k;
+
+	for (k = 0; k < 200; k++) {
+		load_sent(&f->loads[0], f->now);
+		load_answered(&f->loads[0], &h, 10, f->now);
+	}
+}
+
+static void loses_links(struct fixture *f)
+{
+	uint32_t k;
+
+	for (k = 0; k < 20; k++) {
+		load_sent(&f->loads[0], f->now);
+		load_failed(&f->loads[0], f->now);
+	}
+}
+
+static void misleading_upstreams_do_not_attract(void **state)
+{
+	static void (*const rows[])(struct fixture * f) = {
+		claims_idle_but_is_slow, fails_fast, refuses_fast, loses_links};
+	struct fixture f;
+	uint32_t picks[N_MAX];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(*rows); i++) {
+		set_up(&f, 2);
+		rows[i](&f);
+		count_picks(&f, picks);
+		assert_true(picks[0] < PICKS / 4);
+	}
+}
+
+static void stale_news_fade(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX];
+
+	(void)state;
+	set_up(&f, 2);
+	answer(&f, 0, REASON_NONE, 500 * MS, 200 * MS);
+	count_picks(&f, picks);
+	assert_int_equal(picks[0], 0);
+	f.now += 10 * USEC_PER_SEC;
+	count_picks(&f, picks);
+	assert_true(picks[0] > 0);
+}
+
+static void at_most_a_third_is_ejected(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX], left;
+	size_t n, i;
+
+	(void)state;
+	for (n = 1; n <= N_MAX; n++) {
+		set_up(&f, n);
+		for (i = 0; i < n; i++) {
+			f.c[i].same_data_centre = true;
+			f.loads[i].ejected_until_us =
+				f.now + (int64_t)(1 + i % 3) * MS;
+		}
+		count_picks(&f, picks);
+		for (i = 0, left = 0; i < n; i++)
+			left += picks[i] > 0;
+		assert_true(left >= n - n / 3);
+	}
+}
+
+static void ejection_ends(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX];
+
+	(void)state;
+	set_up(&f, 4);
+	loses_links(&f);
+	assert_true(f.loads[0].ejected_until_us > f.now);
+	count_picks(&f, picks);
+	assert_int_equal(picks[0], 0);
+	f.now += 60 * USEC_PER_SEC;
+	count_picks(&f, picks);
+	assert_true(picks[0] > 0);
+}
+
+static void tried_ones_are_the_last_resort(void **state)
+{
+	struct fixture f;
+	uint32_t picks[N_MAX];
+
+	(void)state;
+	set_up(&f, 3);
+	f.c[0].tried = f.c[1].tried = true;
+	count_picks(&f, picks);
+	assert_int_equal(picks[2], PICKS);
+	f.c[2].tried = true;
+	count_picks(&f, picks);
+	assert_int_equal(near(picks), PICKS);
+}
+
+static void cold_upstreams_are_not_stampeded(void **state)
+{
+	struct fixture f;
+	uint32_t i, sent = 0;
+	int pick;
+
+	(void)state;
+	set_up(&f, 2);
+	memset(&f.loads[0], 0, sizeof(f.loads[0]));
+	for (i = 0; i < 100; i++) {
+		pick = balance_pick(f.c, f.n, i, f.now);
+		load_sent(&f.loads[pick], f.now);
+		sent += pick == 0;
+	}
+	assert_in_range(sent, 1, 60);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(nothing_to_pick_from),
+		cmocka_unit_test(own_data_centre_comes_first),
+		cmocka_unit_test(spills_when_the_detour_pays),
+		cmocka_unit_test(more_outstanding_means_fewer),
+		cmocka_unit_test(misleading_upstreams_do_not_attract),
+		cmocka_unit_test(stale_news_fade),
+		cmocka_unit_test(at_most_a_third_is_ejected),
+		cmocka_unit_test(ejection_ends),
+		cmocka_unit_test(tried_ones_are_the_last_resort),
+		cmocka_unit_test(cold_upstreams_are_not_stampeded),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_policy_gate.c
@@ -0,0 +1,398 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "policy/policy.h"
+
+#define MS USEC_PER_MSEC
+#define FAR (3600 * USEC_PER_SEC)
+
+static struct gate *make_gate(uint32_t slots, enum overload_mode mode)
+{
+	struct gate_options o = {.slots = slots,
+				 .queue_target_us = 10 * MS,
+				 .queue_max = 100,
+				 .mode = mode};
+	struct gate *g = gate_new(&o, 0);
+
+	assert_non_null(g);
+	return g;
+}
+
+static struct gate_call make_call(uint64_t id, uint64_t account,
+				  enum shed_class cls)
+{
+	return (struct gate_call){.id = id,
+				  .account = account,
+				  .weight = 1,
+				  .cls = cls,
+				  .deadline_us = FAR};
+}
+
+static enum reason offer(struct gate *g, const struct gate_call *c, int64_t now)
+{
+	enum reason why;
+	enum gate_verdict v = gate_offer(g, c, &why, now);
+
+	assert_int_equal(v == GATE_REFUSED, why != REASON_NONE);
+	return why;
+}
+
+static uint64_t next(struct gate *g, int64_t now)
+{
+	int64_t waited;
+
+	return gate_next(g, now, &waited);
+}
+
+static void offer_many(struct gate *g, uint64_t first, uint64_t n,
+		       uint64_t account, enum shed_class cls)
+{
+	struct gate_call c;
+	uint64_t id;
+
+	for (id = first; id < first + n; id++) {
+		c = make_call(id, account, cls);
+		assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	}
+}
+
+static uint32_t start_all(struct gate *g, int64_t now)
+{
+	uint32_t n = 0;
+
+	while (next(g, now))
+		n++;
+	return n;
+}
+
+static void slots_are_never_exceeded(void **state)
+{
+	static const enum overload_mode modes[] = {
+		OVERLOAD_ENFORCE, OVERLOAD_OBSERVE, OVERLOAD_OFF};
+	struct gate *g;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		g = make_gate(5, modes[i]);
+		offer_many(g, 1, 20, 1, SHED_LAST);
+		assert_int_equal(start_all(g, 0), 5);
+		gate_set_slots(g, 3, 1);
+		gate_done(g, 1, true, 1);
+		assert_int_equal(start_all(g, 1), 0);
+		gate_set_slots(g, 0, 1);
+		gate_step(g, GATE_STEP_US);
+		assert_int_equal(start_all(g, GATE_STEP_US), 0);
+		gate_set_slots(g, 6, GATE_STEP_US);
+		assert_int_equal(start_all(g, GATE_STEP_US), 2);
+		gate_free(g);
+	}
+}
+
+static void cold_upstream_ramps_up(void **state)
+{
+	struct gate_options o = {.slots = 100,
+				 .queue_target_us = 10 * MS,
+				 .queue_max = 1000,
+				 .cold_start_us = 1000 * MS};
+	struct gate *g = gate_new(&o, 0);
+	struct gate_report r;
+	uint32_t before = 0;
+	int64_t now;
+
+	(void)state;
+	gate_report(g, &r);
+	assert_int_equal(r.limit, 10);
+	for (now = GATE_STEP_US; now <= 1000 * MS; now += GATE_STEP_US) {
+		gate_step(g, now);
+		gate_report(g, &r);
+		assert_true(r.limit > before);
+		before = r.limit;
+	}
+	assert_int_equal(r.limit, 100);
+	gate_free(g);
+}
+
+static void off_is_first_in_first_out(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_OFF);
+	struct gate_call c;
+	struct gate_drop d;
+	uint64_t id;
+
+	(void)state;
+	for (id = 1; id <= 150; id++) {
+		c = make_call(id, id % 7, (enum shed_class)(id % 3));
+		c.deadline_us = (int64_t)id;
+		assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	}
+	assert_false(gate_next_drop(g, FAR, &d));
+	for (id = 1; id <= 150; id++) {
+		assert_int_equal(next(g, FAR), id);
+		gate_done(g, id, true, FAR);
+	}
+	gate_free(g);
+}
+
+static void important_classes_run_first(void **state)
+{
+	struct gate *g = make_gate(30, OVERLOAD_ENFORCE);
+	uint64_t i;
+
+	(void)state;
+	offer_many(g, 1, 5, 1, SHED_FIRST);
+	offer_many(g, 11, 5, 1, SHED_MIDDLE);
+	offer_many(g, 21, 5, 1, SHED_LAST);
+	for (i = 0; i < 15; i++)
+		assert_int_equal(next(g, 0) / 10, 2 - i / 5);
+	gate_free(g);
+}
+
+static void accounts_share_by_weight(void **state)
+{
+	struct gate *g = make_gate(40, OVERLOAD_ENFORCE);
+	uint32_t n[3] = {0};
+	struct gate_call c;
+	uint64_t id;
+
+	(void)state;
+	for (id = 1; id <= 90; id++) {
+		c = make_call(id, id <= 40 ? 1 : 2, SHED_MIDDLE);
+		c.weight = id <= 40 ? 3 : 1;
+		assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	}
+	while ((id = next(g, 0)))
+		n[id <= 40 ? 1 : 2]++;
+	assert_int_equal(n[1], 30);
+	assert_int_equal(n[2], 10);
+	gate_free(g);
+}
+
+/* Runs calls of 10 ms each on every free slot, with the steps due. */
+static int64_t run_steadily(struct gate *g, uint32_t slots, int64_t from,
+			    int64_t to, bool ok)
+{
+	uint64_t id = 1000000 + (uint64_t)from, running[16];
+	struct gate_call c;
+	struct gate_drop d;
+	int64_t now, waited;
+	enum reason why;
+	uint32_t i, n;
+
+	for (now = from; now < to; now += 10 * MS) {
+		for (i = 0; i < slots; i++) {
+			c = make_call(id++, 9, SHED_LAST);
+			gate_offer(g, &c, &why, now);
+		}
+		for (n = 0; (running[n] = gate_next(g, now, &waited)); n++)
+			;
+		assert_true(n >= 1 && n <= slots);
+		while (gate_next_drop(g, now, &d))
+			;
+		while (n)
+			gate_done(g, running[--n], ok, now + 10 * MS);
+		if ((now + 10 * MS) % GATE_STEP_US == 0)
+			gate_step(g, now + 10 * MS);
+	}
+	return to;
+}
+
+static void hopeless_deadlines_are_refused_at_the_door(void **state)
+{
+	struct gate *g = make_gate(2, OVERLOAD_ENFORCE);
+	int64_t now = run_steadily(g, 2, 0, 1000 * MS, true);
+	struct gate_call c;
+
+	(void)state;
+	c = make_call(1, 1, SHED_LAST);
+	c.deadline_us = now + 2 * MS; /* a call takes 10 */
+	assert_int_equal(offer(g, &c, now), REASON_DEADLINE);
+	offer_many(g, 2, 12, 1, SHED_LAST);
+	assert_int_equal(start_all(g, now), 2);
+	c = make_call(20, 1, SHED_LAST);
+	c.deadline_us = now + 30 * MS; /* ten wait ahead of it: 50 ms */
+	assert_int_equal(offer(g, &c, now), REASON_DEADLINE);
+	c.deadline_us = now + 90 * MS;
+	assert_int_equal(offer(g, &c, now), REASON_NONE);
+	gate_free(g);
+}
+
+static void late_calls_never_run(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
+	struct gate_call c = make_call(1, 1, SHED_LAST);
+	struct gate_drop d;
+
+	(void)state;
+	assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	assert_int_equal(next(g, 0), 1);
+	c = make_call(2, 1, SHED_LAST);
+	c.deadline_us = 5 * MS;
+	assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	c = make_call(3, 1, SHED_LAST);
+	assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	gate_done(g, 1, true, 6 * MS);
+	assert_int_equal(next(g, 6 * MS), 3);
+	assert_true(gate_next_drop(g, 6 * MS, &d));
+	assert_int_equal(d.id, 2);
+	assert_int_equal(d.reason, REASON_DEADLINE);
+	assert_false(gate_next_drop(g, 6 * MS, &d));
+	gate_free(g);
+}
+
+static void full_queue_keeps_what_matters(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
+	struct gate_call c;
+	struct gate_drop d;
+
+	(void)state;
+	offer_many(g, 1, 60, 1, SHED_FIRST);
+	offer_many(g, 101, 40, 1, SHED_MIDDLE);
+	c = make_call(200, 1, SHED_FIRST);
+	assert_int_equal(offer(g, &c, 0), REASON_QUEUE_FULL);
+	c = make_call(201, 1, SHED_LAST);
+	assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	assert_true(gate_next_drop(g, 0, &d));
+	assert_int_equal(d.id, 60);
+	assert_int_equal(d.reason, REASON_QUEUE_FULL);
+	/* Of the same class, the account that queues most gives way. */
+	c = make_call(202, 2, SHED_FIRST);
+	assert_int_equal(offer(g, &c, 0), REASON_NONE);
+	assert_true(gate_next_drop(g, 0, &d));
+	assert_int_equal(d.id, 59);
+	gate_free(g);
+}
+
+static void cancelled_calls_free_what_they_held(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
+	struct gate_drop d;
+
+	(void)state;
+	offer_many(g, 1, 4, 1, SHED_MIDDLE);
+	assert_int_equal(next(g, 0), 1);
+	gate_cancel(g, 2, 0);
+	gate_cancel(g, 1, 0);
+	gate_cancel(g, 1, 0);
+	gate_done(g, 1, true, 0);
+	gate_done(g, 4, true, 0); /* not running */
+	assert_int_equal(next(g, 0), 3);
+	assert_int_equal(next(g, 0), 0);
+	assert_false(gate_next_drop(g, 0, &d));
+	gate_free(g);
+}
+
+/* Offers rate calls in each 10 ms of a 2-slot gate that serves 2 of them. */
+static uint32_t overload(struct gate *g, int64_t from, int64_t to,
+			 uint32_t rate)
+{
+	uint64_t id = 1 + (uint64_t)from * 100, running[2] = {0};
+	uint32_t refused = 0, i;
+	struct gate_call c;
+	struct gate_drop d;
+	enum reason why;
+	int64_t now;
+
+	for (now = from; now < to; now += 10 * MS) {
+		for (i = 0; i < rate; i++) {
+			c = make_call(id++, 1 + i % 2,
+				      i % 4 ? SHED_FIRST : SHED_LAST);
+			c.lot = (uint16_t)pair_hash(id, 3);
+			gate_offer(g, &c, &why, now);
+			refused += why != REASON_NONE;
+		}
+		while (gate_next_drop(g, now, &d))
+			;
+		for (i = 0; i < 2; i++) {
+			if (running[i])
+				gate_done(g, running[i], true, now);
+			running[i] = next(g, now);
+		}
+		if (now % GATE_STEP_US == 0)
+			gate_step(g, now);
+	}
+	for (i = 0; i < 2; i++)
+		if (running[i])
+			gate_cancel(g, running[i], now);
+	return refused;
+}
+
+static void overload_sheds_the_least_important_and_ends(void **state)
+{
+	struct gate *g = make_gate(2, OVERLOAD_ENFORCE);
+	struct gate_report r;
+	struct admission a;
+
+	(void)state;
+	assert_true(overload(g, 10 * MS, 3000 * MS, 4) > 0);
+	gate_report(g, &r);
+	assert_true(r.admitted_s > 0);
+	a = gate_admission(g, 1);
+	assert_int_equal(a.open[SHED_LAST], ADMIT_ALL);
+	assert_true(a.open[SHED_FIRST] < ADMIT_ALL);
+	a = gate_admission(g, 12345); /* never seen */
+	assert_int_equal(a.open[SHED_FIRST], r.open[SHED_FIRST]);
+	overload(g, 3000 * MS, 5000 * MS, 1);
+	a = gate_admission(g, 1);
+	assert_int_equal(a.open[SHED_FIRST], ADMIT_ALL);
+	assert_int_equal(overload(g, 5000 * MS, 6000 * MS, 1), 0);
+	gate_free(g);
+}
+
+static void observing_says_why_and_refuses_nothing(void **state)
+{
+	struct gate *g = make_gate(2, OVERLOAD_OBSERVE);
+	struct gate_call c = make_call(1, 1, SHED_FIRST);
+	struct gate_drop d;
+	enum reason why;
+
+	(void)state;
+	assert_true(overload(g, 10 * MS, 2000 * MS, 8) > 0);
+	c.lot = UINT16_MAX - 1;
+	assert_int_equal(gate_offer(g, &c, &why, 2000 * MS), GATE_QUEUED);
+	assert_int_equal(why, REASON_SHED);
+	assert_false(gate_next_drop(g, FAR, &d));
+	gate_free(g);
+}
+
+static void only_failures_lower_the_limit(void **state)
+{
+	struct gate *g = make_gate(10, OVERLOAD_ENFORCE);
+	struct gate_report r;
+	int64_t now = run_steadily(g, 10, 0, 1000 * MS, true);
+
+	(void)state;
+	gate_report(g, &r);
+	assert_int_equal(r.limit, 10);
+	now = run_steadily(g, 10, now, now + 3000 * MS, false);
+	gate_report(g, &r);
+	assert_true(r.limit >= 1 && r.limit < 10);
+	run_steadily(g, 10, now, now + 2000 * MS, true);
+	gate_report(g, &r);
+	assert_int_equal(r.limit, 10);
+	gate_free(g);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(slots_are_never_exceeded),
+		cmocka_unit_test(cold_upstream_ramps_up),
+		cmocka_unit_test(off_is_first_in_first_out),
+		cmocka_unit_test(important_classes_run_first),
+		cmocka_unit_test(accounts_share_by_weight),
+		cmocka_unit_test(hopeless_deadlines_are_refused_at_the_door),
+		cmocka_unit_test(late_calls_never_run),
+		cmocka_unit_test(full_queue_keeps_what_matters),
+		cmocka_unit_test(cancelled_calls_free_what_they_held),
+		cmocka_unit_test(overload_sheds_the_least_important_and_ends),
+		cmocka_unit_test(observing_says_why_and_refuses_nothing),
+		cmocka_unit_test(only_failures_lower_the_limit),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
