--- a/test/harness.bash
+++ b/test/harness.bash
@@ -25,6 +25,7 @@
 	rm -rf "$WORK"
 }
 trap end_all EXIT
+trap 'exit 143' TERM INT
 
 # wait_for SECONDS COMMAND...: until the command succeeds.
 wait_for() {
@@ -101,3 +102,48 @@
 	local admin="admin_${1//-/_}"
 	curl -sf -o /dev/null "http://${!admin}/readyz"
 }
+
+# key_hash KEY: the BLAKE2b-256 hash that a note carries.
+key_hash() {
+	printf %s "$1" | b2sum -l 256 | cut -d ' ' -f 1
+}
+
+# apply_note NODE FILE: fails unless it was accepted.
+apply_note() {
+	local admin="admin_${1//-/_}"
+	curl -sf --data-binary "@$2" "http://${!admin}/v1/notes" \
+		>"$WORK/apply.out" || fail "note $2: $(cat "$WORK/apply.out")"
+}
+
+# call NODE METHOD PATH [CURL OPTIONS]: prints the whole answer.
+call() {
+	local callers="callers_${1//-/_}" method=$2 path=$3
+	shift 3
+	curl -s -i -m 20 -X "$method" "$@" "http://${!callers}$path"
+}
+
+# counts NAME KEY: one number of an upstream's counts.
+counts() {
+	local addr="addr_${1//-/_}"
+	curl -s "http://${!addr}/mulberryferry/v1/counts" |
+		sed -n "s/.*\"$2\":[ ]*\([0-9]*\).*/\1/p"
+}
+
+# control NAME QUERY: changes an upstream while it runs.
+control() {
+	local addr="addr_${1//-/_}"
+	curl -sf -o /dev/null -X PUT \
+		"http://${!addr}/mulberryferry/v1/control?$2"
+}
+
+# faults QUERY: changes the store while it runs.
+faults() {
+	curl -sf -o /dev/null -X PUT "http://$STORE/standin/faults?$1"
+}
+
+# metric NODE NAME: the value of a counter of a node.
+metric() {
+	local admin="admin_${1//-/_}"
+	curl -s "http://${!admin}/metrics" |
+		sed -n "s/^mulberryferry_$2_total \([0-9]*\)$/\1/p"
+}
