Test the HTTP server on a raw socket, and see callers leave

libwebsockets does not read a connection while its answer is awaited, so a caller that left was only noticed when the answer was written. One poll over the open exchanges each 50 ms finds those whose peer has closed. A request whose Connection header names more than close now closes as well.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,11 +1,13 @@
 #include "net/http_impl.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define KEEPALIVE_SECS 75
 #define BODY_WAIT_US (30 * USEC_PER_SEC) /* for a request's whole body */
+#define SWEEP_US (50 * USEC_PER_MSEC)	 /* between looks for callers gone */
 #define ANSWER_SLICE (64 * 1024)	 /* bytes given to the socket at once */
 #define EXCHANGES_MAX (1U << 20)
 
@@ -20,6 +22,8 @@
 	struct http_server_options options;
 	struct lws_vhost *vhost;
 	struct table exchanges; /* of struct lws pointers */
+	struct pollfd *polled;	/* of the sweep */
+	uint32_t polled_size;
 	uint32_t connections;
 	bool draining;
 };
@@ -191,17 +195,20 @@
 
 	if (!c->answering)
 		return 0;
-	if (lws_write(wsi, c->out.data + c->out_pos, n,
+	if (n &&
+	    lws_write(wsi, c->out.data + c->out_pos, n,
 		      n == left ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP) < 0)
 		return -1;
 	c->out_pos += n;
-	if (c->out_pos < c->out.len) {
+	if (c->out_pos < c->out.len ||
+	    (c->close && lws_partial_buffered(wsi))) {
 		lws_callback_on_writable(wsi);
 		return 0;
 	}
 	c->answering = false;
 	buffer_free(&c->out);
-	if (lws_http_transaction_completed(wsi))
+	/* The library closes only if the request said no more than close. */
+	if (c->close || lws_http_transaction_completed(wsi))
 		return -1;
 	return 0;
 }
@@ -274,10 +281,54 @@
 	{0},
 };
 
+static bool reserve_polled(struct http_server *s)
+{
+	uint32_t n = s->exchanges.count;
+	struct pollfd *p;
+
+	if (n <= s->polled_size)
+		return true;
+	p = realloc(s->polled, 2 * (size_t)n * sizeof(*p));
+	if (!p)
+		return false;
+	s->polled = p;
+	s->polled_size = 2 * n;
+	return true;
+}
+
+/*
+ * Closes the connections whose callers have gone. The library does not read
+ * while an answer is awaited, and so would not see it.
+ */
+static void sweep(void *ctx, int64_t now)
+{
+	struct http_server *s = ctx;
+	uint64_t h = 0;
+	nfds_t n = 0;
+	void *item;
+
+	(void)now;
+	if (!s->exchanges.count || !reserve_polled(s))
+		return;
+	while ((h = table_next(&s->exchanges, h, &item)))
+		s->polled[n++] = (struct pollfd){
+			.fd = lws_get_socket_fd(*(struct lws **)item),
+			.events = POLLRDHUP};
+	if (poll(s->polled, n, 0) <= 0)
+		return;
+	n = 0;
+	while ((h = table_next(&s->exchanges, h, &item)))
+		if (s->polled[n++].revents)
+			lws_set_timeout(*(struct lws **)item,
+					PENDING_TIMEOUT_USER_OK,
+					LWS_TO_KILL_ASYNC);
+}
+
 static void server_release(void *part)
 {
 	struct http_server *s = part;
 
+	free(s->polled);
 	table_free(&s->exchanges);
 	free(s);
 }
@@ -305,6 +356,11 @@
 	s->net = net;
 	s->options = *o;
 	table_init(&s->exchanges, sizeof(struct lws *), EXCHANGES_MAX);
+	if (net_every(net, SWEEP_US, sweep, s) < 0) {
+		error_set(err, ERROR_MEMORY, "http-server", NULL,
+			  "out of memory");
+		return NULL;
+	}
 	s->vhost = net_add_vhost(net, &vhost, err);
 	return s->vhost ? s : NULL;
 }
--- /dev/null
+++ b/test/test_http_server.c
@@ -0,0 +1,399 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/net.h"
+
+#define BODY_LIMIT 20
+#define REPLY_SIZE 65536
+
+/* A client that sends bytes as they are and reads until the end. */
+struct client {
+	const char *sends;
+	size_t filler; /* bytes of "a" after that, then an empty line */
+	bool half_close;
+	bool leaves; /* closes without reading */
+	struct addr to;
+	struct net *net;
+	char reply[REPLY_SIZE];
+};
+
+struct seen {
+	struct net *net;
+	struct http_server *server;
+	int requests;
+	int gone;
+	uint64_t held;
+	char last[256];
+	bool stop_on_gone;
+};
+
+static int dial(const struct addr *a)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET,
+				 .sin_port = htons(a->port)};
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (connect(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0)
+		return fd;
+	close(fd);
+	return -1;
+}
+
+static void send_all(int fd, const char *data, size_t len)
+{
+	ssize_t n;
+
+	while (len && (n = send(fd, data, len, MSG_NOSIGNAL)) > 0) {
+		data += n;
+		len -= (size_t)n;
+	}
+}
+
+static void read_reply(struct client *c, int fd)
+{
+	size_t len = 0;
+	ssize_t n;
+
+	while (len < REPLY_SIZE - 1 &&
+	       (n = read(fd, c->reply + len, REPLY_SIZE - 1 - len)) > 0)
+		len += (size_t)n;
+	c->reply[len] = 0;
+}
+
+static void *client_main(void *arg)
+{
+	struct client *c = arg;
+	int fd = dial(&c->to);
+	size_t i;
+
+	send_all(fd, c->sends, strlen(c->sends));
+	for (i = 0; i < c->filler; i++)
+		send_all(fd, "a", 1);
+	if (c->filler)
+		send_all(fd, "\r\n\r\n", 4);
+	if (c->half_close)
+		shutdown(fd, SHUT_WR);
+	if (!c->leaves)
+		read_reply(c, fd);
+	close(fd);
+	if (!c->leaves)
+		net_stop(c->net);
+	return NULL;
+}
+
+static void on_request(void *ctx, uint64_t exchange, struct message *msg,
+		       const char *peer, int64_t now)
+{
+	struct seen *seen = ctx;
+	struct message m = {.status = 200};
+	const char *id = message_header(msg, "x-request-id");
+	const char *extra = message_header(msg, "x-extra");
+
+	(void)now;
+	assert_string_equal(peer, "127.0.0.1");
+	assert_null(message_header(msg, "connection"));
+	seen->requests++;
+	snprintf(seen->last, sizeof(seen->last), "%s %s [%.*s] id=%s extra=%s",
+		 msg->method, msg->target, (int)msg->body.len,
+		 msg->body.len ? (char *)msg->body.data : "", id ? id : "-",
+		 extra ? extra : "-");
+	if (!strcmp(msg->target, "/hold")) {
+		seen->held = exchange;
+		return;
+	}
+	if (!strcmp(msg->target, "/204"))
+		m.status = 204;
+	message_add_header(&m, "x-target", msg->target);
+	message_add_header(&m, "keep-alive", "timeout=9");
+	if (m.status == 200)
+		buffer_append(&m.body, "hello", 5, 5);
+	assert_int_equal(http_server_answer(seen->server, exchange, &m), 0);
+	assert_int_equal(http_server_answer(seen->server, exchange, &m), -1);
+	message_free(&m);
+}
+
+static void on_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	struct seen *seen = ctx;
+
+	(void)now;
+	assert_int_equal(exchange, seen->held);
+	seen->gone++;
+	if (seen->stop_on_gone)
+		net_stop(seen->net);
+}
+
+static void open_server(struct seen *seen, struct addr *a)
+{
+	static const char *const names[] = {"x-extra", NULL};
+	struct http_server_options o = {
+		.body_limit = BODY_LIMIT,
+		.connections_max = 4,
+		.header_names = names,
+		.ctx = seen,
+		.request = on_request,
+		.gone = on_gone,
+	};
+	struct error err;
+
+	memset(seen, 0, sizeof(*seen));
+	seen->net = net_open(&err);
+	assert_non_null(seen->net);
+	addr_parse(&o.listen, "127.0.0.1:0");
+	seen->server = http_server_open(seen->net, &o, &err);
+	assert_non_null(seen->server);
+	http_server_addr(seen->server, a);
+	assert_int_not_equal(a->port, 0);
+}
+
+static void run_client(struct seen *seen, struct client *c)
+{
+	pthread_t thread;
+
+	c->net = seen->net;
+	assert_int_equal(pthread_create(&thread, NULL, client_main, c), 0);
+	net_run(seen->net);
+	pthread_join(thread, NULL);
+}
+
+#define H "Host: a\r\n"
+#define END "Connection: close\r\n\r\n"
+
+static const struct {
+	const char *name;
+	const char *sends;
+	size_t filler;
+	bool half_close;
+	int requests;
+	const char *reply; /* found in what comes back */
+	const char *last;  /* request, as the handler saw it */
+} cases[] = {
+	{"get", "GET /a?b=%26&c=d+e HTTP/1.1\r\n" H END, 0, false, 1,
+	 "HTTP/1.1 200 OK\r\n", "GET /a?b=%26&c=d%20e [] id=- extra=-"},
+	{"names", "GET /a HTTP/1.1\r\nX-Request-Id: 7\r\nX-Extra: e\r\n" H END,
+	 0, false, 1, "\r\ncontent-length: 5\r\n\r\nhello",
+	 "GET /a [] id=7 extra=e"},
+	{"named in Connection",
+	 "GET /a HTTP/1.1\r\n" H "X-Request-Id: 7\r\nX-Extra: e\r\n"
+	 "Connection: close, x-request-id\r\n\r\n",
+	 0, false, 1, "hello", "GET /a [] id=- extra=e"},
+	{"post", "POST /a HTTP/1.1\r\nContent-Length: 3\r\n" H END "abc", 0,
+	 false, 1, "hello", "POST /a [abc] id=- extra=-"},
+	{"delete with body",
+	 "DELETE /a HTTP/1.1\r\nContent-Length: 3\r\n" H END "abc", 0, false, 1,
+	 "hello", "DELETE /a [abc] id=- extra=-"},
+	{"post without body", "POST /a HTTP/1.1\r\n" H "\r\n", 0, false, 1,
+	 "connection: close", "POST /a [] id=- extra=-"},
+	{"options", "OPTIONS /a HTTP/1.1\r\n" H END, 0, false, 1, "hello",
+	 "OPTIONS /a [] id=- extra=-"},
+	{"pipelined",
+	 "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n" H "\r\nabc"
+	 "GET /2 HTTP/1.1\r\n" H "\r\nGET /3 HTTP/1.1\r\n" H END,
+	 0, false, 3, "x-target: /3\r\n", "GET /3 [] id=- extra=-"},
+	{"head", "HEAD /a HTTP/1.1\r\n" H END, 0, false, 1,
+	 "content-length: 5\r\n\r\n", "HEAD /a [] id=- extra=-"},
+	{"no content", "GET /204 HTTP/1.1\r\n" H END, 0, false, 1,
+	 "HTTP/1.1 204 \r\n", "GET /204 [] id=- extra=-"},
+	{"dots", "GET /a/../../b HTTP/1.1\r\n" H END, 0, false, 1, "hello",
+	 "GET /b [] id=- extra=-"},
+	{"body too large",
+	 "POST /a HTTP/1.1\r\nContent-Length: 21\r\n" H "\r\n"
+	 "aaaaaaaaaaaaaaaaaaaaa",
+	 0, false, 0, "HTTP/1.1 413 ", ""},
+	{"huge length",
+	 "POST /a HTTP/1.1\r\nContent-Length: 9000000000000000000\r\n" H "\r\n",
+	 0, false, 0, "HTTP/1.1 413 ", ""},
+	{"length beyond 64 bits",
+	 "POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n" H
+	 "\r\n",
+	 0, false, 0, "HTTP/1.1 400 ", ""},
+	{"negative length",
+	 "POST /a HTTP/1.1\r\nContent-Length: -1\r\n" H "\r\n", 0, false, 0,
+	 "HTTP/1.1 400 ", ""},
+	{"two lengths",
+	 "POST /a HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n" H
+	 "\r\nabcd",
+	 0, false, 0, "HTTP/1.1 400 ", ""},
+	{"length and chunks",
+	 "POST /a HTTP/1.1\r\nContent-Length: 3\r\n"
+	 "Transfer-Encoding: chunked\r\n" H "\r\n0\r\n\r\n",
+	 0, false, 0, "HTTP/1.1 400 ", ""},
+	{"chunks",
+	 "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" H
+	 "\r\n3\r\nabc\r\n0\r\n\r\n",
+	 0, false, 0, "HTTP/1.1 411 ", ""},
+	{"no host", "GET /a HTTP/1.1\r\n" END, 0, false, 0, "HTTP/1.1 400 ",
+	 ""},
+	{"two hosts", "GET /a HTTP/1.1\r\nHost: b\r\n" H END, 0, false, 0,
+	 "HTTP/1.1 400 ", ""},
+	{"long value", "GET /a HTTP/1.1\r\n" H "X-Extra: ", 9000, true, 0, "",
+	 ""},
+	{"long name", "GET /a HTTP/1.1\r\n" H "X", 9000, true, 0, "", ""},
+	{"long target", "GET /", 9000, true, 0, "", ""},
+	{"other method", "BREW /a HTTP/1.1\r\n" H END, 0, true, 0, "", ""},
+	{"other protocol", "\x16\x03\x01\x02", 0, true, 0, "", ""},
+	{"half a head", "GET /a HTTP/1.1\r\nHos", 0, true, 0, "", ""},
+	{"half a body", "PUT /a HTTP/1.1\r\nContent-Length: 3\r\n" H "\r\na", 0,
+	 true, 0, "", ""},
+};
+
+static void every_request_has_its_answer(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct seen seen;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		memset(c, 0, sizeof(*c));
+		c->sends = cases[i].sends;
+		c->filler = cases[i].filler;
+		c->half_close = cases[i].half_close;
+		open_server(&seen, &c->to);
+		run_client(&seen, c);
+		if (seen.requests != cases[i].requests ||
+		    !strstr(c->reply, cases[i].reply))
+			print_error("case %s: %s\n", cases[i].name, c->reply);
+		assert_int_equal(seen.requests, cases[i].requests);
+		assert_non_null(strstr(c->reply, cases[i].reply));
+		assert_string_equal(seen.last, cases[i].last);
+		assert_null(strstr(c->reply, "keep-alive: timeout"));
+		assert_int_equal(seen.gone, 0);
+		net_close(seen.net);
+	}
+	free(c);
+}
+
+static void head_and_no_content_have_no_body(void **state)
+{
+	static const char *const sends[] = {"HEAD /a HTTP/1.1\r\n" H END,
+					    "GET /204 HTTP/1.1\r\n" H END};
+	struct client *c = calloc(1, sizeof(*c));
+	struct seen seen;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		memset(c, 0, sizeof(*c));
+		c->sends = sends[i];
+		open_server(&seen, &c->to);
+		run_client(&seen, c);
+		assert_string_equal(strstr(c->reply, "\r\n\r\n"), "\r\n\r\n");
+		if (i)
+			assert_null(strstr(c->reply, "content-length"));
+		net_close(seen.net);
+	}
+	free(c);
+}
+
+static void caller_that_leaves_is_told(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct message m = {.status = 200};
+	struct seen seen;
+
+	(void)state;
+	c->sends = "GET /hold HTTP/1.1\r\n" H "\r\n";
+	c->leaves = true;
+	open_server(&seen, &c->to);
+	seen.stop_on_gone = true;
+	run_client(&seen, c);
+	assert_int_equal(seen.requests, 1);
+	assert_int_equal(seen.gone, 1);
+	assert_int_equal(http_server_answer(seen.server, seen.held, &m), -1);
+	net_close(seen.net);
+	free(c);
+}
+
+static void drain(void *ctx, int64_t now)
+{
+	struct seen *seen = ctx;
+	struct message m = {.status = 200};
+
+	(void)now;
+	if (!seen->held)
+		return;
+	http_server_drain(seen->server);
+	http_server_answer(seen->server, seen->held, &m);
+	seen->held = 0;
+}
+
+/* An open request is answered in a drain, and its connection then closed. */
+static void drain_cuts_nothing_short(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct seen seen;
+
+	(void)state;
+	c->sends = "GET /hold HTTP/1.1\r\n" H "\r\n";
+	open_server(&seen, &c->to);
+	net_every(seen.net, USEC_PER_MSEC, drain, &seen);
+	run_client(&seen, c);
+	assert_non_null(strstr(c->reply, "HTTP/1.1 200 OK\r\n"));
+	assert_non_null(strstr(c->reply, "connection: close\r\n"));
+	assert_int_equal(seen.gone, 0);
+	c->sends = "GET /a HTTP/1.1\r\n" H "\r\n";
+	run_client(&seen, c);
+	assert_string_equal(c->reply, "");
+	assert_int_equal(seen.requests, 1);
+	net_close(seen.net);
+	free(c);
+}
+
+static void stop_when_empty(void *ctx, int64_t now)
+{
+	struct seen *seen = ctx;
+
+	(void)now;
+	if (!http_server_connections(seen->server))
+		net_stop(seen->net);
+}
+
+static void connections_are_bounded_and_counted(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct seen seen;
+	int fds[4], i;
+
+	(void)state;
+	c->sends = "GET /a HTTP/1.1\r\n" H END;
+	open_server(&seen, &c->to);
+	for (i = 0; i < 4; i++)
+		fds[i] = dial(&c->to);
+	run_client(&seen, c);
+	assert_string_equal(c->reply, "");
+	assert_int_equal(http_server_connections(seen.server), 4);
+	for (i = 0; i < 4; i++)
+		close(fds[i]);
+	net_every(seen.net, USEC_PER_MSEC, stop_when_empty, &seen);
+	net_run(seen.net);
+	assert_int_equal(seen.requests, 0);
+	net_close(seen.net);
+	free(c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_request_has_its_answer),
+		cmocka_unit_test(head_and_no_content_have_no_body),
+		cmocka_unit_test(caller_that_leaves_is_told),
+		cmocka_unit_test(drain_cuts_nothing_short),
+		cmocka_unit_test(connections_are_bounded_and_counted),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
