--- a/test/notes_world.h
+++ b/test/notes_world.h
@@ -30,6 +30,7 @@
 	struct addr addr;
 	int data_centre;
 	bool up;
+	bool paused;	 /* stopped by the system, with all state kept */
 	uint64_t number; /* in force, as the callback told */
 	int backwards;	 /* times it did not rise */
 	uint32_t sent;
@@ -192,6 +193,7 @@
 	if (!node->up)
 		return;
 	node->up = false;
+	node->paused = false;
 	store_close(node->store);
 	notes_free(node->notes);
 	members_free(node->members);
@@ -255,18 +257,18 @@
 
 	w->now += STEP_US;
 	for (i = 0; i < w->n; i++)
-		if (w->nodes[i].up)
+		if (w->nodes[i].up && !w->nodes[i].paused)
 			store_tick(w->nodes[i].store, w->now);
 	DL_FOREACH_SAFE(w->packets, p, next)
 	{
-		if (p->due_us > w->now)
+		if (p->due_us > w->now || w->nodes[p->to].paused)
 			continue;
 		DL_DELETE(w->packets, p);
 		deliver(w, p);
 		free_packet(p);
 	}
 	for (i = 0; i < w->n && w->now % TICK_US == 0; i++) {
-		if (!w->nodes[i].up)
+		if (!w->nodes[i].up || w->nodes[i].paused)
 			continue;
 		members_tick(w->nodes[i].members, w->now);
 		notes_tick(w->nodes[i].notes, w->now);
@@ -355,7 +357,7 @@
 	"00000000000000000000000000000000000000000000\"}]}}";
 
 /* Changes the rate of a; pad makes it too large for a datagram. */
-static const char *rate_note(int i, int pad)
+static inline const char *rate_note(int i, int pad)
 {
 	static char text[4096];
 
