--- /dev/null
+++ b/src/admin/admin.c
@@ -0,0 +1,143 @@
+#include "admin/admin_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define QUERIES_MAX 64
+#define HEARD_MAX 32768
+#define PATH_SIZE 256
+
+/* Makes the state of the API; NULL when memory is short. */
+struct admin *admin_new(struct node *n)
+{
+	struct admin *a = calloc(1, sizeof(*a));
+
+	if (!a)
+		return NULL;
+	a->node = n;
+	table_init(&a->queries, sizeof(struct admin_query *), QUERIES_MAX);
+	return a;
+}
+
+/* Frees it, and drops queries under way without an answer. */
+void admin_free(struct admin *a)
+{
+	struct heard *h = a->heard, *next;
+
+	admin_queries_free(a);
+	HASH_CLEAR(hh, a->heard);
+	for (; h; h = next) {
+		next = h->hh.next;
+		free(h);
+	}
+	free(a);
+}
+
+static void answer_unknown(struct node *n, uint64_t exchange, bool known_path)
+{
+	if (known_path)
+		admin_answer_error(n, exchange, 405,
+				   "this path has no such method",
+				   "see docs/openapi.json for the methods");
+	else
+		admin_answer_error(n, exchange, 404, "no such path",
+				   "see docs/openapi.json for the paths");
+}
+
+static void answer_unauthorized(struct node *n, uint64_t exchange, int status)
+{
+	if (status == 403)
+		admin_answer_error(n, exchange, 403,
+				   "this operator's key may only read",
+				   "ask an operator who may change things");
+	else
+		admin_answer_error(n, exchange, 401,
+				   "an operator's key is wanted, and none that "
+				   "is known came",
+				   "send it as 'Authorization: Bearer KEY'; "
+				   "before there are operators, the key of "
+				   "bootstrap_operator in the settings");
+}
+
+/* Serves one request on the admin listener. */
+void admin_request(struct node *n, uint64_t exchange, struct message *msg,
+		   int64_t now)
+{
+	struct admin_call c = {
+		.node = n, .exchange = exchange, .msg = msg, .now = now};
+	size_t len = strcspn(msg->target, "?");
+	const struct admin_route *route = NULL;
+	bool known_path = false;
+	char path[PATH_SIZE];
+	int status;
+
+	if (len < sizeof(path)) {
+		memcpy(path, msg->target, len);
+		path[len] = 0;
+		route = admin_find(msg->method, path, &c.number, &known_path);
+	}
+	if (!route) {
+		answer_unknown(n, exchange, known_path);
+		return;
+	}
+	c.query = msg->target[len] ? msg->target + len + 1 : "";
+	status = admin_authorize(&n->settings, n->config,
+				 message_header(msg, "authorization"),
+				 route->access, &c.who);
+	if (status == 200)
+		route->run(&c);
+	else
+		answer_unauthorized(n, exchange, status);
+}
+
+/* Returns the number of the note in force here, 0 before there is one. */
+uint64_t admin_number(const struct node *n)
+{
+	return n->config ? config_number(n->config) : 0;
+}
+
+/* A member told the number of the note in force on it. */
+void admin_heard(struct node *n, const struct addr *member, uint64_t number)
+{
+	struct admin *a = n->api;
+	struct heard *h;
+
+	HASH_FIND(hh, a->heard, member, sizeof(*member), h);
+	if (!h) {
+		if (HASH_COUNT(a->heard) >= HEARD_MAX)
+			return;
+		h = calloc(1, sizeof(*h));
+		if (!h)
+			return;
+		h->member = *member;
+		HASH_ADD(hh, a->heard, member, sizeof(h->member), h);
+	}
+	h->number = number;
+}
+
+/* Returns the newest number heard of a member, or 0. */
+uint64_t admin_heard_number(const struct admin *a, const struct addr *member)
+{
+	struct heard *h;
+
+	HASH_FIND(hh, a->heard, member, sizeof(*member), h);
+	return h ? h->number : 0;
+}
+
+/* Sends a query, or the answer to one, to another node. */
+int admin_send(struct node *n, const struct addr *to, enum peer_msg_kind kind,
+	       uint64_t id, const char *text, int64_t now)
+{
+	struct peer_msg msg = {.kind = kind,
+			       .incarnation = n->incarnation,
+			       .config_number = admin_number(n)};
+	int rc;
+
+	msg.query.id = id;
+	if (buffer_append(&msg.query.text, text, strlen(text), PEER_BYTES_MAX) <
+	    0)
+		return -1;
+	rc = links_send(n->links, to, &msg, now);
+	buffer_free(&msg.query.text);
+	return rc;
+}
--- /dev/null
+++ b/src/admin/admin_impl.h
@@ -0,0 +1,136 @@
+/* Shared by the files of the administration API alone. */
+#ifndef ADMIN_ADMIN_IMPL_H
+#define ADMIN_ADMIN_IMPL_H
+
+#include <json-c/json.h>
+#include <uthash.h>
+
+#include "admin/admin.h"
+
+enum access {
+	ACCESS_OPEN,
+	ACCESS_READ,
+	ACCESS_CHANGE,
+};
+
+/* Who asks, by the key that came with the request. */
+struct operator_id {
+	char name[NAME_SIZE];
+	char team[NAME_SIZE]; /* empty: every team */
+};
+
+/* One request; query and number point into the path or are defaults. */
+struct admin_call {
+	struct node *node;
+	uint64_t exchange;
+	const struct message *msg;
+	const char *query;
+	uint64_t number; /* of /v1/notes/{number} */
+	struct operator_id who;
+	int64_t now;
+};
+
+struct admin_route {
+	const char *method;
+	const char *path;
+	enum access access;
+	void (*run)(struct admin_call *c);
+};
+
+extern const struct admin_route admin_routes[];
+extern const size_t admin_route_count;
+
+/* The newest number heard of one member. */
+struct heard {
+	struct addr member;
+	uint64_t number;
+	UT_hash_handle hh;
+};
+
+#define MEMBERS_ASKED_MAX 48 /* by one query */
+
+enum query_kind {
+	QUERY_DECISIONS, /* of a request */
+	QUERY_COUNTS,
+	QUERY_ACCOUNT, /* counts, claims and sentences */
+};
+
+/* A question that several nodes answer. */
+struct admin_query {
+	struct node *node;
+	uint64_t handle;
+	uint64_t exchange;
+	enum query_kind kind;
+	char id[REQUEST_ID_SIZE];  /* DECISIONS */
+	char account[NAME_SIZE];   /* else; empty: all */
+	int64_t since_min;	   /* minutes since 1970 */
+	struct json_object *items; /* records or spans */
+	struct addr asked[MEMBERS_ASKED_MAX];
+	size_t asked_count;
+	size_t answered;
+	bool asked_others;
+	bool cut; /* some answer held more than fits */
+	int64_t deadline_us;
+};
+
+struct admin {
+	struct node *node;
+	struct heard *heard;
+	struct table queries; /* struct admin_query * */
+};
+
+void admin_queries_free(struct admin *a);
+void query_start(struct node *n, const struct admin_query *from, int64_t now);
+/* Answers a finished query; q stays the caller's. */
+void query_answer(struct admin_query *q, int64_t now);
+
+/* Records and spans in their JSON form; reading returns -1 when malformed. */
+struct json_object *record_json(const struct decision *d, const char *host);
+int record_read(struct decision *d, char host[NAME_SIZE],
+		struct json_object *o);
+struct json_object *span_json(const struct explain_span *s);
+int span_read(struct explain_span *s, struct json_object *o);
+
+int admin_authorize(const struct settings *s, const struct config *c,
+		    const char *authorization, enum access access,
+		    struct operator_id *who);
+const struct admin_route *admin_find(const char *method, const char *path,
+				     uint64_t *number, bool *known_path);
+bool admin_param(const char *query, const char *name, char *value, size_t size);
+/* Seconds since 1970 UTC of "02:00", a full time or a number; -1 bad. */
+int64_t admin_time(const char *text, int64_t wall_s);
+
+void admin_answer(struct node *n, uint64_t exchange, int status,
+		  const char *type, const void *body, size_t len);
+/* Takes o over. */
+void admin_answer_json(struct node *n, uint64_t exchange, int status,
+		       struct json_object *o);
+void admin_answer_error(struct node *n, uint64_t exchange, int status,
+			const char *error, const char *next);
+void json_add_text(struct json_object *o, const char *name, const char *text);
+void json_add_int(struct json_object *o, const char *name, int64_t value);
+
+uint64_t admin_number(const struct node *n);
+uint64_t admin_heard_number(const struct admin *a, const struct addr *member);
+int admin_send(struct node *n, const struct addr *to, enum peer_msg_kind kind,
+	       uint64_t id, const char *text, int64_t now);
+
+void admin_healthz(struct admin_call *c);
+void admin_readyz(struct admin_call *c);
+void admin_metrics(struct admin_call *c);
+void admin_notes_apply(struct admin_call *c);
+void admin_notes_check(struct admin_call *c);
+void admin_notes_history(struct admin_call *c);
+void admin_notes_show(struct admin_call *c);
+void admin_config(struct admin_call *c);
+void admin_accounts(struct admin_call *c);
+void admin_keys(struct admin_call *c);
+void admin_routes_list(struct admin_call *c);
+void admin_services(struct admin_call *c);
+void admin_operators(struct admin_call *c);
+void admin_status(struct admin_call *c);
+void admin_claims(struct admin_call *c);
+void admin_decisions(struct admin_call *c);
+void admin_counts(struct admin_call *c);
+
+#endif
--- /dev/null
+++ b/src/admin/answer.c
@@ -0,0 +1,53 @@
+#include "admin/admin_impl.h"
+
+#include <string.h>
+
+/* Answers an exchange of the admin listener; one that is gone is ignored. */
+void admin_answer(struct node *n, uint64_t exchange, int status,
+		  const char *type, const void *body, size_t len)
+{
+	struct message m = {.status = status};
+
+	message_add_header(&m, "content-type", type);
+	message_add_header(&m, "cache-control", "no-store");
+	if (status == 401)
+		message_add_header(&m, "www-authenticate", "Bearer");
+	buffer_append(&m.body, body, len, SIZE_MAX);
+	http_server_answer(n->admin, exchange, &m);
+	message_free(&m);
+}
+
+/* Answers with a JSON value, which is freed. */
+void admin_answer_json(struct node *n, uint64_t exchange, int status,
+		       struct json_object *o)
+{
+	const char *text =
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
+
+	admin_answer(n, exchange, status, "application/json", text,
+		     strlen(text));
+	json_object_put(o);
+}
+
+/* Answers with what went wrong, and what to do next. */
+void admin_answer_error(struct node *n, uint64_t exchange, int status,
+			const char *error, const char *next)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_add_text(o, "error", error);
+	json_add_text(o, "next", next);
+	admin_answer_json(n, exchange, status, o);
+}
+
+/* Adds a text member. */
+void json_add_text(struct json_object *o, const char *name, const char *text)
+{
+	json_object_object_add(o, name, json_object_new_string(text));
+}
+
+/* Adds a number member. */
+void json_add_int(struct json_object *o, const char *name, int64_t value)
+{
+	json_object_object_add(o, name, json_object_new_int64(value));
+}
--- /dev/null
+++ b/src/admin/claims.c
@@ -0,0 +1,63 @@
+#include "admin/admin_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A listing asked for; only unresolved ones, or all without an outcome. */
+struct listing {
+	struct node *node;
+	bool unresolved;
+};
+
+static bool is_unresolved(struct json_object *claim)
+{
+	struct json_object *state;
+
+	return json_object_object_get_ex(claim, "state", &state) &&
+	       strcmp(json_object_get_string(state), "running") != 0;
+}
+
+static void on_list(void *ctx, uint64_t tag, const char *json,
+		    const struct error *err)
+{
+	struct json_object *list, *kept, *o, *claim;
+	struct listing *l = ctx;
+	size_t i;
+
+	if (!json) {
+		admin_answer_error(l->node, tag, 503, err->text,
+				   "ask again when the platform's store "
+				   "answers");
+		free(l);
+		return;
+	}
+	list = json_tokener_parse(json);
+	kept = json_object_new_array();
+	for (i = 0; list && i < json_object_array_length(list); i++) {
+		claim = json_object_array_get_idx(list, i);
+		if (!l->unresolved || is_unresolved(claim))
+			json_object_array_add(kept, json_object_get(claim));
+	}
+	json_object_put(list);
+	o = json_object_new_object();
+	json_object_object_add(o, "claims", kept);
+	admin_answer_json(l->node, tag, 200, o);
+	free(l);
+}
+
+/* GET /v1/claims: claims without an outcome, ?state=unresolved or all. */
+void admin_claims(struct admin_call *c)
+{
+	struct listing *l = calloc(1, sizeof(*l));
+	char state[16];
+
+	if (!l) {
+		admin_answer_error(c->node, c->exchange, 503, "no memory",
+				   "ask again later");
+		return;
+	}
+	l->node = c->node;
+	l->unresolved = admin_param(c->query, "state", state, sizeof(state)) &&
+			!strcmp(state, "unresolved");
+	claims_list(c->node->claims, l, c->exchange, on_list, c->now);
+}
--- /dev/null
+++ b/src/admin/decisions.c
@@ -0,0 +1,357 @@
+#include "admin/admin_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SPANS_MAX 2048
+
+/* A record with the host that keeps it. */
+struct hosted {
+	struct decision d;
+	char host[NAME_SIZE];
+};
+
+static int by_time(const void *a, const void *b)
+{
+	int64_t x = ((const struct hosted *)a)->d.wall_us;
+	int64_t y = ((const struct hosted *)b)->d.wall_us;
+
+	return (x > y) - (x < y);
+}
+
+/* Reads the records of a query in order of time; the caller frees them. */
+static struct hosted *sorted_records(struct json_object *items, size_t *n)
+{
+	size_t i, count = json_object_array_length(items);
+	struct hosted *list = calloc(count + 1, sizeof(*list));
+
+	*n = 0;
+	for (i = 0; list && i < count; i++)
+		if (!record_read(&list[*n].d, list[*n].host,
+				 json_object_array_get_idx(items, i)))
+			(*n)++;
+	if (list)
+		qsort(list, *n, sizeof(*list), by_time);
+	return list;
+}
+
+/* Adds each line of a buffer as a sentence. */
+static void add_lines(struct json_object *sentences, struct buffer *b)
+{
+	char *line = b->len ? (char *)b->data : NULL, *end;
+
+	for (; line && *line; line = end + 1) {
+		end = strchr(line, '\n');
+		if (!end) {
+			json_object_array_add(sentences,
+					      json_object_new_string(line));
+			return;
+		}
+		json_object_array_add(
+			sentences,
+			json_object_new_string_len(line, (int)(end - line)));
+	}
+}
+
+static void add_sentence(struct json_object *sentences, const char *text)
+{
+	json_object_array_add(sentences, json_object_new_string(text));
+}
+
+static const struct decision *end_of(const struct hosted *list, size_t n,
+				     const char *id)
+{
+	size_t i;
+
+	for (i = n; i-- > 0;)
+		if (!strcmp(list[i].d.request, id) && list[i].d.status)
+			return &list[i].d;
+	return NULL;
+}
+
+/* Tells the end first, then each step. */
+static struct json_object *request_sentences(const struct admin_query *q,
+					     const struct hosted *list,
+					     size_t n)
+{
+	struct json_object *sentences = json_object_new_array();
+	const struct decision *end = end_of(list, n, q->id);
+	struct buffer b = {0};
+	size_t i;
+
+	if (!n)
+		buffer_printf(&b,
+			      "No host that was asked has a record of request "
+			      "%s: it never came in, or its records have made "
+			      "room for newer ones.\n",
+			      q->id);
+	else if (!end)
+		buffer_printf(&b,
+			      "How request %s ended is not known to any host "
+			      "that answered: it still runs, or the host that "
+			      "took it in is gone or has forgotten it.\n",
+			      q->id);
+	else
+		buffer_printf(&b, "Request %s ended with status %d (%s).\n",
+			      q->id, end->status,
+			      end->reason == REASON_NONE
+				      ? "answered"
+				      : reason_code(end->reason));
+	for (i = 0; i < n; i++) {
+		explain_sentence(&list[i].d, list[i].host, &b);
+		buffer_printf(&b, "\n");
+	}
+	add_lines(sentences, &b);
+	buffer_free(&b);
+	return sentences;
+}
+
+static void add_coverage(struct json_object *o, const struct admin_query *q)
+{
+	json_add_int(o, "hosts_asked", (int64_t)q->asked_count + 1);
+	json_add_int(o, "hosts_answered", (int64_t)q->answered + 1);
+	json_object_object_add(o, "cut", json_object_new_boolean(q->cut));
+}
+
+static void add_coverage_sentence(struct json_object *sentences,
+				  const struct admin_query *q)
+{
+	struct buffer b = {0};
+
+	if (q->answered < q->asked_count)
+		buffer_printf(&b,
+			      "%zu of the %zu hosts asked did not answer, so "
+			      "something may be missing here.\n",
+			      q->asked_count - q->answered, q->asked_count + 1);
+	if (q->cut)
+		buffer_printf(&b, "Some host holds more than it could send; "
+				  "ask that host itself for the rest.\n");
+	add_lines(sentences, &b);
+	buffer_free(&b);
+}
+
+static void answer_request(struct admin_query *q)
+{
+	struct json_object *o = json_object_new_object(), *records, *sentences;
+	struct hosted *list;
+	size_t i, n;
+
+	list = sorted_records(q->items, &n);
+	records = json_object_new_array();
+	for (i = 0; i < n; i++)
+		json_object_array_add(records,
+				      record_json(&list[i].d, list[i].host));
+	sentences = request_sentences(q, list, n);
+	add_coverage_sentence(sentences, q);
+	json_object_object_add(o, "sentences", sentences);
+	json_object_object_add(o, "records", records);
+	add_coverage(o, q);
+	admin_answer_json(q->node, q->exchange, n ? 200 : 404, o);
+	free(list);
+}
+
+static int by_minute(const void *a, const void *b)
+{
+	int64_t x = ((const struct explain_span *)a)->from_min;
+	int64_t y = ((const struct explain_span *)b)->from_min;
+
+	return (x > y) - (x < y);
+}
+
+/* Merges what the hosts counted; the caller frees the list. */
+static struct explain_span *merged_spans(struct json_object *items, size_t *n)
+{
+	struct explain_span *list = calloc(SPANS_MAX, sizeof(*list)), s;
+	size_t i;
+
+	*n = 0;
+	for (i = 0; list && i < json_object_array_length(items); i++)
+		if (!span_read(&s, json_object_array_get_idx(items, i)))
+			*n = explain_merge(list, *n, SPANS_MAX, &s);
+	if (list)
+		qsort(list, *n, sizeof(*list), by_minute);
+	return list;
+}
+
+static struct json_object *spans_json(const struct explain_span *list, size_t n)
+{
+	struct json_object *spans = json_object_new_array();
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		json_object_array_add(spans, span_json(&list[i]));
+	return spans;
+}
+
+static void answer_counts(struct admin_query *q)
+{
+	struct json_object *o = json_object_new_object();
+	struct explain_span *list;
+	size_t n;
+
+	list = merged_spans(q->items, &n);
+	json_object_object_add(o, "counts", spans_json(list, n));
+	add_coverage(o, q);
+	admin_answer_json(q->node, q->exchange, 200, o);
+	free(list);
+}
+
+/* The answer about an account, which waits for the claims of the store. */
+struct account_answer {
+	struct node *node;
+	struct json_object *o;
+	struct json_object *sentences;
+	char account[NAME_SIZE];
+};
+
+static const char *member(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, name, &v))
+		return "";
+	return json_object_get_string(v);
+}
+
+static void add_claims(struct account_answer *a, struct json_object *claims)
+{
+	struct json_object *c, *kept = json_object_new_array();
+	struct buffer b = {0};
+	size_t i, n = 0;
+
+	for (i = 0; i < json_object_array_length(claims); i++) {
+		c = json_object_array_get_idx(claims, i);
+		if (strcmp(member(c, "state"), "unresolved") != 0 ||
+		    (*a->account &&
+		     strcmp(member(c, "account"), a->account) != 0))
+			continue;
+		n++;
+		buffer_printf(&b,
+			      "Unresolved: request %s of client account %s on "
+			      "route %s, claimed at %s, may or may not have "
+			      "run; staff must settle it.\n",
+			      member(c, "request"), member(c, "account"),
+			      member(c, "route"), member(c, "since"));
+		json_object_array_add(kept, json_object_get(c));
+	}
+	if (!n)
+		buffer_printf(&b, "No claim is unresolved.\n");
+	add_lines(a->sentences, &b);
+	buffer_free(&b);
+	json_object_object_add(a->o, "claims", kept);
+}
+
+static void on_claims(void *ctx, uint64_t tag, const char *json,
+		      const struct error *err)
+{
+	struct json_object *claims = json ? json_tokener_parse(json) : NULL;
+	struct account_answer *a = ctx;
+
+	(void)err;
+	if (json_object_is_type(claims, json_type_array))
+		add_claims(a, claims);
+	else
+		add_sentence(a->sentences,
+			     "Which claims are unresolved is not known now: "
+			     "the platform's store does not answer.");
+	json_object_put(claims);
+	admin_answer_json(a->node, tag, 200, a->o);
+	free(a);
+}
+
+static void answer_account(struct admin_query *q, int64_t now)
+{
+	struct account_answer *a = calloc(1, sizeof(*a));
+	struct explain_span *list;
+	struct buffer b = {0};
+	size_t n;
+
+	if (!a) {
+		admin_answer_error(q->node, q->exchange, 503, "no memory",
+				   "ask again later");
+		return;
+	}
+	a->node = q->node;
+	memcpy(a->account, q->account, sizeof(a->account));
+	a->o = json_object_new_object();
+	a->sentences = json_object_new_array();
+	list = merged_spans(q->items, &n);
+	explain_summary(list, n, *q->account ? q->account : NULL,
+			clock_wall_us() / (60 * USEC_PER_SEC), &b);
+	add_lines(a->sentences, &b);
+	buffer_free(&b);
+	add_coverage_sentence(a->sentences, q);
+	json_object_object_add(a->o, "sentences", a->sentences);
+	json_object_object_add(a->o, "counts", spans_json(list, n));
+	add_coverage(a->o, q);
+	free(list);
+	claims_list(q->node->claims, a, q->exchange, on_claims, now);
+}
+
+/* Answers a query that every host answered, or whose time is over. */
+void query_answer(struct admin_query *q, int64_t now)
+{
+	switch (q->kind) {
+	case QUERY_DECISIONS:
+		answer_request(q);
+		break;
+	case QUERY_COUNTS:
+		answer_counts(q);
+		break;
+	case QUERY_ACCOUNT:
+		answer_account(q, now);
+		break;
+	}
+}
+
+/* Reads account and since; false when the request was refused. */
+static bool read_span(struct admin_call *c, struct admin_query *q)
+{
+	char since[64];
+	int64_t t = 0, wall_s = clock_wall_us() / USEC_PER_SEC;
+
+	if (admin_param(c->query, "since", since, sizeof(since)))
+		t = admin_time(since, wall_s);
+	if (t < 0) {
+		admin_answer_error(c->node, c->exchange, 400,
+				   "'since' is not a time",
+				   "write it as 02:00, "
+				   "2026-01-31T02:00:00Z (UTC both) or as "
+				   "seconds since 1970");
+		return false;
+	}
+	q->since_min = t / 60;
+	if (!admin_param(c->query, "account", q->account, sizeof(q->account)))
+		q->account[0] = 0;
+	return true;
+}
+
+/* GET /v1/decisions?request=ID, or ?account=A&since=T. */
+void admin_decisions(struct admin_call *c)
+{
+	struct admin_query q = {.exchange = c->exchange,
+				.kind = QUERY_DECISIONS};
+
+	if (admin_param(c->query, "request", q.id, sizeof(q.id)) && *q.id) {
+		query_start(c->node, &q, c->now);
+		return;
+	}
+	q.kind = QUERY_ACCOUNT;
+	if (!strstr(c->query, "account=") && !strstr(c->query, "since="))
+		admin_answer_error(c->node, c->exchange, 400,
+				   "neither a request nor an account or time "
+				   "was given",
+				   "ask with ?request=ID or ?account=NAME&"
+				   "since=TIME");
+	else if (read_span(c, &q))
+		query_start(c->node, &q, c->now);
+}
+
+/* GET /v1/counts?account=A&since=T: counts of all hosts, as spans. */
+void admin_counts(struct admin_call *c)
+{
+	struct admin_query q = {.exchange = c->exchange, .kind = QUERY_COUNTS};
+
+	if (read_span(c, &q))
+		query_start(c->node, &q, c->now);
+}
--- /dev/null
+++ b/src/admin/route.c
@@ -0,0 +1,67 @@
+#include "admin/admin_impl.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+const struct admin_route admin_routes[] = {
+	{"GET", "/healthz", ACCESS_OPEN, admin_healthz},
+	{"GET", "/readyz", ACCESS_OPEN, admin_readyz},
+	{"GET", "/metrics", ACCESS_OPEN, admin_metrics},
+	{"POST", "/v1/notes", ACCESS_CHANGE, admin_notes_apply},
+	{"GET", "/v1/notes", ACCESS_READ, admin_notes_history},
+	{"POST", "/v1/notes/check", ACCESS_READ, admin_notes_check},
+	{"GET", "/v1/notes/{number}", ACCESS_READ, admin_notes_show},
+	{"GET", "/v1/config", ACCESS_READ, admin_config},
+	{"GET", "/v1/accounts", ACCESS_READ, admin_accounts},
+	{"GET", "/v1/keys", ACCESS_READ, admin_keys},
+	{"GET", "/v1/routes", ACCESS_READ, admin_routes_list},
+	{"GET", "/v1/services", ACCESS_READ, admin_services},
+	{"GET", "/v1/operators", ACCESS_READ, admin_operators},
+	{"GET", "/v1/status", ACCESS_READ, admin_status},
+	{"GET", "/v1/claims", ACCESS_READ, admin_claims},
+	{"GET", "/v1/decisions", ACCESS_READ, admin_decisions},
+	{"GET", "/v1/counts", ACCESS_READ, admin_counts},
+};
+
+const size_t admin_route_count = sizeof(admin_routes) / sizeof(*admin_routes);
+
+static bool read_number(const char *text, uint64_t *number)
+{
+	char *end;
+
+	if (*text < '1' || *text > '9')
+		return false;
+	*number = strtoull(text, &end, 10);
+	return !*end;
+}
+
+static bool path_matches(const char *pattern, const char *path,
+			 uint64_t *number)
+{
+	size_t fixed = strcspn(pattern, "{");
+
+	if (!pattern[fixed])
+		return !strcmp(pattern, path);
+	return !strncmp(pattern, path, fixed) &&
+	       read_number(path + fixed, number);
+}
+
+/*
+ * Finds the route of a method and a path without its query; NULL when there
+ * is none, with known_path telling whether another method would do.
+ */
+const struct admin_route *admin_find(const char *method, const char *path,
+				     uint64_t *number, bool *known_path)
+{
+	size_t i;
+
+	*known_path = false;
+	for (i = 0; i < admin_route_count; i++) {
+		if (!path_matches(admin_routes[i].path, path, number))
+			continue;
+		if (!strcmp(admin_routes[i].method, method))
+			return &admin_routes[i];
+		*known_path = true;
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/admin/status.c
@@ -0,0 +1,239 @@
+#include "admin/admin_impl.h"
+
+#include <string.h>
+
+#define MEMBERS_LISTED 2000
+#define MEMBERS_ASKED 64 /* for their number, by one status request */
+#define CUTOFF_PAIRS_MAX 20000
+
+static const char *member_state_name(enum member_state s)
+{
+	switch (s) {
+	case MEMBER_ALIVE:
+		return "alive";
+	case MEMBER_SUSPECT:
+		return "suspect";
+	case MEMBER_LEAVING:
+		return "leaving";
+	case MEMBER_LEFT:
+		return "left";
+	case MEMBER_DEAD:
+		return "dead";
+	}
+	return "unknown";
+}
+
+static const char *upstream_state_name(enum upstream_state s)
+{
+	switch (s) {
+	case UPSTREAM_READY:
+		return "ready";
+	case UPSTREAM_LEAVING:
+		return "leaving";
+	case UPSTREAM_GONE:
+		return "gone";
+	}
+	return "unknown";
+}
+
+static void add_addr(struct json_object *o, const char *name,
+		     const struct addr *a)
+{
+	char text[ADDR_TEXT_SIZE];
+
+	addr_format(a, text);
+	json_add_text(o, name, text);
+}
+
+static struct json_object *upstream_json(const struct upstream_info *u)
+{
+	struct json_object *o = json_object_new_object();
+
+	json_add_text(o, "service", u->service);
+	add_addr(o, "address", &u->addr);
+	json_add_int(o, "slots", u->slots);
+	json_add_text(o, "state", upstream_state_name(u->state));
+	return o;
+}
+
+static bool is_present(const struct member_info *m)
+{
+	return m->state != MEMBER_LEFT && m->state != MEMBER_DEAD;
+}
+
+static uint64_t number_at(struct node *n, const struct member_info *m)
+{
+	if (addr_equal(&m->nodes, &n->self))
+		return admin_number(n);
+	return admin_heard_number(n->api, &m->nodes);
+}
+
+static struct json_object *member_json(struct node *n,
+				       const struct member_info *m)
+{
+	struct json_object *o = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	uint8_t i;
+
+	json_add_text(o, "host", m->host);
+	json_add_text(o, "data_centre", m->data_centre);
+	json_add_text(o, "region", m->region);
+	add_addr(o, "nodes", &m->nodes);
+	add_addr(o, "admin", &m->admin);
+	json_add_text(o, "state", member_state_name(m->state));
+	json_add_int(o, "number", (int64_t)number_at(n, m));
+	for (i = 0; i < m->upstream_count; i++)
+		json_object_array_add(list, upstream_json(&m->upstreams[i]));
+	json_object_object_add(o, "upstreams", list);
+	return o;
+}
+
+/* Asks members that were last heard with an older note for their number. */
+static void ask_number(struct node *n, const struct member_info *m,
+		       uint32_t *asked, int64_t now)
+{
+	if (*asked == MEMBERS_ASKED)
+		return;
+	++*asked;
+	admin_send(n, &m->nodes, PEER_QUERY, 0, "{}", now);
+}
+
+static void add_members(struct admin_call *c, struct json_object *o)
+{
+	struct json_object *list = json_object_new_array();
+	const struct member_info *m = NULL;
+	struct node *n = c->node;
+	int64_t present = 0, in_force = 0;
+	uint32_t asked = 0;
+
+	while ((m = members_next(n->members, m))) {
+		if (json_object_array_length(list) < MEMBERS_LISTED)
+			json_object_array_add(list, member_json(n, m));
+		if (!is_present(m))
+			continue;
+		present++;
+		if (number_at(n, m) >= admin_number(n))
+			in_force++;
+		else
+			ask_number(n, m, &asked, c->now);
+	}
+	json_add_int(o, "hosts", present);
+	json_add_int(o, "in_force", in_force);
+	json_object_object_add(o, "members", list);
+}
+
+static struct json_object *open_json(const uint16_t open[SHED_CLASSES])
+{
+	struct json_object *o = json_object_new_object();
+	int i;
+
+	for (i = 0; i < SHED_CLASSES; i++)
+		json_object_object_add(
+			o, shed_class_name((enum shed_class)i),
+			json_object_new_double((double)open[i] / ADMIT_ALL));
+	return o;
+}
+
+static struct json_object *gate_json(const struct local_upstream *u)
+{
+	struct json_object *o = upstream_json(&u->info);
+	struct gate_report r;
+
+	gate_report(u->gate, &r);
+	json_add_int(o, "limit", r.limit);
+	json_add_int(o, "running", r.running);
+	json_add_int(o, "queued", r.queued);
+	json_add_int(o, "queue_us", r.queue_us);
+	json_add_int(o, "service_us", r.service_us);
+	json_object_object_add(o, "admitted_s",
+			       json_object_new_double(r.admitted_s));
+	json_object_object_add(o, "admitted_share", open_json(r.open));
+	return o;
+}
+
+static struct json_object *gates_json(struct node *n)
+{
+	struct json_object *list = json_object_new_array();
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item)))
+		json_object_array_add(list, gate_json(item));
+	return list;
+}
+
+static void add_cutoff(struct json_object *list, struct node *n,
+		       const struct route *r, const struct account *a,
+		       int64_t now)
+{
+	struct admission open = cutoffs_get(n->cutoffs, name_hash(r->name),
+					    a ? name_hash(a->name) : 0, now);
+	struct json_object *o;
+
+	if (open.open[r->shed] == ADMIT_ALL)
+		return;
+	o = json_object_new_object();
+	json_add_text(o, "route", r->name);
+	json_add_text(o, "account", a ? a->name : "");
+	json_object_object_add(o, "admitted_share", open_json(open.open));
+	json_object_array_add(list, o);
+}
+
+/* What this host refuses ahead, as gates down the chain told it. */
+static struct json_object *cutoffs_json(struct node *n, int64_t now)
+{
+	struct json_object *list = json_object_new_array();
+	const struct account *a;
+	const struct route *r = NULL;
+	uint32_t pairs = 0;
+
+	while (n->config && (r = config_next_route(n->config, r))) {
+		a = NULL;
+		if (r->open)
+			add_cutoff(list, n, r, NULL, now);
+		while (pairs++ < CUTOFF_PAIRS_MAX && !r->open &&
+		       (a = config_next_account(n->config, a)))
+			add_cutoff(list, n, r, a, now);
+	}
+	return list;
+}
+
+static struct json_object *limits_json(struct node *n, int64_t now)
+{
+	struct json_object *o = NULL;
+	struct buffer b = {0};
+
+	if (quota_status(n->quota, &b, now) == 0)
+		o = json_tokener_parse((char *)b.data);
+	buffer_free(&b);
+	return o;
+}
+
+/* GET /v1/status: this host's view of itself and of the others. */
+void admin_status(struct admin_call *c)
+{
+	struct json_object *o = json_object_new_object();
+	struct node *n = c->node;
+
+	json_add_text(o, "host", n->settings.host);
+	json_add_text(o, "data_centre", n->settings.data_centre);
+	json_object_object_add(o, "stopping",
+			       json_object_new_boolean(n->stopping));
+	json_add_int(o, "number", (int64_t)admin_number(n));
+	json_add_text(o, "release", n->config ? config_release(n->config) : "");
+	json_add_text(
+		o, "overload_mode",
+		n->config ? overload_mode_name(config_overload_mode(n->config))
+			  : "");
+	json_add_int(o, "stale_s",
+		     notes_stale_us(n->notes, c->now) / USEC_PER_SEC);
+	json_add_int(o, "requests", n->requests.count);
+	json_add_int(o, "calls", n->calls.count);
+	add_members(c, o);
+	json_object_object_add(o, "gates", gates_json(n));
+	json_object_object_add(o, "limits", limits_json(n, c->now));
+	json_object_object_add(o, "cutoffs", cutoffs_json(n, c->now));
+	json_add_int(o, "records_bytes_max",
+		     (int64_t)explain_bytes(n->explain));
+	admin_answer_json(n, c->exchange, 200, o);
+}
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -2,6 +2,8 @@
 #ifndef CMD_CMD_H
 #define CMD_CMD_H
 
+#include <stddef.h>
+
 /* Exit codes that scripts may rely on. */
 enum exit_code {
 	EXIT_OK = 0,
@@ -11,7 +13,33 @@
 	EXIT_UNREACHABLE = 4,
 };
 
+#define EXIT_CODES_TEXT                                                   \
+	"Exit codes: 0 done; 1 refused or failed; 2 the command line or " \
+	"an input file is wrong; 3 another operator was first; 4 the "    \
+	"node can't be reached."
+
+/* A command, or a command below one, as in "note apply". */
+struct command {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *help;
+};
+
+/* Runs one of n commands named by the first argument, or explains them. */
+int cmd_dispatch(const struct command *commands, size_t n, const char *prefix,
+		 const char *doc, int argc, char **argv);
+
 int cmd_main(int argc, char **argv);
 int cmd_node(int argc, char **argv);
+int cmd_note(int argc, char **argv);
+int cmd_note_check(int argc, char **argv);
+int cmd_note_apply(int argc, char **argv);
+int cmd_note_show(int argc, char **argv);
+int cmd_note_history(int argc, char **argv);
+int cmd_key(int argc, char **argv);
+int cmd_key_new(int argc, char **argv);
+int cmd_explain(int argc, char **argv);
+int cmd_status(int argc, char **argv);
+int cmd_claims(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/cmd/cmd_note_apply.c
@@ -0,0 +1,175 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "cmd/client.h"
+#include "conf/conf.h"
+
+#define POLL_US (250 * USEC_PER_MSEC)
+#define WAIT_MAX_S 86400
+
+struct arguments {
+	struct client client;
+	const char *file;
+	long wait_s;
+};
+
+static const struct argp_option options[] = {
+	{"wait", 'w', "SECONDS", 0,
+	 "Wait until the note is in force on every host, and say on how many "
+	 "it is",
+	 0},
+	{0},
+};
+
+static void read_wait(struct arguments *a, const char *arg,
+		      struct argp_state *state)
+{
+	char *end;
+
+	a->wait_s = strtol(arg, &end, 10);
+	if (end == arg || *end || a->wait_s < 1 || a->wait_s > WAIT_MAX_S)
+		argp_error(state, "--wait %s: not 1 to %d seconds", arg,
+			   WAIT_MAX_S);
+}
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct arguments *a = state->input;
+
+	switch (key) {
+	case ARGP_KEY_INIT:
+		state->child_inputs[0] = &a->client;
+		return 0;
+	case 'w':
+		read_wait(a, arg, state);
+		return 0;
+	case ARGP_KEY_ARG:
+		if (a->file)
+			argp_error(state, "one file at a time");
+		a->file = arg;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_error(state, "which file?");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_child children[] = {{.argp = &client_argp}, {0}};
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse,
+	.args_doc = "FILE",
+	.doc = "Applies a release note: all of it, or nothing with every fault "
+	       "named. The same note may be sent again; a repeat is "
+	       "recognised.\v" EXIT_CODES_TEXT " With --wait, 1 also means "
+	       "that the note was taken but is not yet in force everywhere.",
+	.children = children,
+};
+
+struct spread {
+	int64_t number; /* of the node that is asked */
+	int64_t in_force;
+	int64_t hosts;
+};
+
+static int ask_spread(const struct client *c, struct spread *s)
+{
+	struct client_answer answer;
+	int rc = client_get(c, "/v1/status", &answer);
+
+	if (rc != EXIT_OK)
+		return rc;
+	s->number = json_number(answer.body, "number");
+	s->in_force = json_number(answer.body, "in_force");
+	s->hosts = json_number(answer.body, "hosts");
+	client_answer_free(&answer);
+	return EXIT_OK;
+}
+
+/* Polls until note number is in force on all hosts that the node knows. */
+static int wait_everywhere(const struct arguments *a, int64_t number,
+			   struct spread *s)
+{
+	int64_t until = clock_monotonic_us() + a->wait_s * USEC_PER_SEC;
+	bool terminal = isatty(STDERR_FILENO);
+	int rc;
+
+	for (;;) {
+		rc = ask_spread(&a->client, s);
+		if (rc != EXIT_OK)
+			break;
+		if (terminal)
+			fprintf(stderr, "\rin force on %lld of %lld hosts ",
+				(long long)s->in_force, (long long)s->hosts);
+		if (s->number >= number && s->in_force == s->hosts)
+			break;
+		rc = EXIT_FAILED;
+		if (clock_monotonic_us() >= until)
+			break;
+		usleep(POLL_US);
+	}
+	if (terminal)
+		fprintf(stderr, "\n");
+	return rc;
+}
+
+static int report(const struct arguments *a, struct json_object *answer)
+{
+	int64_t number = json_number(answer, "number");
+	struct spread s = {0};
+	int rc = EXIT_OK;
+
+	if (a->wait_s)
+		rc = wait_everywhere(a, number, &s);
+	if (rc == EXIT_UNREACHABLE)
+		return rc;
+	if (a->wait_s) {
+		json_object_object_add(answer, "in_force",
+				       json_object_new_int64(s.in_force));
+		json_object_object_add(answer, "hosts",
+				       json_object_new_int64(s.hosts));
+	}
+	if (a->client.json) {
+		client_print_json(answer);
+		return rc;
+	}
+	printf("note %lld%s\n", (long long)number,
+	       json_number(answer, "repeated") ? " (applied before)" : "");
+	if (a->wait_s)
+		printf("in force on %lld of %lld hosts\n",
+		       (long long)s.in_force, (long long)s.hosts);
+	if (rc != EXIT_OK)
+		fprintf(stderr, "mulberryferry: not everywhere yet; see "
+				"'mulberryferry status' for the hosts that "
+				"lag\n");
+	return rc;
+}
+
+/* mulberryferry note apply: returns an exit_code. */
+int cmd_note_apply(int argc, char **argv)
+{
+	struct client_answer answer;
+	struct arguments a = {0};
+	struct buffer text = {0};
+	int rc;
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &a))
+		return EXIT_USAGE;
+	rc = client_prepare(&a.client);
+	if (rc != EXIT_OK)
+		return rc;
+	if (read_file(a.file, NOTE_TEXT_MAX, &text) < 0)
+		return EXIT_USAGE;
+	rc = client_call(&a.client, "POST", "/v1/notes", &text, &answer);
+	buffer_free(&text);
+	if (rc != EXIT_OK)
+		return rc;
+	rc = answer.status == 200 ? report(&a, answer.body)
+				  : client_fail(&answer);
+	client_answer_free(&answer);
+	return rc;
+}
--- /dev/null
+++ b/src/cmd/dispatch.c
@@ -0,0 +1,84 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/cmd.h"
+
+#define PROGRAM_SIZE 64
+
+struct dispatch {
+	const struct command *commands;
+	size_t n;
+	const char *prefix;
+	const struct command *command;
+	int first; /* index of the command in argv */
+};
+
+static char *list_commands(int key, const char *text, void *input)
+{
+	const struct dispatch *d = input;
+	char *out = NULL;
+	size_t len = 0, i;
+	FILE *f;
+
+	if (key != ARGP_KEY_HELP_POST_DOC || !d)
+		return (char *)text;
+	f = open_memstream(&out, &len);
+	if (!f)
+		return (char *)text;
+	fprintf(f, "Commands:\n");
+	for (i = 0; i < d->n; i++)
+		fprintf(f, "  %-10s %s\n", d->commands[i].name,
+			d->commands[i].help);
+	fprintf(f, "\n`%s COMMAND --help' tells more.", d->prefix);
+	fclose(f);
+	return out;
+}
+
+static error_t parse(int key, char *arg, struct argp_state *state)
+{
+	struct dispatch *d = state->input;
+	size_t i;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		for (i = 0; i < d->n; i++)
+			if (!strcmp(arg, d->commands[i].name))
+				d->command = &d->commands[i];
+		if (!d->command)
+			argp_error(state, "no command '%s'", arg);
+		d->first = state->next - 1;
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+/*
+ * Runs the one of n commands that the first argument names, with argv from
+ * that argument on and argv[0] the whole name. Returns an exit_code.
+ */
+int cmd_dispatch(const struct command *commands, size_t n, const char *prefix,
+		 const char *doc, int argc, char **argv)
+{
+	struct dispatch d = {.commands = commands, .n = n, .prefix = prefix};
+	char text[256], name[PROGRAM_SIZE];
+	struct argp argp = {
+		.parser = parse,
+		.args_doc = "COMMAND [ARGUMENTS...]",
+		.doc = text,
+		.help_filter = list_commands,
+	};
+
+	snprintf(text, sizeof(text), "%s\v", doc);
+	if (argp_parse(&argp, argc, argv, ARGP_IN_ORDER, NULL, &d))
+		return EXIT_USAGE;
+	snprintf(name, sizeof(name), "%s %s", prefix, d.command->name);
+	argv[d.first] = name;
+	return d.command->run(argc - d.first, argv + d.first);
+}
--- /dev/null
+++ b/src/cmd/read_file.c
@@ -0,0 +1,54 @@
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "cmd/client.h"
+
+#define PIECE_SIZE 4096
+
+static int read_pieces(FILE *f, const char *path, size_t limit,
+		       struct buffer *out)
+{
+	char piece[PIECE_SIZE];
+	size_t n;
+
+	while ((n = fread(piece, 1, sizeof(piece), f)) > 0)
+		if (buffer_append(out, piece, n, limit) < 0) {
+			fprintf(stderr,
+				"mulberryferry: %s: longer than %zu bytes\n",
+				path, limit);
+			return -1;
+		}
+	if (ferror(f)) {
+		fprintf(stderr, "mulberryferry: %s: %s\n", path,
+			strerror(errno));
+		return -1;
+	}
+	/* A NUL after the end, which len does not count. */
+	if (buffer_append(out, "", 1, limit + 1) < 0)
+		return -1;
+	out->len--;
+	return 0;
+}
+
+/*
+ * Reads a whole file, "-" for standard input, with a NUL after its end.
+ * Returns -1 with the fault on standard error.
+ */
+int read_file(const char *path, size_t limit, struct buffer *out)
+{
+	FILE *f = strcmp(path, "-") ? fopen(path, "re") : stdin;
+	int rc;
+
+	if (!f) {
+		fprintf(stderr, "mulberryferry: %s: %s\n", path,
+			strerror(errno));
+		return -1;
+	}
+	rc = read_pieces(f, path, limit, out);
+	if (f != stdin)
+		fclose(f);
+	if (rc < 0)
+		buffer_free(out);
+	return rc;
+}
--- /dev/null
+++ b/src/cmd/status_page.c
@@ -0,0 +1,158 @@
+#include "cmd/status_page.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "cmd/client.h"
+
+#define BOLD "\033[1m"
+#define PLAIN "\033[0m"
+#define PERCENT 100.0
+#define NEAR_LIMIT 0.8 /* of the rate */
+
+static void heading(const char *text, bool terminal)
+{
+	printf("\n%s%s%s\n", terminal ? BOLD : "", text, terminal ? PLAIN : "");
+}
+
+static double number(struct json_object *o, const char *name)
+{
+	return json_object_get_double(json_member(o, name));
+}
+
+static void print_head(struct json_object *s)
+{
+	printf("host %s in %s%s\n", json_text(s, "host"),
+	       json_text(s, "data_centre"),
+	       json_object_get_boolean(json_member(s, "stopping"))
+		       ? ", stopping"
+		       : "");
+	if (!json_number(s, "number")) {
+		printf("no configuration yet\n");
+		return;
+	}
+	printf("note %lld (%s) in force on %lld of %lld hosts, overload mode "
+	       "%s\n",
+	       (long long)json_number(s, "number"), json_text(s, "release"),
+	       (long long)json_number(s, "in_force"),
+	       (long long)json_number(s, "hosts"),
+	       json_text(s, "overload_mode"));
+	if (json_number(s, "stale_s") > 60)
+		printf("cut off from configuration changes for %lld s\n",
+		       (long long)json_number(s, "stale_s"));
+	printf("%lld requests and %lld calls held\n",
+	       (long long)json_number(s, "requests"),
+	       (long long)json_number(s, "calls"));
+}
+
+static void print_upstreams(struct json_object *list)
+{
+	struct json_object *u;
+	size_t i;
+
+	for (i = 0; i < json_length(list); i++) {
+		u = json_object_array_get_idx(list, i);
+		printf("    %-16s %-22s %5lld slots  %s\n",
+		       json_text(u, "service"), json_text(u, "address"),
+		       (long long)json_number(u, "slots"),
+		       json_text(u, "state"));
+	}
+}
+
+static void print_members(struct json_object *list, bool terminal)
+{
+	struct json_object *m;
+	size_t i;
+
+	heading("hosts", terminal);
+	for (i = 0; i < json_length(list); i++) {
+		m = json_object_array_get_idx(list, i);
+		printf("  %-16s %-12s %-22s %-8s note %lld\n",
+		       json_text(m, "host"), json_text(m, "data_centre"),
+		       json_text(m, "nodes"), json_text(m, "state"),
+		       (long long)json_number(m, "number"));
+		print_upstreams(json_member(m, "upstreams"));
+	}
+}
+
+static void print_gates(struct json_object *list, bool terminal)
+{
+	struct json_object *g, *open;
+	size_t i;
+
+	heading("upstreams of this host", terminal);
+	for (i = 0; i < json_length(list); i++) {
+		g = json_object_array_get_idx(list, i);
+		open = json_member(g, "admitted_share");
+		printf("  %-16s running %lld of %lld (%lld slots), queued %lld "
+		       "for %.1f ms, admitted last %.0f %% middle %.0f %% "
+		       "first %.0f %%\n",
+		       json_text(g, "service"),
+		       (long long)json_number(g, "running"),
+		       (long long)json_number(g, "limit"),
+		       (long long)json_number(g, "slots"),
+		       (long long)json_number(g, "queued"),
+		       number(g, "queue_us") / USEC_PER_MSEC,
+		       number(open, "last") * PERCENT,
+		       number(open, "middle") * PERCENT,
+		       number(open, "first") * PERCENT);
+	}
+	if (!i)
+		printf("  none\n");
+}
+
+static void print_cutoffs(struct json_object *list, bool terminal)
+{
+	struct json_object *c, *open;
+	size_t i;
+
+	heading("shed here, ahead of their gates", terminal);
+	for (i = 0; i < json_length(list); i++) {
+		c = json_object_array_get_idx(list, i);
+		open = json_member(c, "admitted_share");
+		printf("  route %-20s account %-20s admitted last %.0f %% "
+		       "middle %.0f %% first %.0f %%\n",
+		       json_text(c, "route"), json_text(c, "account"),
+		       number(open, "last") * PERCENT,
+		       number(open, "middle") * PERCENT,
+		       number(open, "first") * PERCENT);
+	}
+	if (!i)
+		printf("  nothing\n");
+}
+
+static void print_limits(struct json_object *limits, bool terminal)
+{
+	double rate, usable, demand;
+	int n = 0;
+
+	heading("account limits held here", terminal);
+	if (!json_object_is_type(limits, json_type_object))
+		return;
+	json_object_object_foreach(limits, name, a)
+	{
+		rate = number(a, "rate");
+		usable = rate * number(a, "usable");
+		demand = number(a, "demand");
+		printf("  %-24s share %5.1f %% of %g/s, tokens %.1f, demand "
+		       "%.1f/s%s\n",
+		       name, number(a, "share") * PERCENT, rate,
+		       number(a, "tokens"), demand,
+		       usable > 0 && demand > NEAR_LIMIT * usable
+			       ? "  near its limit"
+			       : "");
+		n++;
+	}
+	if (!n)
+		printf("  none\n");
+}
+
+/* Prints the answer of /v1/status; terminal makes headings bold. */
+void status_page(struct json_object *s, bool terminal)
+{
+	print_head(s);
+	print_members(json_member(s, "members"), terminal);
+	print_gates(json_member(s, "gates"), terminal);
+	print_cutoffs(json_member(s, "cutoffs"), terminal);
+	print_limits(json_member(s, "limits"), terminal);
+}
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -50,6 +50,8 @@
 	struct addr store;
 	uint32_t store_calls_s; /* budget of this node, calls per second */
 	uint8_t secret[SECRET_SIZE];
+	/* Hash of a key that counts while there are no operators; or zero. */
+	uint8_t bootstrap_operator[KEY_HASH_SIZE];
 	size_t body_limit;	  /* bytes of one request or answer body */
 	size_t memory_limit;	  /* bytes of all bodies held at once */
 	uint32_t requests_max;	  /* requests held at once */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -54,6 +54,8 @@
 	{"store", .kind = FIELD_OBJECT, .required = true,
 	 .fields = store_fields, .field_count = COUNT(store_fields)},
 	{"secret", .kind = FIELD_HASH, .offset = AT(secret), .required = true},
+	{"bootstrap_operator", .kind = FIELD_HASH,
+	 .offset = AT(bootstrap_operator)},
 	{"limits", .kind = FIELD_OBJECT, .fields = limits_fields,
 	 .field_count = COUNT(limits_fields)},
 	{"stop_grace_s", .kind = FIELD_TIME, .offset = AT(stop_grace_us),
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -231,5 +231,39 @@
 void explain_free(struct explain *e);
 /* Records, counts and logs one decision. */
 void explain_add(struct explain *e, const struct decision *d);
+/* Copies up to max records of a request, or of a root's whole chain. */
+size_t explain_find(const struct explain *e, const char *id,
+		    struct decision *out, size_t max);
+/* Wall time of the oldest record still held, 0 when there is none. */
+int64_t explain_oldest_us(const struct explain *e);
+/* Bytes that records, index and counts may take. */
+size_t explain_bytes(const struct explain *e);
+
+/* Equal decisions of minutes close together, with their number. */
+struct explain_span {
+	char account[NAME_SIZE];
+	char route[NAME_SIZE];
+	char service[NAME_SIZE];
+	enum decision_kind kind;
+	enum reason reason;
+	enum outcome outcome;
+	bool sub_call;
+	int64_t from_min; /* minutes since 1970 */
+	int64_t to_min;	  /* included */
+	uint64_t n;
+};
+
+/* Lists counts of an account, NULL for all, since a minute, oldest first. */
+size_t explain_spans(const struct explain *e, const char *account,
+		     int64_t since_min, struct explain_span *out, size_t max);
+/* Merges a span into a list of n; returns the new length, at most max. */
+size_t explain_merge(struct explain_span *list, size_t n, size_t max,
+		     const struct explain_span *s);
+
+/* Plain sentences: of one record, and of an account's counts. */
+int explain_sentence(const struct decision *d, const char *host,
+		     struct buffer *out);
+int explain_summary(const struct explain_span *spans, size_t n,
+		    const char *account, int64_t now_min, struct buffer *out);
 
 #endif
--- a/src/control/explain.c
+++ b/src/control/explain.c
@@ -1,14 +1,39 @@
-#include "control/control.h"
+#include "control/explain_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 struct explain {
 	struct decision *ring;
+	struct chain by_request;
+	struct chain by_root;
+	struct counts *counts;
 	uint32_t size;
 	uint64_t added; /* since the start */
 };
 
+static int chain_init(struct chain *c, uint32_t size)
+{
+	c->heads = calloc(size, sizeof(*c->heads));
+	c->before = calloc(size, sizeof(*c->before));
+	return c->heads && c->before ? 0 : -1;
+}
+
+static void chain_free(struct chain *c)
+{
+	free(c->heads);
+	free(c->before);
+}
+
+static void chain_add(struct chain *c, uint32_t size, const char *id,
+		      uint64_t sequence)
+{
+	uint64_t *head = &c->heads[name_hash(id) % size];
+
+	c->before[sequence % size] = *head;
+	*head = sequence + 1;
+}
+
 /* Makes a ring of so many decisions; NULL when memory is short. */
 struct explain *explain_new(uint32_t ring_size)
 {
@@ -18,19 +43,32 @@
 		return NULL;
 	e->size = ring_size;
 	e->ring = calloc(ring_size, sizeof(*e->ring));
-	if (e->ring)
+	e->counts = counts_new();
+	if (e->ring && e->counts && !chain_init(&e->by_request, ring_size) &&
+	    !chain_init(&e->by_root, ring_size))
 		return e;
-	free(e);
+	explain_free(e);
 	return NULL;
 }
 
-/* Frees the ring. */
+/* Frees records and counts. */
 void explain_free(struct explain *e)
 {
+	chain_free(&e->by_request);
+	chain_free(&e->by_root);
+	if (e->counts)
+		counts_free(e->counts);
 	free(e->ring);
 	free(e);
 }
 
+/* Returns the bytes that records, index and counts take when full. */
+size_t explain_bytes(const struct explain *e)
+{
+	return sizeof(*e) + counts_bytes() +
+	       (size_t)e->size * (sizeof(*e->ring) + 4 * sizeof(uint64_t));
+}
+
 /* Returns the name of a decision, as logs and answers give it. */
 const char *decision_name(enum decision_kind kind)
 {
@@ -82,10 +120,72 @@
 	log_emit(&line);
 }
 
-/* Records and logs one decision; the oldest one makes room. */
+/* Records, counts and logs one decision; the oldest one makes room. */
 void explain_add(struct explain *e, const struct decision *d)
 {
-	e->ring[e->added++ % e->size] = *d;
+	uint64_t sequence = e->added++;
+
+	e->ring[sequence % e->size] = *d;
+	chain_add(&e->by_request, e->size, d->request, sequence);
+	chain_add(&e->by_root, e->size, d->root, sequence);
+	counts_add(e->counts, d);
 	if (log_enabled(LOG_INFO))
 		log_decision(d);
 }
+
+/* The newest record of a chain that is still held, as sequence plus one. */
+static uint64_t chain_first(const struct explain *e, const struct chain *c,
+			    const char *id)
+{
+	uint64_t s = c->heads[name_hash(id) % e->size];
+
+	return s && s - 1 + e->size >= e->added ? s : 0;
+}
+
+static uint64_t chain_next(const struct explain *e, const struct chain *c,
+			   uint64_t s)
+{
+	s = c->before[(s - 1) % e->size];
+	return s && s - 1 + e->size >= e->added ? s : 0;
+}
+
+/*
+ * Copies the newest records, up to max, of a request or, if id is that of a
+ * root, of its whole chain on this node. Newest first; returns their number.
+ */
+size_t explain_find(const struct explain *e, const char *id,
+		    struct decision *out, size_t max)
+{
+	const struct decision *d;
+	size_t n = 0;
+	uint64_t s;
+
+	for (s = chain_first(e, &e->by_root, id); s && n < max;
+	     s = chain_next(e, &e->by_root, s)) {
+		d = &e->ring[(s - 1) % e->size];
+		if (!strcmp(d->root, id))
+			out[n++] = *d;
+	}
+	for (s = chain_first(e, &e->by_request, id); s && n < max;
+	     s = chain_next(e, &e->by_request, s)) {
+		d = &e->ring[(s - 1) % e->size];
+		if (!strcmp(d->request, id) && strcmp(d->root, id) != 0)
+			out[n++] = *d;
+	}
+	return n;
+}
+
+/* Returns the wall time of the oldest record held, 0 without records. */
+int64_t explain_oldest_us(const struct explain *e)
+{
+	if (!e->added)
+		return 0;
+	return e->ring[e->added > e->size ? e->added % e->size : 0].wall_us;
+}
+
+/* Lists the counts as spans; see counts_spans. */
+size_t explain_spans(const struct explain *e, const char *account,
+		     int64_t since_min, struct explain_span *out, size_t max)
+{
+	return counts_spans(e->counts, account, since_min, out, max);
+}
--- /dev/null
+++ b/src/control/explain_summary.c
@@ -0,0 +1,204 @@
+#include "control/explain_impl.h"
+
+#include <string.h>
+
+#define USEC_PER_MIN (60 * USEC_PER_SEC)
+#define REFUSALS_LISTED 40
+#define SERVICES_MAX 16
+
+/* "2026-01-31 02:13" of a minute since 1970. */
+static void format_minute(int64_t minute, char text[32])
+{
+	format_wall_time(minute * USEC_PER_MIN, text);
+	text[10] = ' ';
+	text[16] = 0;
+}
+
+static unsigned long long total(const struct explain_span *spans, size_t n,
+				enum decision_kind kind)
+{
+	unsigned long long sum = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (spans[i].kind == kind && !spans[i].sub_call)
+			sum += spans[i].n;
+	return sum;
+}
+
+static int write_totals(const struct explain_span *spans, size_t n,
+			const char *account, struct buffer *out)
+{
+	return buffer_printf(
+		out,
+		"%s%s: %llu requests answered, %llu refused or stopped, %llu "
+		"cancelled by their callers, %llu retries.\n",
+		account ? "Client account " : "All client accounts",
+		account ? account : "", total(spans, n, DECISION_ANSWERED),
+		total(spans, n, DECISION_REFUSED),
+		total(spans, n, DECISION_CANCELLED),
+		total(spans, n, DECISION_RETRIED));
+}
+
+static bool is_overload(enum reason r)
+{
+	return r == REASON_SHED || r == REASON_QUEUE_FULL ||
+	       r == REASON_QUEUE_TIMEOUT;
+}
+
+static bool is_shedding(const struct explain_span *s)
+{
+	return (s->kind == DECISION_REFUSED || s->kind == DECISION_DROPPED) &&
+	       is_overload(s->reason);
+}
+
+/* The next stretch of shedding after a minute, over all its spans. */
+static bool next_shedding(const struct explain_span *spans, size_t n,
+			  int64_t after, int64_t *from, int64_t *to)
+{
+	bool found = false, grew = true;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!is_shedding(&spans[i]) || spans[i].from_min <= after)
+			continue;
+		if (!found || spans[i].from_min < *from) {
+			*from = spans[i].from_min;
+			*to = spans[i].to_min;
+		}
+		found = true;
+	}
+	while (found && grew) {
+		grew = false;
+		for (i = 0; i < n; i++) {
+			if (!is_shedding(&spans[i]) ||
+			    spans[i].from_min < *from ||
+			    spans[i].from_min > *to + SPAN_GAP_MIN ||
+			    spans[i].to_min <= *to)
+				continue;
+			*to = spans[i].to_min;
+			grew = true;
+		}
+	}
+	return found;
+}
+
+/* Calls shed or dropped of one service, at its own gates or at entries. */
+static uint64_t shed_of(const struct explain_span *spans, size_t n,
+			const char *service, enum decision_kind kind,
+			int64_t from, int64_t to)
+{
+	uint64_t sum = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (is_shedding(&spans[i]) && spans[i].kind == kind &&
+		    !strcmp(spans[i].service, service) &&
+		    spans[i].from_min >= from && spans[i].from_min <= to)
+			sum += spans[i].n;
+	return sum;
+}
+
+/*
+ * The service whose gates dropped most; entries that refuse ahead of a gate
+ * know the first service of the chain only, so they count when no gate does.
+ */
+static const char *cause_of(const struct explain_span *spans, size_t n,
+			    int64_t from, int64_t to, uint64_t *calls)
+{
+	static const enum decision_kind kinds[] = {DECISION_DROPPED,
+						   DECISION_REFUSED};
+	const char *service = NULL;
+	uint64_t sum;
+	size_t k, i;
+
+	*calls = 0;
+	for (k = 0; k < 2 && !service; k++)
+		for (i = 0; i < n; i++) {
+			sum = shed_of(spans, n, spans[i].service, kinds[k],
+				      from, to);
+			if (sum <= *calls)
+				continue;
+			*calls = sum;
+			service = spans[i].service;
+		}
+	return service;
+}
+
+static int write_shedding(const struct explain_span *spans, size_t n,
+			  int64_t now_min, struct buffer *out)
+{
+	int64_t from = 0, to = 0, after = -1;
+	char begin[32], end[32];
+	const char *service;
+	uint64_t calls;
+
+	while (next_shedding(spans, n, after, &from, &to)) {
+		format_minute(from, begin);
+		format_minute(to, end);
+		service = cause_of(spans, n, from, to, &calls);
+		if (buffer_printf(out, "Shedding began at %s UTC and ", begin))
+			return -1;
+		if (to + 1 >= now_min
+			    ? buffer_printf(out, "still goes on.")
+			    : buffer_printf(out, "ended at %s UTC.", end))
+			return -1;
+		if (buffer_printf(
+			    out,
+			    " Service %s caused it: %llu calls to it were "
+			    "shed or dropped.\n",
+			    service ? service : "(unknown)",
+			    (unsigned long long)calls))
+			return -1;
+		after = to;
+	}
+	if (after >= 0)
+		return 0;
+	return buffer_printf(out, "Nothing was shed.\n");
+}
+
+static int write_refusals(const struct explain_span *spans, size_t n,
+			  const char *account, struct buffer *out)
+{
+	size_t i, listed = 0;
+	char begin[32], end[32];
+
+	for (i = 0; i < n && listed < REFUSALS_LISTED; i++) {
+		if (spans[i].kind != DECISION_REFUSED || spans[i].sub_call)
+			continue;
+		listed++;
+		format_minute(spans[i].from_min, begin);
+		format_minute(spans[i].to_min, end);
+		if (buffer_printf(
+			    out,
+			    "%llu requests%s%s on route %s were refused or "
+			    "stopped between %s and %s UTC (%s). %s%s\n",
+			    (unsigned long long)spans[i].n,
+			    account ? "" : " of client account ",
+			    account ? "" : spans[i].account,
+			    spans[i].route[0] ? spans[i].route : "(none)",
+			    begin, end, reason_code(spans[i].reason),
+			    reason_sentence(spans[i].reason),
+			    spans[i].outcome == OUTCOME_NOT_RUN
+				    ? " None of them ran."
+				    : " They may have run."))
+			return -1;
+	}
+	if (!listed)
+		return buffer_printf(out, "Nobody was refused.\n");
+	return 0;
+}
+
+/*
+ * Writes what happened to an account, or to all with NULL, one sentence or
+ * two a line: totals, when shedding began and ended and which service caused
+ * it, who was refused and why. now_min tells whether shedding goes on.
+ */
+int explain_summary(const struct explain_span *spans, size_t n,
+		    const char *account, int64_t now_min, struct buffer *out)
+{
+	if (write_totals(spans, n, account, out) < 0 ||
+	    write_shedding(spans, n, now_min, out) < 0)
+		return -1;
+	return write_refusals(spans, n, account, out);
+}
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "admin/admin.h"
+
 #define ANNOUNCEMENT_PATH "/mulberryferry/v1/announcement"
 #define LOCAL_CONNECTIONS_MAX 4096
 #define ADMIN_CONNECTIONS_MAX 256
@@ -91,6 +93,7 @@
 {
 	struct node *n = ctx;
 
+	admin_heard(n, &msg->from, msg->config_number);
 	notes_heard(n->notes, &msg->from, msg->config_number, now);
 	switch (msg->kind) {
 	case PEER_PROBE:
@@ -149,6 +152,7 @@
 int listeners_open(struct node *n, struct error *err)
 {
 	struct links_options o = {.listen = n->settings.nodes,
+				  .incarnation = n->incarnation,
 				  .body_limit = n->settings.body_limit,
 				  .ctx = n,
 				  .call = on_call,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "admin/admin.h"
 #include "node/listeners.h"
 
 #define CALLS_MAX 65536
@@ -104,6 +105,7 @@
 	members_tick(n->members, now);
 	notes_tick(n->notes, now);
 	requests_expire(n, now);
+	admin_tick(n, now);
 	if (n->stopping)
 		node_stop_step(n, now);
 }
@@ -213,8 +215,10 @@
 static int open_parts(struct node *n, struct error *err)
 {
 	n->net = net_open(err);
-	if (!n->net || listeners_open(n, err) < 0 || open_store(n, err) < 0 ||
-	    open_controllers(n, err) < 0 || start_timers(n, err) < 0)
+	n->api = admin_new(n);
+	if (!n->api || !n->net || listeners_open(n, err) < 0 ||
+	    open_store(n, err) < 0 || open_controllers(n, err) < 0 ||
+	    start_timers(n, err) < 0)
 		return -1;
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
@@ -297,6 +301,7 @@
 		if (!quota_idle(n->quota) || !claims_idle(n->claims))
 			return;
 	}
+	members_left(n->members, now);
 	log_stopped(n, now);
 	net_stop(n->net);
 }
@@ -345,6 +350,8 @@
 	if (n->config)
 		config_put(n->config);
 	service_retries_free(n);
+	if (n->api)
+		admin_free(n->api);
 	buffer_free(&n->limit_waiting);
 	gsl_rng_free(n->rng);
 	if (n->net)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -74,6 +74,7 @@
 	struct upstream_load load;
 };
 
+struct admin;
 struct directory;
 struct identities;
 
@@ -83,6 +84,7 @@
 	struct http_server *callers;
 	struct http_server *services;
 	struct http_server *admin;
+	struct admin *api;
 	struct links *links;
 	struct store *store;
 	struct members *members;
@@ -158,10 +160,4 @@
 struct identities *identities_new(void);
 void identities_free(struct identities *ids);
 
-/* Requests on the admin listener. */
-void admin_request(struct node *n, uint64_t exchange, struct message *msg,
-		   int64_t now);
-/* Queries between nodes, for requests that concern several of them. */
-void admin_peer(struct node *n, const struct peer_msg *msg, int64_t now);
-
 #endif
--- a/test/harness.bash
+++ b/test/harness.bash
@@ -8,6 +8,10 @@
 WORK=$(mktemp -d)
 PIDS=()
 SECRET=$(printf '5a%.0s' $(seq 32))
+# The operator's key of the tests while a configuration has no operators,
+# and its BLAKE2b-256 hash.
+export MULBERRYFERRY_KEY=test-operator
+BOOTSTRAP=$(printf %s "$MULBERRYFERRY_KEY" | b2sum -l 256 | cut -d ' ' -f 1)
 
 fail() {
 	echo "FAILED: $*" >&2
@@ -74,7 +78,7 @@
 		"seeds": [$seeds],
 		"store": {"kind": "${STORE_KIND:-etcd}",
 			"address": "${STORE:-127.0.0.1:1}"},
-		"secret": "$SECRET"$more
+		"secret": "$SECRET", "bootstrap_operator": "$BOOTSTRAP"$more
 	}
 	END
 	run "$name" "$BIN" node --settings "$WORK/$name.json"
@@ -97,6 +101,15 @@
 	eval "addr_${name//-/_}=$(listening "$name")"
 }
 
+# admin NODE METHOD PATH [CURL OPTIONS]: body, then the status on a line.
+admin() {
+	local node="admin_${1//-/_}" method=$2 path=$3
+	shift 3
+	curl -s -w '\n%{http_code}\n' -X "$method" \
+		-H "Authorization: Bearer $MULBERRYFERRY_KEY" "$@" \
+		"http://${!node}$path"
+}
+
 # ready NODE: the node has a configuration and serves.
 ready() {
 	local admin="admin_${1//-/_}"
@@ -108,11 +121,12 @@
 	printf %s "$1" | b2sum -l 256 | cut -d ' ' -f 1
 }
 
-# apply_note NODE FILE: fails unless it was accepted.
+# apply_note NODE FILE [OPTIONS]: fails unless it was accepted.
 apply_note() {
-	local admin="admin_${1//-/_}"
-	curl -sf --data-binary "@$2" "http://${!admin}/v1/notes" \
-		>"$WORK/apply.out" || fail "note $2: $(cat "$WORK/apply.out")"
+	local admin="admin_${1//-/_}" file=$2
+	shift 2
+	"$BIN" note apply --admin "${!admin}" "$@" "$file" \
+		>"$WORK/apply.out" 2>&1 || fail "note $file: $(cat "$WORK/apply.out")"
 }
 
 # call NODE METHOD PATH [CURL OPTIONS]: prints the whole answer.
