Show a configuration as JSON, and free what waits for history

Operators ask for accounts, keys and routes as they stand; the tables that read notes write them too, without the hashes of keys. A history that waits for the store when a node stops was never freed. The line config-in-force is left to the node, which logged it as well.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -188,6 +188,10 @@
 void note_overlap(struct buffer *out, const char *a, size_t a_len,
 		  const char *b, size_t b_len);
 
+/* The configuration, or one section of it, as JSON for operators. */
+int config_show(const struct config *c, const char *section,
+		struct buffer *out);
+
 /* Snapshots: the whole configuration as msgpack bytes, and back. */
 int config_pack(const struct config *c, struct buffer *out);
 struct config *config_unpack(const void *data, size_t len, struct error *err);
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -22,12 +22,13 @@
 	return NULL;
 }
 
-/* The store must be closed before: its answers come here. */
+/* The store must not report to it any more. */
 void notes_free(struct notes *n)
 {
 	if (!n)
 		return;
 	append_free(n);
+	history_free(n);
 	fetch_free(n);
 	writer_free(n);
 	peer_free(n);
@@ -74,11 +75,8 @@
 }
 
 /* Puts c in force if it is newer; takes the caller's reference. */
-void notes_adopt(struct notes *n, struct config *c, const char *source,
-		 int64_t now)
+void notes_adopt(struct notes *n, struct config *c, int64_t now)
 {
-	struct log_line line;
-
 	if (config_number(c) <= notes_number(n)) {
 		config_put(c);
 		return;
@@ -88,11 +86,6 @@
 	if (n->wanted < config_number(c))
 		n->wanted = config_number(c);
 	counter_add(COUNTER_NOTES_APPLIED, 1);
-	log_start(&line, LOG_NOTICE, "config-in-force");
-	log_int(&line, "number", (int64_t)config_number(c));
-	log_str(&line, "release", config_release(c));
-	log_str(&line, "source", source);
-	log_emit(&line);
 	if (n->o.in_force)
 		n->o.in_force(n->o.ctx, c, now);
 }
@@ -129,7 +122,7 @@
 		note_faults_free(&faults);
 		return -1;
 	}
-	notes_adopt(n, c, "note", now);
+	notes_adopt(n, c, now);
 	return 0;
 }
 
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -139,7 +139,7 @@
 		fetch_end(n, false, now);
 		return;
 	}
-	notes_adopt(n, c, "snapshot", now);
+	notes_adopt(n, c, now);
 	fetch_list(n, now);
 }
 
--- a/src/control/notes_history.c
+++ b/src/control/notes_history.c
@@ -2,10 +2,14 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #define HISTORY_MAX 50 /* notes in one answer */
 
 struct history {
+	struct history *prev;
+	struct history *next;
+	struct notes *notes;
 	void *ctx;
 	uint64_t tag;
 	void (*done)(void *ctx, uint64_t tag, const char *json,
@@ -47,6 +51,7 @@
 		h->done(h->ctx, h->tag, (char *)b.data, NULL);
 	}
 	buffer_free(&b);
+	DL_DELETE(h->notes->histories, h);
 	free(h);
 }
 
@@ -81,9 +86,21 @@
 	}
 	if (!limit || limit > HISTORY_MAX)
 		op.list.limit = HISTORY_MAX;
+	h->notes = n;
+	DL_APPEND(n->histories, h);
 	h->ctx = ctx;
 	h->tag = tag;
 	h->done = done;
 	note_key(key, after);
 	store_submit(n->o.store, &op, &on_done, now);
 }
+
+/* Drops all that wait for the store, without a report. */
+void history_free(struct notes *n)
+{
+	struct history *h, *next;
+
+	DL_FOREACH_SAFE(n->histories, h, next)
+	free(h);
+	n->histories = NULL;
+}
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -91,6 +91,7 @@
 };
 
 struct append;
+struct history;
 
 struct notes {
 	struct notes_options o;
@@ -109,6 +110,7 @@
 	uint64_t watch;
 	struct fetch fetch;
 	struct append *appends;
+	struct history *histories;
 	struct snapshot_writer writer;
 
 	uint64_t wanted; /* highest number heard */
@@ -131,8 +133,7 @@
 void notes_confirm(struct notes *n, int64_t at_us);
 void notes_arrived(struct notes *n, uint64_t number, const char *text,
 		   size_t len, int64_t now);
-void notes_adopt(struct notes *n, struct config *c, const char *source,
-		 int64_t now);
+void notes_adopt(struct notes *n, struct config *c, int64_t now);
 
 int kept_put(struct notes *n, uint64_t number, const char *text, size_t len);
 const struct kept_note *kept_get(const struct notes *n, uint64_t number);
@@ -167,6 +168,8 @@
 void append_tick(struct notes *n, int64_t now);
 void append_free(struct notes *n);
 
+void history_free(struct notes *n);
+
 void writer_tick(struct notes *n, int64_t now);
 void writer_free(struct notes *n);
 
--- a/src/control/notes_transfer.c
+++ b/src/control/notes_transfer.c
@@ -151,7 +151,7 @@
 	a->number = 0;
 	n->pull_us = now;
 	if (c)
-		notes_adopt(n, c, "peer", now);
+		notes_adopt(n, c, now);
 	else
 		log_error(LOG_ERR, "snapshot-refused", &err);
 }
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -236,6 +236,26 @@
 	config_put(c);
 }
 
+static void sections_are_shown_without_hashes(void **state)
+{
+	struct config *c = with_accounts(0, 1, 1);
+	struct buffer b = {0};
+
+	(void)state;
+	assert_int_equal(config_show(c, "accounts", &b), 0);
+	assert_string_equal(
+		b.data, "[{\"name\":\"a0\",\"team\":\"\",\"rate\":1.25,"
+			"\"burst\":2.0,\"weight\":1,\"refuse_stale_s\":0}]");
+	b.len = 0;
+	assert_int_equal(config_show(c, NULL, &b), 0);
+	assert_non_null(strstr((char *)b.data,
+			       "\"keys\":[{\"id\":\"k0\",\"account\":"
+			       "\"a0\"}]"));
+	assert_int_equal(config_show(c, "secrets", &b), -1);
+	config_put(c);
+	buffer_free(&b);
+}
+
 struct example {
 	const char *dir;
 	const char *const *data_centres;
@@ -315,6 +335,7 @@
 		cmocka_unit_test(snapshots_round_trip),
 		cmocka_unit_test(broken_snapshots_are_refused),
 		cmocka_unit_test(releases_are_remembered_within_bounds),
+		cmocka_unit_test(sections_are_shown_without_hashes),
 		cmocka_unit_test(examples_apply),
 	};
 
--- a/tools/config_slope.c
+++ b/tools/config_slope.c
@@ -94,21 +94,27 @@
 	return c;
 }
 
+static void print(const char *name, double value, const char *unit, int n)
+{
+	printf("measure=%s value=%.2f unit=%s n=%d\n", name, value, unit, n);
+}
+
+/* Builds the configuration, and times its last large note. */
 static struct config *build(int accounts)
 {
 	struct config *c = add_services(config_new());
+	int64_t start = 0;
 	int i;
 
-	for (i = 0; i < accounts; i += CHUNK)
+	for (i = 0; i < accounts; i += CHUNK) {
+		start = clock_monotonic_us();
 		c = add_accounts(c, i, CHUNK);
+	}
+	print("config_apply_500_accounts_ms",
+	      (double)(clock_monotonic_us() - start) / 1e3, "ms", accounts);
 	return c;
 }
 
-static void print(const char *name, double value, const char *unit, int n)
-{
-	printf("measure=%s value=%.2f unit=%s n=%d\n", name, value, unit, n);
-}
-
 static int compare_times(const void *a, const void *b)
 {
 	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
