Refuse pipelined bodies and protocol upgrades

Two POSTs with bodies in one packet held the loop at full load for good, and the second one's body was made of its own head: this release of libwebsockets hands over a buffered body from the wrong place and then without end. A body is now taken only once the loop has turned, repeats are bounded, and one that begins like its own request closes the connection unrun.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -9,6 +9,7 @@
 #define BODY_WAIT_US (30 * USEC_PER_SEC) /* for a request's whole body */
 #define SWEEP_US (50 * USEC_PER_MSEC)	 /* between looks for callers gone */
 #define ANSWER_SLICE (64 * 1024)	 /* bytes given to the socket at once */
+#define COMPLETIONS_MAX 4 /* said of one body; more mean an endless loop */
 #define EXCHANGES_MAX (1U << 20)
 
 #define STATUS_BAD_REQUEST 400
@@ -35,9 +36,11 @@
 	struct http_body_info body;
 	struct buffer out; /* LWS_PRE bytes of room, then the answer */
 	size_t out_pos;
-	bool head;	/* the request's method was HEAD */
-	bool answering; /* out holds an answer not yet written */
-	bool close;	/* after this answer */
+	bool head;	 /* the request's method was HEAD */
+	bool ready;	 /* the body is there; to be dispatched */
+	int completions; /* times that was said */
+	bool answering;	 /* out holds an answer not yet written */
+	bool close;	 /* after this answer */
 };
 
 static struct http_server *server_of(struct lws *wsi)
@@ -146,6 +149,8 @@
 	struct message *m = &c->request;
 
 	message_free(m);
+	c->ready = false;
+	c->completions = 0;
 	lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
 	c->close = asks_to_close(wsi);
 	http_read_body_info(wsi, &c->body);
@@ -188,6 +193,38 @@
 	return 0;
 }
 
+/*
+ * A body that came right behind the answer to an earlier request is handed
+ * over by this release of libwebsockets with the request's own head in its
+ * place, and then without end. So a body is taken only once the loop has
+ * turned, and one that begins like its request is refused.
+ */
+static bool is_own_head(const struct message *m)
+{
+	const char *body = (const char *)m->body.data;
+	size_t len = m->body.len, n = strlen(m->method);
+
+	while (len && (*body == '\r' || *body == '\n')) {
+		body++;
+		len--;
+	}
+	return len > n ? !memcmp(body, m->method, n) && body[n] == ' '
+		       : !memcmp(body, m->method, len);
+}
+
+static int body_complete(struct lws *wsi, struct server_conn *c)
+{
+	if (++c->completions > COMPLETIONS_MAX)
+		return -1;
+	if (c->ready || c->exchange || c->answering)
+		return 0;
+	if (is_own_head(&c->request))
+		return -1;
+	c->ready = true;
+	lws_callback_on_writable(wsi);
+	return 0;
+}
+
 static int write_answer(struct lws *wsi, struct server_conn *c)
 {
 	size_t left = c->out.len - c->out_pos;
@@ -232,7 +269,7 @@
 /* The timer set for a body is not cancelled when the body has come. */
 static bool is_gathering(const struct server_conn *c)
 {
-	return c->request.target && !c->exchange && !c->answering;
+	return c->request.target && !c->exchange && !c->answering && !c->ready;
 }
 
 static int server_callback(struct lws *wsi, enum lws_callback_reasons reason,
@@ -257,13 +294,16 @@
 	case LWS_CALLBACK_HTTP_BODY:
 		return take_body(wsi, c, in, len);
 	case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-		if (c->answering || c->exchange)
-			return 0;
-		return dispatch(wsi, c);
+		return body_complete(wsi, c);
+	case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
+		return -1;
 	case LWS_CALLBACK_TIMER:
 		return is_gathering(c) ? -1 : 0;
 	case LWS_CALLBACK_HTTP_WRITEABLE:
-		return write_answer(wsi, c);
+		if (!c->ready)
+			return write_answer(wsi, c);
+		c->ready = false;
+		return dispatch(wsi, c);
 	case LWS_CALLBACK_CLOSED_HTTP:
 		if (c)
 			conn_closed(wsi, c);
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -203,6 +203,28 @@
 	 "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n" H "\r\nabc"
 	 "GET /2 HTTP/1.1\r\n" H "\r\nGET /3 HTTP/1.1\r\n" H END,
 	 0, false, 3, "x-target: /3\r\n", "GET /3 [] id=- extra=-"},
+	{"pipelined bodies",
+	 "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n" H "\r\nabc"
+	 "POST /2 HTTP/1.1\r\nContent-Length: 3\r\n" H "\r\ndef",
+	 0, false, 1, "x-target: /1\r\n", "POST /1 [abc] id=- extra=-"},
+	{"pipelined short body",
+	 "GET /1 HTTP/1.1\r\n" H "\r\n"
+	 "POST /2 HTTP/1.1\r\nContent-Length: 1\r\n" H "\r\nd",
+	 0, false, 1, "x-target: /1\r\n", "GET /1 [] id=- extra=-"},
+	{"pipelined half body",
+	 "GET /1 HTTP/1.1\r\n" H "\r\n\r\n"
+	 "POST /2 HTTP/1.1\r\nContent-Length: 9\r\n" H "\r\nd",
+	 0, false, 1, "x-target: /1\r\n", "GET /1 [] id=- extra=-"},
+	{"websocket",
+	 "GET /a HTTP/1.1\r\n" H "Upgrade: websocket\r\n"
+	 "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
+	 "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n",
+	 0, false, 0, "", ""},
+	{"h2c",
+	 "GET /a HTTP/1.1\r\n" H "Upgrade: h2c\r\n"
+	 "Connection: Upgrade, HTTP2-Settings\r\n"
+	 "HTTP2-Settings: AAMAAABkAAQAAP__\r\n\r\n",
+	 0, false, 0, "", ""},
 	{"head", "HEAD /a HTTP/1.1\r\n" H END, 0, false, 1,
 	 "content-length: 5\r\n\r\n", "HEAD /a [] id=- extra=-"},
 	{"no content", "GET /204 HTTP/1.1\r\n" H END, 0, false, 1,
@@ -271,6 +293,7 @@
 		assert_non_null(strstr(c->reply, cases[i].reply));
 		assert_string_equal(seen.last, cases[i].last);
 		assert_null(strstr(c->reply, "keep-alive: timeout"));
+		assert_null(strstr(c->reply, "HTTP/1.1 101"));
 		assert_int_equal(seen.gone, 0);
 		net_close(seen.net);
 	}
