Test the administration API end to end, and hold its page against it

Cause: rights, notes, explain and claims had no test with real processes, and the counts were listed by comparing every row with every span.

Listing counts starts at the first minute asked for and finds spans by hash. A placement is recorded before the gate's own records of it, so that explain tells them in order. Refused requests to the admin listener are logged with path and status, never with the key.

--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -44,6 +44,17 @@
 				   "see docs/openapi.json for the paths");
 }
 
+static void log_refusal(const char *method, const char *path, int status)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_WARNING, "admin-refused");
+	log_str(&line, "method", method);
+	log_str(&line, "path", path);
+	log_int(&line, "status", status);
+	log_emit(&line);
+}
+
 static void answer_unauthorized(struct node *n, uint64_t exchange, int status)
 {
 	if (status == 403)
@@ -84,10 +95,12 @@
 	status = admin_authorize(&n->settings, n->config,
 				 message_header(msg, "authorization"),
 				 route->access, &c.who);
-	if (status == 200)
+	if (status == 200) {
 		route->run(&c);
-	else
-		answer_unauthorized(n, exchange, status);
+		return;
+	}
+	log_refusal(msg->method, path, status);
+	answer_unauthorized(n, exchange, status);
 }
 
 /* Returns the number of the note in force here, 0 before there is one. */
@@ -96,6 +109,20 @@
 	return n->config ? config_number(n->config) : 0;
 }
 
+/* Forgets members that are gone. */
+static void prune_heard(struct node *n)
+{
+	struct heard *h, *next;
+
+	HASH_ITER(hh, n->api->heard, h, next)
+	{
+		if (members_find(n->members, &h->member))
+			continue;
+		HASH_DEL(n->api->heard, h);
+		free(h);
+	}
+}
+
 /* A member told the number of the note in force on it. */
 void admin_heard(struct node *n, const struct addr *member, uint64_t number)
 {
@@ -104,6 +131,8 @@
 
 	HASH_FIND(hh, a->heard, member, sizeof(*member), h);
 	if (!h) {
+		if (HASH_COUNT(a->heard) >= HEARD_MAX)
+			prune_heard(n);
 		if (HASH_COUNT(a->heard) >= HEARD_MAX)
 			return;
 		h = calloc(1, sizeof(*h));
--- a/src/admin/decisions.c
+++ b/src/admin/decisions.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SPANS_MAX 2048
+#define SPANS_MAX 4096
 
 /* A record with the host that keeps it. */
 struct hosted {
@@ -123,6 +123,11 @@
 			      "%zu of the %zu hosts asked did not answer, so "
 			      "something may be missing here.\n",
 			      q->asked_count - q->answered, q->asked_count + 1);
+	if (q->asked_count == MEMBERS_ASKED_MAX)
+		buffer_printf(&b,
+			      "No more than %d other hosts are asked at once; "
+			      "ask a host nearer to the request for more.\n",
+			      MEMBERS_ASKED_MAX);
 	if (q->cut)
 		buffer_printf(&b, "Some host holds more than it could send; "
 				  "ask that host itself for the rest.\n");
--- a/src/admin/query.c
+++ b/src/admin/query.c
@@ -11,7 +11,7 @@
 
 #define QUERY_TIMEOUT_US (2 * USEC_PER_SEC)
 #define RECORDS_MAX 512
-#define SPANS_MAX 512
+#define SPANS_MAX 2048
 #define ANSWER_BYTES_MAX (PEER_BYTES_MAX - 1024) /* leaves room for the end */
 
 static void free_query(struct admin_query *q)
@@ -57,6 +57,18 @@
 	return list;
 }
 
+/* Refusals and drops first, then the most frequent: what a cut should keep. */
+static int by_weight(const void *a, const void *b)
+{
+	const struct explain_span *x = a, *y = b;
+	bool x_answered = x->kind == DECISION_ANSWERED;
+	bool y_answered = y->kind == DECISION_ANSWERED;
+
+	if (x_answered != y_answered)
+		return x_answered ? 1 : -1;
+	return (x->n < y->n) - (x->n > y->n);
+}
+
 static struct json_object *own_spans(struct node *n, const char *account,
 				     int64_t since_min)
 {
@@ -67,6 +79,8 @@
 	if (found)
 		count = explain_spans(n->explain, *account ? account : NULL,
 				      since_min, found, SPANS_MAX);
+	if (found)
+		qsort(found, count, sizeof(*found), by_weight);
 	for (i = 0; i < count; i++)
 		json_object_array_add(list, span_json(&found[i]));
 	free(found);
@@ -249,6 +263,8 @@
 	own = q->kind == QUERY_DECISIONS
 		      ? own_records(n, q->id)
 		      : own_spans(n, q->account, q->since_min);
+	q->cut = json_object_array_length(own) ==
+		 (q->kind == QUERY_DECISIONS ? RECORDS_MAX : SPANS_MAX);
 	take_items(q, own, now);
 	json_object_put(own);
 	go_on(q, now);
@@ -282,7 +298,8 @@
 	}
 	json_object_object_add(
 		o, "cut",
-		json_object_new_boolean(i < json_object_array_length(items)));
+		json_object_new_boolean(i < json_object_array_length(items) ||
+					i == SPANS_MAX || i == RECORDS_MAX));
 	json_object_object_add(o, "items", list);
 	json_object_put(items);
 	return o;
--- a/src/cmd/cmd_note_apply.c
+++ b/src/cmd/cmd_note_apply.c
@@ -127,7 +127,7 @@
 		rc = wait_everywhere(a, number, &s);
 	if (rc == EXIT_UNREACHABLE)
 		return rc;
-	if (a->wait_s) {
+	if (s.hosts) {
 		json_object_object_add(answer, "in_force",
 				       json_object_new_int64(s.in_force));
 		json_object_object_add(answer, "hosts",
@@ -139,13 +139,14 @@
 	}
 	printf("note %lld%s\n", (long long)number,
 	       json_number(answer, "repeated") ? " (applied before)" : "");
-	if (a->wait_s)
+	if (s.hosts)
 		printf("in force on %lld of %lld hosts\n",
 		       (long long)s.in_force, (long long)s.hosts);
 	if (rc != EXIT_OK)
-		fprintf(stderr, "mulberryferry: not everywhere yet; see "
-				"'mulberryferry status' for the hosts that "
-				"lag\n");
+		fprintf(stderr, "mulberryferry: the note was taken, but is "
+				"not known to be everywhere; see "
+				"'mulberryferry status', with the key of an "
+				"operator that counts now\n");
 	return rc;
 }
 
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -251,6 +251,7 @@
 	int64_t from_min; /* minutes since 1970 */
 	int64_t to_min;	  /* included */
 	uint64_t n;
+	uint64_t key; /* of all that must be equal; 0 until merged */
 };
 
 /* Lists counts of an account, NULL for all, since a minute, oldest first. */
--- a/src/control/explain_counts.c
+++ b/src/control/explain_counts.c
@@ -20,22 +20,6 @@
 	UT_hash_handle hh;
 };
 
-struct row_key {
-	uint16_t account;
-	uint16_t route;
-	uint16_t service;
-	uint8_t kind;
-	uint8_t reason;
-	uint8_t outcome;
-	uint8_t sub_call;
-};
-
-struct row {
-	uint32_t minute;
-	uint32_t n;
-	struct row_key key;
-};
-
 struct counts {
 	struct row *rows;
 	uint64_t added; /* rows since the start */
@@ -196,79 +180,32 @@
 		r->n++;
 }
 
-static bool same_kind(const struct explain_span *a,
-		      const struct explain_span *b)
+/* Returns a name that rows give by number. */
+const char *counts_name(const struct counts *c, uint16_t number)
 {
-	return a->kind == b->kind && a->reason == b->reason &&
-	       a->outcome == b->outcome && a->sub_call == b->sub_call &&
-	       !strcmp(a->account, b->account) && !strcmp(a->route, b->route) &&
-	       !strcmp(a->service, b->service);
+	return c->names[number]->name;
 }
 
-/*
- * Merges a span into a list of n. Equal spans with at most SPAN_GAP_MIN
- * quiet minutes between them become one. Returns the new length; a span
- * past max is left out.
- */
-size_t explain_merge(struct explain_span *list, size_t n, size_t max,
-		     const struct explain_span *s)
+/* Returns the row with this place in the order of time, NULL past the end. */
+const struct row *counts_row(const struct counts *c, uint64_t i)
 {
-	struct explain_span *l;
-	size_t i;
-
-	for (i = n; i-- > 0;) {
-		l = &list[i];
-		if (!same_kind(l, s) ||
-		    s->from_min > l->to_min + SPAN_GAP_MIN ||
-		    l->from_min > s->to_min + SPAN_GAP_MIN)
-			continue;
-		if (s->from_min < l->from_min)
-			l->from_min = s->from_min;
-		if (s->to_min > l->to_min)
-			l->to_min = s->to_min;
-		l->n += s->n;
-		return n;
-	}
-	if (n < max)
-		list[n++] = *s;
-	return n;
+	return i < c->added ? &c->rows[i % COUNT_ROWS] : NULL;
 }
 
-static void fill_span(const struct counts *c, const struct row *r,
-		      struct explain_span *s)
+/* Finds the first row of a minute or later that is less than a day old. */
+uint64_t counts_since(const struct counts *c, int64_t minute)
 {
-	memset(s, 0, sizeof(*s));
-	memcpy(s->account, c->names[r->key.account]->name, NAME_SIZE);
-	memcpy(s->route, c->names[r->key.route]->name, NAME_SIZE);
-	memcpy(s->service, c->names[r->key.service]->name, NAME_SIZE);
-	s->kind = r->key.kind;
-	s->reason = r->key.reason;
-	s->outcome = r->key.outcome;
-	s->sub_call = r->key.sub_call;
-	s->from_min = s->to_min = r->minute;
-	s->n = r->n;
-}
-
-/*
- * Lists the counts of one account, or of all with NULL, from a minute on,
- * oldest first; nothing older than a day. Returns the number of spans.
- */
-size_t counts_spans(const struct counts *c, const char *account,
-		    int64_t since_min, struct explain_span *out, size_t max)
-{
-	uint64_t i = c->added > COUNT_ROWS ? c->added - COUNT_ROWS : 0;
-	int64_t oldest = (int64_t)c->minute - COUNT_KEPT_MIN;
-	struct explain_span s;
-	const struct row *r;
-	size_t n = 0;
-
-	for (; i < c->added; i++) {
-		r = &c->rows[i % COUNT_ROWS];
-		if (r->minute < since_min || r->minute <= oldest)
-			continue;
-		fill_span(c, r, &s);
-		if (!account || !strcmp(account, s.account))
-			n = explain_merge(out, n, max, &s);
+	uint64_t low = c->added > COUNT_ROWS ? c->added - COUNT_ROWS : 0;
+	uint64_t high = c->added, middle;
+
+	if (minute <= (int64_t)c->minute - COUNT_KEPT_MIN)
+		minute = (int64_t)c->minute - COUNT_KEPT_MIN + 1;
+	while (low < high) {
+		middle = low + (high - low) / 2;
+		if (counts_row(c, middle)->minute < minute)
+			low = middle + 1;
+		else
+			high = middle;
 	}
-	return n;
+	return low;
 }
--- a/src/control/explain_impl.h
+++ b/src/control/explain_impl.h
@@ -19,6 +19,22 @@
 #define COUNT_KEPT_MIN (24 * 60) /* minutes */
 #define SPAN_GAP_MIN 5		 /* quiet minutes within one span */
 
+struct row_key {
+	uint16_t account;
+	uint16_t route;
+	uint16_t service;
+	uint8_t kind;
+	uint8_t reason;
+	uint8_t outcome;
+	uint8_t sub_call;
+};
+
+struct row {
+	uint32_t minute;
+	uint32_t n;
+	struct row_key key;
+};
+
 /* Counts by the minute. */
 struct counts;
 
@@ -26,6 +42,9 @@
 void counts_free(struct counts *c);
 size_t counts_bytes(void);
 void counts_add(struct counts *c, const struct decision *d);
+const char *counts_name(const struct counts *c, uint16_t number);
+const struct row *counts_row(const struct counts *c, uint64_t i);
+uint64_t counts_since(const struct counts *c, int64_t minute);
 size_t counts_spans(const struct counts *c, const char *account,
 		    int64_t since_min, struct explain_span *out, size_t max);
 
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -148,6 +148,8 @@
 	fill_head(&head, r, u, now);
 	remember_tried(r);
 	r->sent_us = now;
+	/* Before the gate's own records, which may come within send_call. */
+	request_record(n, r, DECISION_PLACED, REASON_NONE, NULL, 0);
 	if (send_call(n, r, u, &head, now, &err) < 0) {
 		log_error(LOG_WARNING, "place", &err);
 		r->allowance += head.allowance;
@@ -158,7 +160,6 @@
 	load_sent(&u->load, now);
 	if (!r->attempt)
 		retry_ratio_call(service_retry_ratio(n, r->route->service));
-	request_record(n, r, DECISION_PLACED, REASON_NONE, NULL, 0);
 	return FILTER_WAIT;
 }
 
--- /dev/null
+++ b/test/admin.sh
@@ -0,0 +1,332 @@
+#!/usr/bin/env bash
+# The administration API and the commands, over two data centres.
+cd "$(dirname "$0")/.." || exit 1
+. test/harness.bash
+BIN=$BUILD/mulberryferry-san
+
+OPERATOR_KEY=all-key
+start_store
+start_node a1 north
+start_node b1 south
+start_upstream deep b1 deep --slots 4 --service-us 200000 --fixed
+start_upstream front a1 front --slots 4 --sub "GET /deep"
+start_upstream issue a1 issue --slots 4 --service-us 60000000 --fixed
+
+cat >"$WORK/first.json" <<END
+// Comments are allowed.
+{"release": "first", "after": 0, "added": {
+	"services": [{"name": "front", "team": "red"},
+		{"name": "deep", "team": "red"},
+		{"name": "issue", "team": "red"}],
+	"accounts": [{"name": "acc", "team": "red", "rate": 100, "burst": 50},
+		{"name": "slow", "team": "blue", "rate": 0.01, "burst": 1}],
+	"keys": [{"id": "k1", "account": "acc", "hash": "$(key_hash caller)"},
+		{"id": "k2", "account": "slow", "hash": "$(key_hash slow-key)"}],
+	"routes": [
+		{"name": "front", "team": "red", "method": "GET",
+		 "path": "/front", "service": "front", "shed": "last",
+		 "deadline_ms": 3000, "retries": 1},
+		{"name": "deep", "team": "red", "method": "GET",
+		 "path": "/deep", "service": "deep", "shed": "last",
+		 "deadline_ms": 3000, "retries": 1},
+		{"name": "brief", "team": "red", "method": "GET",
+		 "path": "/brief", "service": "issue", "shed": "last",
+		 "deadline_ms": 300, "retries": 0},
+		{"name": "nowhere", "team": "red", "method": "GET",
+		 "path": "/nowhere", "service": "gone", "shed": "last",
+		 "deadline_ms": 3000, "retries": 0},
+		{"name": "issue", "team": "red", "method": "POST",
+		 "path": "/issue", "service": "issue", "shed": "middle",
+		 "once": true, "deadline_ms": 60000, "retries": 0}],
+	"operators": [{"name": "all", "hash": "$(key_hash "$OPERATOR_KEY")"},
+		{"name": "red-desk", "team": "red",
+		 "hash": "$(key_hash red-key)"},
+		{"name": "screen", "read_only": true,
+		 "hash": "$(key_hash screen-key)"}]}}
+END
+sed -i 's/"services": \[/"services": [{"name": "gone", "team": "red"},/' \
+	"$WORK/first.json"
+
+# expect CODE COMMAND...: with the exit code; output to WORK/out.
+expect() {
+	local want=$1 got
+	shift
+	"$@" >"$WORK/out" 2>&1
+	got=$?
+	[ $got = "$want" ] || fail "exit $got, not $want: $* $(cat "$WORK/out")"
+}
+
+says() {
+	grep -qF -- "$1" "$WORK/out" || fail "no '$1' in: $(cat "$WORK/out")"
+}
+
+# status_is CODE NODE METHOD PATH [CURL OPTIONS]
+status_is() {
+	local want=$1
+	shift
+	admin "$@" >"$WORK/out"
+	[ "$(tail -n 1 "$WORK/out")" = "$want" ] ||
+		fail "not $want: $* $(cat "$WORK/out")"
+}
+
+with_key() {
+	local MULBERRYFERRY_KEY=$1
+	export MULBERRYFERRY_KEY
+	shift
+	"$@"
+}
+
+note() {
+	printf '{"release": "%s", "changed": {"accounts": [{"name": "%s",
+		"rate": %s}]}%s}' "$1" "$2" "$3" "${4:-}" >"$WORK/$1.json"
+}
+
+# Before there are operators: the bootstrap key, and no other.
+export MULBERRYFERRY_ADMIN=$admin_a1
+expect 0 "$BIN" note check "$WORK/first.json"
+with_key other expect 1 "$BIN" note apply "$WORK/first.json"
+says "status 401"
+with_key "" status_is 401 a1 POST /v1/notes --data-binary "@$WORK/first.json"
+status_is 503 a1 GET /v1/config
+status_is 503 a1 GET /readyz
+expect 0 "$BIN" note apply "$WORK/first.json"
+says "note 1"
+# The note has operators, so the bootstrap key has lost its right.
+with_key "$OPERATOR_KEY" expect 0 "$BIN" note apply --wait 30 "$WORK/first.json"
+says "note 1 (applied before)"
+says "in force on 2 of 2 hosts"
+echo "ok bootstrap, and wait for two data centres"
+
+# Keys and rights, from there on.
+expect 1 "$BIN" status
+says "status 401"
+with_key caller status_is 401 a1 GET /v1/status
+with_key caller status_is 401 a1 POST /v1/notes
+with_key screen-key status_is 200 b1 GET /v1/status
+note reader acc 90
+with_key screen-key status_is 403 a1 POST /v1/notes \
+	--data-binary "@$WORK/reader.json"
+with_key screen-key status_is 200 a1 POST /v1/notes/check \
+	--data-binary "@$WORK/reader.json"
+note other-team slow 5
+with_key red-key expect 1 "$BIN" note apply "$WORK/other-team.json"
+says "status 403"
+says "belongs to team blue"
+with_key red-key status_is 403 a1 POST /v1/notes/check \
+	--data-binary "@$WORK/other-team.json"
+note red acc 80
+with_key red-key expect 0 "$BIN" note apply --wait 30 "$WORK/red.json"
+says "note 2"
+export MULBERRYFERRY_KEY=$OPERATOR_KEY
+printf '%s\n' "$OPERATOR_KEY" >"$WORK/key"
+with_key wrong expect 0 "$BIN" note history --key-file "$WORK/key"
+says "red-desk"
+says "bootstrap"
+echo "ok rights of operators"
+
+# Notes: repeats, conflicts, faults, If-Match.
+expect 0 "$BIN" note apply "$WORK/red.json"
+says "applied before"
+note late acc 70 ', "after": 1'
+expect 3 "$BIN" note apply "$WORK/late.json"
+says "touches accounts acc"
+note wrong nobody 70
+expect 2 "$BIN" note apply "$WORK/wrong.json"
+says "there is no account nobody"
+expect 2 "$BIN" note check --admin "$admin_b1" "$WORK/wrong.json"
+says "changed.accounts[0]"
+expect 2 "$BIN" note check "$WORK/wrong.json"
+note matched acc 60 ', "after": 2'
+status_is 412 a1 POST /v1/notes -H 'If-Match: 1' \
+	--data-binary "@$WORK/matched.json"
+status_is 400 a1 POST /v1/notes -H 'If-Match: two' \
+	--data-binary "@$WORK/matched.json"
+status_is 200 a1 POST /v1/notes -H 'If-Match: "2"' \
+	--data-binary "@$WORK/matched.json"
+expect 0 "$BIN" note show 3
+says "release matched, by all"
+expect 1 "$BIN" note show 99
+says "status 404"
+status_is 405 a1 DELETE /v1/notes
+status_is 404 a1 GET /v2
+echo "ok notes"
+
+# What stands, without a hash of any key.
+status_is 200 a1 GET /v1/config
+says '"id":"k1"'
+says '"name":"red-desk"'
+for hash in $(key_hash caller) $(key_hash red-key); do
+	! grep -q "$hash" "$WORK/out" || fail "a hash is shown"
+done
+expect 0 "$BIN" key new --json
+key=$(sed -n 's/.*"key": "\([^"]*\)".*/\1/p' "$WORK/out")
+says "$(key_hash "$key")"
+expect 4 "$BIN" status --admin 127.0.0.1:1
+expect 2 "$BIN" status --admin nowhere
+expect 2 "$BIN" note
+for c in "" note "note check" "note apply" "note show" "note history" key \
+	"key new" explain status claims node; do
+	# shellcheck disable=SC2086
+	expect 0 "$BIN" $c --help
+	# shellcheck disable=SC2086
+	expect 0 "$BIN" $c --version
+	says "mulberryferry"
+done
+echo "ok configuration, keys and help"
+
+# Each path answers with a status that its page gives.
+awk '/^  "\//{split($0, p, "\""); path = p[2]}
+	/^   "(get|post)":/{split($0, m, "\""); method = toupper(m[2])
+		print method, path}' docs/openapi.json >"$WORK/operations"
+[ "$(wc -l <"$WORK/operations")" -ge 17 ] || fail "operations not found"
+documented() {
+	awk -v path="$2" -v method="$1" -v code="$3" '
+		/^  "\//{split($0, p, "\""); at = p[2]}
+		/^   "(get|post)":/{split($0, m, "\""); how = toupper(m[2])}
+		at == path && how == method && $0 ~ "^     \"" code "\": " {
+			found = 1
+		}
+		END {exit !found}' docs/openapi.json
+}
+while read -r method path; do
+	for key in "" caller "$OPERATOR_KEY"; do
+		with_key "$key" admin a1 "$method" "${path/\{number\}/1}" \
+			>"$WORK/out"
+		code=$(tail -n 1 "$WORK/out")
+		documented "$method" "$path" "$code" ||
+			fail "$method $path gives $code"
+	done
+done <"$WORK/operations"
+echo "ok every path of the page"
+
+# Explain: each kind of decision, over all hops and from any host.
+call() {
+	local id=$1 key=$2 method=$3 path=$4
+	shift 4
+	curl -s -o "$WORK/answer" -w '%{http_code}' -X "$method" \
+		-H "Authorization: Bearer $key" -H "X-Request-Id: $id" "$@" \
+		"http://$callers_b1$path"
+}
+# knows NODE ADDRESS: the node knows an upstream that is ready.
+knows() {
+	local admin="admin_${1//-/_}"
+	"$BIN" status --admin "${!admin}" | grep -q "^    .* $2 .* ready"
+}
+for node in a1 b1; do
+	for upstream in "$addr_front" "$addr_deep" "$addr_issue"; do
+		wait_for 20 knows $node "$upstream" ||
+			fail "$node does not know $upstream"
+	done
+done
+# gives CODE ID KEY METHOD PATH: one call that ends so.
+gives() {
+	local want=$1
+	shift
+	[ "$(call "$@")" = "$want" ]
+}
+wait_for 20 gives 200 warm caller GET /front || fail "nothing is answered"
+gives 200 ok-1 caller GET /front ||
+	fail "not answered: $(cat "$WORK/answer")"
+for node in "$admin_b1" "$admin_a1"; do
+	expect 0 "$BIN" explain --admin "$node" ok-1
+	says "Request ok-1 ended with status 200 (answered)."
+	says "host b1: admitted it for client account acc on route front"
+	says "host a1: queued it for the upstream at $addr_front"
+	says "host a1: gave it to the upstream at $addr_front"
+	says "host a1, sub-call ok-1.1: admitted it"
+	says "host b1, sub-call ok-1.1: gave it to the upstream at $addr_deep"
+	says "host b1: answered it with status 200"
+done
+[ "$(sed -n 's/ host.*//p' "$WORK/out")" = \
+	"$(sed -n 's/ host.*//p' "$WORK/out" | sort)" ] ||
+	fail "not in order of time: $(cat "$WORK/out")"
+gives 504 brief-1 caller GET /brief || fail "not stopped"
+expect 0 "$BIN" explain brief-1
+says "stopped it with status 504 (deadline)"
+says "It may have run."
+gives 503 none-1 caller GET /nowhere || fail "not refused"
+expect 0 "$BIN" explain none-1
+says "refused it with status 503 (no-upstream)"
+says "It was not run."
+wait_for 20 gives 429 slow-1 slow-key GET /deep || fail "never over its rate"
+expect 0 "$BIN" explain slow-1
+says "refused it with status 429 (over-rate)"
+call gone-1 caller GET /deep --max-time 0.05 >"$WORK/code"
+expect_cancelled() {
+	"$BIN" explain gone-1 >"$WORK/out" 2>&1 &&
+		grep -q "cancelled it" "$WORK/out"
+}
+wait_for 10 expect_cancelled || fail "not cancelled: $(cat "$WORK/out")"
+says "the caller went away"
+expect 1 "$BIN" explain never-1
+says "No host that was asked has a record of request never-1"
+echo "ok explain of requests"
+
+# An upstream that breaks off is retried elsewhere.
+start_upstream deep2 a1 deep --slots 4 --service-us 200000 --fixed
+wait_for 20 knows b1 "$addr_deep2" || fail "the second is not known"
+call retry-1 caller GET /deep >"$WORK/code" &
+caller=$!
+expect_run() {
+	"$BIN" explain retry-1 >"$WORK/out" 2>&1
+	grep -q "gave it to the upstream" "$WORK/out"
+}
+wait_for 5 expect_run
+victim=deep
+grep -q "gave it to the upstream at $addr_deep2" "$WORK/out" && victim=deep2
+pid=pid_$victim
+kill -KILL "${!pid}"
+wait $caller
+expect 0 "$BIN" explain retry-1
+says "decided on retry 1"
+says "sent it again (retry 1)"
+echo "ok explain of a retry"
+
+# Overnight: an account, its counts, and claims left by a host that died.
+expect 0 "$BIN" explain --account slow --since 00:00
+says "requests on route deep were refused or stopped between"
+says "(over-rate)"
+expect 0 "$BIN" explain --account acc --since 00:00 --json
+says '"hosts_answered":2'
+status_is 400 a1 GET '/v1/counts?since=yesterday'
+expect 0 "$BIN" claims --unresolved
+says "none"
+start_node c1 south
+wait_for 20 ready c1 || fail "c1 has no configuration"
+callers_b1=$callers_c1
+call issue-1 caller POST /issue -H 'Idempotency-Key: i1' >"$WORK/code" &
+caller=$!
+expect_claim() {
+	"$BIN" claims >"$WORK/out" 2>&1 && grep -q "request issue-1" "$WORK/out"
+}
+wait_for 20 expect_claim || fail "no claim: $(cat "$WORK/out")"
+says "running"
+kill -KILL "$pid_c1"
+wait $caller
+expect_unresolved() {
+	"$BIN" claims --unresolved >"$WORK/out" 2>&1 &&
+		grep -q "unresolved.*request issue-1" "$WORK/out"
+}
+wait_for 60 expect_unresolved || fail "not unresolved: $(cat "$WORK/out")"
+expect 0 "$BIN" explain --account acc --since 00:00
+says "Unresolved: request issue-1 of client account acc on route issue"
+expect 0 "$BIN" explain issue-1
+says "How request issue-1 ended is not known to any host that answered"
+echo "ok explain of an account, and claims"
+
+# Status for people.
+expect 0 "$BIN" status
+says "host a1 in north"
+says "note 3 (matched) in force on"
+! grep -q "$(printf '\033')" "$WORK/out" || fail "escapes in a plain file"
+for key in caller slow-key red-key screen-key "$OPERATOR_KEY" test-operator; do
+	! grep -qw -- "$key" "$WORK"/[abc]1.log || fail "$key in a log"
+done
+kill -TERM "$pid_b1"
+wait "$pid_b1"
+expect_left() {
+	"$BIN" status >"$WORK/out" 2>&1 && grep -q "b1 .* left " "$WORK/out"
+}
+wait_for 20 expect_left || fail "b1 has not left: $(cat "$WORK/out")"
+echo "ok status"
+echo "admin passed"
