--- a/src/control/notes_append.c
+++ b/src/control/notes_append.c
@@ -49,6 +49,25 @@
 	free(a);
 }
 
+static const char *status_name(enum append_status status)
+{
+	switch (status) {
+	case APPEND_ACCEPTED:
+		return "accepted";
+	case APPEND_REPEATED:
+		return "repeated";
+	case APPEND_CONFLICT:
+		return "conflict";
+	case APPEND_INVALID:
+		return "invalid";
+	case APPEND_STORE_OUT:
+		return "store-out";
+	case APPEND_UNKNOWN:
+		return "unknown";
+	}
+	return "unknown";
+}
+
 /* Reports an append, after which the next one may start. */
 static void report(struct notes *n, struct append *a, enum append_status status,
 		   uint64_t number, const char *text, int64_t now)
@@ -59,7 +78,7 @@
 	log_start(&line, LOG_NOTICE, "note-append");
 	log_str(&line, "release", a->head.release);
 	log_str(&line, "operator", a->operator_name);
-	log_int(&line, "status", status);
+	log_str(&line, "status", status_name(status));
 	log_int(&line, "number", (int64_t)number);
 	log_emit(&line);
 	a->done.fn(a->done.ctx, a->done.tag, status, number, text, now);
--- a/test/test_config.c
+++ b/test/test_config.c
@@ -322,6 +322,11 @@
 			if (settings_load(&s, path, &err) < 0)
 				fail_msg("%s", err.text);
 			assert_string_equal(s.data_centre, *dc);
+			snprintf(path, sizeof(path),
+				 "demo-%s-operator-bootstrap", e->dir);
+			key_hash(hash, path);
+			assert_memory_equal(s.bootstrap_operator, hash,
+					    sizeof(hash));
 		}
 	}
 }
