--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -112,14 +112,16 @@
 /* Forgets members that are gone. */
 static void prune_heard(struct node *n)
 {
-	struct heard *h, *next;
+	struct heard *h = n->api->heard, *next;
 
-	HASH_ITER(hh, n->api->heard, h, next)
-	{
+	HASH_CLEAR(hh, n->api->heard);
+	for (; h; h = next) {
+		next = h->hh.next;
 		if (members_find(n->members, &h->member))
-			continue;
-		HASH_DEL(n->api->heard, h);
-		free(h);
+			HASH_ADD(hh, n->api->heard, member, sizeof(h->member),
+				 h);
+		else
+			free(h);
 	}
 }
 
--- a/src/control/explain_spans.c
+++ b/src/control/explain_spans.c
@@ -95,11 +95,10 @@
 		      size_t max)
 {
 	uint32_t *slot = index_slot(x, &r->key);
-	struct explain_span *s = *slot ? &out[*slot - 1] : NULL;
 
-	if (s && r->minute <= s->to_min + SPAN_GAP_MIN) {
-		s->to_min = r->minute;
-		s->n += r->n;
+	if (*slot && r->minute <= out[*slot - 1].to_min + SPAN_GAP_MIN) {
+		out[*slot - 1].to_min = r->minute;
+		out[*slot - 1].n += r->n;
 		return n;
 	}
 	if (n == max)
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -262,6 +262,41 @@
 says "No host that was asked has a record of request never-1"
 echo "ok explain of requests"
 
+# Each command on the pages for operators.
+cat >"$WORK/page.json" <<END
+{"release": "spring-rates", "after": 3,
+ "changed": {"accounts": [{"name": "acc", "rate": 55}]}}
+END
+mkdir "$WORK/bin"
+ln -s "$PWD/$BIN" "$WORK/bin/mulberryferry"
+page_commands() {
+	sed -n 's/^    \(mulberryferry .*\)/\1/p' "docs/operators/$1.md"
+}
+run_page() {
+	local command commands
+	mapfile -t commands < <(page_commands "$1")
+	[ ${#commands[@]} -gt 0 ] || fail "no commands on the page $1"
+	for command in "${commands[@]}"; do
+		case $command in
+		*--watch)
+			(cd "$WORK" && PATH=$WORK/bin:$PATH timeout 3 \
+				$command >out 2>&1)
+			[ $? = 124 ] || fail "$command ended"
+			says "host a1"
+			;;
+		*)
+			(cd "$WORK" && PATH=$WORK/bin:$PATH bash -c \
+				"$command" >out 2>&1) ||
+				fail "$command: $(cat "$WORK/out")"
+			;;
+		esac
+	done
+}
+for page in administration release-notes keys explain; do
+	run_page $page
+done
+echo "ok the commands on the pages"
+
 # An upstream that breaks off is retried elsewhere.
 start_upstream deep2 a1 deep --slots 4 --service-us 200000 --fixed
 wait_for 20 knows b1 "$addr_deep2" || fail "the second is not known"
@@ -317,7 +352,7 @@
 # Status for people.
 expect 0 "$BIN" status
 says "host a1 in north"
-says "note 3 (matched) in force on"
+says "note 4 (spring-rates) in force on"
 ! grep -q "$(printf '\033')" "$WORK/out" || fail "escapes in a plain file"
 for key in caller slow-key red-key screen-key "$OPERATOR_KEY" test-operator; do
 	! grep -qw -- "$key" "$WORK"/[abc]1.log || fail "$key in a log"
