--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -355,6 +355,23 @@
 	assert_string_equal(r.body, "hello");
 }
 
+/* A second answer that nobody asked for never becomes the next call's. */
+static void stray_answer_is_not_taken(void **state)
+{
+	const struct script scripts[] = {
+		{HEAD FIVE "hello" HEAD FIVE "wrong", HOLD},
+		{HEAD FIVE "right", HOLD}};
+	struct run r = {.method = "GET", .deadline_us = SHORT_US, .left = 2};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, scripts, 2);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_string_not_equal(r.body, "wrong");
+	assert_int_equal(r.done, 2);
+}
+
 static void warm_connection_is_used_again(void **state)
 {
 	const struct script script = {HEAD "Content-Length: 5\r\n\r\nhello",
@@ -467,6 +484,7 @@
 		cmocka_unit_test(every_answer_has_its_status),
 		cmocka_unit_test(refused_is_not_sent),
 		cmocka_unit_test(closed_warm_connection_costs_no_call),
+		cmocka_unit_test(stray_answer_is_not_taken),
 		cmocka_unit_test(warm_connection_is_used_again),
 		cmocka_unit_test(pieces_come_and_cancel_ends_them),
 		cmocka_unit_test(waiting_calls_are_not_sent),
