Say in the store's header what ends without a report

store_open left an error behind even when it succeeded, and two short allocations none at all; both are as the header says now. What closing, a watch without room and a cap of zero mean stands in the header.

--- a/src/store/etcd.c
+++ b/src/store/etcd.c
@@ -26,8 +26,10 @@
 	};
 	struct etcd *e = calloc(1, sizeof(*e));
 
-	if (!e)
+	if (!e) {
+		error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 		return NULL;
+	}
 	addr_format(addr, e->peer);
 	table_init(&e->open_calls, sizeof(struct call), ETCD_CALLS_MAX);
 	etcd_watches_open(e);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -35,8 +35,10 @@
 {
 	struct store *s = new_store(STORE_ETCD, o->calls_s);
 
-	if (!s)
+	if (!s) {
+		error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 		return NULL;
+	}
 	s->etcd = etcd_open(o->net, &o->addr, err);
 	if (!s->etcd) {
 		free(s);
@@ -50,11 +52,13 @@
 {
 	struct store *s = NULL;
 
-	error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 	switch (o->kind) {
 	case STORE_NONE:
 	case STORE_MEMORY:
 		s = open_memory(o->kind, o->calls_s, NULL);
+		if (!s)
+			error_set(err, ERROR_MEMORY, "store-open", NULL,
+				  "no memory");
 		break;
 	case STORE_ETCD:
 		s = open_etcd(o, err);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -102,7 +102,7 @@
 
 struct store_watch {
 	const char *prefix;
-	int64_t from_revision;
+	int64_t from_revision; /* the first one told; 0: from now on */
 	void *ctx;
 	/* An entry with value NULL was removed. */
 	void (*event)(void *ctx, const struct store_entry *e, int64_t now);
@@ -117,10 +117,12 @@
 	enum store_kind kind;
 	struct net *net;
 	struct addr addr;
-	uint32_t calls_s; /* budget; each call and each open watch counts */
+	/* Budget; each call and each open watch counts; 0: no cap. */
+	uint32_t calls_s;
 };
 
 struct store *store_open(const struct store_options *o, struct error *err);
+/* Open calls and watches end without a report. */
 void store_close(struct store *s);
 /*
  * Starts a call. done is called exactly once and never before this
@@ -128,6 +130,7 @@
  */
 void store_submit(struct store *s, const struct store_op *op,
 		  const struct store_done *done, int64_t now);
+/* Returns 0, and reports nothing, when the budget has no room for it. */
 uint64_t store_watch_start(struct store *s, const struct store_watch *w,
 			   int64_t now);
 void store_watch_stop(struct store *s, uint64_t watch);
