Let a good note follow a bad one of the same number

A note that could not be applied stayed in its place, so the right one, from the store or another peer, was taken for a repeat and the node stood still. It is dropped now; the new test fails without that. A node that can't apply a note asks for it every 5 s in place of 250 ms. A store that has fewer notes than the node for three rounds is logged as store-behind.

--- a/src/conf/fields.c
+++ b/src/conf/fields.c
@@ -195,11 +195,27 @@
 	reader_fault(r, "must be one of %s", all);
 }
 
-static void read_scalar(struct reader *r, struct json_object *v,
-			const struct field *f, void *at)
+static void read_numeric(struct reader *r, struct json_object *v,
+			 const struct field *f, void *at)
 {
+	bool whole = f->kind == FIELD_COUNT || f->kind == FIELD_BYTES;
 	double number;
 
+	if (!read_number(r, v, f, whole, &number))
+		return;
+	if (f->kind == FIELD_COUNT)
+		*(uint32_t *)at = (uint32_t)number;
+	else if (f->kind == FIELD_BYTES)
+		*(size_t *)at = (size_t)number;
+	else if (f->kind == FIELD_TIME)
+		*(int64_t *)at = (int64_t)(number * (double)f->unit_us);
+	else
+		*(double *)at = number;
+}
+
+static void read_field(struct reader *r, struct json_object *v,
+		       const struct field *f, void *at)
+{
 	switch (f->kind) {
 	case FIELD_NAME:
 		field_name(r, v, at);
@@ -226,20 +242,10 @@
 			reader_fault(r, "must be true or false");
 		break;
 	case FIELD_COUNT:
-		if (read_number(r, v, f, true, &number))
-			*(uint32_t *)at = (uint32_t)number;
-		break;
 	case FIELD_BYTES:
-		if (read_number(r, v, f, true, &number))
-			*(size_t *)at = (size_t)number;
-		break;
 	case FIELD_NUMBER:
-		if (read_number(r, v, f, false, &number))
-			*(double *)at = number;
-		break;
 	case FIELD_TIME:
-		if (read_number(r, v, f, false, &number))
-			*(int64_t *)at = (int64_t)(number * f->unit_us);
+		read_numeric(r, v, f, at);
 		break;
 	case FIELD_OBJECT:
 		fields_read(r, v, f->fields, f->field_count, at, false);
@@ -280,7 +286,7 @@
 		len = reader_enter(r, name);
 		f = find_field(fields, n, name);
 		if (f)
-			read_scalar(r, v, f, (char *)out + f->offset);
+			read_field(r, v, f, (char *)out + f->offset);
 		else
 			reader_fault(r, "is not a known member");
 		reader_leave(r, len);
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -92,13 +92,15 @@
 
 /*
  * A stored note was valid when it was written, so a fault here means that
- * this process is older than the one that checked it.
+ * this process is older than the one that checked it, or that a peer sent
+ * something else. It may come again, from elsewhere.
  */
 static void refuse(struct notes *n, uint64_t number,
 		   const struct note_faults *faults)
 {
 	struct log_line line;
 
+	kept_drop(n, number);
 	if (n->refused == number)
 		return;
 	n->refused = number;
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -11,6 +11,7 @@
 #define LIST_LIMIT 8
 #define HEAD_POLL_US (5 * USEC_PER_SEC)
 #define EMPTY_POLL_US (30 * USEC_PER_SEC) /* of others, without any note */
+#define STORE_BEHIND_ROUNDS 3
 #define RETRY_MIN_US (500 * USEC_PER_MSEC)
 #define RETRY_MAX_US (10 * USEC_PER_SEC)
 #define PEERS_FIRST_US (2 * USEC_PER_SEC) /* before a new node reads itself */
@@ -71,6 +72,24 @@
 		n->watch = store_watch_start(n->o.store, &w, now);
 }
 
+/* One round may be late behind a push; several say that notes were lost. */
+static void check_store_behind(struct notes *n)
+{
+	struct fetch *f = &n->fetch;
+	struct log_line line;
+
+	if (notes_number(n) <= f->head) {
+		f->store_behind = 0;
+		return;
+	}
+	if (++f->store_behind != STORE_BEHIND_ROUNDS)
+		return;
+	log_start(&line, LOG_ERR, "store-behind");
+	log_int(&line, "number", (int64_t)notes_number(n));
+	log_int(&line, "store", (int64_t)f->head);
+	log_emit(&line);
+}
+
 /* Ends a round; after failures the next one comes later and later. */
 static void fetch_end(struct notes *n, bool good, int64_t now)
 {
@@ -88,6 +107,7 @@
 				     (int64_t)(notes_random(n) % EMPTY_POLL_US);
 		if (notes_number(n) == f->head)
 			notes_confirm(n, f->started_us);
+		check_store_behind(n);
 		watch_start(n, now);
 	} else {
 		for (i = 0; i < f->failures && wait < RETRY_MAX_US; i++)
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -35,6 +35,7 @@
 	int64_t started_us;
 	int64_t next_us; /* not before, after a failure */
 	uint32_t failures;
+	uint32_t store_behind;	   /* rounds in a row */
 	uint64_t head;		   /* newest number in the store */
 	int64_t head_mod_revision; /* 0: there is none */
 	int64_t revision;	   /* of the store when it told head */
@@ -137,6 +138,7 @@
 
 int kept_put(struct notes *n, uint64_t number, const char *text, size_t len);
 const struct kept_note *kept_get(const struct notes *n, uint64_t number);
+void kept_drop(struct notes *n, uint64_t number);
 void kept_free(struct notes *n);
 
 /* A note as it lies in the store. */
--- a/src/control/notes_kept.c
+++ b/src/control/notes_kept.c
@@ -63,6 +63,13 @@
 	return k->number && k->number == number ? k : NULL;
 }
 
+/* Drops one note, so that it may come again. */
+void kept_drop(struct notes *n, uint64_t number)
+{
+	if (kept_get(n, number))
+		drop(n, slot(n, number));
+}
+
 /* Drops all notes. */
 void kept_free(struct notes *n)
 {
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -13,6 +13,7 @@
 #define BATCH_NOTES 64
 #define BATCH_BYTES (256 * 1024)
 #define PULL_RETRY_US (250 * USEC_PER_MSEC)
+#define REFUSED_RETRY_US (5 * USEC_PER_SEC)
 #define CONFIRM_US (10 * USEC_PER_SEC)
 #define CUT_OFF_US (30 * USEC_PER_SEC) /* then ask elsewhere too */
 #define AGE_MAX_MS (INT64_C(100) * 365 * 86400 * 1000)
@@ -97,6 +98,8 @@
 	msg.notes_pull.after = notes_number(n);
 	n->pulled_after = notes_number(n);
 	n->pull_us = now + PULL_RETRY_US;
+	if (n->refused == notes_number(n) + 1)
+		n->pull_us = now + REFUSED_RETRY_US;
 	n->o.io.datagram(n->o.io.ctx, to, &msg);
 }
 
--- a/test/test_notes.c
+++ b/test/test_notes.c
@@ -281,6 +281,26 @@
 	world_close(&w);
 }
 
+static void a_bad_note_does_not_keep_out_the_good_one(void **state)
+{
+	struct peer_msg bad = {.kind = PEER_NOTE};
+	struct outcome_seen seen;
+	struct world w;
+
+	(void)state;
+	world_begin(&w, 4, 2);
+	bad.from = w.nodes[0].addr;
+	bad.note.number = 2;
+	buffer_printf(&bad.note.text, "{\"release\": \"x\", \"adds\": 1}");
+	notes_receive(w.nodes[3].notes, &bad, w.now);
+	assert_int_equal(w.nodes[3].number, 1);
+	world_append(&w, 0, rate_note(0, 0), NULL, &seen);
+	assert_true(world_reaches(&w, 2, IN_FORCE_US));
+	world_assert_same(&w, 2);
+	buffer_free(&bad.note.text);
+	world_close(&w);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -290,6 +310,7 @@
 		cmocka_unit_test(a_new_node_starts_from_its_peers),
 		cmocka_unit_test(snapshots_replace_old_notes),
 		cmocka_unit_test(late_news_change_nothing),
+		cmocka_unit_test(a_bad_note_does_not_keep_out_the_good_one),
 	};
 
 	log_set_level(LOG_EMERG);
