--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -155,6 +155,24 @@
 	return h ? h->number : 0;
 }
 
+/*
+ * Tells a member the number in force here, and with PEER_QUERY asks for its
+ * own: each message carries the number of its sender.
+ */
+int admin_tell_number(struct node *n, const struct addr *to,
+		      enum peer_msg_kind kind)
+{
+	struct peer_msg msg = {.kind = kind,
+			       .incarnation = n->incarnation,
+			       .config_number = admin_number(n)};
+	int rc = buffer_printf(&msg.query.text, "{}");
+
+	if (!rc)
+		rc = links_datagram(n->links, to, &msg);
+	buffer_free(&msg.query.text);
+	return rc;
+}
+
 /* Sends a query, or the answer to one, to another node. */
 int admin_send(struct node *n, const struct addr *to, enum peer_msg_kind kind,
 	       uint64_t id, const char *text, int64_t now)
--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -76,6 +76,7 @@
 struct admin {
 	struct node *node;
 	struct heard *heard;
+	uint32_t ask_from;    /* place among the members that lag */
 	struct table queries; /* struct admin_query * */
 };
 
@@ -112,6 +113,8 @@
 
 uint64_t admin_number(const struct node *n);
 uint64_t admin_heard_number(const struct admin *a, const struct addr *member);
+int admin_tell_number(struct node *n, const struct addr *to,
+		      enum peer_msg_kind kind);
 int admin_send(struct node *n, const struct addr *to, enum peer_msg_kind kind,
 	       uint64_t id, const char *text, int64_t now);
 
--- a/src/admin/query.c
+++ b/src/admin/query.c
@@ -312,13 +312,16 @@
 	const char *account = text_member(o, "account");
 	struct json_object *since, *answer;
 
-	if (id)
+	if (id) {
 		answer = fitting(own_records(n, id));
-	else if (account && json_object_object_get_ex(o, "since_min", &since))
+	} else if (account &&
+		   json_object_object_get_ex(o, "since_min", &since)) {
 		answer = fitting(
 			own_spans(n, account, json_object_get_int64(since)));
-	else
-		answer = json_object_new_object();
+	} else {
+		admin_tell_number(n, &msg->from, PEER_QUERY_ANSWER);
+		return;
+	}
 	admin_send(
 		n, &msg->from, PEER_QUERY_ANSWER, msg->query.id,
 		json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PLAIN),
--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -88,14 +88,16 @@
 	return o;
 }
 
-/* Asks members that were last heard with an older note for their number. */
+/*
+ * Asks some of the members that were last heard with an older note for
+ * their number; others with the next request.
+ */
 static void ask_number(struct node *n, const struct member_info *m,
-		       uint32_t *asked, int64_t now)
+		       uint32_t place)
 {
-	if (*asked == MEMBERS_ASKED)
-		return;
-	++*asked;
-	admin_send(n, &m->nodes, PEER_QUERY, 0, "{}", now);
+	if (place >= n->api->ask_from &&
+	    place < n->api->ask_from + MEMBERS_ASKED)
+		admin_tell_number(n, &m->nodes, PEER_QUERY);
 }
 
 static void add_members(struct admin_call *c, struct json_object *o)
@@ -104,7 +106,7 @@
 	const struct member_info *m = NULL;
 	struct node *n = c->node;
 	int64_t present = 0, in_force = 0;
-	uint32_t asked = 0;
+	uint32_t lagging = 0;
 
 	while ((m = members_next(n->members, m))) {
 		if (json_object_array_length(list) < MEMBERS_LISTED)
@@ -115,8 +117,11 @@
 		if (number_at(n, m) >= admin_number(n))
 			in_force++;
 		else
-			ask_number(n, m, &asked, c->now);
+			ask_number(n, m, lagging++);
 	}
+	n->api->ask_from += MEMBERS_ASKED;
+	if (n->api->ask_from >= lagging)
+		n->api->ask_from = 0;
 	json_add_int(o, "hosts", present);
 	json_add_int(o, "in_force", in_force);
 	json_object_object_add(o, "members", list);
--- a/src/control/explain.c
+++ b/src/control/explain.c
@@ -5,8 +5,8 @@
 
 struct explain {
 	struct decision *ring;
-	struct chain by_request;
 	struct chain by_root;
+	struct chain by_request; /* sub-calls alone */
 	struct counts *counts;
 	uint32_t size;
 	uint64_t added; /* since the start */
@@ -126,8 +126,9 @@
 	uint64_t sequence = e->added++;
 
 	e->ring[sequence % e->size] = *d;
-	chain_add(&e->by_request, e->size, d->request, sequence);
 	chain_add(&e->by_root, e->size, d->root, sequence);
+	if (strcmp(d->request, d->root) != 0)
+		chain_add(&e->by_request, e->size, d->request, sequence);
 	counts_add(e->counts, d);
 	if (log_enabled(LOG_INFO))
 		log_decision(d);
--- a/src/control/explain_counts.c
+++ b/src/control/explain_counts.c
@@ -186,6 +186,15 @@
 	return c->names[number]->name;
 }
 
+/* Returns the number of a name, -1 when nothing was counted under it. */
+int counts_number(const struct counts *c, const char *name)
+{
+	struct counted_name *found;
+
+	HASH_FIND_STR(c->by_name, name, found);
+	return found ? found->number : -1;
+}
+
 /* Returns the row with this place in the order of time, NULL past the end. */
 const struct row *counts_row(const struct counts *c, uint64_t i)
 {
--- a/src/control/explain_impl.h
+++ b/src/control/explain_impl.h
@@ -42,6 +42,7 @@
 void counts_free(struct counts *c);
 size_t counts_bytes(void);
 void counts_add(struct counts *c, const struct decision *d);
+int counts_number(const struct counts *c, const char *name);
 const char *counts_name(const struct counts *c, uint16_t number);
 const struct row *counts_row(const struct counts *c, uint64_t i);
 uint64_t counts_since(const struct counts *c, int64_t minute);
--- a/src/control/explain_spans.c
+++ b/src/control/explain_spans.c
@@ -117,6 +117,7 @@
 size_t counts_spans(const struct counts *c, const char *account,
 		    int64_t since_min, struct explain_span *out, size_t max)
 {
+	int number = account ? counts_number(c, account) : -1;
 	struct span_index x;
 	const struct row *r;
 	size_t n = 0;
@@ -125,8 +126,7 @@
 	if (index_init(&x, max) == 0)
 		for (i = counts_since(c, since_min); (r = counts_row(c, i));
 		     i++)
-			if (!account ||
-			    !strcmp(account, counts_name(c, r->key.account)))
+			if (!account || r->key.account == number)
 				n = add_row(c, &x, r, out, n, max);
 	free(x.keys);
 	free(x.slots);
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -262,6 +262,21 @@
 says "No host that was asked has a record of request never-1"
 echo "ok explain of requests"
 
+# A host that is frozen hides only what it alone knows.
+kill -STOP "$pid_b1"
+expect 0 "$BIN" explain ok-1
+says "host a1: gave it to the upstream at $addr_front"
+says "1 of the 2 hosts asked did not answer"
+expect 0 "$BIN" explain --account acc --since 00:00
+kill -CONT "$pid_b1"
+expect_whole() {
+	"$BIN" explain ok-1 >"$WORK/out" 2>&1 &&
+		grep -q "host b1: answered it" "$WORK/out"
+}
+wait_for 20 expect_whole || fail "b1 is not asked again: $(cat "$WORK/out")"
+! grep -q "did not answer" "$WORK/out" || fail "b1 is still missing"
+echo "ok explain with a frozen host"
+
 # Each command on the pages for operators.
 cat >"$WORK/page.json" <<END
 {"release": "spring-rates", "after": 3,
