--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -63,6 +63,7 @@
 	enum query_kind kind;
 	char id[REQUEST_ID_SIZE];  /* DECISIONS */
 	char account[NAME_SIZE];   /* else; empty: all */
+	char reason[NAME_SIZE];	   /* COUNTS; empty: all */
 	int64_t since_min;	   /* minutes since 1970 */
 	struct json_object *items; /* records or spans */
 	struct addr asked[MEMBERS_ASKED_MAX];
--- a/src/admin/decisions.c
+++ b/src/admin/decisions.c
@@ -188,6 +188,18 @@
 	return spans;
 }
 
+/* Drops the spans of other reasons; returns how many stay. */
+static size_t keep_reason(struct explain_span *list, size_t n,
+			  const char *reason)
+{
+	size_t i, kept = 0;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(reason_code(list[i].reason), reason))
+			list[kept++] = list[i];
+	return kept;
+}
+
 static void answer_counts(struct admin_query *q)
 {
 	struct json_object *o = json_object_new_object();
@@ -195,6 +207,8 @@
 	size_t n;
 
 	list = merged_spans(q->items, &n);
+	if (*q->reason)
+		n = keep_reason(list, n, q->reason);
 	json_object_object_add(o, "counts", spans_json(list, n));
 	add_coverage(o, q);
 	admin_answer_json(q->node, q->exchange, 200, o);
@@ -352,11 +366,13 @@
 		query_start(c->node, &q, c->now);
 }
 
-/* GET /v1/counts?account=A&since=T: counts of all hosts, as spans. */
+/* GET /v1/counts?account=A&since=T&reason=R: counts of all hosts, as spans. */
 void admin_counts(struct admin_call *c)
 {
 	struct admin_query q = {.exchange = c->exchange, .kind = QUERY_COUNTS};
 
+	if (!admin_param(c->query, "reason", q.reason, sizeof(q.reason)))
+		q.reason[0] = 0;
 	if (read_span(c, &q))
 		query_start(c->node, &q, c->now);
 }
--- a/src/cmd/cmd_node.c
+++ b/src/cmd/cmd_node.c
@@ -41,7 +41,7 @@
 static const struct argp argp = {
 	.options = options,
 	.parser = parse,
-	.doc = "Runs the node of this host until SIGTERM.",
+	.doc = "Runs the node of this host until SIGTERM.\v" EXIT_CODES_TEXT,
 };
 
 static int run(const struct settings *s)
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -339,6 +339,9 @@
 expect 0 "$BIN" explain --account acc --since 00:00 --json
 says '"hosts_answered":2'
 status_is 400 a1 GET '/v1/counts?since=yesterday'
+status_is 200 a1 GET '/v1/counts?reason=over-rate'
+says '"account":"slow"'
+! grep -q '"reason":"none"' "$WORK/out" || fail "other reasons are listed"
 expect 0 "$BIN" claims --unresolved
 says "none"
 start_node c1 south
--- a/test/test_admin.c
+++ b/test/test_admin.c
@@ -344,6 +344,37 @@
 	json_object_put(o);
 }
 
+static void the_bootstrap_key_is_a_setting(void **state)
+{
+	static const char head[] =
+		"{\"host\":\"h\",\"data_centre\":\"d\",\"region\":\"r\","
+		"\"listen\":{\"callers\":\"127.0.0.1:1\",\"services\":"
+		"\"127.0.0.1:2\",\"nodes\":\"127.0.0.1:3\",\"admin\":"
+		"\"127.0.0.1:4\"},\"store\":{\"kind\":\"none\"},\"secret\":";
+	char text[1024], hex[HEX_SIZE];
+	uint8_t hash[KEY_HASH_SIZE];
+	struct error err = {0};
+	struct settings s;
+
+	(void)state;
+	hex_of("first", hex);
+	key_hash(hash, "first");
+	snprintf(text, sizeof(text), "%s\"%s\"}", head, hex);
+	assert_int_equal(settings_parse(&s, text, "f", &err), 0);
+	memset(hash, 0, sizeof(hash));
+	assert_memory_equal(s.bootstrap_operator, hash, sizeof(hash));
+	snprintf(text, sizeof(text), "%s\"%s\",\"bootstrap_operator\":\"%s\"}",
+		 head, hex, hex);
+	assert_int_equal(settings_parse(&s, text, "f", &err), 0);
+	key_hash(hash, "first");
+	assert_memory_equal(s.bootstrap_operator, hash, sizeof(hash));
+	hex[HEX_SIZE - 2] = 0; /* a digit too few */
+	snprintf(text, sizeof(text), "%s\"%s0\",\"bootstrap_operator\":\"%s\"}",
+		 head, hex, hex);
+	assert_int_equal(settings_parse(&s, text, "f", &err), -1);
+	assert_non_null(strstr(err.text, "bootstrap_operator"));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -353,6 +384,7 @@
 		cmocka_unit_test(the_page_and_the_server_agree),
 		cmocka_unit_test(parameters_are_decoded),
 		cmocka_unit_test(times_are_read_in_utc),
+		cmocka_unit_test(the_bootstrap_key_is_a_setting),
 		cmocka_unit_test(records_survive_their_json_form),
 	};
 
