Free what waits for the store when a node stops

Cause: a release note on its way into a store that hangs was dropped by the notes controller without a report, and the state of its request leaked.

--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -25,6 +25,7 @@
 	struct heard *h = a->heard, *next;
 
 	admin_queries_free(a);
+	admin_waits_free(a);
 	HASH_CLEAR(hh, a->heard);
 	for (; h; h = next) {
 		next = h->hh.next;
--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -74,13 +74,25 @@
 	int64_t deadline_us;
 };
 
+/* A request that waits for the store; the first member of its state. */
+struct admin_wait {
+	struct admin_wait *prev;
+	struct admin_wait *next;
+	struct node *node;
+	struct json_object *json; /* freed with it */
+};
+
 struct admin {
 	struct node *node;
+	struct admin_wait *waits;
 	struct heard *heard;
 	uint32_t ask_from;    /* place among the members that lag */
 	struct table queries; /* struct admin_query * */
 };
 
+void *admin_wait_new(struct admin_call *c, size_t size);
+void admin_wait_free(struct admin_wait *w);
+void admin_waits_free(struct admin *a);
 void admin_queries_free(struct admin *a);
 void query_start(struct node *n, const struct admin_query *from, int64_t now);
 /* Answers a finished query; q stays the caller's. */
--- a/src/admin/claims.c
+++ b/src/admin/claims.c
@@ -1,11 +1,10 @@
 #include "admin/admin_impl.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /* A listing asked for; only unresolved ones, or all without an outcome. */
 struct listing {
-	struct node *node;
+	struct admin_wait wait;
 	bool unresolved;
 };
 
@@ -25,10 +24,10 @@
 	size_t i;
 
 	if (!json) {
-		admin_answer_error(l->node, tag, 503, err->text,
+		admin_answer_error(l->wait.node, tag, 503, err->text,
 				   "ask again when the platform's store "
 				   "answers");
-		free(l);
+		admin_wait_free(&l->wait);
 		return;
 	}
 	list = json_tokener_parse(json);
@@ -41,22 +40,18 @@
 	json_object_put(list);
 	o = json_object_new_object();
 	json_object_object_add(o, "claims", kept);
-	admin_answer_json(l->node, tag, 200, o);
-	free(l);
+	admin_answer_json(l->wait.node, tag, 200, o);
+	admin_wait_free(&l->wait);
 }
 
 /* GET /v1/claims: claims without an outcome, ?state=unresolved or all. */
 void admin_claims(struct admin_call *c)
 {
-	struct listing *l = calloc(1, sizeof(*l));
+	struct listing *l = admin_wait_new(c, sizeof(*l));
 	char state[16];
 
-	if (!l) {
-		admin_answer_error(c->node, c->exchange, 503, "no memory",
-				   "ask again later");
+	if (!l)
 		return;
-	}
-	l->node = c->node;
 	l->unresolved = admin_param(c->query, "state", state, sizeof(state)) &&
 			!strcmp(state, "unresolved");
 	claims_list(c->node->claims, l, c->exchange, on_list, c->now);
--- a/src/admin/decisions.c
+++ b/src/admin/decisions.c
@@ -217,8 +217,7 @@
 
 /* The answer about an account, which waits for the claims of the store. */
 struct account_answer {
-	struct node *node;
-	struct json_object *o;
+	struct admin_wait wait; /* json is the answer */
 	struct json_object *sentences;
 	char account[NAME_SIZE];
 };
@@ -257,7 +256,7 @@
 		buffer_printf(&b, "No claim is unresolved.\n");
 	add_lines(a->sentences, &b);
 	buffer_free(&b);
-	json_object_object_add(a->o, "claims", kept);
+	json_object_object_add(a->wait.json, "claims", kept);
 }
 
 static void on_claims(void *ctx, uint64_t tag, const char *json,
@@ -274,25 +273,24 @@
 			     "Which claims are unresolved is not known now: "
 			     "the platform's store does not answer.");
 	json_object_put(claims);
-	admin_answer_json(a->node, tag, 200, a->o);
-	free(a);
+	admin_answer_json(a->wait.node, tag, 200,
+			  json_object_get(a->wait.json));
+	admin_wait_free(&a->wait);
 }
 
 static void answer_account(struct admin_query *q, int64_t now)
 {
-	struct account_answer *a = calloc(1, sizeof(*a));
+	struct admin_call c = {.node = q->node, .exchange = q->exchange};
+	struct account_answer *a = admin_wait_new(&c, sizeof(*a));
+	struct json_object *o;
 	struct explain_span *list;
 	struct buffer b = {0};
 	size_t n;
 
-	if (!a) {
-		admin_answer_error(q->node, q->exchange, 503, "no memory",
-				   "ask again later");
+	if (!a)
 		return;
-	}
-	a->node = q->node;
 	memcpy(a->account, q->account, sizeof(a->account));
-	a->o = json_object_new_object();
+	a->wait.json = o = json_object_new_object();
 	a->sentences = json_object_new_array();
 	list = merged_spans(q->items, &n);
 	explain_summary(list, n, *q->account ? q->account : NULL,
@@ -300,9 +298,9 @@
 	add_lines(a->sentences, &b);
 	buffer_free(&b);
 	add_coverage_sentence(a->sentences, q);
-	json_object_object_add(a->o, "sentences", a->sentences);
-	json_object_object_add(a->o, "counts", spans_json(list, n));
-	add_coverage(a->o, q);
+	json_object_object_add(o, "sentences", a->sentences);
+	json_object_object_add(o, "counts", spans_json(list, n));
+	add_coverage(o, q);
 	free(list);
 	claims_list(q->node->claims, a, q->exchange, on_claims, now);
 }
--- a/src/admin/notes.c
+++ b/src/admin/notes.c
@@ -9,7 +9,7 @@
 
 /* A note on its way into the store. */
 struct apply {
-	struct node *node;
+	struct admin_wait wait;
 	uint64_t exchange;
 	struct operator_id who;
 	size_t len;
@@ -110,16 +110,16 @@
 	json_object_object_add(o, "repeated",
 			       json_object_new_boolean(repeated));
 	json_add_text(o, "operator", a->who.name);
-	admin_answer_json(a->node, a->exchange, 200, o);
+	admin_answer_json(a->wait.node, a->exchange, 200, o);
 }
 
 static void answer_invalid(struct apply *a, const char *text)
 {
-	struct config *base = base_config(a->node);
+	struct config *base = base_config(a->wait.node);
 	bool team = *a->who.team && only_team_forbids(base, a->text, a->len);
 
 	config_put(base);
-	admin_answer_error(a->node, a->exchange, team ? 403 : 422, text,
+	admin_answer_error(a->wait.node, a->exchange, team ? 403 : 422, text,
 			   team ? "ask an operator of that team, or of every "
 				  "team"
 				: "mend what is named, and send the note "
@@ -139,7 +139,7 @@
 		answer_accepted(a, number, status == APPEND_REPEATED);
 		break;
 	case APPEND_CONFLICT:
-		admin_answer_error(a->node, a->exchange, 409, text,
+		admin_answer_error(a->wait.node, a->exchange, 409, text,
 				   "read what changed with 'note show', set "
 				   "'after' to the newest number, and send "
 				   "the note again");
@@ -148,17 +148,17 @@
 		answer_invalid(a, text);
 		break;
 	case APPEND_STORE_OUT:
-		admin_answer_error(a->node, a->exchange, 503, text,
+		admin_answer_error(a->wait.node, a->exchange, 503, text,
 				   "send the same note again when the "
 				   "platform's store answers");
 		break;
 	case APPEND_UNKNOWN:
-		admin_answer_error(a->node, a->exchange, 504, text,
+		admin_answer_error(a->wait.node, a->exchange, 504, text,
 				   "send the same note again: a repeat is "
 				   "recognised");
 		break;
 	}
-	free(a);
+	admin_wait_free(&a->wait);
 }
 
 /* If-Match, where given, must be the number that the note was written after */
@@ -200,13 +200,9 @@
 
 	if (!if_match_holds(c))
 		return;
-	a = calloc(1, sizeof(*a) + len + 1);
-	if (!a) {
-		admin_answer_error(c->node, c->exchange, 503, "no memory",
-				   "send the same note again later");
+	a = admin_wait_new(c, sizeof(*a) + len + 1);
+	if (!a)
 		return;
-	}
-	a->node = c->node;
 	a->exchange = c->exchange;
 	a->who = c->who;
 	a->len = len;
@@ -260,7 +256,7 @@
 
 /* The number asked for; the listing gives the next one that is kept. */
 struct show {
-	struct node *node;
+	struct admin_wait wait;
 	uint64_t number;
 };
 
@@ -271,8 +267,8 @@
 	struct show *s = ctx;
 
 	if (!json) {
-		answer_store_out(s->node, tag, err);
-		free(s);
+		answer_store_out(s->wait.node, tag, err);
+		admin_wait_free(&s->wait);
 		return;
 	}
 	list = json_tokener_parse(json);
@@ -281,27 +277,23 @@
 		    : NULL;
 	if (o && json_object_object_get_ex(o, "number", &number) &&
 	    (uint64_t)json_object_get_int64(number) == s->number)
-		admin_answer_json(s->node, tag, 200, json_object_get(o));
+		admin_answer_json(s->wait.node, tag, 200, json_object_get(o));
 	else
-		admin_answer_error(s->node, tag, 404,
+		admin_answer_error(s->wait.node, tag, 404,
 				   "the store has no note of this number",
 				   "see 'note history' for the notes that it "
 				   "keeps");
 	json_object_put(list);
-	free(s);
+	admin_wait_free(&s->wait);
 }
 
 /* GET /v1/notes/{number}: one note, with its text. */
 void admin_notes_show(struct admin_call *c)
 {
-	struct show *s = calloc(1, sizeof(*s));
+	struct show *s = admin_wait_new(c, sizeof(*s));
 
-	if (!s) {
-		admin_answer_error(c->node, c->exchange, 503, "no memory",
-				   "ask again later");
+	if (!s)
 		return;
-	}
-	s->node = c->node;
 	s->number = c->number;
 	notes_history(c->node->notes, c->number - 1, 1, s, c->exchange, on_show,
 		      c->now);
--- /dev/null
+++ b/src/admin/wait.c
@@ -0,0 +1,45 @@
+#include "admin/admin_impl.h"
+
+#include <stdlib.h>
+#include <utlist.h>
+
+/*
+ * Allocates zeroed state of a request that waits for the store: a struct
+ * that begins with a struct admin_wait. What still waits when the node
+ * closes is freed then, as its report never comes. NULL without memory,
+ * with the request answered.
+ */
+void *admin_wait_new(struct admin_call *c, size_t size)
+{
+	struct admin_wait *w = calloc(1, size);
+
+	if (!w) {
+		admin_answer_error(c->node, c->exchange, 503, "no memory",
+				   "ask again later");
+		return NULL;
+	}
+	w->node = c->node;
+	DL_APPEND(c->node->api->waits, w);
+	return w;
+}
+
+/* Frees the state of a request that was answered. */
+void admin_wait_free(struct admin_wait *w)
+{
+	DL_DELETE(w->node->api->waits, w);
+	json_object_put(w->json);
+	free(w);
+}
+
+/* Frees what waits when the node closes. */
+void admin_waits_free(struct admin *a)
+{
+	struct admin_wait *w, *next;
+
+	DL_FOREACH_SAFE(a->waits, w, next)
+	{
+		json_object_put(w->json);
+		free(w);
+	}
+	a->waits = NULL;
+}
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -382,4 +382,23 @@
 }
 wait_for 20 expect_left || fail "b1 has not left: $(cat "$WORK/out")"
 echo "ok status"
+
+# A node stops cleanly while requests wait for a store that hangs.
+start_node d1 south ', "stop_grace_s": 3'
+wait_for 20 ready d1 || fail "d1 has no configuration"
+kill -STOP "$pid_store"
+note hanging acc 50
+waiting=()
+for path in "note apply $WORK/hanging.json" "note show 1" "note history" \
+	"claims" "explain --account acc"; do
+	# shellcheck disable=SC2086
+	"$BIN" $path --admin "$admin_d1" >"$WORK/waiting" 2>&1 &
+	waiting+=($!)
+done
+wait_for 10 grep -q "event=link-up" "$WORK/d1.log" || fail "d1 has no link"
+kill -TERM "$pid_d1"
+wait "$pid_d1" || fail "d1 ended with $?: $(tail -n 40 "$WORK/d1.log")"
+wait "${waiting[@]}"
+kill -CONT "$pid_store"
+echo "ok a stop while the store hangs"
 echo "admin passed"
