Tell failed answers apart in the night's summary, and prove its cause

Cause: an overload of a deep service reached callers as 502 answers of the service in front, and the summary counted these as answered; no test drove an overload and asked for its cause.

Change: answers with a status of 500 or above are counted apart; one sentence a refusal, with one time when it lasted a minute, and a count of what is left out. test/admin.sh floods a chain two deep until something is shed, and the summary names the deepest service.

--- a/src/control/explain_counts.c
+++ b/src/control/explain_counts.c
@@ -165,6 +165,9 @@
 		return;
 	if (minute > c->minute)
 		start_minute(c, minute);
+	/* An answer by which the upstream itself says that it failed. */
+	if (d->kind == DECISION_ANSWERED && d->status >= 500)
+		key.reason = REASON_UPSTREAM_FAILED;
 	key.sub_call = strcmp(d->request, d->root) != 0;
 	key.account = number_of(c, d->account);
 	key.route = number_of(c, d->route);
--- a/src/control/explain_summary.c
+++ b/src/control/explain_summary.c
@@ -26,16 +26,31 @@
 	return sum;
 }
 
+static unsigned long long failed_answers(const struct explain_span *spans,
+					 size_t n)
+{
+	unsigned long long sum = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (spans[i].kind == DECISION_ANSWERED && !spans[i].sub_call &&
+		    spans[i].reason != REASON_NONE)
+			sum += spans[i].n;
+	return sum;
+}
+
 static int write_totals(const struct explain_span *spans, size_t n,
 			const char *account, struct buffer *out)
 {
 	return buffer_printf(
 		out,
-		"%s%s: %llu requests answered, %llu refused or stopped, %llu "
-		"cancelled by their callers, %llu retries.\n",
-		account ? "Client account " : "All client accounts",
+		"%s%s: %llu answered, %llu of them with a status of 500 or "
+		"above, %llu refused or stopped, %llu cancelled by their "
+		"callers; %llu retries.\n",
+		account ? "Requests of client account "
+			: "Requests of all client accounts",
 		account ? account : "", total(spans, n, DECISION_ANSWERED),
-		total(spans, n, DECISION_REFUSED),
+		failed_answers(spans, n), total(spans, n, DECISION_REFUSED),
 		total(spans, n, DECISION_CANCELLED),
 		total(spans, n, DECISION_RETRIED));
 }
@@ -157,36 +172,44 @@
 	return buffer_printf(out, "Nothing was shed.\n");
 }
 
+static int write_refusal(const struct explain_span *s, const char *account,
+			 struct buffer *out)
+{
+	char begin[32], end[32];
+
+	format_minute(s->from_min, begin);
+	format_minute(s->to_min, end);
+	if (buffer_printf(out, "%s UTC", begin) < 0)
+		return -1;
+	if (s->to_min > s->from_min && buffer_printf(out, " to %s UTC", end))
+		return -1;
+	return buffer_printf(
+		out, ": %llu%s%s on route %s refused or stopped (%s). %s%s\n",
+		(unsigned long long)s->n, account ? "" : " of client account ",
+		account ? "" : s->account, s->route[0] ? s->route : "(none)",
+		reason_code(s->reason), reason_sentence(s->reason),
+		s->outcome == OUTCOME_NOT_RUN ? " None of them ran."
+					      : " They may have run.");
+}
+
 static int write_refusals(const struct explain_span *spans, size_t n,
 			  const char *account, struct buffer *out)
 {
-	size_t i, listed = 0;
-	char begin[32], end[32];
+	size_t i, refusals = 0;
 
-	for (i = 0; i < n && listed < REFUSALS_LISTED; i++) {
+	for (i = 0; i < n; i++) {
 		if (spans[i].kind != DECISION_REFUSED || spans[i].sub_call)
 			continue;
-		listed++;
-		format_minute(spans[i].from_min, begin);
-		format_minute(spans[i].to_min, end);
-		if (buffer_printf(
-			    out,
-			    "%llu requests%s%s on route %s were refused or "
-			    "stopped between %s and %s UTC (%s). %s%s\n",
-			    (unsigned long long)spans[i].n,
-			    account ? "" : " of client account ",
-			    account ? "" : spans[i].account,
-			    spans[i].route[0] ? spans[i].route : "(none)",
-			    begin, end, reason_code(spans[i].reason),
-			    reason_sentence(spans[i].reason),
-			    spans[i].outcome == OUTCOME_NOT_RUN
-				    ? " None of them ran."
-				    : " They may have run."))
+		if (refusals++ < REFUSALS_LISTED &&
+		    write_refusal(&spans[i], account, out) < 0)
 			return -1;
 	}
-	if (!listed)
-		return buffer_printf(out, "Nobody was refused.\n");
-	return 0;
+	if (refusals > REFUSALS_LISTED)
+		return buffer_printf(out,
+				     "%zu further lines of this kind are left "
+				     "out; --json has them under counts.\n",
+				     refusals - REFUSALS_LISTED);
+	return refusals ? 0 : buffer_printf(out, "Nobody was refused.\n");
 }
 
 /*
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -9,7 +9,7 @@
 start_node a1 north
 start_node b1 south
 start_upstream deep b1 deep --slots 4 --service-us 200000 --fixed
-start_upstream front a1 front --slots 4 --sub "GET /deep"
+start_upstream front a1 front --slots 64 --connections 64 --sub "GET /deep"
 start_upstream issue a1 issue --slots 4 --service-us 60000000 --fixed
 
 cat >"$WORK/first.json" <<END
@@ -332,10 +332,26 @@
 says "sent it again (retry 1)"
 echo "ok explain of a retry"
 
+# Too much for the deepest service: it is named, not the one in front of it.
+flood() {
+	local i pids=()
+	for i in $(seq 60); do
+		call "flood-$i" caller GET /front >/dev/null &
+		pids+=($!)
+	done
+	wait "${pids[@]}"
+	"$BIN" explain --account acc --since 00:00 >"$WORK/out" 2>&1
+	grep -q "Shedding began at" "$WORK/out"
+}
+wait_for 60 flood || fail "nothing was shed: $(cat "$WORK/out")"
+says "Service deep caused it"
+grep -q " [1-9][0-9]* of them with a status of 500 or above" "$WORK/out" ||
+	fail "failed answers are not told apart: $(cat "$WORK/out")"
+echo "ok explain of an overload"
+
 # Overnight: an account, its counts, and claims left by a host that died.
 expect 0 "$BIN" explain --account slow --since 00:00
-says "requests on route deep were refused or stopped between"
-says "(over-rate)"
+says "on route deep refused or stopped (over-rate)."
 expect 0 "$BIN" explain --account acc --since 00:00 --json
 says '"hosts_answered":2'
 status_is 400 a1 GET '/v1/counts?since=yesterday'
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -235,6 +235,8 @@
 {
 	struct explain_span s[] = {
 		span(DECISION_ANSWERED, REASON_NONE, "svc", 0, 50, 900),
+		span(DECISION_ANSWERED, REASON_UPSTREAM_FAILED, "svc", 0, 9,
+		     40),
 		span(DECISION_REFUSED, REASON_SHED, "svc", 10, 20, 70),
 		span(DECISION_DROPPED, REASON_QUEUE_FULL, "deep", 8, 22, 30),
 		span(DECISION_REFUSED, REASON_OVER_RATE, "svc", 30, 31, 5),
@@ -244,20 +246,21 @@
 	const char *text;
 
 	(void)state;
-	assert_int_equal(explain_summary(s, 5, "acc", T0 / MINUTE + 50, &b), 0);
+	assert_int_equal(explain_summary(s, 6, "acc", T0 / MINUTE + 50, &b), 0);
 	text = (char *)b.data;
 	/* T0 is 2023-11-14 22:13 UTC. */
-	assert_non_null(strstr(text, "Client account acc: 900 requests "
-				     "answered, 82 refused or stopped"));
+	assert_non_null(strstr(text, "Requests of client account acc: 940 "
+				     "answered, 40 of them with a status of "
+				     "500 or above, 82 refused or stopped"));
 	assert_non_null(strstr(
 		text, "Shedding began at 2023-11-14 22:21 UTC and ended at "
 		      "2023-11-14 22:35 UTC. Service deep caused it: 30 "));
 	assert_non_null(strstr(
 		text, "Shedding began at 2023-11-14 23:01 UTC and still goes "
 		      "on. Service svc caused it: 7 "));
-	assert_non_null(strstr(text, "5 requests on route front were refused "
-				     "or stopped between 2023-11-14 22:43 and "
-				     "2023-11-14 22:44 UTC (over-rate)."));
+	assert_non_null(strstr(text, "2023-11-14 22:43 UTC to 2023-11-14 22:44 "
+				     "UTC: 5 on route front refused or stopped "
+				     "(over-rate). The client account has"));
 	b.len = 0;
 	assert_int_equal(explain_summary(s, 1, NULL, 0, &b), 0);
 	assert_non_null(strstr((char *)b.data, "Nothing was shed.\nNobody was "
