--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -2,23 +2,26 @@
 
 #include <math.h>
 
-#define WINDOW_KEEP 0.93 /* per step */
-#define WINDOW_IDLE 0.6	 /* per step with nothing running */
-#define CHANGE_SIGMAS 3	 /* off the expected count of ended calls */
-#define CHANGE_KEEP 0.2	 /* of what was summed before */
-#define DRAIN_S 1.0	 /* surplus backlog is worked off in this */
-#define TRIM_MIN 0.8	 /* of the rate that Little's law gives */
-#define TRIM_MAX 1.5	 /* the same */
-#define TRIM_GAIN 1.0	 /* per second, of idle slots and surplus */
-#define SURPLUS_MAX 0.3	 /* of capacity */
-#define SUDDEN 4	 /* backlogs of the goal that need no full step */
-#define CALM_SHARE 0.95	 /* of capacity; demand below is no overload */
-#define CALM_STEPS 3	 /* in a row that end an overload */
-#define CAP_FALL 0.8	 /* per step in which the upstream fails */
-#define CAP_RISE 1.1	 /* per step in which it does not */
-#define FAIL_SHARE 0.5	 /* of ended calls that counts as failing */
-#define FAIL_MIN 5	 /* ended calls that tell anything */
-#define COLD_SHARE 0.1	 /* of the slots at a cold start */
+#define WINDOW_KEEP 0.93  /* per step */
+#define WINDOW_IDLE 0.6	  /* per step with nothing running */
+#define CHANGE_SIGMAS 3	  /* off the expected count of ended calls */
+#define CHANGE_KEEP 0.2	  /* of what was summed before */
+#define DRAIN_S 1.0	  /* surplus backlog is worked off in this */
+#define TRIM_MIN 0.8	  /* of the rate that Little's law gives */
+#define TRIM_MAX 1.5	  /* the same */
+#define IDLE_MANY 0.6	  /* of slot time: the cause of the overload is gone */
+#define TRIM_IDLE_MAX 8.0 /* with so many slots unused */
+#define TRIM_KEEP 0.8	  /* of the excess over 1, per step with a backlog */
+#define TRIM_GAIN 1.0	  /* per second, of idle slots and surplus */
+#define SURPLUS_MAX 0.3	  /* of capacity */
+#define SUDDEN 4	  /* backlogs of the goal that need no full step */
+#define CALM_SHARE 0.95	  /* of capacity; demand below is no overload */
+#define CALM_STEPS 3	  /* in a row that end an overload */
+#define CAP_FALL 0.8	  /* per step in which the upstream fails */
+#define CAP_RISE 1.1	  /* per step in which it does not */
+#define FAIL_SHARE 0.5	  /* of ended calls that counts as failing */
+#define FAIL_MIN 5	  /* ended calls that tell anything */
+#define COLD_SHARE 0.1	  /* of the slots at a cold start */
 #define NOISE 2.5 /* sigmas of the arrivals in a step that queue freely */
 #define CAPACITY_MIN 0.1    /* calls a second */
 #define UNLIMITED_RATE 1e12 /* calls a second */
@@ -93,12 +96,22 @@
 /*
  * Integrates what Little's law gets wrong, such as calls that are dropped
  * after they were admitted: up with unused slots, down with a long backlog.
+ * While most slots are unused the measured service time is an old one, and
+ * the rate grows by up to a factor of two a step.
  */
 static void move_trim(struct gate *g, double idle, double surplus, double dt_s)
 {
 	if (surplus > SURPLUS_MAX)
 		surplus = SURPLUS_MAX;
+	if (idle > IDLE_MANY && !g->queued) {
+		g->trim *= 1 + idle;
+		if (g->trim > TRIM_IDLE_MAX)
+			g->trim = TRIM_IDLE_MAX;
+		return;
+	}
 	g->trim += (idle - surplus) * TRIM_GAIN * dt_s;
+	if (surplus > 0 && g->trim > 1)
+		g->trim = 1 + (g->trim - 1) * TRIM_KEEP;
 	if (g->trim > TRIM_MAX)
 		g->trim = TRIM_MAX;
 	if (g->trim < TRIM_MIN)
