Aim the measures at the first node of each data centre

Cause: 400 connections to each of 12 nodes were more than the caller can hold, so each run took minutes. Change: load goes to the front nodes only.

--- a/tools/measure/common.bash
+++ b/tools/measure/common.bash
@@ -78,10 +78,12 @@
 	sleep 2
 }
 
-# targets: the callers listeners of all nodes, as a JSON list.
+# targets: the callers listeners of the first node of each data centre, as a
+# JSON list; all of them would need more connections than the caller has.
 targets() {
 	local name var list=()
 	for name in "${NODES[@]}"; do
+		[[ $name == *-"$FRONT" ]] || continue
 		var="callers_${name//-/_}"
 		list+=("\"${!var}\"")
 	done
