Let queueing time, not queue length, tell a gate of an overload

Cause: a gate with few slots refused for a full queue of four calls a slot before its cutoff could see a backlog, so nothing was folded to the entries: of 3,460 calls dropped by the deepest service all were queue-full, none shed. Change: 256 calls and 16 a slot; the age of a call drops it before that.

--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -8,7 +8,10 @@
 /* An upstream that was not heard for this long is gone. */
 #define ANNOUNCE_SILENCE_US (10 * USEC_PER_SEC)
 #define QUEUE_TARGET_US (20 * USEC_PER_MSEC)
-#define QUEUE_PER_SLOT 4
+
+/* Only a bound on memory: queueing time, not length, tells of an overload. */
+#define QUEUE_PER_SLOT 16
+#define QUEUE_MIN 256
 #define COLD_START_US (3 * USEC_PER_SEC)
 #define KEEP_WARM_US (30 * USEC_PER_SEC)
 
@@ -68,7 +71,7 @@
 	struct gate_options gate = {
 		.slots = u->info.slots,
 		.queue_target_us = QUEUE_TARGET_US,
-		.queue_max = u->info.slots * QUEUE_PER_SLOT,
+		.queue_max = u->info.slots * QUEUE_PER_SLOT + QUEUE_MIN,
 		.cold_start_us = COLD_START_US,
 		.mode = n->config ? config_overload_mode(n->config)
 				  : OVERLOAD_ENFORCE,
--- a/tools/measure/common.bash
+++ b/tools/measure/common.bash
@@ -46,8 +46,9 @@
 	for dc in "$@"; do
 		while read -r service slots us sub; do
 			name=$dc-$service
-			start_node "$name" "$dc" ', "log_level": "notice",
-				"limits": {"requests": 20000}'
+			start_node "$name" "$dc" ",
+				\"log_level\": \"${LEVEL:-notice}\",
+				\"limits\": {\"requests\": 20000}"
 			NODES+=("$name")
 		done <<<"$SPEC"
 	done
