Keep cutoffs by the tightest service of a chain

Change: an answer names the service whose admission was the tightest in its chain; an entry keeps cutoffs by that service and remembers for each route which services it met. A route that is shed hears through the others.

--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -108,6 +108,15 @@
 void identity_remove(struct node *n, struct request *r);
 enum filter_result filter_deadline(struct node *n, struct request *r,
 				   int64_t now);
+
+/* The services whose cutoffs a route meets, learnt from answers. */
+#define BOTTLENECKS_MAX 4
+void bottlenecks_learn(struct node *n, uint64_t route, uint64_t service,
+		       int64_t now);
+size_t bottlenecks_list(struct node *n, uint64_t route,
+			uint64_t services[BOTTLENECKS_MAX], int64_t now);
+void bottlenecks_free(struct node *n);
+
 enum filter_result filter_shed(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_limit(struct node *n, struct request *r, int64_t now);
 void limit_retry(struct node *n, const char *account, int64_t now);
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -61,15 +61,19 @@
 	memset(r->shed_unseen, 0, sizeof(r->shed_unseen));
 }
 
-static void add_unseen(struct node *n, struct request *r)
+static void add_unseen(struct node *n, struct request *r, int64_t now)
 {
+	uint64_t account = r->account ? name_hash(r->account->name) : 0;
+	uint64_t services[BOTTLENECKS_MAX];
 	uint32_t own[SHED_CLASSES];
-	size_t i;
+	size_t count, i, cls;
 
-	cutoffs_take_unseen(n->cutoffs, name_hash(r->route->name),
-			    r->account ? name_hash(r->account->name) : 0, own);
-	for (i = 0; i < SHED_CLASSES; i++)
-		r->shed_unseen[i] += own[i];
+	count = bottlenecks_list(n, name_hash(r->route->name), services, now);
+	for (i = 0; i < count; i++) {
+		cutoffs_take_unseen(n->cutoffs, services[i], account, own);
+		for (cls = 0; cls < SHED_CLASSES; cls++)
+			r->shed_unseen[cls] += own[cls];
+	}
 }
 
 static void link_done(void *ctx, uint64_t tag, struct link_result *result,
@@ -78,7 +82,6 @@
 	struct node *n = ctx;
 	struct answer_head lost = {.outcome = OUTCOME_UNKNOWN,
 				   .reason = REASON_LINK_LOST};
-	size_t i;
 
 	if (result->status == LINK_ANSWERED) {
 		place_answered(n, tag, result->head, result->answer, now);
@@ -88,8 +91,6 @@
 		lost.outcome = OUTCOME_NOT_RUN;
 	else
 		lost.runs = 1;
-	for (i = 0; i < SHED_CLASSES; i++)
-		lost.admission.open[i] = ADMIT_ALL;
 	place_answered(n, tag, &lost, NULL, now);
 }
 
@@ -144,7 +145,7 @@
 		return request_refuse(n, r, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN,
 				      now);
 	if (!r->attempt)
-		add_unseen(n, r);
+		add_unseen(n, r, now);
 	fill_head(&head, r, u, now);
 	remember_tried(r);
 	r->sent_us = now;
@@ -238,15 +239,19 @@
 		load_failed(&u->load, now);
 	if (u && head->leaving)
 		u->info.state = UPSTREAM_LEAVING;
-	if (head->reason != REASON_LINK_LOST)
-		cutoffs_fold(n->cutoffs, name_hash(r->route->name), account,
+	if (head->tightest) {
+		cutoffs_fold(n->cutoffs, head->tightest, account,
 			     &head->admission, now);
+		bottlenecks_learn(n, name_hash(r->route->name), head->tightest,
+				  now);
+	}
 	if (head->outcome != OUTCOME_NOT_RUN)
 		r->may_have_run = true;
 	r->runs += head->runs;
 	r->allowance += head->allowance_left;
 	if (parent) {
-		parent->met = admission_min(parent->met, head->admission);
+		if (head->tightest)
+			call_meets(parent, head->tightest, head->admission);
 		parent->runs += head->runs;
 	}
 }
--- a/src/filter/shed.c
+++ b/src/filter/shed.c
@@ -2,32 +2,47 @@
 
 #include "node/node.h"
 
+/* Returns the service whose cutoff refuses the request, or 0. */
+static uint64_t refusing_service(struct node *n, const struct request *r,
+				 uint64_t account, int64_t now)
+{
+	uint64_t services[BOTTLENECKS_MAX];
+	size_t count, i;
+
+	count = bottlenecks_list(n, name_hash(r->route->name), services, now);
+	for (i = 0; i < count; i++)
+		if (!cutoffs_admit(n->cutoffs, services[i], account, r->cls,
+				   r->lot, now))
+			return services[i];
+	return 0;
+}
+
 /*
- * Refuses what the gates down the chain would refuse, by what their answers
- * told. Cutoffs are kept by route, since routes of one service may lead to
- * different services further down.
+ * Refuses what a gate down the chain would refuse. Answers tell the cutoff
+ * of the tightest service that their chain met; so a route that is all shed
+ * still hears when to open, through the routes that meet the same service.
  */
 enum filter_result filter_shed(struct node *n, struct request *r, int64_t now)
 {
-	uint64_t route = name_hash(r->route->name);
 	uint64_t account = r->account ? name_hash(r->account->name) : 0;
 	enum overload_mode mode = config_overload_mode(r->config);
+	uint64_t service;
 	struct call *parent;
 
 	if (mode == OVERLOAD_OFF)
 		return FILTER_NEXT;
-	if (cutoffs_admit(n->cutoffs, route, account, r->cls, r->lot, now))
+	service = refusing_service(n, r, account, now);
+	if (!service)
 		return FILTER_NEXT;
 	if (mode == OVERLOAD_OBSERVE) {
 		request_record(n, r, DECISION_OBSERVED, REASON_SHED, NULL, 0);
 		return FILTER_NEXT;
 	}
-	cutoffs_count_shed(n->cutoffs, route, account, r->cls, now);
+	cutoffs_count_shed(n->cutoffs, service, account, r->cls, now);
 	counter_add(COUNTER_SHED, 1);
 	parent = gates_call_get(n, r->parent);
 	if (parent)
-		parent->met = admission_min(
-			parent->met,
-			cutoffs_get(n->cutoffs, route, account, now));
+		call_meets(parent, service,
+			   cutoffs_get(n->cutoffs, service, account, now));
 	return request_refuse(n, r, REASON_SHED, OUTCOME_NOT_RUN, now);
 }
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -25,6 +25,18 @@
 	return c && c->started_us ? c : NULL;
 }
 
+/*
+ * Keeps the tightest admission that the sub-calls of a call met, and whose
+ * it is, for the answer to carry towards the entry.
+ */
+void call_meets(struct call *c, uint64_t service, struct admission a)
+{
+	if (c->met_service && !admission_tighter(a, c->met))
+		return;
+	c->met = a;
+	c->met_service = service;
+}
+
 static int index_call(struct node *n, struct call *c)
 {
 	struct call_index *index = calloc(1, sizeof(*index));
@@ -125,10 +137,12 @@
 {
 	struct local_upstream *u = gates_upstream(n, c->upstream);
 	struct gate_report report;
+	struct admission own;
 
 	head->allowance_left = c->allowance;
 	head->runs = c->runs;
 	head->admission = c->met;
+	head->tightest = c->met_service;
 	head->leaving = n->stopping;
 	if (c->started_us)
 		head->service_us = (uint32_t)(now - c->started_us);
@@ -138,11 +152,12 @@
 	head->queue_us = (uint32_t)report.queue_us;
 	head->in_flight = report.running + report.queued;
 	head->leaving |= u->info.state != UPSTREAM_READY;
-	head->admission = admission_min(
-		c->met,
-		gate_admission(u->gate, c->head.account[0]
-						? name_hash(c->head.account)
-						: 0));
+	own = gate_admission(
+		u->gate, c->head.account[0] ? name_hash(c->head.account) : 0);
+	if (c->met_service && !admission_tighter(own, c->met))
+		return;
+	head->admission = own;
+	head->tightest = name_hash(c->head.service);
 }
 
 /* Answers the entry and frees the call. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -350,6 +350,7 @@
 	if (n->config)
 		config_put(n->config);
 	service_retries_free(n);
+	bottlenecks_free(n);
 	if (n->api)
 		admin_free(n->api);
 	buffer_free(&n->limit_waiting);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,7 +53,8 @@
 	uint16_t runs;
 	uint32_t sub_calls; /* made so far, for their identities */
 	uint32_t open_sub_calls;
-	struct admission met; /* least that sub-calls met */
+	struct admission met; /* tightest that sub-calls met */
+	uint64_t met_service;
 	struct call_index *index;
 };
 
@@ -98,6 +99,7 @@
 	struct identities *identities;
 	struct exchange_index *exchanges;
 	struct service_retries *retries;
+	struct bottlenecks *bottlenecks;
 	struct call_index *by_token;
 	struct call_index *by_stream;
 	struct table requests;
@@ -144,6 +146,8 @@
 void gates_cancel_stream(struct node *n, uint64_t stream, int64_t now);
 void gates_cancel_call(struct node *n, uint64_t call, int64_t now);
 struct call *gates_call_by_token(struct node *n, const char *token);
+/* A sub-call met this admission of a service. */
+void call_meets(struct call *c, uint64_t service, struct admission a);
 struct call *gates_call_get(struct node *n, uint64_t handle);
 
 /* Directory: upstreams of a service, own data centre first. */
--- a/src/policy/lot.c
+++ b/src/policy/lot.c
@@ -24,6 +24,17 @@
 	return open == ADMIT_ALL || lot < open;
 }
 
+/* Tells whether a lets less through than b; the last class shed counts most. */
+bool admission_tighter(struct admission a, struct admission b)
+{
+	int cls;
+
+	for (cls = SHED_LAST; cls >= SHED_FIRST; cls--)
+		if (a.open[cls] != b.open[cls])
+			return a.open[cls] < b.open[cls];
+	return false;
+}
+
 /* Joins the admissions of two hops of one chain. */
 struct admission admission_min(struct admission a, struct admission b)
 {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -129,6 +129,8 @@
 			enum shed_class cls, int64_t now);
 void cutoffs_take_unseen(struct cutoffs *c, uint64_t service, uint64_t account,
 			 uint32_t unseen[SHED_CLASSES]);
+/* Which of two admissions lets less through, by importance. */
+bool admission_tighter(struct admission a, struct admission b);
 struct admission admission_min(struct admission a, struct admission b);
 
 /* Retries: allowance of a chain, ratio of a service. */
--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -1,6 +1,6 @@
 #include "wire/wire_impl.h"
 
-#define ANSWER_HEAD_PARTS 10
+#define ANSWER_HEAD_PARTS 11
 
 /* Writes the head of an answer as one array. */
 void write_answer_head(struct writer *w, const struct answer_head *h)
@@ -20,6 +20,7 @@
 	write_uint(w, h->in_flight);
 	write_uint(w, h->retry_after_ms);
 	write_bool(w, h->leaving);
+	write_uint(w, h->tightest);
 }
 
 /*
@@ -50,5 +51,6 @@
 	h->in_flight = (uint32_t)read_uint(&sub, UINT32_MAX);
 	h->retry_after_ms = (uint32_t)read_uint(&sub, UINT32_MAX);
 	h->leaving = read_bool(&sub);
+	h->tightest = read_uint(&sub, UINT64_MAX);
 	r->bad |= sub.bad || open.bad;
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -114,10 +114,11 @@
 	enum reason reason;
 	uint8_t allowance_left;
 	uint16_t runs; /* upstream executions at and below this hop */
-	struct admission admission;
-	uint32_t queue_us;   /* newest measured queueing time */
-	uint32_t service_us; /* time at the upstream */
-	uint32_t in_flight;  /* at the gate for this upstream */
+	struct admission admission; /* of the tightest service in the chain */
+	uint64_t tightest;	    /* hash of that service's name */
+	uint32_t queue_us;	    /* newest measured queueing time */
+	uint32_t service_us;	    /* time at the upstream */
+	uint32_t in_flight;	    /* at the gate for this upstream */
 	uint32_t retry_after_ms;
 	bool leaving;
 };
