Leave sub-calls to the gates, which know the depth of a call

Cause: sub-calls were shed by cutoffs at the second and third hop, each hop with its own, older view, after their root had cost work. Change: only entries shed ahead; a gate is told the depth of a call and admits somewhat more of the deep ones.

--- a/src/filter/shed.c
+++ b/src/filter/shed.c
@@ -27,9 +27,9 @@
 	uint64_t account = r->account ? name_hash(r->account->name) : 0;
 	enum overload_mode mode = config_overload_mode(r->config);
 	uint64_t service;
-	struct call *parent;
 
-	if (mode == OVERLOAD_OFF)
+	/* A sub-call has cost its root work already: its gate decides. */
+	if (mode == OVERLOAD_OFF || r->origin == ORIGIN_SERVICE)
 		return FILTER_NEXT;
 	service = refusing_service(n, r, account, now);
 	if (!service)
@@ -40,9 +40,5 @@
 	}
 	cutoffs_count_shed(n->cutoffs, service, account, r->cls, now);
 	counter_add(COUNTER_SHED, 1);
-	parent = gates_call_get(n, r->parent);
-	if (parent)
-		call_meets(parent, service,
-			   cutoffs_get(n->cutoffs, service, account, now));
 	return request_refuse(n, r, REASON_SHED, OUTCOME_NOT_RUN, now);
 }
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -336,6 +336,7 @@
 		.weight = account_weight(n, c->head.account),
 		.cls = c->head.cls,
 		.lot = c->head.lot,
+		.depth = c->head.depth,
 		.deadline_us = c->deadline_us,
 	};
 
--- a/test/harness.bash
+++ b/test/harness.bash
@@ -144,8 +144,11 @@
 # counts NAME KEY: one number of an upstream's counts.
 counts() {
 	local addr="addr_${1//-/_}"
-	curl -s "http://${!addr}/mulberryferry/v1/counts" |
-		sed -n "s/.*\"$2\":[ ]*\([0-9]*\).*/\1/p"
+	# The answer ends without a newline, which sed would leave out too.
+	{
+		curl -s "http://${!addr}/mulberryferry/v1/counts"
+		echo
+	} | sed -n "s/.*\"$2\":[ ]*\([0-9]*\).*/\1/p"
 }
 
 # control NAME QUERY: changes an upstream while it runs.
