--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -137,33 +137,50 @@
 		g->overload = false;
 }
 
+/* Calls a second that the limit can serve, by Little's law. */
+static double gate_capacity(const struct gate *g)
+{
+	double capacity;
+
+	if (g->service_us <= 0)
+		return UNLIMITED_RATE;
+	capacity = g->limit / g->service_us * USEC_PER_SEC;
+	return capacity < CAPACITY_MIN ? CAPACITY_MIN : capacity;
+}
+
+/*
+ * Returns the calls that may wait: what the queueing target allows, and no
+ * less than the arrivals of one step vary by.
+ */
+static double backlog_goal(const struct gate *g, double capacity, double dt_s)
+{
+	double target = capacity * (double)g->o.queue_target_us / USEC_PER_SEC;
+	double noise = NOISE * sqrt(capacity * dt_s);
+
+	return target > noise ? target : noise;
+}
+
 /* Moves limit, admitted rate and cutoffs. */
 void gate_step(struct gate *g, int64_t now)
 {
-	double dt = (double)(now - g->step_us);
-	double capacity = UNLIMITED_RATE, goal, idle, rate;
+	double dt_s = (double)(now - g->step_us) / USEC_PER_SEC;
+	double capacity, goal, idle;
 
-	if (dt <= 0)
+	if (dt_s <= 0)
 		return;
 	gate_count_busy(g, now);
-	demand_step(g, dt / USEC_PER_SEC, now);
+	demand_step(g, dt_s, now);
 	measure_service(g);
 	move_cap(g);
-	if (g->service_us > 0)
-		capacity = g->limit / g->service_us * USEC_PER_SEC;
-	if (capacity < CAPACITY_MIN)
-		capacity = CAPACITY_MIN;
-	goal = capacity * (double)g->o.queue_target_us / USEC_PER_SEC;
-	if (goal < NOISE * sqrt(capacity * dt / USEC_PER_SEC))
-		goal = NOISE * sqrt(capacity * dt / USEC_PER_SEC);
-	idle = g->limit ? 1 - g->busy / (dt * g->limit) : 0;
+	capacity = gate_capacity(g);
+	goal = backlog_goal(g, capacity, dt_s);
+	idle = g->limit ? 1 - g->busy / (dt_s * USEC_PER_SEC * g->limit) : 0;
 	judge_overload(g, capacity, goal);
 	if (g->overload && g->o.mode != OVERLOAD_OFF) {
 		move_trim(g, idle, (g->queued - goal) / (capacity * DRAIN_S),
-			  dt / USEC_PER_SEC);
-		rate = capacity * g->trim;
-		g->admitted_s = rate;
-		demand_allocate(g, rate, goal, DRAIN_S);
+			  dt_s);
+		g->admitted_s = capacity * g->trim;
+		demand_allocate(g, g->admitted_s, goal, DRAIN_S);
 	} else {
 		g->admitted_s = 0;
 		demand_open_all(g);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -169,11 +169,15 @@
 	bool tried; /* by an earlier attempt of this call */
 };
 
+/*
+ * Each call sent ends in one of three ways: an answer or refusal came, of
+ * whatever outcome; none came; or this node gave it up itself.
+ */
 void load_sent(struct upstream_load *l, int64_t now);
 void load_answered(struct upstream_load *l, const struct answer_head *h,
 		   int64_t latency_us, int64_t now);
 void load_failed(struct upstream_load *l, int64_t now);
-void load_cancelled(struct upstream_load *l); /* by this node itself */
+void load_cancelled(struct upstream_load *l);
 /* Returns an index, or -1 when there is no candidate. */
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now);
