--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -124,6 +124,9 @@
 void json_add_text(struct json_object *o, const char *name, const char *text);
 void json_add_int(struct json_object *o, const char *name, int64_t value);
 
+/* A text member, or "". */
+const char *admin_text(struct json_object *o, const char *name);
+
 uint64_t admin_number(const struct node *n);
 uint64_t admin_heard_number(const struct admin *a, const struct addr *member);
 int admin_tell_number(struct node *n, const struct addr *to,
--- a/src/admin/answer.c
+++ b/src/admin/answer.c
@@ -51,3 +51,14 @@
 {
 	json_object_object_add(o, name, json_object_new_int64(value));
 }
+
+/* Returns a text member of an object, or "" when there is none. */
+const char *admin_text(struct json_object *o, const char *name)
+{
+	struct json_object *v;
+
+	if (!json_object_object_get_ex(o, name, &v) ||
+	    !json_object_is_type(v, json_type_string))
+		return "";
+	return json_object_get_string(v);
+}
--- a/src/admin/claims.c
+++ b/src/admin/claims.c
@@ -8,14 +8,6 @@
 	bool unresolved;
 };
 
-static bool is_unresolved(struct json_object *claim)
-{
-	struct json_object *state;
-
-	return json_object_object_get_ex(claim, "state", &state) &&
-	       strcmp(json_object_get_string(state), "running") != 0;
-}
-
 static void on_list(void *ctx, uint64_t tag, const char *json,
 		    const struct error *err)
 {
@@ -34,7 +26,8 @@
 	kept = json_object_new_array();
 	for (i = 0; list && i < json_object_array_length(list); i++) {
 		claim = json_object_array_get_idx(list, i);
-		if (!l->unresolved || is_unresolved(claim))
+		if (!l->unresolved ||
+		    strcmp(admin_text(claim, "state"), "running") != 0)
 			json_object_array_add(kept, json_object_get(claim));
 	}
 	json_object_put(list);
--- a/src/admin/decisions.c
+++ b/src/admin/decisions.c
@@ -222,15 +222,6 @@
 	char account[NAME_SIZE];
 };
 
-static const char *member(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	if (!json_object_object_get_ex(o, name, &v))
-		return "";
-	return json_object_get_string(v);
-}
-
 static void add_claims(struct account_answer *a, struct json_object *claims)
 {
 	struct json_object *c, *kept = json_object_new_array();
@@ -239,17 +230,18 @@
 
 	for (i = 0; i < json_object_array_length(claims); i++) {
 		c = json_object_array_get_idx(claims, i);
-		if (strcmp(member(c, "state"), "unresolved") != 0 ||
+		if (strcmp(admin_text(c, "state"), "unresolved") != 0 ||
 		    (*a->account &&
-		     strcmp(member(c, "account"), a->account) != 0))
+		     strcmp(admin_text(c, "account"), a->account) != 0))
 			continue;
 		n++;
 		buffer_printf(&b,
 			      "Unresolved: request %s of client account %s on "
 			      "route %s, claimed at %s, may or may not have "
 			      "run; staff must settle it.\n",
-			      member(c, "request"), member(c, "account"),
-			      member(c, "route"), member(c, "since"));
+			      admin_text(c, "request"),
+			      admin_text(c, "account"), admin_text(c, "route"),
+			      admin_text(c, "since"));
 		json_object_array_add(kept, json_object_get(c));
 	}
 	if (!n)
--- a/src/admin/query.c
+++ b/src/admin/query.c
@@ -270,16 +270,6 @@
 	go_on(q, now);
 }
 
-static const char *text_member(struct json_object *o, const char *name)
-{
-	struct json_object *v;
-
-	if (!json_object_object_get_ex(o, name, &v) ||
-	    !json_object_is_type(v, json_type_string))
-		return NULL;
-	return json_object_get_string(v);
-}
-
 /* As many items as fit into one message, and whether all did. */
 static struct json_object *fitting(struct json_object *items)
 {
@@ -308,14 +298,13 @@
 static void answer_peer(struct node *n, const struct peer_msg *msg,
 			struct json_object *o, int64_t now)
 {
-	const char *id = text_member(o, "request");
-	const char *account = text_member(o, "account");
+	const char *id = admin_text(o, "request");
+	const char *account = admin_text(o, "account");
 	struct json_object *since, *answer;
 
-	if (id) {
+	if (*id) {
 		answer = fitting(own_records(n, id));
-	} else if (account &&
-		   json_object_object_get_ex(o, "since_min", &since)) {
+	} else if (json_object_object_get_ex(o, "since_min", &since)) {
 		answer = fitting(
 			own_spans(n, account, json_object_get_int64(since)));
 	} else {
--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define MEMBERS_LISTED 2000
-#define MEMBERS_ASKED 64 /* for their number, by one status request */
+#define NUMBERS_ASKED 64 /* for their number, by one status request */
 #define CUTOFF_PAIRS_MAX 20000
 
 static const char *member_state_name(enum member_state s)
@@ -96,7 +96,7 @@
 		       uint32_t place)
 {
 	if (place >= n->api->ask_from &&
-	    place < n->api->ask_from + MEMBERS_ASKED)
+	    place < n->api->ask_from + NUMBERS_ASKED)
 		admin_tell_number(n, &m->nodes, PEER_QUERY);
 }
 
@@ -119,7 +119,7 @@
 		else
 			ask_number(n, m, lagging++);
 	}
-	n->api->ask_from += MEMBERS_ASKED;
+	n->api->ask_from += NUMBERS_ASKED;
 	if (n->api->ask_from >= lagging)
 		n->api->ask_from = 0;
 	json_add_int(o, "hosts", present);
--- a/src/control/explain_counts.c
+++ b/src/control/explain_counts.c
@@ -12,7 +12,6 @@
 
 #define INDEX_SIZE (2 * COUNT_ROWS_MINUTE)
 #define OTHER "(other)"
-#define USEC_PER_MIN (60 * USEC_PER_SEC)
 
 struct counted_name {
 	char name[NAME_SIZE];
--- a/src/control/explain_impl.h
+++ b/src/control/explain_impl.h
@@ -4,6 +4,8 @@
 
 #include "control/control.h"
 
+#define USEC_PER_MIN (60 * USEC_PER_SEC)
+
 /*
  * Chains of records with the same hash, newest first, as sequence numbers
  * plus one. A number too old for the ring ends its chain.
--- a/src/control/explain_summary.c
+++ b/src/control/explain_summary.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#define USEC_PER_MIN (60 * USEC_PER_SEC)
 #define REFUSALS_LISTED 40
 #define SERVICES_MAX 16
 
