--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -22,14 +22,16 @@
 				    int64_t now)
 {
 	switch (r->stage) {
+	case STAGE_IDENTITY:
+		return filter_identity(n, r, now);
 	case STAGE_CONTEXT:
 		return filter_context(n, r, now);
 	case STAGE_ROUTE:
 		return filter_route(n, r, now);
 	case STAGE_KEY:
 		return filter_key(n, r, now);
-	case STAGE_IDENTITY:
-		return filter_identity(n, r, now);
+	case STAGE_DUPLICATE:
+		return filter_duplicate(n, r, now);
 	case STAGE_DEADLINE:
 		return filter_deadline(n, r, now);
 	case STAGE_SHED:
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -18,10 +18,11 @@
 };
 
 enum filter_stage {
+	STAGE_IDENTITY,
 	STAGE_CONTEXT,
 	STAGE_ROUTE,
 	STAGE_KEY,
-	STAGE_IDENTITY,
+	STAGE_DUPLICATE,
 	STAGE_DEADLINE,
 	STAGE_SHED,
 	STAGE_LIMIT,
@@ -58,6 +59,7 @@
 	uint8_t depth;
 	uint8_t attempt;
 	uint16_t runs;	   /* upstream executions so far */
+	bool named;	   /* the caller chose the identity */
 	bool may_have_run; /* an attempt whose outcome is unknown */
 	bool limited;	   /* spent a token */
 	uint64_t claim;
@@ -105,6 +107,8 @@
 enum filter_result filter_key(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_identity(struct node *n, struct request *r,
 				   int64_t now);
+enum filter_result filter_duplicate(struct node *n, struct request *r,
+				    int64_t now);
 void identity_remove(struct node *n, struct request *r);
 enum filter_result filter_deadline(struct node *n, struct request *r,
 				   int64_t now);
--- a/src/filter/identity.c
+++ b/src/filter/identity.c
@@ -111,8 +111,8 @@
 }
 
 /*
- * Gives a root its identity and its lot. A second request of the account
- * with the identity of one that still runs starts no second chain here.
+ * Gives a root its identity and its lot, before anything can refuse it, so
+ * that every answer and record carries the identity.
  */
 enum filter_result filter_identity(struct node *n, struct request *r,
 				   int64_t now)
@@ -121,18 +121,28 @@
 
 	if (r->origin == ORIGIN_SERVICE)
 		return FILTER_NEXT;
-	if (!given) {
-		random_token(r->root, MADE_ID_SIZE);
-	} else if (!id_is_valid(given)) {
-		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
-				      now);
-	} else {
+	r->named = given && id_is_valid(given);
+	if (r->named)
 		copy_name(r->root, sizeof(r->root), given);
-		if (identity_add(n, r) < 0)
-			return request_refuse(n, r, REASON_DUPLICATE,
-					      OUTCOME_NOT_RUN, now);
-	}
+	else
+		random_token(r->root, MADE_ID_SIZE);
 	memcpy(r->id, r->root, sizeof(r->id));
 	r->lot = draw_lot(n, r, now);
+	if (given && !r->named)
+		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
+				      now);
+	return FILTER_NEXT;
+}
+
+/*
+ * A second request of an account with the identity of one that still runs
+ * starts no second chain here.
+ */
+enum filter_result filter_duplicate(struct node *n, struct request *r,
+				    int64_t now)
+{
+	if (r->named && identity_add(n, r) < 0)
+		return request_refuse(n, r, REASON_DUPLICATE, OUTCOME_NOT_RUN,
+				      now);
 	return FILTER_NEXT;
 }
--- a/test/path.sh
+++ b/test/path.sh
@@ -73,6 +73,10 @@
 check "no key" "no-key" "$(call a1 GET /back/7)"
 check "wrong key" "bad-key" \
 	"$(call a1 GET /back/7 -H "Authorization: Bearer nope")"
+check "a refusal carries the identity" "x-request-id: mine-2" \
+	"$(call a1 GET /back/7 -H "X-Request-Id: mine-2")"
+check "bad identity" "bad-request" \
+	"$(call a1 GET /back/7 "${one[@]}" -H "X-Request-Id: a b")"
 check "open route" "outcome: done" "$(call b1 GET /public/x/y)"
 check "no route" "no-route" "$(call b1 GET /nowhere "${one[@]}")"
 check "bad deadline" "bad-request" \
