Judge upstreams by their own failures, and take cancelled calls back

Cause: a gate that shed counted as a failing upstream and was ejected; a call that this node gave up was never taken off the upstream's outstanding; and a parent's limit fell, and its call was retried, for a refused sub-call. Change: any answer of a gate is one, given-up calls are taken back, an answer that a refused sub-call caused carries that reason and is not retried, and the parent's admission folds the smoothed cutoff.

--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -86,6 +86,8 @@
 	struct call *parent = gates_call_get(n, r->parent);
 
 	if (parent) {
+		if (r->refused)
+			parent->sub_reason = r->refused;
 		parent->allowance += r->allowance;
 		parent->open_sub_calls--;
 	}
@@ -163,6 +165,7 @@
 	if (r->limited && outcome == OUTCOME_NOT_RUN)
 		quota_give_back(n->quota, r->account->name, now);
 	settle_claim(n, r, outcome, NULL, now);
+	r->refused = reason;
 	m.status = reason_status(reason);
 	if (!r->retry_after_ms && has_retry_after(reason))
 		r->retry_after_ms = RETRY_AFTER_MS;
@@ -210,10 +213,7 @@
 		r = item;
 		if (!r->in_flight || now < r->deadline_us + EXPIRE_LAG_US)
 			continue;
-		if (r->link_call)
-			links_cancel(n->links, r->link_call);
-		if (r->local_call)
-			gates_cancel_call(n, r->local_call, now);
+		place_forget(n, r, now);
 		request_refuse(n, r, REASON_DEADLINE, OUTCOME_UNKNOWN, now);
 	}
 }
@@ -232,10 +232,7 @@
 	counter_add(COUNTER_CANCELLED, 1);
 	if (r->in_flight && r->route->once)
 		return;
-	if (r->link_call)
-		links_cancel(n->links, r->link_call);
-	if (r->local_call)
-		gates_cancel_call(n, r->local_call, now);
+	place_forget(n, r, now);
 	request_refuse(n, r, REASON_CANCELLED,
 		       r->in_flight ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, now);
 }
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -71,7 +71,7 @@
 	uint64_t local_call;
 	int64_t sent_us;
 	bool in_flight;
-	enum reason last_reason;
+	enum reason refused; /* why it ended without an answer */
 	uint32_t retry_after_ms;
 };
 
@@ -126,6 +126,8 @@
 void limit_retry(struct node *n, const char *account, int64_t now);
 enum filter_result filter_claim(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now);
+/* Cancels the attempt in flight, if there is one. */
+void place_forget(struct node *n, struct request *r, int64_t now);
 /* The answer of the gate to the present attempt; answer may be moved. */
 void place_answered(struct node *n, uint64_t request,
 		    const struct answer_head *head, struct message *answer,
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -233,7 +233,7 @@
 	uint64_t account = r->account ? name_hash(r->account->name) : 0;
 	struct call *parent = gates_call_get(n, r->parent);
 
-	if (u && head->outcome == OUTCOME_DONE)
+	if (u && head->reason != REASON_LINK_LOST)
 		load_answered(&u->load, head, now - r->sent_us, now);
 	else if (u)
 		load_failed(&u->load, now);
@@ -251,11 +251,28 @@
 	r->allowance += head->allowance_left;
 	if (parent) {
 		if (head->tightest)
-			call_meets(parent, head->tightest, head->admission);
+			call_meets(parent, head->tightest,
+				   cutoffs_get(n->cutoffs, head->tightest,
+					       account, now));
 		parent->runs += head->runs;
 	}
 }
 
+/* Forgets the attempt in flight: this node gives up waiting for it. */
+void place_forget(struct node *n, struct request *r, int64_t now)
+{
+	struct known_upstream *u = directory_get(n->directory, r->upstream);
+
+	if (!r->in_flight)
+		return;
+	if (u)
+		load_cancelled(&u->load);
+	if (r->link_call)
+		links_cancel(n->links, r->link_call);
+	if (r->local_call)
+		gates_cancel_call(n, r->local_call, now);
+}
+
 /* Gives the outcome, sends the call again, or refuses it. */
 void place_answered(struct node *n, uint64_t request,
 		    const struct answer_head *head, struct message *answer,
@@ -274,8 +291,10 @@
 		request_refuse(n, r, REASON_CANCELLED, head->outcome, now);
 		return;
 	}
+	/* A failure that a sub-call caused would only be caused again. */
 	retriable = head->outcome != OUTCOME_DONE || !answer ||
-		    (status_is_retriable(answer->status) && !r->route->once);
+		    (status_is_retriable(answer->status) && !r->route->once &&
+		     head->reason == REASON_NONE);
 	if (retriable && start_retry(n, r, head->outcome, head->reason, now))
 		return;
 	if (head->outcome == OUTCOME_DONE && answer) {
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -206,11 +206,12 @@
 	return OUTCOME_UNKNOWN;
 }
 
-static enum reason reason_of(enum http_call_status status)
+static enum reason reason_of(const struct http_call_result *r,
+			     const struct call *c)
 {
-	switch (status) {
+	switch (r->status) {
 	case HTTP_ANSWERED:
-		return REASON_NONE;
+		return r->answer->status >= 500 ? c->sub_reason : REASON_NONE;
 	case HTTP_GARBAGE:
 	case HTTP_TOO_LARGE:
 		return REASON_UPSTREAM_GARBAGE;
@@ -230,15 +231,17 @@
 	struct call *c = gates_call_get(n, tag);
 	struct local_upstream *u;
 	uint64_t upstream;
+	bool failed;
 
 	if (!c)
 		return;
 	upstream = c->upstream;
 	u = gates_upstream(n, upstream);
+	/* What a refused sub-call caused is no failure of the upstream. */
+	failed = r->status != HTTP_ANSWERED ||
+		 (r->answer->status >= 500 && c->sub_reason == REASON_NONE);
 	if (u)
-		gate_done(u->gate, tag,
-			  r->status == HTTP_ANSWERED && r->answer->status < 500,
-			  now);
+		gate_done(u->gate, tag, !failed, now);
 	if (r->status != HTTP_ANSWERED) {
 		counter_add(COUNTER_UPSTREAM_FAILURES, 1);
 		log_error(LOG_WARNING, "upstream", &r->err);
@@ -246,7 +249,7 @@
 	if (r->status == HTTP_NOT_SENT)
 		c->runs--;
 	cancel_sub_calls(n, tag, now);
-	end_call(n, c, outcome_of(r->status), reason_of(r->status),
+	end_call(n, c, outcome_of(r->status), reason_of(r, c),
 		 r->status == HTTP_ANSWERED ? r->answer : NULL, now);
 	gates_pump(n, upstream, now);
 }
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -7,7 +7,7 @@
 
 /* An upstream that was not heard for this long is gone. */
 #define ANNOUNCE_SILENCE_US (10 * USEC_PER_SEC)
-#define QUEUE_TARGET_US (20 * USEC_PER_MSEC)
+#define QUEUE_TARGET_US (10 * USEC_PER_MSEC)
 
 /* Only a bound on memory: queueing time, not length, tells of an overload. */
 #define QUEUE_PER_SLOT 16
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -53,7 +53,8 @@
 	uint16_t runs;
 	uint32_t sub_calls; /* made so far, for their identities */
 	uint32_t open_sub_calls;
-	struct admission met; /* tightest that sub-calls met */
+	enum reason sub_reason; /* why the latest sub-call was refused */
+	struct admission met;	/* tightest that sub-calls met */
 	uint64_t met_service;
 	struct call_index *index;
 };
