Run every measure by one command

Cause: the measures stood apart. Change: tools/measure.sh; recovery is judged over whole seconds against what enforce carried before, for both modes, since off never carries it.

--- /dev/null
+++ b/tools/measure.sh
@@ -0,0 +1,20 @@
+#!/usr/bin/env bash
+# Runs every measure and writes build/measures.kv, one line a figure. RUNS
+# sets how often each load is repeated.
+set -u
+cd "$(dirname "$0")/.."
+export BUILD=${BUILD:-build}
+export OUT=${OUT:-$BUILD/measures.kv}
+export RUNS=${RUNS:-3}
+: >"$OUT"
+
+bash tools/measure/path.bash
+bash tools/measure/overload.bash aralsk
+bash tools/measure/overload.bash trinacria
+bash tools/measure/shared.bash
+"$BUILD/tools/replay" | grep '^measure=' | tee -a "$OUT"
+for slope in members_slope config_slope claim_writes quota_slope; do
+	[ -x "$BUILD/tools/$slope" ] || continue
+	"$BUILD/tools/$slope" | grep '^measure=' | tee -a "$OUT"
+done
+echo "figures are in $OUT"
--- a/tools/measure/overload.bash
+++ b/tools/measure/overload.bash
@@ -115,17 +115,23 @@
 	cp "$file" "$BUILD/measure-$DEPLOYMENT-3x-$1-$2.txt"
 }
 
-# recovery FILE END: seconds from END (ms) until goodput over half a second
-# is 95 % of what it was in the first four seconds; -1 if never.
+# goodput_before FILE: good answers per 100 ms from second 1 to second 5.
+goodput_before() {
+	awk '{ split($1, t, "="); split($4, g, "=")
+		if (t[2] >= 1000 && t[2] < 5000) s += g[2] }
+		END { print s / 40 }' "$1"
+}
+
+# recovery FILE END BEFORE: seconds from END (ms) to the start of the first
+# second with 95 % of the goodput that enforce had before; -1 if never.
 recovery() {
-	awk -v end="$2" '
+	awk -v end="$2" -v before="$3" '
 	{ split($1, t, "="); split($4, g, "="); good[t[2]] += g[2]; last = t[2] }
 	END {
-		for (i = 1000; i < 5000; i += 100) { before += good[i] / 40 }
-		for (i = end; i <= last - 500; i += 100) {
+		for (i = end; i <= last - 1000; i += 100) {
 			s = 0
-			for (j = 0; j < 500; j += 100) s += good[i + j] / 5
-			if (s >= .95 * before) { print (i + 500 - end) / 1000; exit }
+			for (j = 0; j < 1000; j += 100) s += good[i + j] / 10
+			if (s >= .95 * before) { print (i - end) / 1000; exit }
 		}
 		print -1
 	}' "$1"
@@ -151,7 +157,8 @@
 	load 23 "$2" "$file" "$(mixed 1.2)"
 	wait $!
 	SERIES=
-	recovered=$(recovery "$WORK/series" 15000)
+	[ "$1" = enforce ] && before=$(goodput_before "$WORK/series")
+	recovered=$(recovery "$WORK/series" 15000 "$before")
 	cp "$WORK/series" "$BUILD/measure-$DEPLOYMENT-recovery-$1-$2.txt"
 }
 
@@ -174,7 +181,7 @@
 start_store
 write_note
 start_fleet "${CENTRES[@]}"
-for mode in off enforce; do
+for mode in enforce off; do
 	set_mode $mode
 	for ((run = 1; run <= RUNS; run++)); do
 		at_three_times $mode $run
