List cutoffs by service, and run the commands of all operators' pages

Cause: cutoffs are kept by service now, the status page still asked by route. Change: status lists service and account; test/admin.sh runs the commands of the five new pages too. Conclusion: test/admin.sh does not come so far at present: a caller that goes away is not noticed since the loop runs on libev, which is being mended.

--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -168,17 +168,21 @@
 }
 
 static void add_cutoff(struct json_object *list, struct node *n,
-		       const struct route *r, const struct account *a,
+		       const struct service *s, const struct account *a,
 		       int64_t now)
 {
-	struct admission open = cutoffs_get(n->cutoffs, name_hash(r->name),
+	struct admission open = cutoffs_get(n->cutoffs, name_hash(s->name),
 					    a ? name_hash(a->name) : 0, now);
 	struct json_object *o;
+	int cls;
 
-	if (open.open[r->shed] == ADMIT_ALL)
+	for (cls = 0; cls < SHED_CLASSES; cls++)
+		if (open.open[cls] != ADMIT_ALL)
+			break;
+	if (cls == SHED_CLASSES)
 		return;
 	o = json_object_new_object();
-	json_add_text(o, "route", r->name);
+	json_add_text(o, "service", s->name);
 	json_add_text(o, "account", a ? a->name : "");
 	json_object_object_add(o, "admitted_share", open_json(open.open));
 	json_object_array_add(list, o);
@@ -188,17 +192,16 @@
 static struct json_object *cutoffs_json(struct node *n, int64_t now)
 {
 	struct json_object *list = json_object_new_array();
+	const struct service *s = NULL;
 	const struct account *a;
-	const struct route *r = NULL;
 	uint32_t pairs = 0;
 
-	while (n->config && (r = config_next_route(n->config, r))) {
+	while (n->config && (s = config_next_service(n->config, s))) {
+		add_cutoff(list, n, s, NULL, now);
 		a = NULL;
-		if (r->open)
-			add_cutoff(list, n, r, NULL, now);
-		while (pairs++ < CUTOFF_PAIRS_MAX && !r->open &&
+		while (pairs++ < CUTOFF_PAIRS_MAX &&
 		       (a = config_next_account(n->config, a)))
-			add_cutoff(list, n, r, a, now);
+			add_cutoff(list, n, s, a, now);
 	}
 	return list;
 }
--- a/src/cmd/status_page.c
+++ b/src/cmd/status_page.c
@@ -110,9 +110,9 @@
 	for (i = 0; i < json_length(list); i++) {
 		c = json_object_array_get_idx(list, i);
 		open = json_member(c, "admitted_share");
-		printf("  route %-20s account %-20s admitted last %.0f %% "
+		printf("  service %-20s account %-20s admitted last %.0f %% "
 		       "middle %.0f %% first %.0f %%\n",
-		       json_text(c, "route"), json_text(c, "account"),
+		       json_text(c, "service"), json_text(c, "account"),
 		       number(open, "last") * PERCENT,
 		       number(open, "middle") * PERCENT,
 		       number(open, "first") * PERCENT);
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -307,7 +307,8 @@
 		esac
 	done
 }
-for page in administration release-notes keys explain; do
+for page in administration release-notes keys explain limits overload once-only \
+	planned-stops outages; do
 	run_page $page
 done
 echo "ok the commands on the pages"
