--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -164,6 +164,7 @@
 void ledger_pool_key(const char *account, char key[STORE_KEY_SIZE]);
 int ledger_read(struct ledger_record *r, const struct store_entry *e);
 void ledger_write_text(const struct ledger_record *r, char text[96]);
+void ledger_bump(struct quota *q, int64_t now);
 void ledger_tick(struct quota *q, int64_t now);
 
 /* Homes: the nodes that hold slices of an account. */
--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -318,92 +318,6 @@
 	store_submit(q->o.store, &op, &done, now);
 }
 
-static void bump_done(void *ctx, uint64_t tag, const struct store_result *r,
-		      int64_t now)
-{
-	struct quota *q = ctx;
-	struct quota_account *a;
-	size_t i;
-
-	(void)tag;
-	q->bumping = false;
-	for (i = 0; i < q->bumped_count; i++) {
-		a = q->bumped[i];
-		a->writing = false;
-		if (r->outcome == STORE_DONE) {
-			a->slice.mod_revision = r->revision;
-			a->confirmed_us = q->bump_sent_us;
-		} else if (r->outcome == STORE_CONFLICT) {
-			/* Someone changed one of them: read each again. */
-			a->slice.incarnation = 0;
-			a->next_write_us = now;
-		}
-	}
-}
-
-struct bump {
-	struct store_compare compares[STORE_TXN_OPS_MAX];
-	struct store_write writes[STORE_TXN_OPS_MAX];
-	char keys[STORE_TXN_OPS_MAX][STORE_KEY_SIZE];
-	char texts[STORE_TXN_OPS_MAX][96];
-	size_t n;
-};
-
-static void add_bump(struct quota *q, struct bump *b, struct quota_account *a)
-{
-	size_t i = b->n++;
-
-	ledger_slice_key(q, a->name, b->keys[i]);
-	ledger_write_text(&a->slice, b->texts[i]);
-	b->compares[i].key = b->keys[i];
-	b->compares[i].mod_revision = a->slice.mod_revision;
-	b->writes[i].key = b->keys[i];
-	b->writes[i].value = b->texts[i];
-	b->writes[i].len = strlen(b->texts[i]);
-	a->writing = true;
-	q->bumped[q->bumped_count++] = a;
-}
-
-static bool bump_is_due(const struct quota *q, const struct quota_account *a,
-			int64_t now)
-{
-	return a->share && !a->writing &&
-	       a->slice.incarnation == q->o.incarnation &&
-	       now - a->confirmed_us >= BUMP_US / 2;
-}
-
-/*
- * Writes the slices of this node again, many in one transaction, so that
- * others see that their holder lives. Repeats at once while more are due.
- */
-static void bump(struct quota *q, int64_t now)
-{
-	struct store_op op = {.kind = STORE_TXN,
-			      .priority = STORE_QUOTA,
-			      .timeout_us = WRITE_TIMEOUT_US};
-	struct store_done done = {.ctx = q, .fn = bump_done};
-	struct bump *b = calloc(1, sizeof(*b));
-	struct quota_account *a, *next;
-
-	if (!b)
-		return;
-	q->bumped_count = 0;
-	HASH_ITER(hh, q->accounts, a, next)
-	if (b->n < STORE_TXN_OPS_MAX / 2 && bump_is_due(q, a, now))
-		add_bump(q, b, a);
-	q->next_bump_us = now + (b->n ? USEC_PER_SEC : BUMP_US / 2);
-	if (b->n) {
-		op.txn.compares = b->compares;
-		op.txn.compare_count = b->n;
-		op.txn.writes = b->writes;
-		op.txn.write_count = b->n;
-		q->bumping = true;
-		q->bump_sent_us = now;
-		store_submit(q->o.store, &op, &done, now);
-	}
-	free(b);
-}
-
 /*
  * Lets homes take slices before the first request: one account a tick,
  * since finding homes looks at every member, and not before the members of
@@ -439,7 +353,7 @@
 		return;
 	}
 	if (!q->bumping && now >= q->next_bump_us && !q->leaving)
-		bump(q, now);
+		ledger_bump(q, now);
 	look_ahead(q, now);
 	for (i = 0; i < ACCOUNTS_PER_TICK && q->writes < WRITES_MAX; i++) {
 		if (!q->cursor)
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -11,29 +11,35 @@
 /* The gate's own answer about a deadline may be on its way for so long. */
 #define EXPIRE_LAG_US (20 * USEC_PER_MSEC)
 
+/* Says in a decision which request it is on. */
+static void name_request(struct decision *d, const struct request *r)
+{
+	d->wall_us = clock_wall_us();
+	memcpy(d->request, r->id, sizeof(d->request));
+	memcpy(d->root, r->root, sizeof(d->root));
+	if (r->account)
+		memcpy(d->account, r->account->name, sizeof(d->account));
+	if (r->route) {
+		memcpy(d->route, r->route->name, sizeof(d->route));
+		memcpy(d->service, r->route->service, sizeof(d->service));
+	}
+	d->attempt = r->attempt;
+}
+
 /* Records, counts and logs what was decided on a request. */
 void request_record(struct node *n, const struct request *r,
 		    enum decision_kind kind, enum reason reason,
 		    const char *peer, int64_t took_us)
 {
-	struct decision d = {.kind = kind, .reason = reason};
+	struct decision d = {
+		.kind = kind, .reason = reason, .took_us = took_us};
 	struct known_upstream *u = directory_get(n->directory, r->upstream);
 
-	d.wall_us = clock_wall_us();
-	memcpy(d.request, r->id, sizeof(d.request));
-	memcpy(d.root, r->root, sizeof(d.root));
-	if (r->account)
-		memcpy(d.account, r->account->name, sizeof(d.account));
-	if (r->route) {
-		memcpy(d.route, r->route->name, sizeof(d.route));
-		memcpy(d.service, r->route->service, sizeof(d.service));
-	}
+	name_request(&d, r);
 	if (peer)
 		snprintf(d.peer, sizeof(d.peer), "%s", peer);
 	else if (u)
 		addr_format(&u->member, d.peer);
-	d.attempt = r->attempt;
-	d.took_us = took_us;
 	explain_add(n->explain, &d);
 }
 
@@ -45,18 +51,9 @@
 			     .reason = reason,
 			     .outcome = outcome,
 			     .status = status,
-			     .attempt = r->attempt,
 			     .took_us = now - r->arrived_us};
 
-	d.wall_us = clock_wall_us();
-	memcpy(d.request, r->id, sizeof(d.request));
-	memcpy(d.root, r->root, sizeof(d.root));
-	if (r->account)
-		memcpy(d.account, r->account->name, sizeof(d.account));
-	if (r->route) {
-		memcpy(d.route, r->route->name, sizeof(d.route));
-		memcpy(d.service, r->route->service, sizeof(d.service));
-	}
+	name_request(&d, r);
 	explain_add(n->explain, &d);
 }
 
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -4,77 +4,6 @@
 
 #include "node/gates.h"
 
-/* Returns the call of a handle, or NULL when it has ended. */
-struct call *gates_call_get(struct node *n, uint64_t handle)
-{
-	return table_get(&n->calls, handle);
-}
-
-/* Returns the running call that gave out a context token, or NULL. */
-struct call *gates_call_by_token(struct node *n, const char *token)
-{
-	struct call_index *index;
-	struct call *c;
-
-	if (strlen(token) != TOKEN_SIZE - 1)
-		return NULL;
-	HASH_FIND(hh_token, n->by_token, token, TOKEN_SIZE - 1, index);
-	if (!index)
-		return NULL;
-	c = gates_call_get(n, index->call);
-	return c && c->started_us ? c : NULL;
-}
-
-/*
- * Keeps the tightest admission that the sub-calls of a call met, and whose
- * it is, for the answer to carry towards the entry.
- */
-void call_meets(struct call *c, uint64_t service, struct admission a)
-{
-	if (c->met_service && !admission_tighter(a, c->met))
-		return;
-	c->met = a;
-	c->met_service = service;
-}
-
-static int index_call(struct node *n, struct call *c)
-{
-	struct call_index *index = calloc(1, sizeof(*index));
-
-	if (!index)
-		return -1;
-	random_token(index->token, sizeof(index->token));
-	memcpy(c->token, index->token, sizeof(c->token));
-	index->call = c->handle;
-	c->index = index;
-	HASH_ADD(hh_token, n->by_token, token, TOKEN_SIZE - 1, index);
-	if (c->reply_kind != REPLY_LINK)
-		return 0;
-	index->stream = c->reply.stream;
-	HASH_ADD(hh_stream, n->by_stream, stream, sizeof(index->stream), index);
-	return 0;
-}
-
-static void unindex_call(struct node *n, struct call *c)
-{
-	struct call_index *index = c->index;
-
-	HASH_DELETE(hh_token, n->by_token, index);
-	if (c->reply_kind == REPLY_LINK)
-		HASH_DELETE(hh_stream, n->by_stream, index);
-	free(index);
-}
-
-static void free_call(struct node *n, struct call *c)
-{
-	uint64_t handle = c->handle;
-
-	if (c->index)
-		unindex_call(n, c);
-	message_free(&c->message);
-	table_remove(&n->calls, handle);
-}
-
 /* A local answer waits for the next turn of the loop: no re-entry. */
 struct local_answer {
 	struct node *node;
@@ -171,7 +100,7 @@
 		links_answer(n->links, c->reply.stream, &head, m);
 	else
 		answer_locally(n, c->reply.request, &head, m, now);
-	free_call(n, c);
+	call_free(n, c);
 }
 
 static void cancel_sub_calls(struct node *n, uint64_t parent, int64_t now)
@@ -349,35 +278,6 @@
 	return gate_offer(u->gate, &g, why, now);
 }
 
-static struct call *add_call(struct node *n, enum reply_kind kind,
-			     uint64_t reply, const struct call_head *head,
-			     struct message *msg, int64_t now)
-{
-	struct call *c;
-	void *item;
-	uint64_t h = table_add(&n->calls, &item);
-	size_t i;
-
-	if (!h)
-		return NULL;
-	c = item;
-	c->handle = h;
-	c->reply_kind = kind;
-	if (kind == REPLY_LINK)
-		c->reply.stream = reply;
-	else
-		c->reply.request = reply;
-	c->head = *head;
-	c->message = *msg;
-	memset(msg, 0, sizeof(*msg));
-	c->arrived_us = now;
-	c->deadline_us = now + head->deadline_ms * USEC_PER_MSEC;
-	c->allowance = head->allowance;
-	for (i = 0; i < SHED_CLASSES; i++)
-		c->met.open[i] = ADMIT_ALL;
-	return c;
-}
-
 /*
  * Takes a call for an upstream of this host into its gate. The entry hears
  * the outcome through its reply; returns 0 when the call could not be held,
@@ -389,7 +289,7 @@
 {
 	struct local_upstream *u =
 		gates_find(n, &head->upstream, head->service);
-	struct call *c = add_call(n, kind, reply, head, msg, now);
+	struct call *c = call_add(n, kind, reply, head, msg, now);
 	struct answer_head refusal = {.outcome = OUTCOME_NOT_RUN,
 				      .reason = REASON_OVERLOADED,
 				      .allowance_left = head->allowance,
@@ -398,9 +298,9 @@
 	uint64_t handle;
 
 	memset(refusal.admission.open, 0xff, sizeof(refusal.admission.open));
-	if (!c || index_call(n, c) < 0) {
+	if (!c || call_index_add(n, c) < 0) {
 		if (c)
-			free_call(n, c);
+			call_free(n, c);
 		if (kind == REPLY_LINK)
 			links_answer(n->links, reply, &refusal, NULL);
 		return 0;
@@ -440,7 +340,7 @@
 	record_call(n, c, DECISION_CANCELLED, REASON_CANCELLED,
 		    now - c->arrived_us);
 	cancel_sub_calls(n, call, now);
-	free_call(n, c);
+	call_free(n, c);
 	gates_pump(n, upstream, now);
 }
 
@@ -459,14 +359,3 @@
 		return;
 	gates_cancel_call(n, index->call, now);
 }
-
-/* Frees every call without an answer, when the node closes. */
-void calls_free(struct node *n)
-{
-	uint64_t h = 0;
-	void *item;
-
-	while ((h = table_next(&n->calls, h, &item)))
-		free_call(n, item);
-	table_free(&n->calls);
-}
--- a/src/node/gates.h
+++ b/src/node/gates.h
@@ -10,4 +10,10 @@
 /* Lets the gate of one upstream name the next calls to run or drop. */
 void gates_pump(struct node *n, uint64_t upstream, int64_t now);
 
+struct call *call_add(struct node *n, enum reply_kind kind, uint64_t reply,
+		      const struct call_head *head, struct message *msg,
+		      int64_t now);
+int call_index_add(struct node *n, struct call *c);
+void call_free(struct node *n, struct call *c);
+
 #endif
