Test a rolling restart of all nodes under load

Cause: no test held a planned stop against what callers saw. Conclusion: http_server.c closes what the kernel accepts after http_server_drain without an answer; callers told Connection: close meet this when they connect again.

--- /dev/null
+++ b/test/stop.sh
@@ -0,0 +1,133 @@
+#!/usr/bin/env bash
+# A rolling restart of all nodes under load: no request is cut, and none ends
+# as failed or unknown. Callers leave a node when it says that it stops.
+. "$(dirname "$0")/harness.bash"
+BIN=${BIN_OF_STOP:-$BUILD/mulberryferry-san}
+
+NAMES=(a1 a2 b1 b2)
+
+# load NAME SECONDS TARGET...: a plan without retries in the background.
+load() {
+	local name=$1 seconds=$2 to
+	shift 2
+	to=$(printf '"%s",' "$@")
+	cat >"$WORK/$name.plan" <<-END
+	{"to": [${to%,}], "seconds": $seconds, "seed": 1, "streams": [
+		{"name": "read", "key": "one", "method": "GET",
+		 "path": "/read", "rate": 60, "deadline_ms": 10000,
+		 "retries": 0},
+		{"name": "issue", "key": "one", "method": "POST",
+		 "path": "/issue", "rate": 10, "deadline_ms": 10000,
+		 "retries": 0, "once": true}]}
+	END
+	run "$name" "$TOOLS/caller" "$WORK/$name.plan"
+}
+
+# tally NAME KEY: a figure of a load's report.
+tally() {
+	sed -n "s/^stream=total .*\b$2=\([0-9]*\).*/\1/p" "$WORK/$1.out"
+}
+
+# restart NAME: the same settings with the addresses that it had.
+restart() {
+	local name=$1 l var
+	for l in callers services nodes admin; do
+		var="${l}_$name"
+		sed -i "s/\"$l\": \"127.0.0.1:0\"/\"$l\": \"${!var}\"/" \
+			"$WORK/$name.json"
+	done
+	mv "$WORK/$name.log" "$WORK/$name.log.before"
+	run "$name" "$BIN" node --settings "$WORK/$name.json"
+	wait_for 10 grep -q event=listening "$WORK/$name.log" ||
+		fail "$name did not start again: $(cat "$WORK/$name.log")"
+	wait_for 20 ready "$name" || fail "$name has no configuration"
+}
+
+serves() {
+	call "$1" GET /read -H "Authorization: Bearer one" |
+		grep -qi "outcome: done"
+}
+
+running_at() { # UPSTREAM: has work in flight
+	[ "$(counts "$1" running)" -gt 0 ]
+}
+
+callers() { # NAME: its address
+	local var="callers_$1"
+	echo "${!var}"
+}
+
+others() { # NAME: addresses of the others
+	local n
+	for n in "${NAMES[@]}"; do
+		[ "$n" = "$1" ] || callers "$n"
+	done
+}
+
+start_store
+for n in "${NAMES[@]}"; do
+	start_node "$n" "${n%?}"
+done
+cat >"$WORK/note.json" <<END
+{"release": "first", "added": {
+	"services": [{"name": "back", "retry_percent": 100}],
+	"routes": [
+		{"name": "read", "method": "GET", "path": "/read",
+		 "service": "back", "shed": "last", "deadline_ms": 10000,
+		 "retries": 4},
+		{"name": "issue", "method": "POST", "path": "/issue",
+		 "service": "back", "shed": "last", "once": true,
+		 "deadline_ms": 10000, "retries": 4}],
+	"accounts": [{"name": "port", "rate": 5000, "burst": 5000,
+		"weight": 1}],
+	"keys": [{"id": "k1", "account": "port",
+		"hash": "$(key_hash one)"}]}}
+END
+apply_note a1 "$WORK/note.json"
+for n in "${NAMES[@]}"; do
+	wait_for 10 ready "$n" || fail "$n has no configuration"
+	start_upstream "up-$n" "$n" back --slots 32 --connections 32 \
+		--service-us 100000 --fixed
+done
+for n in "${NAMES[@]}"; do
+	wait_for 10 serves "$n" || fail "no answer from $n"
+done
+load warm 5 $(for n in "${NAMES[@]}"; do callers "$n"; done)
+wait "$pid_warm"
+
+cut=0 jobs=0
+for n in "${NAMES[@]}"; do
+	# The node that stops is sent work for one second; the stop comes
+	# while answers of that second are due.
+	load "others-$n" 8 $(others "$n")
+	load "self-$n" 1 "$(callers "$n")"
+	wait_for 5 running_at "up-$n" || fail "up-$n has no work"
+	sleep 0.5
+	pid="pid_$n"
+	kill -TERM "${!pid}"
+	wait_for 60 grep -q event=stopped "$WORK/$n.log" || fail "$n hangs"
+	wait "${!pid}"
+	grep -q "Sanitizer\|runtime error" "$WORK/$n.log" &&
+		fail "$n: $(grep -A9 'Sanitizer\|runtime error' "$WORK/$n.log")"
+	[ "$(field "$WORK/$n.log" stopped cut_calls)" = 0 ] ||
+		fail "$n: $(grep event=stopped "$WORK/$n.log")"
+	cut=$((cut + $(field "$WORK/$n.log" stopped cut_requests)))
+	restart "$n"
+	for load in "self-$n" "others-$n"; do
+		pid="pid_${load//-/_}"
+		wait "${!pid}" || fail "load: $(cat "$WORK/$load.log")"
+		jobs=$((jobs + $(tally "$load" jobs)))
+		cut=$((cut + $(tally "$load" failed) + $(tally "$load" unknown)))
+		echo "$load: $(grep stream=total "$WORK/$load.out")"
+	done
+	wait_for 20 serves "$n" || fail "$n does not serve after its restart"
+done
+[ "$jobs" -gt 0 ] || fail "no load"
+echo "requests=$jobs"
+echo "cut=$cut"
+[ "$cut" = 0 ] || fail "$cut requests cut, failed or unknown"
+for n in "${NAMES[@]}"; do
+	grep -q "Sanitizer\|runtime error" "$WORK/$n.log" &&
+		fail "$n: $(grep -A9 'Sanitizer\|runtime error' "$WORK/$n.log")"
+done
+echo "stop passed"
