Let settings name further headers that pass

Cause: libwebsockets 4.1 cannot list headers that it does not know, so those outside a built-in list were dropped without a way to let them pass.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -10,6 +10,7 @@
 #define SECRET_SIZE 32
 #define KEY_HASH_SIZE 32
 #define SEEDS_MAX 16
+#define PASS_HEADERS_MAX 32
 #define METHOD_SIZE 16
 #define PATTERN_SIZE 256
 #define NOTE_TEXT_MAX (512 * 1024) /* bytes */
@@ -52,6 +53,9 @@
 	uint8_t secret[SECRET_SIZE];
 	/* Hash of a key that counts while there are no operators; or zero. */
 	uint8_t bootstrap_operator[KEY_HASH_SIZE];
+	/* Names of further headers that pass, lower case. */
+	char headers[PASS_HEADERS_MAX][NAME_SIZE];
+	size_t header_count;
 	size_t body_limit;	  /* bytes of one request or answer body */
 	size_t memory_limit;	  /* bytes of all bodies held at once */
 	uint32_t requests_max;	  /* requests held at once */
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -51,6 +51,7 @@
 	{"listen", .kind = FIELD_OBJECT, .required = true,
 	 .fields = listen_fields, .field_count = COUNT(listen_fields)},
 	{"seeds", .kind = FIELD_OTHER},
+	{"headers", .kind = FIELD_OTHER},
 	{"store", .kind = FIELD_OBJECT, .required = true,
 	 .fields = store_fields, .field_count = COUNT(store_fields)},
 	{"secret", .kind = FIELD_HASH, .offset = AT(secret), .required = true},
@@ -101,6 +102,51 @@
 	reader_leave(r, outer);
 }
 
+static bool is_header_name(const char *name)
+{
+	/* RFC 9110 5.6.2, lower case. */
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz0123456789"
+				      "!#$%&'*+-.^_`|~";
+
+	return *name && !name[strspn(name, allowed)] &&
+	       strlen(name) < NAME_SIZE;
+}
+
+static void read_header(struct reader *r, struct json_object *name,
+			struct settings *s)
+{
+	const char *text = json_object_get_string(name);
+
+	if (!json_object_is_type(name, json_type_string) ||
+	    !is_header_name(text))
+		reader_fault(r, "must be a header name in lower case");
+	else
+		copy_name(s->headers[s->header_count++], NAME_SIZE, text);
+}
+
+static void read_headers(struct reader *r, struct json_object *obj,
+			 struct settings *s)
+{
+	struct json_object *list;
+	size_t len, i, n, outer;
+
+	if (!json_object_object_get_ex(obj, "headers", &list))
+		return;
+	outer = reader_enter(r, "headers");
+	n = json_object_is_type(list, json_type_array)
+		    ? json_object_array_length(list)
+		    : SIZE_MAX;
+	if (n > PASS_HEADERS_MAX)
+		reader_fault(r, "must be a list of at most %d names",
+			     PASS_HEADERS_MAX);
+	for (i = 0; i < n && n <= PASS_HEADERS_MAX; i++) {
+		len = reader_enter_index(r, i);
+		read_header(r, json_object_array_get_idx(list, i), s);
+		reader_leave(r, len);
+	}
+	reader_leave(r, outer);
+}
+
 static void check_together(struct reader *r, const struct settings *s)
 {
 	if (s->store_kind == STORE_ETCD && !addr_is_set(&s->store))
@@ -151,6 +197,7 @@
 	scan_duplicates(text, strlen(text), &r);
 	fields_read(&r, obj, settings_fields, COUNT(settings_fields), s, false);
 	read_seeds(&r, obj, s);
+	read_headers(&r, obj, s);
 	if (!faults.n)
 		check_together(&r, s);
 	if (faults.n)
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -67,6 +67,7 @@
 		.connections_max = u->info.connections,
 		.body_limit = n->settings.body_limit,
 		.keep_warm_us = KEEP_WARM_US,
+		.header_names = n->header_names,
 	};
 	struct gate_options gate = {
 		.slots = u->info.slots,
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -126,6 +126,7 @@
 	struct http_server_options o = {.listen = s->callers,
 					.body_limit = s->body_limit,
 					.connections_max = s->connections_max,
+					.header_names = n->header_names,
 					.ctx = n,
 					.request = on_caller,
 					.gone = on_gone};
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -231,12 +231,15 @@
 struct node *node_open(const struct settings *s, struct error *err)
 {
 	struct node *n = calloc(1, sizeof(*n));
+	size_t i;
 
 	if (!n) {
 		error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
 		return NULL;
 	}
 	n->settings = *s;
+	for (i = 0; i < s->header_count; i++)
+		n->header_names[i] = n->settings.headers[i];
 	n->incarnation = (uint64_t)clock_wall_us();
 	n->lot_key = XXH3_64bits(s->secret, sizeof(s->secret));
 	n->rng = gsl_rng_alloc(gsl_rng_taus2);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -82,6 +82,7 @@
 
 struct node {
 	struct settings settings;
+	const char *header_names[PASS_HEADERS_MAX + 1]; /* into settings */
 	struct net *net;
 	struct http_server *callers;
 	struct http_server *services;
