--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -84,7 +84,7 @@
 	struct http_conn *busy; /* with a call, or closing */
 	struct http_conn *idle; /* newest first */
 	uint32_t conn_count;
-	struct net_alarm pump;
+	struct lws_sorted_usec_list pump;
 };
 
 struct http_conn *http_conn_take(struct http_pool *p, struct error *err);
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -5,6 +5,7 @@
 #include <utlist.h>
 
 #define CALLS_MAX (1U << 20)
+#define SOON_US 1
 #define DEADLINE_FAR_US (INT64_C(365) * 24 * 3600 * USEC_PER_SEC)
 
 static void free_call(struct http_pool_call *call)
@@ -77,13 +78,11 @@
 	return NULL;
 }
 
-static void pump_fired(struct net_alarm *alarm, int64_t now);
+static void pump_fired(struct lws_sorted_usec_list *sul);
 
 static void pump_soon(struct http_pool *p)
 {
-	int64_t now = net_now();
-
-	net_alarm_set(p->net, &p->pump, now, now, pump_fired);
+	lws_sul_schedule(p->net->context, 0, &p->pump, pump_fired, SOON_US);
 }
 
 static void put_first(struct http_pool_call *call)
@@ -112,12 +111,11 @@
 	}
 }
 
-static void pump_fired(struct net_alarm *alarm, int64_t now)
+static void pump_fired(struct lws_sorted_usec_list *sul)
 {
-	struct http_pool *p = lws_container_of(alarm, struct http_pool, pump);
+	struct http_pool *p = lws_container_of(sul, struct http_pool, pump);
 	struct http_pool_call *call;
 
-	(void)now;
 	start_waiting(p);
 	call = first_waiting(p, true);
 	if (!call)
@@ -199,7 +197,7 @@
 static void free_pool(struct http_pool *p)
 {
 	DL_DELETE(p->net->pools, p);
-	net_alarm_cancel(&p->pump);
+	lws_sul_cancel(&p->pump);
 	table_free(&p->calls);
 	free(p);
 }
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -10,7 +10,7 @@
 #define HEADER_WAIT_SECS 10 /* for a request's header block to arrive */
 /* Calls have deadlines of their own; the library's must not come first. */
 #define LIBRARY_WAIT_SECS 3600
-#define NUDGE_US (50 * USEC_PER_MSEC)
+#define PULSE_US (20 * USEC_PER_MSEC)
 
 struct net_part {
 	struct net_part *next;
@@ -66,9 +66,16 @@
 	return clock_monotonic_us();
 }
 
-static void nudge(struct net_alarm *alarm, int64_t now)
+/*
+ * The library looks at its timers when the loop is idle, and when the one
+ * fires that it last set for. A loop with a readable socket is never idle, so
+ * that one must always be near.
+ */
+static void pulse(struct lws_sorted_usec_list *sul)
 {
-	net_alarm_set(alarm->net, alarm, now, now + NUDGE_US, nudge);
+	struct net *net = lws_container_of(sul, struct net, pulse);
+
+	lws_sul_schedule(net->context, 0, sul, pulse, PULSE_US);
 }
 
 static int open_context(struct net *net)
@@ -103,7 +110,6 @@
 struct net *net_open(struct error *err)
 {
 	struct net *net = calloc(1, sizeof(*net));
-	int64_t now = net_now();
 
 	if (!net) {
 		error_set(err, ERROR_MEMORY, "net-open", NULL, "out of memory");
@@ -118,7 +124,7 @@
 		free(net);
 		return NULL;
 	}
-	net_alarm_set(net, &net->nudge, now, now + NUDGE_US, nudge);
+	pulse(&net->pulse);
 	return net;
 }
 
@@ -132,6 +138,7 @@
 		return;
 	net->closing = true;
 	net_free_timers(net);
+	lws_sul_cancel(&net->pulse);
 	lws_context_destroy(net->context);
 	http_pool_free_all(net);
 	http_conn_free_all(net);
@@ -149,9 +156,9 @@
 }
 
 /*
- * Serves until net_stop, which may come first. libwebsockets looks at its
- * own timers after events of its sockets only, and cancelling its wait is
- * such an event: it must follow each alarm, whose handler may have set one.
+ * Serves until net_stop, which may come first. An alarm's handler may have
+ * set a timer of libwebsockets, which looks at them after an event of a
+ * socket; cancelling its wait is such an event.
  */
 void net_run(struct net *net)
 {
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -34,8 +34,8 @@
 	struct ev_loop *loop;
 	void *foreign_loops[1]; /* loop, as libwebsockets takes it */
 	struct lws_context *context;
-	struct net_alarm nudge; /* for libwebsockets' own timers */
-	bool fired;		/* an alarm, in this turn of the loop */
+	struct lws_sorted_usec_list pulse;
+	bool fired; /* an alarm, in this turn of the loop */
 	struct net_timer *timers;
 	struct net_part *parts;
 	struct net_vhost *vhosts;
--- a/test/test_net.c
+++ b/test/test_net.c
@@ -5,7 +5,9 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include <netinet/in.h>
 #include <pthread.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "net/net.h"
@@ -211,6 +213,87 @@
 	assert_int_equal(u.other, 0);
 }
 
+struct leaver {
+	struct net *net;
+	struct addr addr;
+	int fd;
+	int gone, far;
+};
+
+static void request_came(void *ctx, uint64_t exchange, struct message *msg,
+			 const char *peer, int64_t now)
+{
+	struct leaver *l = ctx;
+
+	(void)exchange;
+	(void)msg;
+	(void)peer;
+	(void)now;
+	close(l->fd);
+}
+
+static void leaver_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	struct leaver *l = ctx;
+
+	(void)exchange;
+	(void)now;
+	l->gone++;
+	net_stop(l->net);
+}
+
+static void too_late(void *ctx, int64_t now)
+{
+	struct leaver *l = ctx;
+
+	(void)now;
+	l->far++;
+	net_stop(l->net);
+}
+
+static void send_request(void *ctx, int64_t now)
+{
+	static const char text[] = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct leaver *l = ctx;
+
+	(void)now;
+	assert_int_equal(write(l->fd, text, sizeof(text) - 1),
+			 sizeof(text) - 1);
+}
+
+/*
+ * The connection stays readable after its end, so that the loop is never
+ * idle; and it was open before, with the library's wait for its request.
+ */
+static void a_caller_that_left_is_told_without_an_idle_loop(void **state)
+{
+	struct leaver l = {.net = net_open(NULL)};
+	struct http_server_options so = {.connections_max = 4,
+					 .body_limit = 100,
+					 .ctx = &l,
+					 .request = request_came,
+					 .gone = leaver_gone};
+	struct sockaddr_in to = {.sin_family = AF_INET};
+	int64_t now = clock_monotonic_us();
+	struct http_server *server;
+
+	(void)state;
+	addr_parse(&so.listen, "127.0.0.1:0");
+	server = http_server_open(l.net, &so, NULL);
+	assert_non_null(server);
+	http_server_addr(server, &l.addr);
+	to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	to.sin_port = htons(l.addr.port);
+	l.fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(connect(l.fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	net_at(l.net, now + 100 * USEC_PER_MSEC, send_request, &l);
+	net_at(l.net, now + FAR_US, too_late, &l);
+	net_run(l.net);
+	assert_int_equal(l.gone, 1);
+	assert_int_equal(l.far, 0);
+	net_close(l.net);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -219,6 +302,8 @@
 		cmocka_unit_test(nothing_fires_after_a_stop_that_came_first),
 		cmocka_unit_test(a_stop_from_elsewhere_ends_the_wait),
 		cmocka_unit_test(open_connections_end_with_the_loop),
+		cmocka_unit_test(
+			a_caller_that_left_is_told_without_an_idle_loop),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
