Ask the former home too, and keep no room for loans that are not made

Cause: when a host that ranks first for an account joined, the others asked it although it held nothing yet, and no longer the one that still did; and each node kept room for 256 loans of each account and walked all accounts every 5 ms. Change: the second in rank of the own data centre is asked last; a former home gives its share back after 5 s instead of 30, and an empty pool is looked at again after 1 s; loans take room as they are made, and the tick looks at accounts with loans or questions only.

--- a/src/control/quota.c
+++ b/src/control/quota.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 #include <xxhash.h>
 
 #define DEMAND_WINDOW_US (100 * USEC_PER_MSEC)
@@ -70,9 +71,7 @@
 
 	if (!a)
 		return NULL;
-	a->loans_out = calloc(LOANS_OUT_MAX, sizeof(*a->loans_out));
-	if (!a->loans_out || copy_name(a->name, sizeof(a->name), name) < 0) {
-		free(a->loans_out);
+	if (copy_name(a->name, sizeof(a->name), name) < 0) {
 		free(a);
 		return NULL;
 	}
@@ -289,10 +288,13 @@
 	struct quota_account *a, *next;
 
 	ledger_tick(q, now);
-	HASH_ITER(hh, q->accounts, a, next)
+	DL_FOREACH_SAFE(q->busy, a, next)
 	{
+		loans_tick(q, a, now);
 		if (a->asking || a->loans_in_count || a->loans_out_count)
-			loans_tick(q, a, now);
+			continue;
+		DL_DELETE(q->busy, a);
+		a->busy = false;
 	}
 	reclaim_tick(q, now);
 }
--- a/src/control/quota_homes.c
+++ b/src/control/quota_homes.c
@@ -21,7 +21,7 @@
 	struct ranked best[2];
 };
 
-#define CENTRES_MAX (HOMES_MAX / 2)
+#define CENTRES_MAX 12
 
 static struct centre *find_centre(struct centre *c, size_t *n, const char *name)
 {
@@ -51,6 +51,7 @@
 	}
 }
 
+/* tokens 0: not a home, but perhaps one until lately, so worth asking. */
 static void add_home(struct quota *q, struct quota_account *a,
 		     const struct ranked *r, double tokens)
 {
@@ -59,7 +60,7 @@
 
 	if (!r->member || a->home_count == HOMES_MAX)
 		return;
-	if (addr_equal(&r->member->nodes, &q->o.self)) {
+	if (tokens > 0 && addr_equal(&r->member->nodes, &q->o.self)) {
 		a->is_home = true;
 		a->home_share = (uint32_t)(tokens / a->burst * SHARE_ALL);
 	}
@@ -129,6 +130,25 @@
 		add_home(q, a, &c->best[1], tokens / 2);
 }
 
+/*
+ * When a host that ranks first joins, the former home of the data centre
+ * still holds the slice for some seconds: it is asked last.
+ */
+static void add_runner_up(struct quota *q, struct quota_account *a,
+			  const struct centre *c)
+{
+	const struct member_info *self = members_self(q->o.members);
+	const struct member_info *m = c->best[1].member;
+	size_t i;
+
+	if (!m || strcmp(c->name, self->data_centre))
+		return;
+	for (i = 0; i < a->home_count; i++)
+		if (addr_equal(&a->homes[i].node, &m->nodes))
+			return;
+	add_home(q, a, &c->best[1], 0);
+}
+
 /*
  * Finds the homes of an account: in each data centre the one or two alive
  * nodes that rank first for it. Nodes that disagree for a while only ask in
@@ -159,6 +179,8 @@
 		choose_homes(q, a, &centres[i],
 			     tokens_of_centre(a->burst, n, i));
 	sort_homes(a);
+	for (i = 0; i < n; i++)
+		add_runner_up(q, a, &centres[i]);
 	if (was_home && !a->is_home)
 		a->not_home_since_us = now;
 	a->homes_at_us = now;
--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -29,7 +29,7 @@
 #define LOANS_IN_MAX 16
 #define LOANS_OUT_MAX 256
 #define ASKS_KEPT 8
-#define HOMES_MAX 24
+#define HOMES_MAX 25
 #define TOKEN_UNIT 1000.0 /* tokens travel in thousandths */
 
 /* A loan that this node may spend until it expires. */
@@ -56,6 +56,7 @@
 	bool answered;
 };
 
+/* A node to ask for loans: a home, or the next one in rank. */
 struct home {
 	struct addr node;
 	bool same_data_centre;
@@ -97,6 +98,9 @@
 	size_t loans_in_count;
 	struct loan_out *loans_out;
 	size_t loans_out_count;
+	size_t loans_out_size;
+	struct quota_account *prev, *next; /* those with loans or questions */
+	bool busy;
 
 	/* Demand, and the round of questions to lenders. */
 	double demand_s;
@@ -129,6 +133,7 @@
 	char self[ADDR_TEXT_SIZE];
 	struct quota_account *accounts;
 	struct quota_account *cursor; /* of the walk over the tick */
+	struct quota_account *busy;   /* with loans or questions */
 	struct config *config;
 	gsl_rng *rng;
 	uint64_t next_id;
@@ -173,6 +178,7 @@
 /* Loans. */
 void loans_expire(struct quota *q, struct quota_account *a, int64_t now);
 bool loans_start_round(struct quota *q, struct quota_account *a, int64_t now);
+void loans_busy(struct quota *q, struct quota_account *a);
 void loans_tick(struct quota *q, struct quota_account *a, int64_t now);
 void loans_receive(struct quota *q, const struct peer_msg *msg, int64_t now);
 void loans_spent(struct quota *q, struct quota_account *a,
--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -10,7 +10,7 @@
 #define WRITE_TIMEOUT_US (2 * USEC_PER_SEC)
 #define RETRY_US (200 * USEC_PER_MSEC)
 #define RETRY_MAX_US (10 * USEC_PER_SEC)
-#define EMPTY_POOL_US (5 * USEC_PER_SEC)
+#define EMPTY_POOL_US USEC_PER_SEC
 #define LIST_PAGE 500
 
 /* How many accounts are looked at in one tick, and written at once. */
@@ -21,7 +21,7 @@
 #define SETTLE_US (2 * USEC_PER_SEC)
 
 /* A node stays a home for so long after others have come to rank first. */
-#define HOME_LINGER_US (30 * USEC_PER_SEC)
+#define HOME_LINGER_US (5 * USEC_PER_SEC)
 
 /* Writes the key of this node's slice of an account. */
 void ledger_slice_key(const struct quota *q, const char *account,
--- a/src/control/quota_loans.c
+++ b/src/control/quota_loans.c
@@ -1,10 +1,13 @@
 #include "control/quota_impl.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 /* A question without an answer for so long goes to the next lender. */
 #define ASK_TIMEOUT_US (4 * USEC_PER_MSEC)
+#define LOANS_OUT_MIN 4
 #define QUIET_MIN_US (10 * USEC_PER_MSEC)
 #define QUIET_MAX_US (100 * USEC_PER_MSEC)
 
@@ -33,6 +36,15 @@
 	report(q, a->name, &loan->lender, loan->id, 0);
 }
 
+/* Has the tick look at an account that has loans or questions. */
+void loans_busy(struct quota *q, struct quota_account *a)
+{
+	if (a->busy)
+		return;
+	a->busy = true;
+	DL_APPEND(q->busy, a);
+}
+
 static bool ask_one(struct quota *q, struct quota_account *a, int64_t now)
 {
 	struct peer_msg msg = {.kind = PEER_LOAN_ASK};
@@ -89,6 +101,7 @@
 		return false;
 	homes_update(q, a, now);
 	a->asking = true;
+	loans_busy(q, a);
 	a->ask_next = 0;
 	a->got_in_round = 0;
 	return ask_next(q, a, now);
@@ -170,6 +183,24 @@
 	return NULL;
 }
 
+static struct loan_out *add_out(struct quota *q, struct quota_account *a)
+{
+	size_t size = a->loans_out_size ? a->loans_out_size * 2 : LOANS_OUT_MIN;
+	struct loan_out *p;
+
+	if (a->loans_out_count == LOANS_OUT_MAX)
+		return NULL;
+	if (a->loans_out_count == a->loans_out_size) {
+		p = realloc(a->loans_out, size * sizeof(*p));
+		if (!p)
+			return NULL;
+		a->loans_out = p;
+		a->loans_out_size = size;
+	}
+	loans_busy(q, a);
+	return &a->loans_out[a->loans_out_count++];
+}
+
 static double lend(struct quota *q, struct quota_account *a,
 		   const struct peer_msg *msg, int64_t now)
 {
@@ -181,8 +212,7 @@
 	out = find_out(a, &msg->from, msg->loan_ask.id);
 	if (out)
 		return out->tokens;
-	if (q->leaving || a->withdrawn || msg->loan_ask.terms != a->terms ||
-	    a->loans_out_count == LOANS_OUT_MAX)
+	if (q->leaving || a->withdrawn || msg->loan_ask.terms != a->terms)
 		return 0;
 	if (want > a->level)
 		want = a->level;
@@ -190,9 +220,11 @@
 	want = floor(want + 1e-9);
 	if (want < 1)
 		return 0;
+	out = add_out(q, a);
+	if (!out)
+		return 0;
 	a->level -= want;
 	a->lent += want;
-	out = &a->loans_out[a->loans_out_count++];
 	out->id = msg->loan_ask.id;
 	out->borrower = msg->from;
 	out->tokens = want;
@@ -229,8 +261,9 @@
 }
 
 /* A loan is good from the question on, which came before the grant. */
-static void take_loan(struct quota_account *a, const struct peer_msg *msg,
-		      const struct asked *asked, int64_t now)
+static void take_loan(struct quota *q, struct quota_account *a,
+		      const struct peer_msg *msg, const struct asked *asked,
+		      int64_t now)
 {
 	struct loan_in *loan;
 
@@ -238,6 +271,7 @@
 	    asked->asked_us + LOAN_US <= now || asked->terms != a->terms)
 		return;
 	loan = &a->loans_in[a->loans_in_count++];
+	loans_busy(q, a);
 	loan->id = asked->id;
 	loan->lender = msg->from;
 	loan->left = msg->loan_grant.tokens / TOKEN_UNIT;
@@ -256,7 +290,7 @@
 		return;
 	asked->answered = true;
 	newest = asked == &a->asked[(a->asked_at - 1) % ASKS_KEPT];
-	take_loan(a, msg, asked, now);
+	take_loan(q, a, msg, asked, now);
 	if (msg->loan_grant.tokens)
 		q->o.wake(q->o.ctx, a->name, now);
 	if (!a->asking || !newest)
