--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -128,6 +128,10 @@
 			      REASON_NOT_CONFIGURED);
 		return;
 	}
+	if (origin == ORIGIN_CALLER && node_takes_no_more(n, now)) {
+		refuse_unheld(n, n->callers, exchange, REASON_STOPPING);
+		return;
+	}
 	index = calloc(1, sizeof(*index));
 	handle = index ? add_request(n, msg, &r) : 0;
 	if (!handle) {
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -281,8 +281,7 @@
 	switch (reason) {
 	case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
 		s = server_of(wsi);
-		return s->draining ||
-		       s->connections >= s->options.connections_max;
+		return s->connections >= s->options.connections_max;
 	case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
 		server_of(wsi)->connections++;
 		return 0;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -54,7 +54,10 @@
  */
 int http_server_answer(struct http_server *s, uint64_t exchange,
 		       const struct message *m);
-/* Stops accepting; answers from now on say Connection: close. */
+/*
+ * Answers from now on say Connection: close. Connections that the kernel has
+ * accepted for us are still served: closing them would cut a request.
+ */
 void http_server_drain(struct http_server *s);
 uint32_t http_server_connections(const struct http_server *s);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -279,6 +279,15 @@
 	log_emit(&line);
 }
 
+/*
+ * Tells whether a planned stop has gone on for so long that callers can have
+ * heard of it; else a steady stream of them would keep the node from ending.
+ */
+bool node_takes_no_more(const struct node *n, int64_t now)
+{
+	return n->stopping && now - n->stopping_since_us >= STOP_LINGER_US;
+}
+
 static void log_stopped(struct node *n, int64_t now)
 {
 	struct log_line line;
@@ -298,7 +307,7 @@
 	bool busy = n->requests.count || n->calls.count;
 
 	if (now < n->stop_at_us) {
-		if (busy || now - n->stopping_since_us < STOP_LINGER_US)
+		if (busy || !node_takes_no_more(n, now))
 			return;
 		quota_leave(n->quota, now);
 		if (!quota_idle(n->quota) || !claims_idle(n->claims))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -126,6 +126,8 @@
 void node_close(struct node *n);
 /* Begins a planned stop. */
 void node_stop(struct node *n, int64_t now);
+/* Others have had the time to hear of the stop: new requests are refused. */
+bool node_takes_no_more(const struct node *n, int64_t now);
 /* Looks whether a planned stop has ended. */
 void node_stop_step(struct node *n, int64_t now);
 uint64_t node_random(struct node *n);
