Send only idempotent methods again once they may have run

Cause: a POST on a route that is not marked once was sent again after its outcome was unknown, as a GET may be; and a call whose gate had lost its upstream was not sent elsewhere.

--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -178,14 +178,20 @@
 	free(p);
 }
 
+/* Whether a second run would be an effect that nobody asked for. */
+static bool must_run_once(const struct request *r)
+{
+	return r->route->once || !method_is_idempotent(r->message.method);
+}
+
 static bool may_retry(struct node *n, struct request *r, enum outcome outcome,
 		      enum reason reason)
 {
-	if (r->route->once && outcome != OUTCOME_NOT_RUN)
+	if (must_run_once(r) && outcome != OUTCOME_NOT_RUN)
 		return false;
 	if (config_overload_mode(r->config) == OVERLOAD_OFF)
 		return r->attempt < BLIND_RETRIES;
-	if (!retry_allowed(outcome, reason, r->route->once))
+	if (!retry_allowed(outcome, reason, must_run_once(r)))
 		return false;
 	if (!r->allowance)
 		return false;
@@ -293,7 +299,7 @@
 	}
 	/* A failure that a sub-call caused would only be caused again. */
 	retriable = head->outcome != OUTCOME_DONE || !answer ||
-		    (status_is_retriable(answer->status) && !r->route->once &&
+		    (status_is_retriable(answer->status) &&
 		     head->reason == REASON_NONE);
 	if (retriable && start_retry(n, r, head->outcome, head->reason, now))
 		return;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -143,6 +143,8 @@
 void retry_ratio_init(struct retry_ratio *r, uint32_t percent);
 void retry_ratio_call(struct retry_ratio *r);
 bool retry_ratio_take(struct retry_ratio *r);
+/* RFC 9110 9.2.2: running it twice is meant to do what running it once does. */
+bool method_is_idempotent(const char *method);
 /* Jittered back-off before attempt (1 for the first retry). */
 int64_t retry_backoff_us(uint32_t attempt, uint64_t seed);
 /* Whether a failed attempt may be sent again at all. */
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -1,5 +1,7 @@
 #include "policy/policy.h"
 
+#include <string.h>
+
 #define RETRY_RESERVE 10.0 /* retries that a quiet service may burst */
 #define BACKOFF_BASE_US (5 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (200 * USEC_PER_MSEC)
@@ -56,6 +58,19 @@
 	       (int64_t)(pair_hash(seed, 0) % (uint64_t)(span / 2 + 1));
 }
 
+/* Tells the methods of RFC 9110 9.2.2 from all others. */
+bool method_is_idempotent(const char *method)
+{
+	static const char *const methods[] = {"GET",   "HEAD", "OPTIONS",
+					      "TRACE", "PUT",  "DELETE"};
+	size_t i;
+
+	for (i = 0; i < sizeof(methods) / sizeof(*methods); i++)
+		if (!strcmp(method, methods[i]))
+			return true;
+	return false;
+}
+
 /*
  * Tells whether a failed attempt may be sent again at all, apart from
  * allowance, ratio and deadline. Once-only calls go again only when it is
@@ -68,6 +83,7 @@
 		return false;
 	switch (reason) {
 	case REASON_QUEUE_FULL:
+	case REASON_NO_UPSTREAM: /* the gate's has gone; others may be there */
 	case REASON_UPSTREAM_FAILED:
 	case REASON_UPSTREAM_GARBAGE:
 	case REASON_LINK_LOST:
--- a/test/test_policy_small.c
+++ b/test/test_policy_small.c
@@ -96,6 +96,19 @@
 	assert_int_not_equal(retry_backoff_us(3, 1), retry_backoff_us(3, 2));
 }
 
+static void only_idempotent_methods_run_twice(void **state)
+{
+	static const char *const twice[] = {"GET", "HEAD", "PUT", "DELETE"};
+	static const char *const once[] = {"POST", "PATCH", "get", "", "X"};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(twice) / sizeof(*twice); i++)
+		assert_true(method_is_idempotent(twice[i]));
+	for (i = 0; i < sizeof(once) / sizeof(*once); i++)
+		assert_false(method_is_idempotent(once[i]));
+}
+
 static void once_only_is_sent_again_only_if_not_run(void **state)
 {
 	static const struct {
@@ -107,6 +120,7 @@
 		{OUTCOME_NOT_RUN, REASON_QUEUE_FULL, true, true},
 		{OUTCOME_NOT_RUN, REASON_LINK_LOST, true, true},
 		{OUTCOME_NOT_RUN, REASON_STOPPING, true, true},
+		{OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, true, true},
 		{OUTCOME_UNKNOWN, REASON_LINK_LOST, true, false},
 		{OUTCOME_UNKNOWN, REASON_LINK_LOST, false, true},
 		{OUTCOME_UNKNOWN, REASON_UPSTREAM_FAILED, true, false},
@@ -231,6 +245,7 @@
 		cmocka_unit_test(allowance_is_split_never_copied),
 		cmocka_unit_test(ratio_bounds_retries),
 		cmocka_unit_test(backoff_grows_within_bounds),
+		cmocka_unit_test(only_idempotent_methods_run_twice),
 		cmocka_unit_test(once_only_is_sent_again_only_if_not_run),
 		cmocka_unit_test(lots_are_stable_and_ordered),
 		cmocka_unit_test(cutoffs_hold_the_mean_of_several_gates),
