--- a/Makefile
+++ b/Makefile
@@ -108,6 +108,10 @@
 	$(MAKE) all
 	bash tools/measure.sh
 
+# Mutates the inputs of every decoder for some minutes, under the sanitizers.
+fuzz: $(BUILD)/test/test_fuzz
+	FUZZ_ROUNDS=$${FUZZ_ROUNDS:-2000000} $(BUILD)/test/test_fuzz
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -127,6 +131,6 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all san unit scripts packages check demo measure format format-check \
+.PHONY: all san unit fuzz scripts packages check demo measure format format-check \
 	lint clean
 .SECONDARY:
