--- a/src/control/members.c
+++ b/src/control/members.c
@@ -49,8 +49,8 @@
 	m->gone_due_us = now + phase(m, 5 * USEC_PER_SEC);
 	m->join_due_us = now;
 	if (o->store)
-		m->seat = seat_new(m);
-	if (!member_add(m, &self, now) || (o->store && !m->seat)) {
+		m->seed_lease = seed_lease_new(m);
+	if (!member_add(m, &self, now) || (o->store && !m->seed_lease)) {
 		members_free(m);
 		return NULL;
 	}
@@ -71,7 +71,7 @@
 	free(m->local.items);
 	free(m->remote.items);
 	free(m->gone.items);
-	free(m->seat);
+	free(m->seed_lease);
 	if (m->rng)
 		gsl_rng_free(m->rng);
 	free(m->seeds);
@@ -104,8 +104,8 @@
 	members_gossip_tick(m, now);
 	members_pull_tick(m, now);
 	members_join_tick(m, now);
-	if (m->seat)
-		seat_tick(m->seat, now);
+	if (m->seed_lease)
+		seed_lease_tick(m->seed_lease, now);
 }
 
 /* Takes a message of another member's controller. */
@@ -183,8 +183,8 @@
 			state == MEMBER_LEFT ? UPSTREAM_GONE : UPSTREAM_LEAVING;
 	self.version++;
 	member_update(m, m->self, &self, now);
-	if (m->seat)
-		seat_release(m->seat, now);
+	if (m->seed_lease)
+		seed_lease_release(m->seed_lease, now);
 	members_gossip(m, TOLD_AT_ONCE);
 }
 
--- a/src/control/members_impl.h
+++ b/src/control/members_impl.h
@@ -62,18 +62,18 @@
 	uint64_t asker_sequence;
 };
 
-enum seat_state {
-	SEAT_NONE,
-	SEAT_BUSY, /* a call to the store is under way */
-	SEAT_HELD,
+enum seed_state {
+	SEED_NONE,
+	SEED_BUSY, /* a call to the store is under way */
+	SEED_HELD,
 };
 
 /* This node's entry among the seeds in the store. */
-struct seat {
+struct seed_lease {
 	struct members *members;
 	struct store *store;
 	uint32_t conflicts;
-	enum seat_state state;
+	enum seed_state state;
 	int64_t lease;
 	int64_t due_us;
 	int64_t list_due_us;
@@ -124,7 +124,7 @@
 
 	struct addr found[SEEDS_FOUND_MAX]; /* seeds in the store */
 	size_t found_count;
-	struct seat *seat;
+	struct seed_lease *seed_lease;
 };
 
 /* members_table.c */
@@ -179,11 +179,11 @@
 /* members_join.c */
 void members_join_tick(struct members *m, int64_t now);
 
-/* members_seat.c */
-struct seat *seat_new(struct members *m);
-void seat_tick(struct seat *s, int64_t now);
-void seat_list(struct seat *s, int64_t now);
-void seat_release(struct seat *s, int64_t now);
+/* members_seed.c */
+struct seed_lease *seed_lease_new(struct members *m);
+void seed_lease_tick(struct seed_lease *s, int64_t now);
+void seed_lease_list(struct seed_lease *s, int64_t now);
+void seed_lease_release(struct seed_lease *s, int64_t now);
 int members_rank(const struct members *m, uint64_t topic, int most);
 
 #endif
--- a/src/control/members_join.c
+++ b/src/control/members_join.c
@@ -48,8 +48,8 @@
 	if (now < m->join_due_us)
 		return;
 	m->join_due_us = now + (alone ? JOIN_PERIOD_US : SEED_CHECK_US);
-	if (alone && m->seat)
-		seat_list(m->seat, now);
+	if (alone && m->seed_lease)
+		seed_lease_list(m->seed_lease, now);
 	for (i = 0; i < (alone ? JOIN_PROBES : 1); i++)
 		try_seed(m, alone && i == 0, now);
 }
--- a/src/control/members_seat.c
+++ b/src/control/members_seed.c
@@ -5,12 +5,12 @@
 #include <string.h>
 
 /*
- * The store names at most SEATS nodes of each data centre as seeds, under
+ * The store names at most SEEDS nodes of each data centre as seeds, under
  * seeds/DC/INDEX with a lease. The first nodes of a data centre by
  * rendezvous hash take them, beginning with the index that is their rank.
  */
 #define PREFIX "seeds/"
-#define SEATS 3
+#define SEEDS 3
 #define LEASE_TTL_S 20
 #define KEEP_PERIOD_US (6 * USEC_PER_SEC)
 #define RETRY_US (10 * USEC_PER_SEC)
@@ -20,7 +20,7 @@
 #define TIMEOUT_US (2 * USEC_PER_SEC)
 
 /* What a call to the store was for; the tag of its result. */
-enum seat_step {
+enum seed_step {
 	STEP_LIST,
 	STEP_GRANT,
 	STEP_TAKE,
@@ -32,8 +32,8 @@
 static void finish(void *ctx, uint64_t tag, const struct store_result *r,
 		   int64_t now);
 
-static void submit(struct seat *s, struct store_op *op, enum seat_step step,
-		   int64_t now)
+static void submit(struct seed_lease *s, struct store_op *op,
+		   enum seed_step step, int64_t now)
 {
 	struct store_done done = {.ctx = s, .tag = step, .fn = finish};
 
@@ -47,9 +47,9 @@
 	return us / 2 + (int64_t)(gsl_rng_uniform(m->rng) * (double)us);
 }
 
-static void give_up(struct seat *s, int64_t now)
+static void give_up(struct seed_lease *s, int64_t now)
 {
-	s->state = SEAT_NONE;
+	s->state = SEED_NONE;
 	s->due_us = now + jittered(s->members, RETRY_US);
 }
 
@@ -67,7 +67,8 @@
 	m->found[m->found_count++] = a;
 }
 
-static void listed(struct seat *s, const struct store_result *r, int64_t now)
+static void listed(struct seed_lease *s, const struct store_result *r,
+		   int64_t now)
 {
 	struct members *m = s->members;
 	size_t i;
@@ -85,7 +86,7 @@
 }
 
 /* Reads the seeds of all data centres, when it is time again. */
-void seat_list(struct seat *s, int64_t now)
+void seed_lease_list(struct seed_lease *s, int64_t now)
 {
 	struct store_op op = {.kind = STORE_LIST};
 
@@ -99,14 +100,15 @@
 	submit(s, &op, STEP_LIST, now);
 }
 
-static void held(struct seat *s, int64_t now)
+static void held(struct seed_lease *s, int64_t now)
 {
-	s->state = SEAT_HELD;
+	s->state = SEED_HELD;
 	s->due_us = now + KEEP_PERIOD_US;
 }
 
 /* After a lost answer: the key says whether the write took effect. */
-static void read_back(struct seat *s, const struct store_result *r, int64_t now)
+static void read_back(struct seed_lease *s, const struct store_result *r,
+		      int64_t now)
 {
 	const struct store_entry *e = r->n ? &r->entries[0] : NULL;
 
@@ -117,7 +119,8 @@
 		give_up(s, now);
 }
 
-static void taken(struct seat *s, const struct store_result *r, int64_t now)
+static void taken(struct seed_lease *s, const struct store_result *r,
+		  int64_t now)
 {
 	struct store_op op = {.kind = STORE_GET, .key = s->key};
 
@@ -132,7 +135,8 @@
 	}
 }
 
-static void granted(struct seat *s, const struct store_result *r, int64_t now)
+static void granted(struct seed_lease *s, const struct store_result *r,
+		    int64_t now)
 {
 	struct store_compare absent = {.key = s->key};
 	struct store_write write = {.key = s->key, .value = s->value};
@@ -152,7 +156,8 @@
 	submit(s, &op, STEP_TAKE, now);
 }
 
-static void kept(struct seat *s, const struct store_result *r, int64_t now)
+static void kept(struct seed_lease *s, const struct store_result *r,
+		 int64_t now)
 {
 	/* A lease that is gone took the key with it. */
 	if (r->outcome == STORE_DONE && !r->lease)
@@ -164,9 +169,9 @@
 static void finish(void *ctx, uint64_t tag, const struct store_result *r,
 		   int64_t now)
 {
-	struct seat *s = ctx;
+	struct seed_lease *s = ctx;
 
-	switch ((enum seat_step)tag) {
+	switch ((enum seed_step)tag) {
 	case STEP_LIST:
 		listed(s, r, now);
 		break;
@@ -188,52 +193,52 @@
 	}
 }
 
-/* Gives the seat back; the store forgets the key with the lease. */
-void seat_release(struct seat *s, int64_t now)
+/* Gives the seed lease back; the store forgets the key with the lease. */
+void seed_lease_release(struct seed_lease *s, int64_t now)
 {
 	struct store_op op = {.kind = STORE_LEASE_REVOKE};
 
-	if (s->state != SEAT_HELD)
+	if (s->state != SEED_HELD)
 		return;
 	op.lease.id = s->lease;
-	s->state = SEAT_BUSY;
+	s->state = SEED_BUSY;
 	submit(s, &op, STEP_REVOKE, now);
 }
 
-static void keep(struct seat *s, int64_t now)
+static void keep(struct seed_lease *s, int64_t now)
 {
 	struct store_op op = {.kind = STORE_LEASE_KEEP};
 
 	op.lease.id = s->lease;
-	s->state = SEAT_BUSY;
+	s->state = SEED_BUSY;
 	submit(s, &op, STEP_KEEP, now);
 }
 
-static void take(struct seat *s, int rank, int64_t now)
+static void take(struct seed_lease *s, int rank, int64_t now)
 {
 	const struct member_info *self = &s->members->self->info;
 	struct store_op op = {.kind = STORE_LEASE_GRANT};
 
 	snprintf(s->key, sizeof(s->key), PREFIX "%s/%d", self->data_centre,
-		 (rank + s->conflicts) % SEATS);
+		 (rank + s->conflicts) % SEEDS);
 	addr_format(&self->nodes, s->value);
 	op.lease.ttl_s = LEASE_TTL_S;
-	s->state = SEAT_BUSY;
+	s->state = SEED_BUSY;
 	submit(s, &op, STEP_GRANT, now);
 }
 
-/* Takes, keeps or gives back this node's seat. */
-void seat_tick(struct seat *s, int64_t now)
+/* Takes, keeps or gives back this node's seed lease. */
+void seed_lease_tick(struct seed_lease *s, int64_t now)
 {
 	struct members *m = s->members;
 	int rank;
 
-	if (s->state == SEAT_BUSY || !s->listed || now < s->due_us)
+	if (s->state == SEED_BUSY || !s->listed || now < s->due_us)
 		return;
-	rank = members_rank(m, name_hash(PREFIX), SEATS);
-	if (s->state == SEAT_HELD && rank < 0)
-		seat_release(s, now);
-	else if (s->state == SEAT_HELD)
+	rank = members_rank(m, name_hash(PREFIX), SEEDS);
+	if (s->state == SEED_HELD && rank < 0)
+		seed_lease_release(s, now);
+	else if (s->state == SEED_HELD)
 		keep(s, now);
 	else if (rank >= 0)
 		take(s, rank, now);
@@ -242,9 +247,9 @@
 }
 
 /* Returns a node's part in the seeds of the store; NULL without memory. */
-struct seat *seat_new(struct members *m)
+struct seed_lease *seed_lease_new(struct members *m)
 {
-	struct seat *s = calloc(1, sizeof(*s));
+	struct seed_lease *s = calloc(1, sizeof(*s));
 
 	if (!s)
 		return NULL;
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -303,7 +303,7 @@
 	}
 }
 
-static void count_seats(void *ctx, uint64_t tag, const struct store_result *r,
+static void count_seeds(void *ctx, uint64_t tag, const struct store_result *r,
 			int64_t now)
 {
 	size_t i, *n = ctx;
@@ -323,12 +323,12 @@
 }
 
 /* Seats of a data centre whose holder runs, as the store has them. */
-static size_t seats_in_store(int data_centre)
+static size_t seeds_in_store(int data_centre)
 {
 	struct store *reader = store_open_memory(w.store);
 	struct store_op op = {.kind = STORE_LIST};
 	size_t n = SIZE_MAX;
-	struct store_done done = {.ctx = &n, .fn = count_seats};
+	struct store_done done = {.ctx = &n, .fn = count_seeds};
 	char prefix[STORE_KEY_SIZE];
 
 	snprintf(prefix, sizeof(prefix), "seeds/dc-%d/", data_centre);
@@ -340,13 +340,14 @@
 	return n;
 }
 
-/* Nodes that believe that they hold a seat. */
+/* Nodes that believe that they hold a seed lease. */
 static int holders(void)
 {
 	int i, n = 0;
 
 	for (i = 0; i < w.n; i++)
-		n += w.nodes[i].m && w.nodes[i].m->seat->state == SEAT_HELD;
+		n += w.nodes[i].m &&
+		     w.nodes[i].m->seed_lease->state == SEED_HELD;
 	return n;
 }
 
@@ -361,11 +362,11 @@
 	RUN_UNTIL(all_agree(), 60);
 	run(60);
 	for (dc = 0; dc < 3; dc++)
-		assert_int_equal(seats_in_store(dc), 3);
-	/* A seat whose holder died passes on. */
+		assert_int_equal(seeds_in_store(dc), 3);
+	/* A seed lease whose holder died passes on. */
 	node_kill(0);
-	RUN_UNTIL(seats_in_store(0) == 3 && all_see(0, MEMBER_DEAD), 90);
-	/* With the store out nobody is lost, and seats survive it. */
+	RUN_UNTIL(seeds_in_store(0) == 3 && all_see(0, MEMBER_DEAD), 90);
+	/* With the store out nobody is lost, and seed leases survive it. */
 	store_set_faults(w.nodes[1].store, &down);
 	run(15);
 	assert_int_equal(count_seen(MEMBER_DEAD), 11);
@@ -377,7 +378,7 @@
 	world_end();
 }
 
-static void lost_store_answers_leave_one_seat_each(void **state)
+static void lost_store_answers_leave_one_lease_each(void **state)
 {
 	static const struct store_faults lossy = {.lose_answer = true};
 	int i;
@@ -390,7 +391,7 @@
 	run(60);
 	for (i = 0; i < 6; i++)
 		store_set_faults(w.nodes[i].store, &(struct store_faults){0});
-	RUN_UNTIL(seats_in_store(0) == 3 && holders() == 3, 90);
+	RUN_UNTIL(seeds_in_store(0) == 3 && holders() == 3, 90);
 	world_end();
 }
 
@@ -685,7 +686,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(nodes_join_from_settings),
 		cmocka_unit_test(nodes_join_from_the_store),
-		cmocka_unit_test(lost_store_answers_leave_one_seat_each),
+		cmocka_unit_test(lost_store_answers_leave_one_lease_each),
 		cmocka_unit_test(bad_networks_kill_nobody),
 		cmocka_unit_test(the_dead_are_found),
 		cmocka_unit_test(a_restart_supersedes_at_once),
