--- a/tools/measure/common.bash
+++ b/tools/measure/common.bash
@@ -14,13 +14,14 @@
 		{ v[NR] = $1 }
 		END { printf "measure=%s value=%.6g unit=%s target=%s " \
 			"baseline=%s runs=%d low=%.6g high=%.6g\n", name,
-			v[int((NR + 1) / 2)], unit, target, baseline, NR,
-			v[1], v[NR] }' | tee -a "$OUT"
+			(v[int((NR + 1) / 2)] + v[int(NR / 2) + 1]) / 2, unit,
+			target, baseline, NR, v[1], v[NR] }' | tee -a "$OUT"
 }
 
 median() {
 	printf '%s\n' "$@" | sort -g | awk '{ v[NR] = $1 }
-		END { printf "%.6g", v[int((NR + 1) / 2)] }'
+		END { printf "%.6g",
+			(v[int((NR + 1) / 2)] + v[int(NR / 2) + 1]) / 2 }'
 }
 
 # value FILE STREAM KEY: a figure of the caller's report.
