Write problem documents in one place

Cause: refusals before a request is held wrote their document by hand, a twin of the one for held requests and in a buffer of fixed size; the listener of an origin was chosen in two places; a queueing time and a stage were kept that nothing read. Change: problem_fill and request_server serve both; the dead parts go. The early refusal now names its outcome in the document too, as the others do. Conclusion: one form of refusal for all.

--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -1,6 +1,6 @@
 #include "filter/filter.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "node/node.h"
@@ -42,8 +42,6 @@
 		return filter_claim(n, r, now);
 	case STAGE_PLACE:
 		return filter_place(n, r, now);
-	case STAGE_ENDED:
-		break;
 	}
 	return FILTER_END;
 }
@@ -63,33 +61,26 @@
 	}
 }
 
+/* Returns the listener that requests of an origin came in by. */
+struct http_server *request_server(const struct node *n, enum request_origin o)
+{
+	return o == ORIGIN_CALLER ? n->callers : n->services;
+}
+
 /* Answers before there is a request to hold; nothing ran. */
-static void refuse_unheld(struct node *n, struct http_server *server,
-			  uint64_t exchange, enum reason reason)
+static void refuse_unheld(struct http_server *server, uint64_t exchange,
+			  enum reason reason)
 {
 	struct message m = {0};
-	char text[256];
-	int len;
-
-	(void)n;
-	m.status = reason_status(reason);
-	len = snprintf(text, sizeof(text),
-		       "{\"title\":\"%s\",\"status\":%d,\"reason\":\"%s\"}",
-		       reason_sentence(reason), m.status, reason_code(reason));
-	message_add_header(&m, "content-type", "application/problem+json");
+
+	problem_fill(&m, reason, OUTCOME_NOT_RUN, NULL);
 	message_add_header(&m, "mulberryferry-outcome", "not-run");
 	message_add_header(&m, "retry-after", "1");
-	buffer_append(&m.body, text, (size_t)len, sizeof(text));
 	http_server_answer(server, exchange, &m);
 	message_free(&m);
 	counter_add(COUNTER_REFUSED, 1);
 }
 
-static struct http_server *server_of(struct node *n, enum request_origin o)
-{
-	return o == ORIGIN_CALLER ? n->callers : n->services;
-}
-
 static uint64_t add_request(struct node *n, struct message *msg,
 			    struct request **r)
 {
@@ -124,19 +115,19 @@
 					    : COUNTER_SUB_CALLS,
 		    1);
 	if (!n->config) {
-		refuse_unheld(n, server_of(n, origin), exchange,
+		refuse_unheld(request_server(n, origin), exchange,
 			      REASON_NOT_CONFIGURED);
 		return;
 	}
 	if (origin == ORIGIN_CALLER && node_takes_no_more(n, now)) {
-		refuse_unheld(n, n->callers, exchange, REASON_STOPPING);
+		refuse_unheld(n->callers, exchange, REASON_STOPPING);
 		return;
 	}
 	index = calloc(1, sizeof(*index));
 	handle = index ? add_request(n, msg, &r) : 0;
 	if (!handle) {
 		free(index);
-		refuse_unheld(n, server_of(n, origin), exchange,
+		refuse_unheld(request_server(n, origin), exchange,
 			      REASON_OVERLOADED);
 		return;
 	}
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -1,6 +1,5 @@
 #include "filter/filter.h"
 
-#include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -115,28 +114,7 @@
 			 (r->retry_after_ms + 999) / 1000);
 		message_add_header(m, "retry-after", seconds);
 	}
-	http_server_answer(r->origin == ORIGIN_CALLER ? n->callers
-						      : n->services,
-			   r->exchange, m);
-}
-
-static void problem_body(struct message *m, const struct request *r,
-			 enum reason reason, enum outcome outcome)
-{
-	struct json_object *o = json_object_new_object();
-	const char *text;
-
-	json_object_object_add(o, "title",
-			       json_object_new_string(reason_sentence(reason)));
-	json_object_object_add(o, "status", json_object_new_int(m->status));
-	json_object_object_add(o, "reason",
-			       json_object_new_string(reason_code(reason)));
-	json_object_object_add(o, "outcome",
-			       json_object_new_string(outcome_name(outcome)));
-	json_object_object_add(o, "request", json_object_new_string(r->root));
-	text = json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
-	buffer_append(&m->body, text, strlen(text), SIZE_MAX);
-	json_object_put(o);
+	http_server_answer(request_server(n, r->origin), r->exchange, m);
 }
 
 static bool has_retry_after(enum reason reason)
@@ -163,11 +141,9 @@
 		quota_give_back(n->quota, r->account->name, now);
 	settle_claim(n, r, outcome, NULL, now);
 	r->refused = reason;
-	m.status = reason_status(reason);
 	if (!r->retry_after_ms && has_retry_after(reason))
 		r->retry_after_ms = RETRY_AFTER_MS;
-	message_add_header(&m, "content-type", "application/problem+json");
-	problem_body(&m, r, reason, outcome);
+	problem_fill(&m, reason, outcome, r->root);
 	record_end(n, r,
 		   reason == REASON_CANCELLED ? DECISION_CANCELLED
 					      : DECISION_REFUSED,
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -11,6 +11,7 @@
 #include "wire/wire.h"
 
 struct node;
+struct http_server;
 
 enum request_origin {
 	ORIGIN_CALLER,	/* root of a chain */
@@ -28,7 +29,6 @@
 	STAGE_LIMIT,
 	STAGE_CLAIM,
 	STAGE_PLACE,
-	STAGE_ENDED,
 };
 
 enum filter_result {
@@ -97,6 +97,10 @@
 enum filter_result request_answer(struct node *n, struct request *r,
 				  struct message *answer, int64_t now);
 
+struct http_server *request_server(const struct node *n, enum request_origin o);
+void problem_fill(struct message *m, enum reason reason, enum outcome outcome,
+		  const char *request);
+
 void request_record(struct node *n, const struct request *r,
 		    enum decision_kind kind, enum reason reason,
 		    const char *peer, int64_t took_us);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -209,7 +209,6 @@
 	struct error err;
 
 	c->started_us = now;
-	c->waited_us = waited_us;
 	add_call_headers(c, now);
 	c->http_call = http_call_start(u->pool, &http, now, &err);
 	record_call(n, c, DECISION_RUN, REASON_NONE, waited_us);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -46,7 +46,6 @@
 	int64_t arrived_us;
 	int64_t started_us; /* 0 while queued */
 	int64_t deadline_us;
-	int64_t waited_us;
 	uint64_t http_call;
 	char token[TOKEN_SIZE];
 	uint8_t allowance; /* left for sub-calls */
