--- a/src/base/base.h
+++ b/src/base/base.h
@@ -15,7 +15,7 @@
 #define USEC_PER_SEC INT64_C(1000000)
 
 #define NAME_SIZE 64	   /* service, route, account, host; with NUL */
-#define REQUEST_ID_SIZE 65 /* request identity; with NUL */
+#define REQUEST_ID_SIZE 97 /* request identity; with NUL */
 
 enum error_code {
 	ERROR_NONE,
--- a/src/store/etcd_json.c
+++ b/src/base/json.c
@@ -1,8 +1,6 @@
-#include "store/etcd_impl.h"
+#include "base/json.h"
 
-#include <inttypes.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -17,7 +15,7 @@
 }
 
 /* Parses one whole JSON value; NULL when malformed or followed by more. */
-struct json_object *etcd_parse(const void *data, size_t len)
+struct json_object *json_parse_whole(const void *data, size_t len)
 {
 	struct json_tokener *t = json_tokener_new();
 	struct json_object *o = NULL;
@@ -34,7 +32,7 @@
 }
 
 /* Returns a member of an object, or NULL. */
-struct json_object *etcd_member(struct json_object *o, const char *name)
+struct json_object *json_member(struct json_object *o, const char *name)
 {
 	struct json_object *m = NULL;
 
@@ -44,9 +42,9 @@
 }
 
 /* Returns a number written as number or string; left out means zero. */
-int64_t etcd_int(struct json_object *o, const char *name)
+int64_t json_int(struct json_object *o, const char *name)
 {
-	struct json_object *m = etcd_member(o, name);
+	struct json_object *m = json_member(o, name);
 
 	return m ? json_object_get_int64(m) : 0;
 }
@@ -55,9 +53,9 @@
  * Decodes a member written in base64, with a NUL behind its bytes, for the
  * caller to free; left out means no bytes. NULL when it is malformed.
  */
-uint8_t *etcd_bytes(struct json_object *o, const char *name, size_t *len)
+uint8_t *json_bytes(struct json_object *o, const char *name, size_t *len)
 {
-	struct json_object *m = etcd_member(o, name);
+	struct json_object *m = json_member(o, name);
 	const char *text = m ? json_object_get_string(m) : "";
 	size_t text_len = m ? (size_t)json_object_get_string_len(m) : 0;
 	uint8_t *data = malloc(text_len + 1);
@@ -74,7 +72,7 @@
 }
 
 /* Adds a member in base64. */
-void etcd_add_bytes(struct json_object *o, const char *name, const void *data,
+void json_add_bytes(struct json_object *o, const char *name, const void *data,
 		    size_t len)
 {
 	size_t size = sodium_base64_encoded_len(len, VARIANT);
@@ -88,16 +86,7 @@
 }
 
 /* Adds a text in base64. */
-void etcd_add_text(struct json_object *o, const char *name, const char *text)
+void json_add_base64(struct json_object *o, const char *name, const char *text)
 {
-	etcd_add_bytes(o, name, text, strlen(text));
-}
-
-/* Adds a number as the gateway writes it, as a string. */
-void etcd_add_int(struct json_object *o, const char *name, int64_t v)
-{
-	char text[24];
-
-	snprintf(text, sizeof(text), "%" PRId64, v);
-	json_object_object_add(o, name, json_object_new_string(text));
+	json_add_bytes(o, name, text, strlen(text));
 }
--- a/src/cmd/client.c
+++ b/src/cmd/client.c
@@ -256,16 +256,6 @@
 			buffer_printf(b, "%%%02X", (unsigned char)*text);
 }
 
-/* Returns a member, or NULL. */
-struct json_object *json_member(struct json_object *o, const char *name)
-{
-	struct json_object *v = NULL;
-
-	if (json_object_is_type(o, json_type_object))
-		json_object_object_get_ex(o, name, &v);
-	return v;
-}
-
 /* Returns a member as text, or "". */
 const char *json_text(struct json_object *o, const char *name)
 {
--- a/src/cmd/client.h
+++ b/src/cmd/client.h
@@ -3,7 +3,7 @@
 #define CMD_CLIENT_H
 
 #include <argp.h>
-#include <json-c/json.h>
+#include "base/json.h"
 #include <stdbool.h>
 
 #include "base/base.h"
@@ -49,7 +49,6 @@
 /* Members of an object, or "" and 0. */
 const char *json_text(struct json_object *o, const char *name);
 int64_t json_number(struct json_object *o, const char *name);
-struct json_object *json_member(struct json_object *o, const char *name);
 /* Length of an array, 0 for NULL or anything else. */
 size_t json_length(struct json_object *o);
 
--- /dev/null
+++ b/src/conf/build.c
@@ -0,0 +1,62 @@
+/* Putting a configuration together that did not come of notes. */
+#include "conf/conf_impl.h"
+
+#include <string.h>
+
+static int add(struct config *c, enum section_kind kind, const void *from,
+	       size_t size)
+{
+	void *item = item_new(from, size);
+	int rc;
+
+	if (!item)
+		return -1;
+	rc = config_put_item(c, kind, item);
+	item_put(item);
+	return rc;
+}
+
+int config_add_service(struct config *c, const struct service *s)
+{
+	return add(c, SECTION_SERVICES, s, sizeof(*s));
+}
+
+int config_add_route(struct config *c, const struct route *r)
+{
+	void *item;
+	int rc;
+
+	if (section_find(&c->routes_by_place, r->place))
+		return -1;
+	item = item_new(r, sizeof(*r));
+	if (!item)
+		return -1;
+	rc = config_put_item(c, SECTION_ROUTES, item);
+	if (!rc)
+		rc = section_put(&c->routes_by_place, item);
+	item_put(item);
+	return rc;
+}
+
+int config_add_account(struct config *c, const struct account *a)
+{
+	return add(c, SECTION_ACCOUNTS, a, sizeof(*a));
+}
+
+int config_add_key(struct config *c, const struct access_key *k)
+{
+	return add(c, SECTION_KEYS, k, sizeof(*k));
+}
+
+void config_set_limits(struct config *c, const struct caller_limits *l)
+{
+	c->limits = *l;
+}
+
+/* Numbers c and keeps the document that it was read from. */
+int config_publish(struct config *c, uint64_t number, const char *release,
+		   const void *source, size_t len)
+{
+	config_set_number(c, number, release, source, len);
+	return buffer_append(&c->source, source, len, SIZE_MAX);
+}
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -32,8 +32,26 @@
 
 enum store_kind {
 	STORE_NONE,
-	STORE_ETCD,   /* JSON gateway of etcd v3 over HTTP */
-	STORE_MEMORY, /* inside the process: single node trials and tests */
+	STORE_ETCD,	/* JSON gateway of etcd v3 over HTTP */
+	STORE_MEMORY,	/* inside the process: single node trials and tests */
+	STORE_PLATFORM, /* the users' platform; see platform/ */
+};
+
+/* What callers and upstreams speak to a node. */
+enum interface {
+	INTERFACE_OWN,
+	INTERFACE_PLATFORM, /* see platform/ */
+};
+
+/* What the operators of a platform hold every host to; 0: nothing. */
+struct promises {
+	int64_t drain_us;  /* a leaving upstream may get new work for so long */
+	int64_t revoke_us; /* after it no withdrawn key may pass */
+	int64_t config_us; /* a configuration is in force everywhere */
+	int64_t stop_grace_us;	 /* from the signal to stop to the kill */
+	double retry_ratio;	 /* of the requests for a service */
+	double retry_slack;	 /* and so many more, over all hosts */
+	int64_t retry_window_us; /* counted over this */
 };
 
 /* Settings of one node, read once at start. */
@@ -45,12 +63,17 @@
 	struct addr services;
 	struct addr nodes;
 	struct addr admin;
+	struct addr ready;    /* asked whether this host takes work; or unset */
+	struct addr upstream; /* the only one that may announce; or unset */
+	char service[NAME_SIZE]; /* of the upstream on this host; or empty */
+	enum interface interface;
+	struct promises promises;
 	struct addr seeds[SEEDS_MAX];
 	size_t seed_count;
 	enum store_kind store_kind;
 	struct addr store;
-	uint32_t store_calls_s; /* budget of this node, calls per second */
-	uint8_t secret[SECRET_SIZE];
+	uint32_t store_calls_s;	     /* budget of this node, calls per second */
+	uint8_t secret[SECRET_SIZE]; /* zero: the store keeps it */
 	/* Hash of a key that counts while there are no operators; or zero. */
 	uint8_t bootstrap_operator[KEY_HASH_SIZE];
 	/* Names of further headers that pass, lower case. */
@@ -60,7 +83,10 @@
 	size_t memory_limit;	  /* bytes of all bodies held at once */
 	uint32_t requests_max;	  /* requests held at once */
 	uint32_t connections_max; /* connections of callers */
-	int64_t stop_grace_us;	  /* how long a planned stop may wait */
+	uint32_t records_max;	  /* decisions kept to be asked about */
+	uint32_t host_memory_mb;  /* the limits above follow these two */
+	uint32_t host_descriptors;
+	int64_t stop_grace_us; /* how long a planned stop may wait */
 	int log_priority;
 };
 
@@ -72,8 +98,24 @@
 	char name[NAME_SIZE];
 	char team[NAME_SIZE];
 	uint32_t retry_percent; /* retries allowed per hundred calls */
+	uint32_t connections;	/* of one upstream, from all callers; 0: told */
+};
+
+/* One of the services that share a route, by weight. */
+struct route_part {
+	char service[NAME_SIZE];
+	uint32_t weight;
+};
+
+/* What a second run of a request would do. */
+enum route_effect {
+	EFFECT_BY_METHOD, /* as RFC 9110 9.2.2 says of its method */
+	EFFECT_NONE,
+	EFFECT_REPEATED, /* so it may run once at most */
 };
 
+#define ROUTE_PARTS_MAX 8
+
 struct route {
 	char name[NAME_SIZE];
 	char team[NAME_SIZE];
@@ -85,6 +127,12 @@
 	bool open; /* needs no key */
 	int64_t deadline_us;
 	uint32_t retries; /* allowance of a root for its whole chain */
+	/* Host and path prefix, for routes that are found by them. */
+	char place[PATTERN_SIZE];
+	struct route_part parts[ROUTE_PARTS_MAX]; /* none: service alone */
+	size_t part_count;
+	enum route_effect effect;
+	int64_t target_us; /* an answer within it is worth most; 0: unknown */
 };
 
 struct account {
@@ -94,6 +142,17 @@
 	double burst; /* requests */
 	uint32_t weight;
 	int64_t refuse_stale_us; /* refuse with a configuration older; 0 off */
+	bool unlimited;		 /* no rate is set */
+	bool ranked;		 /* shed goes before the route's */
+	enum shed_class shed;
+};
+
+/* What callers may send; zero where nothing is set. */
+struct caller_limits {
+	size_t head_bytes;
+	size_t body_bytes;
+	int64_t head_wait_us; /* for a whole head */
+	int64_t idle_us;      /* between requests on a connection */
 };
 
 /* Only the BLAKE2b hash of a key is known to the system. */
@@ -141,6 +200,26 @@
 const struct operator_key *config_operator(const struct config *c,
 					   const uint8_t hash[KEY_HASH_SIZE]);
 
+/* Finds the longest prefix that a host has a route for; NULL: none. */
+const struct route *config_match_place(const struct config *c, const char *host,
+				       const char *path);
+const struct caller_limits *config_limits(const struct config *c);
+/* The document that the configuration was read from, if it was one. */
+const struct buffer *config_source(const struct config *c);
+
+/*
+ * A configuration from another source than notes is put together item by
+ * item, and changed no more once it is numbered. Each returns -1 when memory
+ * is short or, for a route, when its place is taken.
+ */
+int config_add_service(struct config *c, const struct service *s);
+int config_add_route(struct config *c, const struct route *r);
+int config_add_account(struct config *c, const struct account *a);
+int config_add_key(struct config *c, const struct access_key *k);
+void config_set_limits(struct config *c, const struct caller_limits *l);
+int config_publish(struct config *c, uint64_t number, const char *release,
+		   const void *source, size_t len);
+
 /* Walks all accounts or services in a fixed order; NULL starts and ends. */
 const struct account *config_next_account(const struct config *c,
 					  const struct account *after);
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -70,6 +70,9 @@
 	struct section by_name[SECTIONS];
 	struct section keys_by_hash;
 	struct section operators_by_hash;
+	struct section routes_by_place;
+	struct caller_limits limits;
+	struct buffer source;
 	struct trie *trie;
 	struct release releases[RELEASES_KEPT]; /* by number modulo size */
 };
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -17,6 +17,7 @@
 	c->keys_by_hash.key_len = KEY_HASH_SIZE;
 	c->operators_by_hash.key_offset = offsetof(struct operator_key, hash);
 	c->operators_by_hash.key_len = KEY_HASH_SIZE;
+	c->routes_by_place.key_offset = offsetof(struct route, place);
 	c->trie = trie_new();
 	if (c->trie)
 		return c;
@@ -42,6 +43,8 @@
 		section_free(&c->by_name[i]);
 	section_free(&c->keys_by_hash);
 	section_free(&c->operators_by_hash);
+	section_free(&c->routes_by_place);
+	buffer_free(&c->source);
 	trie_put(c->trie);
 	free(c);
 }
@@ -60,6 +63,8 @@
 		section_copy(&n->by_name[i], &c->by_name[i]);
 	section_copy(&n->keys_by_hash, &c->keys_by_hash);
 	section_copy(&n->operators_by_hash, &c->operators_by_hash);
+	section_copy(&n->routes_by_place, &c->routes_by_place);
+	memset(&n->source, 0, sizeof(n->source));
 	trie_get(n->trie);
 	return n;
 }
@@ -184,6 +189,44 @@
 	return trie_match(c->trie, method, path);
 }
 
+/*
+ * Returns the route with the longest prefix of the path on a host, or NULL.
+ * Prefixes end with a slash, so only those places are looked up.
+ */
+const struct route *config_match_place(const struct config *c, const char *host,
+				       const char *path)
+{
+	size_t host_len = strcspn(host, ":"), len = strcspn(path, "?#");
+	const struct route *r = NULL;
+	char place[PATTERN_SIZE];
+
+	if (host_len >= sizeof(place))
+		return NULL;
+	if (len > sizeof(place) - 1 - host_len)
+		len = sizeof(place) - 1 - host_len;
+	memcpy(place, host, host_len);
+	memcpy(place + host_len, path, len);
+	for (; !r && len; len--) {
+		if (path[len - 1] != '/')
+			continue;
+		place[host_len + len] = 0;
+		r = section_find(&c->routes_by_place, place);
+	}
+	return r;
+}
+
+/* Limits of what callers may send; zeros where nothing is set. */
+const struct caller_limits *config_limits(const struct config *c)
+{
+	return &c->limits;
+}
+
+/* The document that c was read from; empty when c came of notes. */
+const struct buffer *config_source(const struct config *c)
+{
+	return &c->source;
+}
+
 /* Returns the client key with this hash, or NULL. */
 const struct access_key *config_key(const struct config *c,
 				    const uint8_t hash[KEY_HASH_SIZE])
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -4,15 +4,25 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "platform/platform.h"
+
 #define SETTINGS_SIZE_MAX (64 * 1024) /* bytes */
 #define COUNT(a) (sizeof(a) / sizeof(*(a)))
 #define AT(member) offsetof(struct settings, member)
 
+#define MB (1024 * 1024)
+#define MEMORY_PARTS_BODIES 4 /* a quarter of the host's for bodies held */
+#define RECORDS_PER_MB 8      /* a record takes 700 bytes: half a per cent */
+/* Files, links to other hosts, the upstream's and the store's connections. */
+#define DESCRIPTORS_KEPT 456
+
 /* In the order of the syslog priorities. */
 static const char *const log_levels[] = {"emerg", "alert",   "crit",
 					 "err",	  "warning", "notice",
 					 "info",  "debug",   NULL};
-static const char *const store_kinds[] = {"none", "etcd", "memory", NULL};
+static const char *const store_kinds[] = {"none", "etcd", "memory", "platform",
+					  NULL};
+static const char *const interfaces[] = {"own", "platform", NULL};
 
 /* Offsets are from the start of struct settings at every depth. */
 static const struct field listen_fields[] = {
@@ -22,6 +32,21 @@
 	 .required = true},
 	{"nodes", .kind = FIELD_ADDR, .offset = AT(nodes), .required = true},
 	{"admin", .kind = FIELD_ADDR, .offset = AT(admin), .required = true},
+	{"ready", .kind = FIELD_ADDR, .offset = AT(ready)},
+};
+
+static const struct field upstream_fields[] = {
+	{"service", .kind = FIELD_NAME, .offset = AT(service),
+	 .required = true},
+	{"address", .kind = FIELD_ADDR, .offset = AT(upstream),
+	 .required = true},
+};
+
+static const struct field host_fields[] = {
+	{"memory_mb", .kind = FIELD_COUNT, .offset = AT(host_memory_mb),
+	 .min = 32, .max = 1e6},
+	{"descriptors", .kind = FIELD_COUNT, .offset = AT(host_descriptors),
+	 .min = 512, .max = 1e6},
 };
 
 static const struct field store_fields[] = {
@@ -41,6 +66,8 @@
 	 .max = 1e6},
 	{"connections", .kind = FIELD_COUNT, .offset = AT(connections_max),
 	 .min = 1, .max = 1e6},
+	{"records", .kind = FIELD_COUNT, .offset = AT(records_max), .min = 16,
+	 .max = 1e6},
 };
 
 static const struct field settings_fields[] = {
@@ -54,7 +81,14 @@
 	{"headers", .kind = FIELD_OTHER},
 	{"store", .kind = FIELD_OBJECT, .required = true,
 	 .fields = store_fields, .field_count = COUNT(store_fields)},
-	{"secret", .kind = FIELD_HASH, .offset = AT(secret), .required = true},
+	{"secret", .kind = FIELD_HASH, .offset = AT(secret)},
+	{"interface", .kind = FIELD_CHOICE, .offset = AT(interface),
+	 .choices = interfaces},
+	{"upstream", .kind = FIELD_OBJECT, .fields = upstream_fields,
+	 .field_count = COUNT(upstream_fields)},
+	{"host_limits", .kind = FIELD_OBJECT, .fields = host_fields,
+	 .field_count = COUNT(host_fields)},
+	{"promises", .kind = FIELD_OTHER},
 	{"bootstrap_operator", .kind = FIELD_HASH,
 	 .offset = AT(bootstrap_operator)},
 	{"limits", .kind = FIELD_OBJECT, .fields = limits_fields,
@@ -71,6 +105,7 @@
 	.memory_limit = 32 * 1024 * 1024,
 	.requests_max = 4096,
 	.connections_max = 2048,
+	.records_max = 32768,
 	.stop_grace_us = 30 * USEC_PER_SEC,
 	.log_priority = LOG_INFO,
 };
@@ -147,8 +182,55 @@
 	reader_leave(r, outer);
 }
 
+/* What the platform's operators promise, each as "name=value". */
+static void read_promises(struct reader *r, struct json_object *obj,
+			  struct settings *s)
+{
+	struct json_object *list, *text;
+	size_t len, i, outer;
+
+	if (!json_object_object_get_ex(obj, "promises", &list))
+		return;
+	outer = reader_enter(r, "promises");
+	if (!json_object_is_type(list, json_type_array))
+		reader_fault(r, "must be a list of texts name=value");
+	for (i = 0; json_object_is_type(list, json_type_array) &&
+		    i < json_object_array_length(list);
+	     i++) {
+		text = json_object_array_get_idx(list, i);
+		len = reader_enter_index(r, i);
+		if (platform_promise(&s->promises,
+				     json_object_get_string(text)) < 0)
+			reader_fault(r, "must be name=value, with a number");
+		reader_leave(r, len);
+	}
+	reader_leave(r, outer);
+	if (s->promises.stop_grace_us)
+		s->stop_grace_us = s->promises.stop_grace_us;
+}
+
+/* The limits of a node follow those of its host where these are told. */
+static void follow_host(struct settings *s)
+{
+	if (s->host_memory_mb) {
+		s->memory_limit =
+			(size_t)s->host_memory_mb * MB / MEMORY_PARTS_BODIES;
+		s->records_max = s->host_memory_mb * RECORDS_PER_MB;
+	}
+	if (s->host_descriptors)
+		s->connections_max =
+			(s->host_descriptors - DESCRIPTORS_KEPT) / 2;
+}
+
 static void check_together(struct reader *r, const struct settings *s)
 {
+	static const uint8_t none[SECRET_SIZE];
+
+	if (!memcmp(s->secret, none, SECRET_SIZE) &&
+	    s->store_kind != STORE_PLATFORM)
+		reader_fault_at(r, "secret", "is missing");
+	if (s->store_kind == STORE_PLATFORM && !addr_is_set(&s->store))
+		reader_fault_at(r, "store.address", "is missing");
 	if (s->store_kind == STORE_ETCD && !addr_is_set(&s->store))
 		reader_fault_at(r, "store.address", "is missing");
 	if (s->memory_limit < s->body_limit)
@@ -198,6 +280,8 @@
 	fields_read(&r, obj, settings_fields, COUNT(settings_fields), s, false);
 	read_seeds(&r, obj, s);
 	read_headers(&r, obj, s);
+	read_promises(&r, obj, s);
+	follow_host(s);
 	if (!faults.n)
 		check_together(&r, s);
 	if (faults.n)
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -59,7 +59,19 @@
 /* Notes: keeps the newest configuration, and passes notes on. */
 struct notes;
 
+/* What the configuration is made of. */
+enum notes_source {
+	SOURCE_NOTES,	 /* release notes, one after the other */
+	SOURCE_DOCUMENT, /* one document that others write, whole each time */
+};
+
 struct notes_options {
+	enum notes_source source;
+	struct {
+		const char *key; /* in the store */
+		struct config *(*read)(const void *data, size_t len,
+				       struct error *err);
+	} document;
 	struct control_io io;
 	struct store *store;
 	struct members *members;
@@ -105,6 +117,20 @@
 /* Time since the platform, or a peer that reaches it, was heard. */
 int64_t notes_stale_us(const struct notes *n, int64_t now);
 
+/* The secret of links, made once by one node and kept in the store. */
+struct secret;
+
+struct secret_options {
+	struct store *store;
+	void *ctx;
+	void (*known)(void *ctx, const uint8_t secret[SECRET_SIZE],
+		      int64_t now);
+};
+
+struct secret *secret_new(const struct secret_options *o);
+void secret_free(struct secret *s);
+void secret_tick(struct secret *s, int64_t now); /* every 50 ms */
+
 /* Quota: account limits over all hosts. */
 struct quota;
 
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -88,6 +88,27 @@
 	counter_add(COUNTER_NOTES_APPLIED, 1);
 	if (n->o.in_force)
 		n->o.in_force(n->o.ctx, c, now);
+	if (n->o.source == SOURCE_DOCUMENT)
+		peer_push_number(n, now);
+}
+
+/* Writes the whole configuration as peers take it. */
+int notes_pack(const struct notes *n, struct buffer *out)
+{
+	const struct buffer *source = config_source(n->config);
+
+	if (n->o.source == SOURCE_NOTES)
+		return config_pack(n->config, out);
+	return buffer_append(out, source->data, source->len, SIZE_MAX);
+}
+
+/* Reads what notes_pack wrote; NULL with err set. */
+struct config *notes_unpack(const struct notes *n, const void *data, size_t len,
+			    struct error *err)
+{
+	if (n->o.source == SOURCE_NOTES)
+		return config_unpack(data, len, err);
+	return n->o.document.read(data, len, err);
 }
 
 /*
@@ -157,7 +178,8 @@
 {
 	fetch_tick(n, now);
 	append_tick(n, now);
-	writer_tick(n, now);
+	if (n->o.source == SOURCE_NOTES)
+		writer_tick(n, now);
 	peer_tick(n, now);
 	transfer_tick(n, now);
 }
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -11,6 +11,11 @@
 #define LIST_LIMIT 8
 #define HEAD_POLL_US (5 * USEC_PER_SEC)
 #define EMPTY_POLL_US (30 * USEC_PER_SEC) /* of others, without any note */
+/* A watch may miss a change unseen for so long. */
+#define DOCUMENT_POLL_US (1 * USEC_PER_SEC)
+/* Others read for themselves when readers did not tell them for so long. */
+#define DOCUMENT_STALE_US (1600 * USEC_PER_MSEC)
+#define DOCUMENT_READERS 1 /* of each data centre */
 #define STORE_BEHIND_ROUNDS 3
 #define RETRY_MIN_US (500 * USEC_PER_MSEC)
 #define RETRY_MAX_US (10 * USEC_PER_SEC)
@@ -41,6 +46,10 @@
 	struct notes *n = ctx;
 	struct envelope env;
 
+	if (n->o.source == SOURCE_DOCUMENT) {
+		document_changed(n, e, now);
+		return;
+	}
 	if (!number || !e->value || envelope_read(&env, e->value, e->len) < 0)
 		return;
 	notes_arrived(n, number, env.text, env.len, now);
@@ -68,6 +77,8 @@
 				.event = watch_event,
 				.ended = watch_ended};
 
+	if (n->o.source == SOURCE_DOCUMENT)
+		w.prefix = n->o.document.key;
 	if (n->chosen && !n->watch)
 		n->watch = store_watch_start(n->o.store, &w, now);
 }
@@ -102,7 +113,9 @@
 	if (good) {
 		f->failures = 0;
 		f->next_us = now + HEAD_POLL_US;
-		if (!n->chosen)
+		if (n->o.source == SOURCE_DOCUMENT)
+			f->next_us = f->started_us + DOCUMENT_POLL_US;
+		else if (!n->chosen)
 			f->next_us = now + EMPTY_POLL_US +
 				     (int64_t)(notes_random(n) % EMPTY_POLL_US);
 		if (notes_number(n) == f->head)
@@ -112,6 +125,8 @@
 	} else {
 		for (i = 0; i < f->failures && wait < RETRY_MAX_US; i++)
 			wait *= 2;
+		if (n->o.source == SOURCE_DOCUMENT && wait > DOCUMENT_POLL_US)
+			wait = DOCUMENT_POLL_US;
 		f->failures++;
 		f->next_us = now + wait / 2 +
 			     (int64_t)(notes_random(n) % (uint64_t)wait);
@@ -294,23 +309,93 @@
 
 	if (!n->o.store || n->fetch.step != FETCH_IDLE)
 		return;
+	if (n->o.source == SOURCE_DOCUMENT) {
+		fetch_document(n, now);
+		return;
+	}
 	n->fetch.step = FETCH_HEAD;
 	n->fetch.started_us = now;
 	submit(n, &op, on_head, now);
 }
 
+/* Takes the document as it was written in the store, or passed by. */
+static void take_document(struct notes *n, const struct store_entry *e,
+			  int64_t now)
+{
+	struct config *c;
+	struct error err;
+
+	if (e->mod_revision <= n->document_revision)
+		return;
+	n->document_revision = e->mod_revision;
+	c = n->o.document.read(e->value, e->len, &err);
+	if (!c) {
+		/* What is in force may not be the newest any more. */
+		n->fetch.head = 0;
+		log_error(LOG_ERR, "document-refused", &err);
+		return;
+	}
+	n->fetch.head = config_number(c);
+	notes_adopt(n, c, now);
+}
+
+/* A watch told that the document was written. */
+void document_changed(struct notes *n, const struct store_entry *e, int64_t now)
+{
+	if (e->value && !strcmp(e->key, n->o.document.key))
+		take_document(n, e, now);
+}
+
+static void on_document(void *ctx, uint64_t tag, const struct store_result *r,
+			int64_t now)
+{
+	struct notes *n = ctx;
+
+	(void)tag;
+	if (r->outcome == STORE_DONE) {
+		n->fetch.revision = r->revision;
+		if (r->n && r->revision < r->entries[0].mod_revision)
+			n->fetch.revision = r->entries[0].mod_revision;
+		if (r->n)
+			take_document(n, &r->entries[0], now);
+	}
+	fetch_end(n, r->outcome == STORE_DONE, now);
+}
+
+/* Reads the document; the answer proves which one is the newest. */
+void fetch_document(struct notes *n, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET, .key = n->o.document.key};
+
+	n->fetch.step = FETCH_HEAD;
+	n->fetch.started_us = now;
+	submit(n, &op, on_document, now);
+}
+
+static bool document_is_due(struct notes *n, int64_t now)
+{
+	return n->chosen || notes_stale_us(n, now) > DOCUMENT_STALE_US;
+}
+
 /* Decides who watches the store, and when to read it. */
 void fetch_tick(struct notes *n, int64_t now)
 {
+	bool document = n->o.source == SOURCE_DOCUMENT;
 	bool waited = now - n->started_us >= PEERS_FIRST_US;
 
 	if (!n->o.store)
 		return;
-	n->chosen = members_chosen(n->o.members, topic(), WATCHERS);
+	n->chosen = members_chosen(n->o.members, topic(),
+				   document ? DOCUMENT_READERS : WATCHERS);
 	if (!n->chosen && n->watch) {
 		store_watch_stop(n->o.store, n->watch);
 		n->watch = 0;
 	}
+	if (document) {
+		if (now >= n->fetch.next_us && document_is_due(n, now))
+			fetch_start(n, now);
+		return;
+	}
 	if (now >= n->fetch.next_us &&
 	    (n->chosen || (waited && !notes_number(n))))
 		fetch_start(n, now);
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -117,10 +117,12 @@
 	uint64_t wanted; /* highest number heard */
 	struct addr wanted_from;
 	uint64_t pulled_after;
-	int64_t pull_us;    /* not before */
-	int64_t echo_us;    /* 0: none is due */
-	int64_t confirm_us; /* ask a peer then */
-	uint32_t rounds;    /* of asking */
+	int64_t pull_us;	   /* not before */
+	int64_t echo_us;	   /* 0: none is due */
+	int64_t confirm_us;	   /* ask a peer then */
+	int64_t told_us;	   /* confirmation that peers were told last */
+	int64_t document_revision; /* last read from the store, or 0 */
+	uint32_t rounds;	   /* of asking */
 
 	struct buffer packed;
 	uint64_t packed_number;
@@ -135,6 +137,9 @@
 void notes_arrived(struct notes *n, uint64_t number, const char *text,
 		   size_t len, int64_t now);
 void notes_adopt(struct notes *n, struct config *c, int64_t now);
+int notes_pack(const struct notes *n, struct buffer *out);
+struct config *notes_unpack(const struct notes *n, const void *data, size_t len,
+			    struct error *err);
 
 int kept_put(struct notes *n, uint64_t number, const char *text, size_t len);
 const struct kept_note *kept_get(const struct notes *n, uint64_t number);
@@ -163,6 +168,9 @@
 extern const char snapshot_head_key[];
 
 void fetch_start(struct notes *n, int64_t now);
+void fetch_document(struct notes *n, int64_t now);
+void document_changed(struct notes *n, const struct store_entry *e,
+		      int64_t now);
 void fetch_tick(struct notes *n, int64_t now);
 void fetch_free(struct notes *n);
 
@@ -177,6 +185,7 @@
 
 void peer_tick(struct notes *n, int64_t now);
 void peer_push(struct notes *n, const struct kept_note *k, int64_t now);
+void peer_push_number(struct notes *n, int64_t now);
 void peer_free(struct notes *n);
 void transfer_start(struct notes *n, const struct addr *to, int64_t now);
 void transfer_tick(struct notes *n, int64_t now);
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -8,6 +8,8 @@
 
 #define PUSH_NEAR 4 /* members of the own data centre */
 #define PUSH_FAR 2  /* members of others, from a node that reads the store */
+/* A confirmation is passed on when it is newer by so much. */
+#define TOLD_STEP_US (400 * USEC_PER_MSEC)
 #define ECHO_NEAR 4 /* members that hear of the number a little later */
 #define ECHO_US (150 * USEC_PER_MSEC)
 #define BATCH_NOTES 64
@@ -77,6 +79,21 @@
 		n->echo_us = now + ECHO_US;
 }
 
+/* Tells members the number of a new document; those behind will pull it. */
+void peer_push_number(struct notes *n, int64_t now)
+{
+	const struct member_info *m;
+	int i;
+
+	for (i = 0; i < PUSH_NEAR + (n->chosen ? PUSH_FAR : 0); i++) {
+		m = members_random(n->o.members, i >= PUSH_NEAR);
+		if (m)
+			send_state(n, &m->nodes, false, now);
+	}
+	if (!n->echo_us)
+		n->echo_us = now + ECHO_US;
+}
+
 /* Random pushes miss a few members, and some are lost: tells the number. */
 static void echo(struct notes *n, int64_t now)
 {
@@ -126,11 +143,26 @@
 		pull_random(n, cut_off && n->rounds++ % 2, now);
 }
 
+/*
+ * Passes a newer confirmation on, so that a data centre needs few readers of
+ * the store. Each node tells a few, whatever the number of nodes.
+ */
+static void tell_confirmation(struct notes *n, int64_t now)
+{
+	if (!n->confirmed || n->confirmed_us - n->told_us < TOLD_STEP_US)
+		return;
+	n->told_us = n->confirmed_us;
+	peer_push_number(n, now);
+}
+
 /* Pulls what is missing, first from whoever told of it. */
 void peer_tick(struct notes *n, int64_t now)
 {
 	bool behind = n->wanted > notes_number(n);
 
+	if (n->o.source == SOURCE_DOCUMENT)
+		tell_confirmation(n, now);
+
 	if (n->echo_us && now >= n->echo_us)
 		echo(n, now);
 	if (now < n->pull_us)
--- a/src/control/notes_transfer.c
+++ b/src/control/notes_transfer.c
@@ -24,6 +24,8 @@
 {
 	uint64_t i, number = notes_number(n);
 
+	if (n->o.source == SOURCE_DOCUMENT)
+		return n->packed_number == number;
 	if (!n->packed_number || number - n->packed_number > PACKED_LAG_MAX)
 		return false;
 	for (i = n->packed_number + 1; i <= number; i++)
@@ -39,7 +41,7 @@
 			return -1;
 		buffer_free(&n->packed);
 		n->packed_number = 0;
-		if (config_pack(n->config, &n->packed) < 0)
+		if (notes_pack(n, &n->packed) < 0)
 			return -1;
 		n->packed_number = notes_number(n);
 	}
@@ -146,7 +148,7 @@
 	n->pull_us = now + PART_WAIT_US;
 	if (++a->part < a->parts)
 		return;
-	c = config_unpack(a->bytes.data, a->bytes.len, &err);
+	c = notes_unpack(n, a->bytes.data, a->bytes.len, &err);
 	buffer_free(&a->bytes);
 	a->number = 0;
 	n->pull_us = now;
--- a/src/control/quota.c
+++ b/src/control/quota.c
@@ -1,6 +1,7 @@
 #include "control/quota_impl.h"
 
 #include <math.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -89,6 +90,20 @@
 	return XXH3_64bits(pair, sizeof(pair));
 }
 
+static void log_terms(const struct quota_account *a)
+{
+	struct log_line line;
+	char text[48];
+
+	log_start(&line, LOG_INFO, "account-limit");
+	log_str(&line, "account", a->name);
+	snprintf(text, sizeof(text), "%g", a->rate);
+	log_str(&line, "rate", text);
+	snprintf(text, sizeof(text), "%g", a->burst);
+	log_str(&line, "burst", text);
+	log_emit(&line);
+}
+
 /* Loans of other terms end: a burst that was lowered must hold at once. */
 static void set_terms(struct quota_account *a, double rate, double burst,
 		      int64_t now)
@@ -96,12 +111,14 @@
 	uint64_t terms = terms_of(rate, burst);
 
 	quota_refill(a, now);
-	if (terms != a->terms)
-		a->loans_in_count = 0;
+	if (terms == a->terms)
+		return;
+	a->loans_in_count = 0;
 	a->terms = terms;
 	a->rate = rate;
 	a->burst = burst;
 	quota_refill(a, now);
+	log_terms(a);
 }
 
 /* Takes over the rates and bursts of the configuration in force. */
--- a/src/control/quota_homes.c
+++ b/src/control/quota_homes.c
@@ -6,6 +6,8 @@
 
 /* Members come and go rarely; asking a former home only costs a refusal. */
 #define HOMES_REFRESH_US (10 * USEC_PER_SEC)
+/* The walk over all members is not repeated sooner, whoever comes and goes. */
+#define HOMES_LEAST_US (500 * USEC_PER_MSEC)
 
 /* An account has two homes in a data centre if each gets so many tokens. */
 #define TOKENS_PER_HOME 40
@@ -162,8 +164,13 @@
 	struct centre *c;
 	size_t n = 0, i;
 
-	if (a->homes_at_us && now - a->homes_at_us < HOMES_REFRESH_US)
+	size_t living = members_count(q->o.members, MEMBER_ALIVE) +
+			members_count(q->o.members, MEMBER_SUSPECT);
+
+	if (a->homes_at_us && now - a->homes_at_us < HOMES_REFRESH_US &&
+	    (living == a->homes_of || now - a->homes_at_us < HOMES_LEAST_US))
 		return;
+	a->homes_of = living;
 	while ((m = members_next(q->o.members, m))) {
 		if (m->state != MEMBER_ALIVE && m->state != MEMBER_SUSPECT)
 			continue;
--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -118,6 +118,7 @@
 	struct home homes[HOMES_MAX];
 	size_t home_count;
 	int64_t homes_at_us;
+	size_t homes_of; /* members that lived then */
 	bool is_home;
 	int64_t not_home_since_us;
 	int64_t active_us; /* last demand or question; 0: never */
--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -124,6 +124,21 @@
 	return a->pool.share;
 }
 
+static void log_share(const struct quota_account *a)
+{
+	struct log_line line;
+	char text[32];
+
+	log_start(&line, LOG_INFO, "account-share");
+	log_str(&line, "account", a->name);
+	snprintf(text, sizeof(text), "%.4f", (double)a->share / SHARE_ALL);
+	log_str(&line, "share", text);
+	snprintf(text, sizeof(text), "%.4f", (double)a->pool.share / SHARE_ALL);
+	log_str(&line, "pool", text);
+	log_int(&line, "revision", a->pool.mod_revision);
+	log_emit(&line);
+}
+
 static void adopt_write(struct quota *q, struct quota_account *a,
 			int64_t revision, int64_t now)
 {
@@ -140,6 +155,7 @@
 	a->confirmed_us = a->sent_us;
 	a->failures = 0;
 	quota_refill(a, now);
+	log_share(a);
 	if (a->share)
 		a->seen_tokens = true;
 	/* Nobody held a token of an account that had no pool before. */
--- /dev/null
+++ b/src/control/secret.c
@@ -0,0 +1,123 @@
+/*
+ * The secret that links and datagrams are sealed with, where the settings
+ * name none: whoever starts first writes it, and nobody changes it.
+ */
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control/control.h"
+
+#define KEY "mulberryferry/link-secret"
+#define TIMEOUT_US USEC_PER_SEC
+#define RETRY_US (300 * USEC_PER_MSEC) /* between reads while it is unknown */
+
+struct secret {
+	struct secret_options o;
+	uint8_t proposed[SECRET_SIZE];
+	bool known;
+	bool busy;
+	int64_t next_us;
+};
+
+struct secret *secret_new(const struct secret_options *o)
+{
+	struct secret *s = calloc(1, sizeof(*s));
+
+	if (!s)
+		return NULL;
+	s->o = *o;
+	randombytes_buf(s->proposed, sizeof(s->proposed));
+	return s;
+}
+
+/* The store must not report to it any more. */
+void secret_free(struct secret *s)
+{
+	if (!s)
+		return;
+	sodium_memzero(s->proposed, sizeof(s->proposed));
+	free(s);
+}
+
+static void take(struct secret *s, const uint8_t *value, int64_t now)
+{
+	struct log_line line;
+
+	s->known = true;
+	log_start(&line, LOG_NOTICE, "secret-known");
+	log_emit(&line);
+	s->o.known(s->o.ctx, value, now);
+}
+
+static void written(void *ctx, uint64_t tag, const struct store_result *r,
+		    int64_t now)
+{
+	struct secret *s = ctx;
+
+	(void)tag;
+	s->busy = false;
+	/* After a conflict or a lost answer, a read tells whose it became. */
+	s->next_us = now;
+	if (r->outcome == STORE_DONE)
+		take(s, s->proposed, now);
+	else if (r->outcome != STORE_CONFLICT)
+		s->next_us = now + RETRY_US;
+}
+
+static void write_own(struct secret *s, int64_t now)
+{
+	struct store_compare absent = {.key = KEY};
+	struct store_write write = {
+		.key = KEY, .value = s->proposed, .len = SECRET_SIZE};
+	struct store_op op = {.kind = STORE_TXN,
+			      .priority = STORE_CLAIM,
+			      .timeout_us = TIMEOUT_US};
+	struct store_done done = {.ctx = s, .fn = written};
+
+	op.txn.compares = &absent;
+	op.txn.compare_count = 1;
+	op.txn.writes = &write;
+	op.txn.write_count = 1;
+	s->busy = true;
+	store_submit(s->o.store, &op, &done, now);
+}
+
+static void got(void *ctx, uint64_t tag, const struct store_result *r,
+		int64_t now)
+{
+	struct secret *s = ctx;
+
+	(void)tag;
+	s->busy = false;
+	s->next_us = now + RETRY_US;
+	if (r->outcome != STORE_DONE)
+		return;
+	if (!r->n) {
+		write_own(s, now);
+	} else if (r->entries[0].len == SECRET_SIZE) {
+		take(s, r->entries[0].value, now);
+	} else {
+		struct error err;
+
+		error_set(&err, ERROR_INPUT, "secret", KEY,
+			  "the store holds %zu bytes instead of %d",
+			  r->entries[0].len, SECRET_SIZE);
+		log_error(LOG_ERR, "secret-refused", &err);
+	}
+}
+
+/* Reads the secret until it is known. */
+void secret_tick(struct secret *s, int64_t now)
+{
+	struct store_op op = {.kind = STORE_GET,
+			      .priority = STORE_CLAIM,
+			      .timeout_us = TIMEOUT_US,
+			      .key = KEY};
+	struct store_done done = {.ctx = s, .fn = got};
+
+	if (s->known || s->busy || now < s->next_us)
+		return;
+	s->busy = true;
+	store_submit(s->o.store, &op, &done, now);
+}
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -68,13 +68,15 @@
 }
 
 /* Answers before there is a request to hold; nothing ran. */
-static void refuse_unheld(struct http_server *server, uint64_t exchange,
+static void refuse_unheld(const struct edge_names *edge,
+			  struct http_server *server, uint64_t exchange,
 			  enum reason reason)
 {
 	struct message m = {0};
 
 	problem_fill(&m, reason, OUTCOME_NOT_RUN, NULL);
-	message_add_header(&m, "mulberryferry-outcome", "not-run");
+	if (edge->outcome)
+		message_add_header(&m, edge->outcome, "not-run");
 	message_add_header(&m, "retry-after", "1");
 	http_server_answer(server, exchange, &m);
 	message_free(&m);
@@ -100,6 +102,12 @@
 	return handle;
 }
 
+/* Whether a running request may have made it, which must be let finish. */
+static bool may_be_inner(const struct node *n, const struct message *m)
+{
+	return !n->edge->context && !message_header(m, "authorization");
+}
+
 /*
  * Holds a request and runs its filters. A request past the limits of this
  * node, or before there is a configuration, is refused at once.
@@ -115,19 +123,20 @@
 					    : COUNTER_SUB_CALLS,
 		    1);
 	if (!n->config) {
-		refuse_unheld(request_server(n, origin), exchange,
+		refuse_unheld(n->edge, request_server(n, origin), exchange,
 			      REASON_NOT_CONFIGURED);
 		return;
 	}
-	if (origin == ORIGIN_CALLER && node_takes_no_more(n, now)) {
-		refuse_unheld(n->callers, exchange, REASON_STOPPING);
+	if (origin == ORIGIN_CALLER && node_takes_no_more(n, now) &&
+	    !may_be_inner(n, msg)) {
+		refuse_unheld(n->edge, n->callers, exchange, REASON_STOPPING);
 		return;
 	}
 	index = calloc(1, sizeof(*index));
 	handle = index ? add_request(n, msg, &r) : 0;
 	if (!handle) {
 		free(index);
-		refuse_unheld(request_server(n, origin), exchange,
+		refuse_unheld(n->edge, request_server(n, origin), exchange,
 			      REASON_OVERLOADED);
 		return;
 	}
--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -5,8 +5,6 @@
 
 #include "node/node.h"
 
-#define CONTEXT_HEADER "mulberryferry-context"
-
 /* Longer chains than a root identity leaves room for get a hashed suffix. */
 static void make_sub_id(struct request *r, const struct call *parent)
 {
@@ -28,11 +26,12 @@
 enum filter_result filter_context(struct node *n, struct request *r,
 				  int64_t now)
 {
-	const char *token = message_header(&r->message, CONTEXT_HEADER);
+	const char *token;
 	struct call *parent;
 
-	if (r->origin == ORIGIN_CALLER)
+	if (r->origin == ORIGIN_CALLER || !n->edge->context)
 		return FILTER_NEXT;
+	token = message_header(&r->message, n->edge->context);
 	parent = token ? gates_call_by_token(n, token) : NULL;
 	if (!parent)
 		return request_refuse(n, r, REASON_BAD_CONTEXT, OUTCOME_NOT_RUN,
@@ -56,6 +55,6 @@
 			return request_refuse(n, r, REASON_BAD_KEY,
 					      OUTCOME_NOT_RUN, now);
 	}
-	message_remove_header(&r->message, CONTEXT_HEADER);
+	message_remove_header(&r->message, n->edge->context);
 	return FILTER_NEXT;
 }
--- a/src/filter/deadline.c
+++ b/src/filter/deadline.c
@@ -4,12 +4,12 @@
 
 #include "node/node.h"
 
-#define DEADLINE_HEADER "mulberryferry-deadline-ms"
 #define DEADLINE_MAX_MS (24 * 3600 * 1000L)
 
-static int header_deadline_us(const struct request *r, int64_t *us)
+static int header_deadline_us(const struct node *n, const struct request *r,
+			      int64_t *us)
 {
-	const char *text = message_header(&r->message, DEADLINE_HEADER);
+	const char *text = message_header(&r->message, n->edge->deadline_ms);
 	char *end;
 	long ms;
 
@@ -31,7 +31,7 @@
 {
 	int64_t at = r->arrived_us + r->route->deadline_us;
 	int64_t wish_us;
-	int given = header_deadline_us(r, &wish_us);
+	int given = header_deadline_us(n, r, &wish_us);
 
 	if (given < 0)
 		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
--- /dev/null
+++ b/src/filter/edge.c
@@ -0,0 +1,11 @@
+#include "filter/edge.h"
+
+#include <stddef.h>
+
+/* What nodes say unless their settings name another interface. */
+const struct edge_names own_edge = {
+	.request = "x-request-id",
+	.deadline_ms = "mulberryferry-deadline-ms",
+	.context = "mulberryferry-context",
+	.outcome = "mulberryferry-outcome",
+};
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -20,7 +20,7 @@
 		memcpy(d->account, r->account->name, sizeof(d->account));
 	if (r->route) {
 		memcpy(d->route, r->route->name, sizeof(d->route));
-		memcpy(d->service, r->route->service, sizeof(d->service));
+		copy_name(d->service, sizeof(d->service), r->service);
 	}
 	d->attempt = r->attempt;
 }
@@ -95,25 +95,37 @@
 	table_remove(&n->requests, r->handle);
 }
 
+static void add_retry_after(const struct edge_names *edge, struct message *m,
+			    uint32_t ms)
+{
+	char seconds[24];
+
+	if (edge->fractional_retry_after)
+		snprintf(seconds, sizeof(seconds), "%u.%03u", ms / 1000,
+			 ms % 1000);
+	else
+		snprintf(seconds, sizeof(seconds), "%u", (ms + 999) / 1000);
+	message_add_header(m, "retry-after", seconds);
+}
+
 static void give(struct node *n, struct request *r, struct message *m,
 		 enum outcome outcome)
 {
-	char seconds[16];
+	const struct edge_names *edge = n->edge;
 
 	if (!r->exchange)
 		return;
-	message_remove_header(m, "x-request-id");
-	message_remove_header(m, "mulberryferry-outcome");
+	message_remove_header(m, edge->request);
 	if (r->id[0])
-		message_add_header(m, "x-request-id",
+		message_add_header(m, edge->request,
 				   r->origin == ORIGIN_CALLER ? r->root
 							      : r->id);
-	message_add_header(m, "mulberryferry-outcome", outcome_name(outcome));
-	if (r->retry_after_ms) {
-		snprintf(seconds, sizeof(seconds), "%u",
-			 (r->retry_after_ms + 999) / 1000);
-		message_add_header(m, "retry-after", seconds);
+	if (edge->outcome) {
+		message_remove_header(m, edge->outcome);
+		message_add_header(m, edge->outcome, outcome_name(outcome));
 	}
+	if (r->retry_after_ms)
+		add_retry_after(edge, m, r->retry_after_ms);
 	http_server_answer(request_server(n, r->origin), r->exchange, m);
 }
 
@@ -124,6 +136,17 @@
 	return status == 429 || status == 503 || reason == REASON_CLAIM_RUNNING;
 }
 
+/* Where only the status tells, it must not promise more than is certain. */
+static int told_status(int status, enum outcome outcome)
+{
+	bool promises = status == 408 || status == 421 || status == 429 ||
+			status == 503;
+
+	if (outcome == OUTCOME_NOT_RUN)
+		return status >= 500 ? 503 : status;
+	return promises ? 502 : status;
+}
+
 /*
  * Ends a request without an answer of an upstream: a problem document says
  * why, and whether it ran. outcome must be true.
@@ -144,6 +167,8 @@
 	if (!r->retry_after_ms && has_retry_after(reason))
 		r->retry_after_ms = RETRY_AFTER_MS;
 	problem_fill(&m, reason, outcome, r->root);
+	if (n->edge->status_tells_outcome)
+		m.status = told_status(m.status, outcome);
 	record_end(n, r,
 		   reason == REASON_CANCELLED ? DECISION_CANCELLED
 					      : DECISION_REFUSED,
@@ -203,7 +228,7 @@
 		return;
 	request_drop_exchange(n, r);
 	counter_add(COUNTER_CANCELLED, 1);
-	if (r->in_flight && r->route->once)
+	if (r->in_flight && request_runs_once(r))
 		return;
 	place_forget(n, r, now);
 	request_refuse(n, r, REASON_CANCELLED,
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -37,6 +37,8 @@
 	FILTER_END, /* answered, or refused through request_refuse */
 };
 
+#define TRIED_MAX 4
+
 struct request {
 	uint64_t handle;
 	uint64_t exchange; /* 0: the caller has gone */
@@ -47,6 +49,7 @@
 	struct message message;
 	struct config *config;
 	const struct route *route;
+	const char *service;	       /* of the route, or the part drawn */
 	const struct account *account; /* NULL on open routes */
 	uint64_t parent;	       /* gate call of a sub-call */
 	uint64_t identity;	       /* entry in the table of identities */
@@ -58,7 +61,9 @@
 	uint8_t allowance;
 	uint8_t depth;
 	uint8_t attempt;
+	uint8_t moves;	   /* attempts that no upstream saw */
 	uint16_t runs;	   /* upstream executions so far */
+	bool inner;	   /* a call that a running request makes */
 	bool named;	   /* the caller chose the identity */
 	bool may_have_run; /* an attempt whose outcome is unknown */
 	bool limited;	   /* spent a token */
@@ -66,7 +71,7 @@
 	bool claiming;
 	uint32_t shed_unseen[SHED_CLASSES];
 	uint64_t upstream; /* directory handle of the present attempt */
-	uint64_t tried[4];
+	uint64_t tried[TRIED_MAX];
 	uint64_t link_call;
 	uint64_t local_call;
 	int64_t sent_us;
@@ -100,6 +105,8 @@
 struct http_server *request_server(const struct node *n, enum request_origin o);
 void problem_fill(struct message *m, enum reason reason, enum outcome outcome,
 		  const char *request);
+/* Whether a second run would be an effect that nobody asked for. */
+bool request_runs_once(const struct request *r);
 
 void request_record(struct node *n, const struct request *r,
 		    enum decision_kind kind, enum reason reason,
--- a/src/filter/identity.c
+++ b/src/filter/identity.c
@@ -42,14 +42,16 @@
 	free(ids);
 }
 
-static bool id_is_valid(const char *id)
+static bool id_is_valid(const struct edge_names *edge, const char *id)
 {
-	size_t n = strlen(id);
+	/* Where sub-calls bring identities of their own, those are longer. */
+	size_t n = strlen(id),
+	       max = edge->context ? ROOT_ID_MAX : REQUEST_ID_SIZE - 1;
 
-	if (!n || n > ROOT_ID_MAX)
+	if (!n || n > max)
 		return false;
 	for (; *id; id++)
-		if (!isalnum((unsigned char)*id) && !strchr("-_", *id))
+		if (!isalnum((unsigned char)*id) && !strchr("-_.", *id))
 			return false;
 	return true;
 }
@@ -110,6 +112,17 @@
 	return root_lot(r->root, pair_hash(n->lot_key, span));
 }
 
+/* What this system alone may say to an upstream. */
+static void drop_forged(const struct edge_names *edge, struct message *m)
+{
+	if (edge->account)
+		message_remove_header(m, edge->account);
+	if (edge->instance)
+		message_remove_header(m, edge->instance);
+	if (edge->caller)
+		message_remove_header(m, edge->caller);
+}
+
 /*
  * Gives a root its identity and its lot, before anything can refuse it, so
  * that every answer and record carries the identity.
@@ -117,18 +130,22 @@
 enum filter_result filter_identity(struct node *n, struct request *r,
 				   int64_t now)
 {
-	const char *given = message_header(&r->message, "x-request-id");
+	const char *given = message_header(&r->message, n->edge->request);
 
 	if (r->origin == ORIGIN_SERVICE)
 		return FILTER_NEXT;
-	r->named = given && id_is_valid(given);
+	r->named = given && id_is_valid(n->edge, given);
 	if (r->named)
 		copy_name(r->root, sizeof(r->root), given);
 	else
 		random_token(r->root, MADE_ID_SIZE);
 	memcpy(r->id, r->root, sizeof(r->id));
 	r->lot = draw_lot(n, r, now);
-	if (given && !r->named)
+	drop_forged(n->edge, &r->message);
+	if (n->edge->caller)
+		message_add_header(&r->message, n->edge->caller,
+				   n->settings.service);
+	if (given && !r->named && n->edge->context)
 		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
 				      now);
 	return FILTER_NEXT;
@@ -141,6 +158,9 @@
 enum filter_result filter_duplicate(struct node *n, struct request *r,
 				    int64_t now)
 {
+	/* Where only the status tells, a refusal would be told of both. */
+	if (n->edge->status_tells_outcome)
+		return FILTER_NEXT;
 	if (r->named && identity_add(n, r) < 0)
 		return request_refuse(n, r, REASON_DUPLICATE, OUTCOME_NOT_RUN,
 				      now);
--- a/src/filter/key.c
+++ b/src/filter/key.c
@@ -20,10 +20,25 @@
 	return key ? config_account(c, key->account) : NULL;
 }
 
+/* A request is taken so much before a withdrawn key must be dead. */
+#define REVOKE_MARGIN_US (300 * USEC_PER_MSEC)
+
+/* How old the proof may be that no newer configuration exists; 0: any. */
+static int64_t stale_limit_us(const struct node *n, const struct account *a)
+{
+	int64_t promised = n->settings.promises.revoke_us - REVOKE_MARGIN_US;
+
+	if (promised <= 0 ||
+	    (a->refuse_stale_us && a->refuse_stale_us < promised))
+		return a->refuse_stale_us;
+	return promised;
+}
+
 static bool config_too_old(struct node *n, const struct account *a, int64_t now)
 {
-	return a->refuse_stale_us &&
-	       notes_stale_us(n->notes, now) > a->refuse_stale_us;
+	int64_t limit = stale_limit_us(n, a);
+
+	return limit && notes_stale_us(n->notes, now) > limit;
 }
 
 /*
@@ -41,6 +56,7 @@
 	if (authorization && !r->route->open)
 		r->account = account_of_key(r->config, authorization);
 	message_remove_header(&r->message, "authorization");
+	r->inner = r->route->open && !authorization && !n->edge->context;
 	if (r->route->open)
 		return FILTER_NEXT;
 	if (!authorization)
@@ -52,5 +68,7 @@
 	if (config_too_old(n, r->account, now))
 		return request_refuse(n, r, REASON_STALE_CONFIG,
 				      OUTCOME_NOT_RUN, now);
+	if (r->account->ranked)
+		r->cls = r->account->shed;
 	return FILTER_NEXT;
 }
--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -49,7 +49,7 @@
 	bool first = !r->limit_wait_until_us;
 	int64_t retry_us = 0;
 
-	if (r->origin == ORIGIN_SERVICE || !r->account)
+	if (r->origin == ORIGIN_SERVICE || !r->account || r->account->unlimited)
 		return FILTER_NEXT;
 	switch (quota_take(n->quota, r->account->name, first, now, &retry_us)) {
 	case QUOTA_TAKEN:
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -26,26 +26,27 @@
 	size_t count, i;
 	int picked;
 
-	count = directory_list(n->directory, r->route->service, handles,
+	count = directory_list(n->directory, r->service, handles,
 			       CANDIDATES_MAX);
 	for (i = 0; i < count; i++) {
 		u = directory_get(n->directory, handles[i]);
 		c[i].load = &u->load;
 		c[i].slots = u->info.slots;
 		c[i].same_data_centre = u->same_data_centre;
-		c[i].tried = was_tried(r, handles[i]);
+		c[i].tried = was_tried(r, handles[i]) ||
+			     links_is_doubtful(n->links, &u->member);
 	}
 	picked = balance_pick(c, count, node_random(n), now);
 	return picked < 0 ? 0 : handles[picked];
 }
 
 static void fill_head(struct call_head *h, struct request *r,
-		      const struct known_upstream *u, int64_t now)
+		      const struct known_upstream *u, bool lends, int64_t now)
 {
 	memset(h, 0, sizeof(*h));
 	memcpy(h->request, r->id, sizeof(h->request));
 	memcpy(h->root, r->root, sizeof(h->root));
-	memcpy(h->service, r->route->service, sizeof(h->service));
+	copy_name(h->service, sizeof(h->service), r->service);
 	memcpy(h->route, r->route->name, sizeof(h->route));
 	if (r->account)
 		memcpy(h->account, r->account->name, sizeof(h->account));
@@ -53,10 +54,12 @@
 	h->cls = r->cls;
 	h->lot = r->lot;
 	h->deadline_ms = (uint32_t)((r->deadline_us - now) / USEC_PER_MSEC);
-	h->allowance = allowance_lend(&r->allowance);
+	/* Without a context, sub-calls could not find what was lent. */
+	if (lends)
+		h->allowance = allowance_lend(&r->allowance);
 	h->depth = r->depth;
 	h->attempt = r->attempt;
-	h->once = r->route->once;
+	h->once = request_runs_once(r);
 	memcpy(h->shed_unseen, r->shed_unseen, sizeof(h->shed_unseen));
 	memset(r->shed_unseen, 0, sizeof(r->shed_unseen));
 }
@@ -129,38 +132,47 @@
 	r->tried[0] = r->upstream;
 }
 
-/* Chooses an upstream and sends the call to its gate. */
-enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
+/* Chooses an upstream and sends the call to its gate; -1: it could not. */
+static int place_once(struct node *n, struct request *r, int64_t now)
 {
 	struct known_upstream *u;
 	struct call_head head;
 	struct error err;
 
-	if (now + USEC_PER_MSEC >= r->deadline_us)
-		return request_refuse(n, r, REASON_DEADLINE, OUTCOME_NOT_RUN,
-				      now);
 	r->upstream = pick_upstream(n, r, now);
 	u = directory_get(n->directory, r->upstream);
 	if (!u)
-		return request_refuse(n, r, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN,
-				      now);
+		return -1;
 	if (!r->attempt)
 		add_unseen(n, r, now);
-	fill_head(&head, r, u, now);
+	fill_head(&head, r, u, n->edge->context != NULL, now);
 	remember_tried(r);
 	r->sent_us = now;
 	/* Before the gate's own records, which may come within send_call. */
 	request_record(n, r, DECISION_PLACED, REASON_NONE, NULL, 0);
+	load_sent(&u->load, now);
 	if (send_call(n, r, u, &head, now, &err) < 0) {
 		log_error(LOG_WARNING, "place", &err);
 		r->allowance += head.allowance;
-		return request_refuse(n, r, REASON_NO_UPSTREAM, OUTCOME_NOT_RUN,
-				      now);
+		load_failed(&u->load, now);
+		return -1;
 	}
 	r->in_flight = true;
-	load_sent(&u->load, now);
 	if (!r->attempt)
-		retry_ratio_call(service_retry_ratio(n, r->route->service));
+		retry_ratio_call(service_retry_ratio(n, r->service));
+	return 0;
+}
+
+/* Places the call, at another upstream's gate if the first is out of reach. */
+enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
+{
+	if (now + USEC_PER_MSEC >= r->deadline_us)
+		return request_refuse(n, r, REASON_DEADLINE, OUTCOME_NOT_RUN,
+				      now);
+	while (place_once(n, r, now) < 0)
+		if (!r->upstream || r->moves++ >= TRIED_MAX - 1)
+			return request_refuse(n, r, REASON_NO_UPSTREAM,
+					      OUTCOME_NOT_RUN, now);
 	return FILTER_WAIT;
 }
 
@@ -178,24 +190,47 @@
 	free(p);
 }
 
-/* Whether a second run would be an effect that nobody asked for. */
-static bool must_run_once(const struct request *r)
+bool request_runs_once(const struct request *r)
 {
+	switch (r->route->effect) {
+	case EFFECT_NONE:
+		return false;
+	case EFFECT_REPEATED:
+		return true;
+	case EFFECT_BY_METHOD:
+		break;
+	}
 	return r->route->once || !method_is_idempotent(r->message.method);
 }
 
+/* A call that no upstream saw costs nothing but the way to another gate. */
+static bool may_move(struct request *r, enum outcome outcome,
+		     enum reason reason)
+{
+	if (outcome != OUTCOME_NOT_RUN || reason == REASON_UPSTREAM_REFUSED ||
+	    r->moves >= TRIED_MAX - 1)
+		return false;
+	r->moves++;
+	return true;
+}
+
 static bool may_retry(struct node *n, struct request *r, enum outcome outcome,
 		      enum reason reason)
 {
-	if (must_run_once(r) && outcome != OUTCOME_NOT_RUN)
+	if (request_runs_once(r) && outcome != OUTCOME_NOT_RUN)
 		return false;
 	if (config_overload_mode(r->config) == OVERLOAD_OFF)
 		return r->attempt < BLIND_RETRIES;
-	if (!retry_allowed(outcome, reason, must_run_once(r)))
+	if (!retry_allowed(outcome, reason, request_runs_once(r)))
 		return false;
+	if (n->edge->status_tells_outcome && may_move(r, outcome, reason))
+		return true;
 	if (!r->allowance)
 		return false;
-	return retry_ratio_take(service_retry_ratio(n, r->route->service));
+	if (!retry_ratio_take(service_retry_ratio(n, r->service)))
+		return false;
+	r->allowance--;
+	return true;
 }
 
 static bool start_retry(struct node *n, struct request *r, enum outcome outcome,
@@ -218,8 +253,6 @@
 		free(p);
 		return false;
 	}
-	if (r->allowance)
-		r->allowance--;
 	r->attempt++;
 	counter_add(COUNTER_RETRIES, 1);
 	request_record(n, r, DECISION_RETRIED, reason, NULL, now - r->sent_us);
@@ -293,7 +326,7 @@
 	r->link_call = 0;
 	r->local_call = 0;
 	learn(n, r, head, now);
-	if (!r->exchange && !r->route->once) {
+	if (!r->exchange && !request_runs_once(r)) {
 		request_refuse(n, r, REASON_CANCELLED, head->outcome, now);
 		return;
 	}
--- a/src/filter/route.c
+++ b/src/filter/route.c
@@ -2,17 +2,45 @@
 
 #include "node/node.h"
 
+/* Draws one of the services that share the route, by weight. */
+static const char *draw_service(struct node *n, const struct route *route)
+{
+	uint64_t sum = 0, at;
+	size_t i;
+
+	for (i = 0; i < route->part_count; i++)
+		sum += route->parts[i].weight;
+	if (!sum)
+		return route->service;
+	at = node_random(n) % sum;
+	for (i = 0; at >= route->parts[i].weight; i++)
+		at -= route->parts[i].weight;
+	return route->parts[i].service;
+}
+
+static const struct route *find_route(const struct request *r)
+{
+	const char *host = message_header(&r->message, "host");
+	const struct route *route = NULL;
+
+	if (host)
+		route = config_match_place(r->config, host, r->message.target);
+	return route ? route
+		     : config_match(r->config, r->message.method,
+				    r->message.target);
+}
+
 /*
  * Finds the route by method and path. A root takes class and allowance from
  * it; a sub-call keeps what its root was given.
  */
 enum filter_result filter_route(struct node *n, struct request *r, int64_t now)
 {
-	r->route =
-		config_match(r->config, r->message.method, r->message.target);
+	r->route = find_route(r);
 	if (!r->route)
 		return request_refuse(n, r, REASON_NO_ROUTE, OUTCOME_NOT_RUN,
 				      now);
+	r->service = draw_service(n, r->route);
 	if (r->origin == ORIGIN_CALLER) {
 		r->cls = r->route->shed;
 		r->allowance = (uint8_t)r->route->retries;
--- a/src/filter/shed.c
+++ b/src/filter/shed.c
@@ -29,7 +29,7 @@
 	uint64_t service;
 
 	/* A sub-call has cost its root work already: its gate decides. */
-	if (mode == OVERLOAD_OFF || r->origin == ORIGIN_SERVICE)
+	if (mode == OVERLOAD_OFF || r->origin == ORIGIN_SERVICE || r->inner)
 		return FILTER_NEXT;
 	service = refusing_service(n, r, account, now);
 	if (!service)
--- a/src/net/datagram.c
+++ b/src/net/datagram.c
@@ -1,36 +1,12 @@
 #include "net/link_impl.h"
 
 #include <errno.h>
-#include <netinet/in.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#define RECEIVE_MAX 256 /* datagrams taken before others get their turn */
-#define V4_OFFSET 12
-
-union socket_addr {
-	struct sockaddr any;
-	struct sockaddr_in v4;
-	struct sockaddr_in6 v6;
-};
-
-static socklen_t to_socket_addr(const struct addr *a, union socket_addr *sa)
-{
-	static const uint8_t prefix[V4_OFFSET] = {[10] = 0xff, [11] = 0xff};
+#include "net/socket_addr.h"
 
-	memset(sa, 0, sizeof(*sa));
-	if (memcmp(a->ip, prefix, sizeof(prefix))) {
-		sa->v6.sin6_family = AF_INET6;
-		sa->v6.sin6_port = htons(a->port);
-		memcpy(&sa->v6.sin6_addr, a->ip, sizeof(a->ip));
-		return sizeof(sa->v6);
-	}
-	sa->v4.sin_family = AF_INET;
-	sa->v4.sin_port = htons(a->port);
-	memcpy(&sa->v4.sin_addr, a->ip + V4_OFFSET, 4);
-	return sizeof(sa->v4);
-}
+#define RECEIVE_MAX 256 /* datagrams taken before others get their turn */
 
 /*
  * Opens the UDP socket of an address and tells the port, which the kernel
@@ -41,7 +17,7 @@
 {
 	char text[ADDR_TEXT_SIZE];
 	union socket_addr sa;
-	socklen_t len = to_socket_addr(listen, &sa);
+	socklen_t len = socket_addr_from(listen, &sa);
 	int fd = socket(sa.any.sa_family,
 			SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -71,6 +47,8 @@
 	struct buffer opened = {0};
 	struct peer_msg msg;
 
+	if (!l->sealed)
+		return;
 	if (datagram_open(l->options.secret, data, len, &opened) < 0)
 		refuse(l, "not sealed with the secret", ERROR_AUTH);
 	else if (peer_msg_decode(&msg, opened.data, opened.len, NULL) < 0)
@@ -106,12 +84,12 @@
 {
 	struct buffer plain = {0}, sealed = {0};
 	union socket_addr sa;
-	socklen_t sa_len = to_socket_addr(to, &sa);
+	socklen_t sa_len = socket_addr_from(to, &sa);
 	ssize_t sent = -1;
 
 	msg->from = l->addr;
 	msg->incarnation = l->options.incarnation;
-	if (!l->closed && peer_msg_encode(msg, &plain) == 0 &&
+	if (!l->closed && l->sealed && peer_msg_encode(msg, &plain) == 0 &&
 	    datagram_seal(l->options.secret, plain.data, plain.len, &sealed) ==
 		    0)
 		sent = sendto(l->datagram_fd, sealed.data, sealed.len, 0,
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -5,20 +5,65 @@
 #include <utlist.h>
 
 #define CALLS_MAX (1U << 20)
-#define SOON_US 1
+#define HEAD_BYTES (32 * 1024) /* of an answer */
 #define DEADLINE_FAR_US (INT64_C(365) * 24 * 3600 * USEC_PER_SEC)
-
-static void free_call(struct http_pool_call *call)
+/* A connection is dropped so long before the peer means to close it. */
+#define KEEP_MARGIN_US (1500 * USEC_PER_MSEC)
+
+/* One call of a pool. */
+struct pool_call {
+	struct pool_call *prev; /* among those waiting */
+	struct pool_call *next;
+	struct net_alarm deadline;
+	struct http_pool *pool;
+	struct pool_conn *conn; /* NULL while waiting */
+	uint64_t handle;
+	struct http_call options; /* its request is not used */
+	struct buffer request;	  /* as bytes; freed once written */
+	char expected[REQUEST_ID_SIZE];
+	bool no_body; /* a HEAD request */
+	bool queued;  /* in its pool's waiting list */
+	bool failed;  /* while starting; reported by the pump */
+	bool sent;    /* a byte may have left this process */
+};
+
+struct pool_conn {
+	struct pool_conn *prev;
+	struct pool_conn *next;
+	struct http_pool *pool;
+	struct pool_call *call; /* NULL: idle */
+	struct tcp tcp;
+	struct http_reader reader;
+	bool warm;		     /* it served a call before */
+	struct net_alarm connecting; /* ends a try that takes too long */
+	int64_t idle_until_us;
+};
+
+struct http_pool {
+	struct http_pool *prev;
+	struct http_pool *next;
+	struct net *net;
+	struct http_pool_options options;
+	char peer[ADDR_TEXT_SIZE]; /* with port */
+	struct table calls;	   /* of struct pool_call pointers */
+	struct pool_call *waiting;
+	struct pool_conn *busy;
+	struct pool_conn *idle; /* newest first */
+	uint32_t conn_count;
+	struct net_alarm pump;
+	bool pumping;
+};
+
+static void free_call(struct pool_call *call)
 {
 	net_alarm_cancel(&call->deadline);
 	table_remove(&call->pool->calls, call->handle);
-	message_free(&call->request);
-	message_free(&call->answer);
+	buffer_free(&call->request);
 	free(call);
 }
 
 /* Parts the call from its connection, or from those waiting. */
-static void detach(struct http_pool_call *call)
+static void detach(struct pool_call *call)
 {
 	if (call->conn)
 		call->conn->call = NULL;
@@ -30,127 +75,357 @@
 
 /*
  * Reports the call and frees it. The handler may start and cancel calls and
- * close the pool, so the caller touches neither afterwards.
+ * close the pool, so the caller touches neither afterwards. m is moved.
  */
-void http_pool_finish(struct http_pool_call *call, enum http_call_status status,
-		      const char *text)
+static void report(struct pool_call *call, enum http_call_status status,
+		   const char *text, struct message *m)
 {
 	struct http_call_result r = {.status = status};
 	struct http_call options = call->options;
-	struct message answer = call->answer;
+	struct message answer = {0};
 
-	memset(&call->answer, 0, sizeof(call->answer));
-	if (status == HTTP_ANSWERED)
+	if (status == HTTP_ANSWERED) {
+		answer = *m;
+		memset(m, 0, sizeof(*m));
 		r.answer = &answer;
-	else
+	} else {
 		error_set(&r.err,
 			  status == HTTP_TIMED_OUT ? ERROR_TIMEOUT : ERROR_IO,
 			  "http-call", call->pool->peer, "%s", text);
+	}
 	detach(call);
 	free_call(call);
 	options.done(options.ctx, options.tag, &r, net_now());
 	message_free(&answer);
 }
 
-static struct http_conn *free_conn(struct http_pool *p)
+static void free_conn(void *p)
 {
-	struct http_conn *c = p->idle;
+	struct pool_conn *c = p;
 
-	if (c) {
+	http_reader_free(&c->reader);
+	free(c);
+}
+
+static void pump_soon(struct http_pool *p);
+
+/* Closes a connection, whose call must have been parted from it. */
+static void close_conn(struct pool_conn *c, bool was_busy)
+{
+	struct http_pool *p = c->pool;
+
+	tcp_close(&c->tcp);
+	net_alarm_cancel(&c->connecting);
+	if (was_busy)
+		DL_DELETE(p->busy, c);
+	else
 		DL_DELETE(p->idle, c);
-		return c;
+	p->conn_count--;
+	net_free_later(p->net, c, free_conn);
+	if (p->waiting)
+		pump_soon(p);
+}
+
+/* Ends a call and its connection. */
+static void fail(struct pool_call *call, enum http_call_status status,
+		 const char *text)
+{
+	struct pool_conn *c = call->conn;
+
+	if (c) {
+		detach(call);
+		close_conn(c, true);
 	}
-	if (p->conn_count >= p->options.connections_max)
-		return NULL;
-	c = http_conn_take(p, NULL);
-	if (c)
-		p->conn_count++;
-	return c;
+	report(call, status, text, NULL);
 }
 
-static struct http_pool_call *first_waiting(struct http_pool *p, bool failed)
+static enum http_call_status status_when_cut(const struct pool_call *call)
 {
-	struct http_pool_call *call;
+	return call->sent ? HTTP_BROKEN : HTTP_NOT_SENT;
+}
 
-	DL_FOREACH(p->waiting, call)
-	if (call->failed == failed)
-		return call;
-	return NULL;
+static void on_piece(void *ctx, const void *data, size_t len)
+{
+	struct pool_conn *c = ctx;
+	struct pool_call *call = c->call;
+
+	if (call && call->options.piece)
+		call->options.piece(call->options.ctx, call->options.tag, data,
+				    len, net_now());
 }
 
-static void pump_fired(struct lws_sorted_usec_list *sul);
+static void send_request(struct pool_conn *c)
+{
+	struct pool_call *call = c->call;
 
-static void pump_soon(struct http_pool *p)
+	call->sent = true;
+	if (tcp_write(&c->tcp, call->request.data, call->request.len) < 0) {
+		fail(call, HTTP_BROKEN, "cannot write");
+		return;
+	}
+	buffer_free(&call->request);
+}
+
+static void on_opened(struct tcp *t)
 {
-	lws_sul_schedule(p->net->context, 0, &p->pump, pump_fired, SOON_US);
+	struct pool_conn *c = t->owner;
+
+	net_alarm_cancel(&c->connecting);
+	counter_add(COUNTER_UPSTREAM_CONNECTIONS, 1);
+	send_request(c);
 }
 
-static void put_first(struct http_pool_call *call)
+/* The answer to another request, late: it belongs to nobody here. */
+static bool is_stray(const struct pool_call *call, const struct message *m)
 {
-	DL_PREPEND(call->pool->waiting, call);
-	call->queued = true;
-	pump_soon(call->pool);
+	const char *got;
+
+	if (!call->options.echo_header || !call->expected[0])
+		return false;
+	got = message_header(m, call->options.echo_header);
+	return got && strcmp(got, call->expected) != 0;
 }
 
-/* Gives waiting calls to free connections; reports nothing. */
-static void start_waiting(struct http_pool *p)
+static int64_t idle_until(const struct pool_conn *c, int64_t now)
 {
-	struct http_pool_call *call;
-	struct http_conn *c;
-	bool warm;
+	int64_t kept = c->pool->options.keep_warm_us;
+	int64_t told = c->reader.alive_s * USEC_PER_SEC - KEEP_MARGIN_US;
 
-	while ((call = first_waiting(p, false)) && (c = free_conn(p))) {
-		DL_DELETE(p->waiting, call);
-		call->queued = false;
-		DL_PREPEND(p->busy, c);
-		warm = c->warm;
-		if (http_conn_start(c, call) == 0)
-			continue;
-		put_first(call);
-		call->failed = !warm;
+	if (c->reader.alive_s && told < kept)
+		kept = told;
+	return now + kept;
+}
+
+/* Puts the connection among the idle ones, or closes it. */
+static void release_conn(struct pool_conn *c, bool keep)
+{
+	struct http_pool *p = c->pool;
+
+	c->call = NULL;
+	c->idle_until_us = idle_until(c, net_now());
+	if (!keep || c->idle_until_us <= net_now()) {
+		close_conn(c, true);
+		return;
 	}
+	c->warm = true;
+	DL_DELETE(p->busy, c);
+	DL_PREPEND(p->idle, c);
+	if (p->waiting)
+		pump_soon(p);
 }
 
-static void pump_fired(struct lws_sorted_usec_list *sul)
+/* Reports a whole answer; extra: bytes came behind it. */
+static void answer_whole(struct pool_conn *c, bool extra)
 {
-	struct http_pool *p = lws_container_of(sul, struct http_pool, pump);
-	struct http_pool_call *call;
+	struct pool_call *call = c->call;
+	struct message m = c->reader.message;
+	bool keep = !extra && http_reader_keeps(&c->reader) &&
+		    tcp_all_written(&c->tcp);
 
-	start_waiting(p);
-	call = first_waiting(p, true);
-	if (!call)
+	memset(&c->reader.message, 0, sizeof(c->reader.message));
+	call->conn = NULL;
+	release_conn(c, keep);
+	report(call, HTTP_ANSWERED, NULL, &m);
+	message_free(&m);
+}
+
+static enum http_call_status bad_status(const struct http_reader *r)
+{
+	return r->body_too_large ? HTTP_TOO_LARGE : HTTP_GARBAGE;
+}
+
+/* Whether what was read is an answer to pass over: interim, or stray. */
+static bool pass_over(const struct pool_conn *c)
+{
+	const struct message *m = &c->reader.message;
+
+	return m->status < 200 || is_stray(c->call, m);
+}
+
+static void on_data(struct tcp *t, const uint8_t *data, size_t len)
+{
+	struct pool_conn *c = t->owner;
+	enum http_read rc = HTTP_READ_MORE;
+	size_t used;
+
+	if (!c->call) {
+		close_conn(c, false);
 		return;
-	pump_soon(p);
-	http_pool_finish(call, HTTP_NOT_SENT, "cannot connect");
+	}
+	while (len && c->call) {
+		rc = http_reader_feed(&c->reader, data, len, &used);
+		data += used;
+		len -= used;
+		if (rc != HTTP_READ_WHOLE || !pass_over(c))
+			break;
+		http_reader_next(&c->reader, c->call->no_body);
+	}
+	/* A handler of pieces may have cancelled the call. */
+	if (!c->call)
+		return;
+	if (rc == HTTP_READ_BAD)
+		fail(c->call, bad_status(&c->reader), "malformed answer");
+	else if (rc == HTTP_READ_WHOLE && !pass_over(c) &&
+		 c->reader.message.status > 599)
+		fail(c->call, HTTP_GARBAGE, "status out of range");
+	else if (rc == HTTP_READ_WHOLE && !pass_over(c))
+		answer_whole(c, len > 0);
 }
 
-/* Puts a call of which nothing was sent back at the head of those waiting. */
-void http_pool_again(struct http_pool_call *call)
+static void on_ended(struct tcp *t, enum tcp_end how)
 {
-	detach(call);
-	put_first(call);
+	struct pool_conn *c = t->owner;
+	struct pool_call *call = c->call;
+
+	if (!call) {
+		close_conn(c, false);
+		return;
+	}
+	if (how == TCP_UNOPENED) {
+		fail(call, HTTP_UNREACHABLE, "cannot connect");
+		return;
+	}
+	if (how == TCP_ORDERLY &&
+	    http_reader_end(&c->reader) == HTTP_READ_WHOLE && !pass_over(c)) {
+		answer_whole(c, true);
+		return;
+	}
+	fail(call, HTTP_BROKEN,
+	     how == TCP_ORDERLY ? "the peer closed" : "the connection broke");
 }
 
-/* Takes back a connection whose call was answered; may start the next. */
-void http_pool_idle(struct http_conn *c)
+static void on_drained(struct tcp *t)
 {
-	DL_DELETE(c->pool->busy, c);
-	DL_PREPEND(c->pool->idle, c);
-	start_waiting(c->pool);
+	(void)t;
 }
 
-/* Forgets a connection that has ended without a call. */
-void http_pool_ended(struct http_conn *c)
+static const struct tcp_handler handler = {.opened = on_opened,
+					   .data = on_data,
+					   .ended = on_ended,
+					   .drained = on_drained};
+
+/* The newest idle connection that is still good, or NULL. */
+static struct pool_conn *take_idle(struct http_pool *p, int64_t now)
 {
-	struct http_pool *p = c->pool;
+	struct pool_conn *c;
 
-	if (c->closing)
-		DL_DELETE(p->busy, c);
-	else
+	while ((c = p->idle)) {
+		if (now >= c->idle_until_us || tcp_has_input(&c->tcp)) {
+			close_conn(c, false);
+			continue;
+		}
 		DL_DELETE(p->idle, c);
-	p->conn_count--;
-	if (p->waiting)
-		pump_soon(p);
+		DL_APPEND(p->busy, c);
+		return c;
+	}
+	return NULL;
+}
+
+static void connect_overdue(struct net_alarm *alarm, int64_t now)
+{
+	struct pool_conn *c =
+		(struct pool_conn *)((char *)alarm -
+				     offsetof(struct pool_conn, connecting));
+
+	(void)now;
+	if (c->call)
+		fail(c->call, HTTP_UNREACHABLE, "no connection in time");
+	else
+		close_conn(c, true);
+}
+
+static struct pool_conn *open_conn(struct http_pool *p)
+{
+	struct http_reader_options o = {.answers = true,
+					.head_limit = HEAD_BYTES,
+					.body_limit = p->options.body_limit};
+	struct pool_conn *c = calloc(1, sizeof(*c));
+
+	if (!c)
+		return NULL;
+	c->pool = p;
+	o.ctx = c;
+	if (tcp_connect(&c->tcp, p->net, &p->options.addr, &handler, c) < 0) {
+		free(c);
+		return NULL;
+	}
+	http_reader_init(&c->reader, &o);
+	if (p->options.connect_wait_us)
+		net_alarm_set(p->net, &c->connecting, net_now(),
+			      net_now() + p->options.connect_wait_us,
+			      connect_overdue);
+	p->conn_count++;
+	DL_APPEND(p->busy, c);
+	return c;
+}
+
+static void begin(struct pool_conn *c, struct pool_call *call)
+{
+	c->call = call;
+	call->conn = c;
+	c->reader.options.piece = call->options.piece ? on_piece : NULL;
+	http_reader_next(&c->reader, call->no_body);
+	if (c->warm)
+		send_request(c);
+}
+
+static struct pool_call *first_waiting(struct http_pool *p, bool failed)
+{
+	struct pool_call *call;
+
+	DL_FOREACH(p->waiting, call)
+	if (call->failed == failed)
+		return call;
+	return NULL;
+}
+
+/* Gives one waiting call a connection; false when there is none. */
+static bool start_one(struct http_pool *p, struct pool_call *call)
+{
+	struct pool_conn *c = take_idle(p, net_now());
+
+	if (!c && p->conn_count >= p->options.connections_max)
+		return false;
+	DL_DELETE(p->waiting, call);
+	call->queued = false;
+	if (!c)
+		c = open_conn(p);
+	if (c) {
+		begin(c, call);
+		return true;
+	}
+	call->failed = true;
+	call->queued = true;
+	DL_APPEND(p->waiting, call);
+	pump_soon(p);
+	return true;
+}
+
+/* Starts what waits, and reports one call that could not be started. */
+static void pump(struct net_alarm *alarm, int64_t now)
+{
+	struct http_pool *p =
+		(struct http_pool *)((char *)alarm -
+				     offsetof(struct http_pool, pump));
+	struct pool_call *call;
+
+	(void)now;
+	p->pumping = false;
+	while ((call = first_waiting(p, false)) && start_one(p, call))
+		;
+	call = first_waiting(p, true);
+	if (!call)
+		return;
+	pump_soon(p);
+	report(call, HTTP_UNREACHABLE, "cannot connect", NULL);
+}
+
+static void pump_soon(struct http_pool *p)
+{
+	if (p->pumping)
+		return;
+	p->pumping = true;
+	net_alarm_set(p->net, &p->pump, net_now(), net_now(), pump);
 }
 
 /* Opens a pool; no connection is made before a call needs it. */
@@ -167,68 +442,50 @@
 	}
 	p->net = net;
 	p->options = *o;
-	addr_host(&o->addr, p->host);
 	addr_format(&o->addr, p->peer);
-	table_init(&p->calls, sizeof(struct http_pool_call *), CALLS_MAX);
+	table_init(&p->calls, sizeof(struct pool_call *), CALLS_MAX);
 	DL_APPEND(net->pools, p);
 	return p;
 }
 
-static struct http_pool_call *any_call(struct http_pool *p)
+static struct pool_call *any_call(struct http_pool *p)
 {
 	void *item;
 
 	if (!table_next(&p->calls, 0, &item))
 		return NULL;
-	return *(struct http_pool_call **)item;
-}
-
-static void close_conns(struct http_conn *list)
-{
-	struct http_conn *c, *next;
-
-	DL_FOREACH_SAFE(list, c, next)
-	{
-		c->pool = NULL;
-		http_conn_kill(c);
-	}
+	return *(struct pool_call **)item;
 }
 
 static void free_pool(struct http_pool *p)
 {
+	while (p->busy)
+		close_conn(p->busy, true);
+	while (p->idle)
+		close_conn(p->idle, false);
 	DL_DELETE(p->net->pools, p);
-	lws_sul_cancel(&p->pump);
+	net_alarm_cancel(&p->pump);
 	table_free(&p->calls);
 	free(p);
 }
 
-static enum http_call_status status_when_cut(const struct http_pool_call *call)
-{
-	return call->sent ? HTTP_BROKEN : HTTP_NOT_SENT;
-}
-
 /*
  * Reports every open call and closes every connection. Not to be called
  * again from the handlers that it calls.
  */
 void http_pool_close(struct http_pool *p)
 {
-	struct http_pool_call *call;
+	struct pool_call *call;
 
-	while ((call = any_call(p))) {
-		if (call->conn)
-			http_conn_kill(call->conn);
-		http_pool_finish(call, status_when_cut(call), "pool closed");
-	}
-	close_conns(p->busy);
-	close_conns(p->idle);
+	while ((call = any_call(p)))
+		fail(call, status_when_cut(call), "pool closed");
 	free_pool(p);
 }
 
 /* Frees the pools left in net_close without a report. */
 void http_pool_free_all(struct net *net)
 {
-	struct http_pool_call *call;
+	struct pool_call *call;
 	struct http_pool *p, *next;
 
 	DL_FOREACH_SAFE(net->pools, p, next)
@@ -243,39 +500,41 @@
 
 static void deadline_passed(struct net_alarm *alarm, int64_t now)
 {
-	struct http_pool_call *call =
-		lws_container_of(alarm, struct http_pool_call, deadline);
+	struct pool_call *call =
+		(struct pool_call *)((char *)alarm -
+				     offsetof(struct pool_call, deadline));
 
 	(void)now;
-	if (call->conn)
-		http_conn_kill(call->conn);
 	if (call->sent)
-		http_pool_finish(call, HTTP_TIMED_OUT, "no answer in time");
+		fail(call, HTTP_TIMED_OUT, "no answer in time");
 	else
-		http_pool_finish(call, HTTP_NOT_SENT, "no connection in time");
+		fail(call, HTTP_NOT_SENT, "no connection in time");
 }
 
-static struct http_pool_call *new_call(struct http_pool *p,
-				       const struct http_call *c)
+static struct pool_call *new_call(struct http_pool *p,
+				  const struct http_call *c)
 {
-	struct http_pool_call *call = calloc(1, sizeof(*call));
-	void *item;
+	struct pool_call *call = calloc(1, sizeof(*call));
+	const char *expected = NULL;
+	void *item = NULL;
 
 	if (!call)
 		return NULL;
 	call->pool = p;
 	call->options = *c;
-	if (message_copy(&call->request, c->request) < 0) {
+	call->no_body = !strcmp(c->request->method, "HEAD");
+	if (c->echo_header)
+		expected = message_header(c->request, c->echo_header);
+	if (expected)
+		copy_name(call->expected, sizeof(call->expected), expected);
+	if (http_write_request(&call->request, c->request, p->peer) == 0)
+		call->handle = table_add(&p->calls, &item);
+	if (!call->handle || !item) {
+		buffer_free(&call->request);
 		free(call);
 		return NULL;
 	}
-	call->handle = table_add(&p->calls, &item);
-	if (!call->handle) {
-		message_free(&call->request);
-		free(call);
-		return NULL;
-	}
-	*(struct http_pool_call **)item = call;
+	*(struct pool_call **)item = call;
 	return call;
 }
 
@@ -287,7 +546,7 @@
 uint64_t http_call_start(struct http_pool *p, const struct http_call *c,
 			 int64_t now, struct error *err)
 {
-	struct http_pool_call *call;
+	struct pool_call *call;
 
 	if (!c->request->target || c->request->target[0] != '/') {
 		error_set(err, ERROR_INPUT, "http-call", p->peer,
@@ -305,7 +564,8 @@
 			      deadline_passed);
 	DL_APPEND(p->waiting, call);
 	call->queued = true;
-	start_waiting(p);
+	/* Not from here: a failure must not be reported before the return. */
+	pump_soon(p);
 	return call->handle;
 }
 
@@ -315,15 +575,17 @@
  */
 void http_call_cancel(struct http_pool *p, uint64_t handle)
 {
-	struct http_pool_call **item = table_get(&p->calls, handle);
-	struct http_pool_call *call;
+	struct pool_call **item = table_get(&p->calls, handle);
+	struct pool_conn *c;
+	struct pool_call *call;
 
 	if (!item)
 		return;
 	call = *item;
-	if (call->conn)
-		http_conn_kill(call->conn);
+	c = call->conn;
 	detach(call);
+	if (c)
+		close_conn(c, true);
 	free_call(call);
 }
 
--- /dev/null
+++ b/src/net/http_reader.c
@@ -0,0 +1,451 @@
+#include "net/http_impl.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define HOP_NAME_SIZE 256 /* a longer name can't be for one hop alone */
+#define CRLF2 "\r\n\r\n"
+
+#define STATUS_BAD_REQUEST 400
+#define STATUS_TOO_LARGE 413
+#define STATUS_HEADERS_TOO_LARGE 431
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+/* RFC 9110 7.6.1, and what is written anew for each connection. */
+static const char *const hop_names[] = {
+	"connection",
+	"keep-alive",
+	"proxy-connection",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"http2-settings",
+	"content-length",
+	"expect",
+	NULL,
+};
+
+static bool is_hop_name(const char *name)
+{
+	const char *const *p;
+
+	for (p = hop_names; *p; p++)
+		if (!strcmp(*p, name))
+			return true;
+	return false;
+}
+
+/* Tells whether a comma-separated list names the header. */
+static bool named_in(const char *list, const char *name)
+{
+	size_t n, len = strlen(name);
+
+	while (list && *list) {
+		list += strspn(list, ", \t");
+		n = strcspn(list, ", \t");
+		if (n == len && !strncasecmp(list, name, n))
+			return true;
+		list += n;
+	}
+	return false;
+}
+
+static int append_text(struct buffer *b, const char *data, size_t len)
+{
+	return buffer_append(b, data, len, SIZE_MAX);
+}
+
+static const char *text_of(struct buffer *b)
+{
+	if (append_text(b, "", 1) < 0)
+		return NULL;
+	b->len--;
+	return (const char *)b->data;
+}
+
+static void lower(struct buffer *b)
+{
+	size_t i;
+
+	for (i = 0; i < b->len; i++)
+		b->data[i] = (uint8_t)tolower(b->data[i]);
+}
+
+static void note_alive(struct http_reader *r, const char *value)
+{
+	const char *p = strcasestr(value, "timeout=");
+
+	if (p)
+		r->alive_s = strtol(p + strlen("timeout="), NULL, 10);
+}
+
+/* Keeps the header that has come, unless it is for this hop alone. */
+static int end_header(struct http_reader *r)
+{
+	const char *name, *value;
+
+	if (!r->in_value)
+		return 0;
+	r->in_value = false;
+	lower(&r->name);
+	name = text_of(&r->name);
+	value = text_of(&r->value);
+	if (!name || !value)
+		return -1;
+	if (!strcmp(name, "connection") &&
+	    (append_text(&r->connection, value, r->value.len) < 0 ||
+	     append_text(&r->connection, ",", 1) < 0))
+		return -1;
+	if (!strcmp(name, "keep-alive"))
+		note_alive(r, value);
+	if (!is_hop_name(name) &&
+	    message_add_header(&r->message, name, value) < 0)
+		return -1;
+	r->name.len = 0;
+	r->value.len = 0;
+	return 0;
+}
+
+static int on_url(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	return append_text(&r->target, at, len);
+}
+
+static int on_header_field(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	r->too_many |= end_header(r) < 0;
+	return r->too_many ? -1 : append_text(&r->name, at, len);
+}
+
+static int on_header_value(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	r->in_value = true;
+	return append_text(&r->value, at, len);
+}
+
+/* Headers that Connection names go no further than this hop. */
+static void drop_named(struct http_reader *r)
+{
+	const char *list = r->connection.len ? text_of(&r->connection) : NULL;
+	char name[HOP_NAME_SIZE];
+	size_t i = 0;
+
+	while (list && i < r->message.header_count)
+		if (copy_name(name, sizeof(name), r->message.headers[i].name) ==
+			    0 &&
+		    named_in(list, name) && strcmp(name, "host") != 0)
+			message_remove_header(&r->message, name);
+		else
+			i++;
+}
+
+static size_t count_hosts(const struct message *m)
+{
+	size_t i, n = 0;
+
+	for (i = 0; i < m->header_count; i++)
+		n += !strcmp(m->headers[i].name, "host");
+	return n;
+}
+
+/* A path that climbs could pass by a route's prefix. */
+static bool has_dot_segment(const char *target)
+{
+	size_t n;
+
+	while (*target == '/') {
+		target++;
+		n = strcspn(target, "/?#");
+		if ((n == 1 && target[0] == '.') ||
+		    (n == 2 && !strncmp(target, "..", 2)))
+			return true;
+		target += n;
+	}
+	return false;
+}
+
+static bool request_is_good(struct http_reader *r)
+{
+	struct message *m = &r->message;
+
+	if (r->parser.upgrade || count_hosts(m) != 1)
+		return false;
+	return m->target && m->target[0] == '/' && !has_dot_segment(m->target);
+}
+
+static int take_target(struct http_reader *r)
+{
+	const char *method =
+		http_method_str((enum http_method)r->parser.method);
+	const char *target = text_of(&r->target);
+
+	r->message.target = target ? strdup(target) : NULL;
+	if (!r->message.target)
+		return -1;
+	return copy_name(r->message.method, METHOD_SIZE, method);
+}
+
+static bool answer_has_no_body(const struct http_reader *r)
+{
+	int status = (int)r->parser.status_code;
+
+	return r->no_body || status < 200 || status == STATUS_NO_CONTENT ||
+	       status == STATUS_NOT_MODIFIED;
+}
+
+/* http_parser skips the body where this returns 1. */
+static int on_headers_complete(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->too_many |= end_header(r) < 0;
+	if (r->too_many)
+		return -1;
+	drop_named(r);
+	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX &&
+	    p->content_length > r->options.body_limit && !r->options.piece &&
+	    !(r->options.answers && answer_has_no_body(r)))
+		r->body_too_large = true;
+	if (r->body_too_large)
+		return -1;
+	r->in_body = true;
+	if (r->options.answers) {
+		r->message.status = (int)p->status_code;
+		return answer_has_no_body(r);
+	}
+	if (take_target(r) < 0 || !request_is_good(r))
+		return -1;
+	return 0;
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	if (r->options.piece) {
+		r->options.piece(r->options.ctx, at, len);
+		return 0;
+	}
+	if (buffer_append(&r->message.body, at, len, r->options.body_limit) <
+	    0) {
+		r->body_too_large = true;
+		return -1;
+	}
+	return 0;
+}
+
+static int on_message_complete(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->whole = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_url = on_url,
+	.on_header_field = on_header_field,
+	.on_header_value = on_header_value,
+	.on_headers_complete = on_headers_complete,
+	.on_body = on_body,
+	.on_message_complete = on_message_complete,
+};
+
+void http_reader_init(struct http_reader *r,
+		      const struct http_reader_options *o)
+{
+	memset(r, 0, sizeof(*r));
+	r->options = *o;
+	http_reader_next(r, false);
+}
+
+void http_reader_free(struct http_reader *r)
+{
+	message_free(&r->message);
+	buffer_free(&r->head);
+	buffer_free(&r->name);
+	buffer_free(&r->value);
+	buffer_free(&r->target);
+	buffer_free(&r->connection);
+}
+
+void http_reader_next(struct http_reader *r, bool no_body)
+{
+	message_free(&r->message);
+	memset(&r->message, 0, sizeof(r->message));
+	r->head.len = 0;
+	r->name.len = 0;
+	r->value.len = 0;
+	r->target.len = 0;
+	r->connection.len = 0;
+	r->in_value = false;
+	r->in_body = false;
+	r->no_body = no_body;
+	r->whole = false;
+	r->too_many = false;
+	r->body_too_large = false;
+	r->fault = 0;
+	r->alive_s = 0;
+	http_parser_init(&r->parser,
+			 r->options.answers ? HTTP_RESPONSE : HTTP_REQUEST);
+	r->parser.data = r;
+}
+
+static enum http_read bad(struct http_reader *r, int status)
+{
+	r->fault = status;
+	return HTTP_READ_BAD;
+}
+
+static bool is_token(char c)
+{
+	return isalnum((unsigned char)c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+/* RFC 9112 5.1: no space before the colon, and 5.2: no folded lines. */
+static bool header_is_strict(const char *line, size_t len)
+{
+	size_t i = 0;
+
+	while (i < len && is_token(line[i]))
+		i++;
+	return i && i < len && line[i] == ':';
+}
+
+/* Every line ends in CRLF and has no other CR, LF or NUL; see also above. */
+static bool head_is_strict(const struct buffer *head)
+{
+	const char *line = (const char *)head->data;
+	const char *last = line + head->len - 2; /* the empty line */
+	const char *end;
+	bool first = true;
+
+	if (memchr(line, 0, head->len))
+		return false;
+	for (; line < last; line = end + 2, first = false) {
+		end = memchr(line, '\r', (size_t)(last - line));
+		if (!end || end[1] != '\n' ||
+		    memchr(line, '\n', (size_t)(end - line)))
+			return false;
+		if (!first && !header_is_strict(line, (size_t)(end - line)))
+			return false;
+	}
+	return true;
+}
+
+static enum http_read execute(struct http_reader *r, const uint8_t *data,
+			      size_t len, size_t *used)
+{
+	enum http_errno e;
+
+	*used = http_parser_execute(&r->parser, &callbacks, (const char *)data,
+				    len);
+	if (r->whole) {
+		http_parser_pause(&r->parser, 0);
+		return HTTP_READ_WHOLE;
+	}
+	e = HTTP_PARSER_ERRNO(&r->parser);
+	if (e == HPE_OK && !r->parser.upgrade)
+		return HTTP_READ_MORE;
+	if (r->body_too_large)
+		return bad(r, STATUS_TOO_LARGE);
+	if (r->too_many || e == HPE_HEADER_OVERFLOW)
+		return bad(r, STATUS_HEADERS_TOO_LARGE);
+	return bad(r, STATUS_BAD_REQUEST);
+}
+
+/* Empty lines before a request are passed over: RFC 9112 2.2. */
+static size_t skip_empty_lines(const struct http_reader *r, const uint8_t *data,
+			       size_t len)
+{
+	size_t n = 0;
+
+	if (r->head.len || r->options.answers)
+		return 0;
+	while (n < len && (data[n] == '\r' || data[n] == '\n'))
+		n++;
+	return n;
+}
+
+/* Gathers the head up to its empty line; nothing is parsed before that. */
+static enum http_read feed_head(struct http_reader *r, const uint8_t *data,
+				size_t len, size_t *used)
+{
+	size_t before = r->head.len, from, end, unused;
+	const uint8_t *found;
+	enum http_read rc;
+
+	if (buffer_append(&r->head, data, len, SIZE_MAX) < 0)
+		return bad(r, STATUS_HEADERS_TOO_LARGE);
+	from = before > 3 ? before - 3 : 0;
+	found = memmem(r->head.data + from, r->head.len - from, CRLF2, 4);
+	if (!found) {
+		*used = len;
+		return r->head.len > r->options.head_limit
+			       ? bad(r, STATUS_HEADERS_TOO_LARGE)
+			       : HTTP_READ_MORE;
+	}
+	end = (size_t)(found - r->head.data) + 4;
+	if (end > r->options.head_limit)
+		return bad(r, STATUS_HEADERS_TOO_LARGE);
+	*used = end - before;
+	r->head.len = end;
+	if (!head_is_strict(&r->head))
+		return bad(r, STATUS_BAD_REQUEST);
+	rc = execute(r, r->head.data, r->head.len, &unused);
+	r->head.len = 0;
+	return rc;
+}
+
+enum http_read http_reader_feed(struct http_reader *r, const uint8_t *data,
+				size_t len, size_t *used)
+{
+	size_t skipped = r->in_body ? 0 : skip_empty_lines(r, data, len);
+	size_t took = 0;
+	enum http_read rc = HTTP_READ_MORE;
+
+	*used = skipped;
+	if (!r->in_body && skipped < len) {
+		rc = feed_head(r, data + skipped, len - skipped, &took);
+		*used += took;
+	}
+	if (rc != HTTP_READ_MORE || !r->in_body || *used == len)
+		return rc;
+	rc = execute(r, data + *used, len - *used, &took);
+	*used += took;
+	return rc;
+}
+
+enum http_read http_reader_end(struct http_reader *r)
+{
+	size_t used;
+
+	if (!r->in_body)
+		return bad(r, STATUS_BAD_REQUEST);
+	return execute(r, NULL, 0, &used) == HTTP_READ_WHOLE
+		       ? HTTP_READ_WHOLE
+		       : bad(r, STATUS_BAD_REQUEST);
+}
+
+bool http_reader_keeps(const struct http_reader *r)
+{
+	return http_should_keep_alive(&r->parser);
+}
+
+bool http_reader_idle(const struct http_reader *r)
+{
+	return !r->head.len && !r->in_body;
+}
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -1,60 +1,403 @@
-#include "net/http_server_impl.h"
+#include "net/http_impl.h"
 
-#include <poll.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <utlist.h>
 
-#define KEEPALIVE_SECS 75
-#define SWEEP_US (50 * USEC_PER_MSEC) /* between looks for callers gone */
 #define EXCHANGES_MAX (1U << 20)
+#define PIPELINE_MAX 32	       /* requests of one connection at work */
+#define HELD_MAX (64 * 1024)   /* bytes read ahead of them */
+#define LINGER_US USEC_PER_SEC /* for a closed connection to send the rest */
+#define SWEEP_US (250 * USEC_PER_MSEC)
 
-static bool reserve_polled(struct http_server *s)
+/* What a server allows that sets no limits of its own. */
+#define HEAD_BYTES (8 * 1024)
+#define HEAD_WAIT_US (10 * USEC_PER_SEC)
+#define BODY_WAIT_US (30 * USEC_PER_SEC)
+#define IDLE_US (75 * USEC_PER_SEC)
+
+#define STATUS_TIMEOUT 408
+
+struct server_conn;
+
+/* One request and its answer, in the order of their connection. */
+struct exchange {
+	struct exchange *prev;
+	struct exchange *next;
+	struct server_conn *conn;
+	uint64_t handle;
+	bool head;   /* a HEAD request: the answer has no body */
+	bool closes; /* the last one that the caller wants answered */
+	bool answered;
+	struct buffer answer;
+};
+
+struct server_conn {
+	struct server_conn *prev;
+	struct server_conn *next;
+	struct http_server *server;
+	struct tcp tcp;
+	struct http_reader reader;
+	char peer[ADDR_TEXT_SIZE];
+	struct exchange *first; /* oldest; NULL: idle */
+	uint32_t open;
+	struct buffer held; /* bytes behind what may be taken now */
+	bool request_waits; /* the reader holds a whole one for its turn */
+	bool taking;	    /* inside take_requests */
+	bool last;	    /* nothing is read behind the present requests */
+	bool finishing;	    /* closed once its bytes are out */
+	int64_t since_us;   /* idle, or reading this request, since then */
+};
+
+struct http_server {
+	struct net *net;
+	struct http_server_options options;
+	struct http_limits limits;
+	struct tcp_listener listener;
+	struct table exchanges;	   /* of struct exchange pointers */
+	struct server_conn *conns; /* least recently active first */
+	uint32_t connections;
+	bool full;
+	bool draining;
+};
+
+static void free_conn(void *p)
 {
-	uint32_t n = s->exchanges.count;
-	struct pollfd *p;
+	struct server_conn *c = p;
 
-	if (n <= s->polled_size)
-		return true;
-	p = realloc(s->polled, 2 * (size_t)n * sizeof(*p));
-	if (!p)
-		return false;
-	s->polled = p;
-	s->polled_size = 2 * n;
-	return true;
+	http_reader_free(&c->reader);
+	buffer_free(&c->held);
+	free(c);
+}
+
+static void remove_exchange(struct exchange *e)
+{
+	struct server_conn *c = e->conn;
+
+	DL_DELETE(c->first, e);
+	c->open--;
+	table_remove(&c->server->exchanges, e->handle);
+	buffer_free(&e->answer);
+	free(e);
+}
+
+static void touch(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	c->since_us = net_now();
+	DL_DELETE(s->conns, c);
+	DL_APPEND(s->conns, c);
+}
+
+/* NOLINTBEGIN(clang-analyzer-unix.Malloc): DL_DELETE keeps the list whole */
+/* Ends every exchange of the connection that has no answer yet. */
+static void drop_exchanges(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+	struct exchange *e;
+	uint64_t handle;
+	bool answered;
+
+	while ((e = c->first)) {
+		handle = e->handle;
+		answered = e->answered;
+		remove_exchange(e);
+		if (!answered && !s->net->closing)
+			s->options.gone(s->options.ctx, handle, net_now());
+	}
+}
+
+/* NOLINTEND(clang-analyzer-unix.Malloc) */
+
+/* Closes the connection; who waits for an answer on it is told as gone. */
+static void close_conn(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	tcp_close(&c->tcp);
+	DL_DELETE(s->conns, c);
+	s->connections--;
+	if (s->full) {
+		s->full = false;
+		tcp_listener_run(&s->listener, true);
+	}
+	drop_exchanges(c);
+	net_free_later(s->net, c, free_conn);
+}
+
+static void finish(struct server_conn *c)
+{
+	c->finishing = true;
+	c->last = true;
+	c->since_us = net_now();
+	if (tcp_all_written(&c->tcp))
+		close_conn(c);
+}
+
+/* Sends the answers whose turn it is. */
+static void send_answers(struct server_conn *c)
+{
+	struct exchange *e;
+	bool closes = false;
+	int rc = 0;
+
+	while (!closes && !rc && (e = c->first) && e->answered) {
+		rc = tcp_write(&c->tcp, e->answer.data, e->answer.len);
+		closes = e->closes;
+		remove_exchange(e);
+		touch(c);
+	}
+	if (rc < 0)
+		close_conn(c);
+	else if (closes) {
+		drop_exchanges(c);
+		finish(c);
+	}
+}
+
+/* Answers what no handler will see, and reads no further. */
+static void refuse(struct server_conn *c, int status)
+{
+	const struct http_server *s = c->server;
+	const char *phrase = http_status_str((enum http_status)status);
+	struct message m = {.status = status};
+	struct exchange *e = calloc(1, sizeof(*e));
+	void *item;
+
+	c->last = true;
+	if (!e || !(e->handle = table_add(&c->server->exchanges, &item))) {
+		free(e);
+		close_conn(c);
+		return;
+	}
+	*(struct exchange **)item = e;
+	e->conn = c;
+	e->closes = true;
+	e->answered = true;
+	message_add_header(&m, "content-type", "application/problem+json");
+	if (s->options.outcome_header)
+		message_add_header(&m, s->options.outcome_header, "not-run");
+	buffer_printf(&m.body,
+		      "{\"status\":%d,\"title\":\"%s\","
+		      "\"outcome\":\"not-run\"}\n",
+		      status, phrase);
+	http_write_answer(&e->answer, &m, false, true);
+	message_free(&m);
+	DL_APPEND(c->first, e);
+	c->open++;
+	send_answers(c);
+}
+
+/* Hands the whole request in the reader to the server's owner. */
+static void dispatch(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+	struct exchange *e = calloc(1, sizeof(*e));
+	struct message m = c->reader.message;
+	void *item;
+
+	if (!e || !(e->handle = table_add(&s->exchanges, &item))) {
+		free(e);
+		c->last = true;
+		close_conn(c);
+		return;
+	}
+	*(struct exchange **)item = e;
+	e->conn = c;
+	e->head = !strcmp(m.method, "HEAD");
+	e->closes = !http_reader_keeps(&c->reader);
+	c->last |= e->closes;
+	DL_APPEND(c->first, e);
+	c->open++;
+	memset(&c->reader.message, 0, sizeof(c->reader.message));
+	http_reader_next(&c->reader, false);
+	s->options.request(s->options.ctx, e->handle, &m, c->peer, net_now());
+	message_free(&m);
 }
 
 /*
- * Closes the connections whose callers have gone. The library does not read
- * while an answer is awaited, and so would not see it.
+ * A request behind others may run beside them only if it may run twice: an
+ * answer before it that closes the connection has it sent once more.
  */
-static void sweep(void *ctx, int64_t now)
+static bool must_wait(const struct server_conn *c)
 {
-	struct http_server *s = ctx;
-	uint64_t h = 0;
-	nfds_t n = 0;
-	void *item;
+	const char *method = c->reader.message.method;
+
+	if (c->open >= PIPELINE_MAX)
+		return true;
+	return c->first && strcmp(method, "GET") != 0 &&
+	       strcmp(method, "HEAD") != 0;
+}
 
-	(void)now;
-	if (!s->exchanges.count || !reserve_polled(s))
+/* Takes what may be taken of the bytes held; false when none may. */
+static bool take_held(struct server_conn *c)
+{
+	size_t used = 0;
+	enum http_read rc;
+
+	if (!c->held.len)
+		return false;
+	rc = http_reader_feed(&c->reader, c->held.data, c->held.len, &used);
+	if (used < c->held.len)
+		memmove(c->held.data, c->held.data + used, c->held.len - used);
+	c->held.len -= used;
+	if (rc == HTTP_READ_BAD) {
+		refuse(c, c->reader.fault);
+		return false;
+	}
+	if (rc == HTTP_READ_WHOLE)
+		c->request_waits = true;
+	return rc == HTTP_READ_WHOLE;
+}
+
+/* Dispatches requests in order, as many as may run. */
+static void take_requests(struct server_conn *c)
+{
+	if (c->taking)
 		return;
-	while ((h = table_next(&s->exchanges, h, &item)))
-		s->polled[n++] = (struct pollfd){
-			.fd = lws_get_socket_fd(*(struct lws **)item),
-			.events = POLLRDHUP};
-	if (poll(s->polled, n, 0) <= 0)
+	c->taking = true;
+	while (tcp_is_open(&c->tcp) && !c->last) {
+		if (!c->request_waits && !take_held(c))
+			break;
+		if (must_wait(c))
+			break;
+		c->request_waits = false;
+		touch(c);
+		dispatch(c);
+	}
+	c->taking = false;
+	if (tcp_is_open(&c->tcp))
+		tcp_read(&c->tcp, c->last || c->held.len < HELD_MAX);
+}
+
+static void on_data(struct tcp *t, const uint8_t *data, size_t len)
+{
+	struct server_conn *c = t->owner;
+
+	/* Read and dropped, so that closing does not reset the answer. */
+	if (c->last)
+		return;
+	if (!c->first && http_reader_idle(&c->reader) && !c->held.len)
+		touch(c);
+	if (buffer_append(&c->held, data, len, SIZE_MAX) < 0) {
+		close_conn(c);
+		return;
+	}
+	take_requests(c);
+}
+
+static void on_ended(struct tcp *t, enum tcp_end how)
+{
+	(void)how;
+	close_conn(t->owner);
+}
+
+static void on_drained(struct tcp *t)
+{
+	struct server_conn *c = t->owner;
+
+	if (c->finishing)
+		close_conn(c);
+}
+
+static const struct tcp_handler handler = {
+	.data = on_data, .ended = on_ended, .drained = on_drained};
+
+static bool is_idle(const struct server_conn *c)
+{
+	return !c->first && !c->finishing && !c->held.len &&
+	       http_reader_idle(&c->reader) && tcp_all_written(&c->tcp) &&
+	       !tcp_has_input(&c->tcp);
+}
+
+/* Makes room by closing the connection that is idle for longest. */
+static bool close_idle(struct http_server *s)
+{
+	struct server_conn *c;
+
+	DL_FOREACH(s->conns, c)
+	{
+		if (!is_idle(c))
+			continue;
+		close_conn(c);
+		return true;
+	}
+	return false;
+}
+
+static void accepted(struct tcp_listener *l, int fd, const char *peer)
+{
+	struct http_server *s = l->owner;
+	struct server_conn *c = calloc(1, sizeof(*c));
+	struct http_reader_options o = {.head_limit = s->limits.head_bytes,
+					.body_limit = s->limits.body_bytes};
+
+	if (!c) {
+		close(fd);
 		return;
-	n = 0;
-	while ((h = table_next(&s->exchanges, h, &item)))
-		if (s->polled[n++].revents)
-			lws_set_timeout(*(struct lws **)item,
-					PENDING_TIMEOUT_USER_OK,
-					LWS_TO_KILL_ASYNC);
+	}
+	c->server = s;
+	copy_name(c->peer, sizeof(c->peer), peer);
+	http_reader_init(&c->reader, &o);
+	c->since_us = net_now();
+	DL_APPEND(s->conns, c);
+	s->connections++;
+	tcp_adopt(&c->tcp, s->net, fd, &handler, c);
+	/* Further ones wait with the kernel: none is taken to be reset. */
+	if (s->connections >= s->options.connections_max && !close_idle(s)) {
+		s->full = true;
+		tcp_listener_run(l, false);
+	}
+}
+
+static bool is_overdue(const struct http_server *s, const struct server_conn *c,
+		       int64_t now)
+{
+	int64_t age = now - c->since_us;
+
+	if (c->finishing)
+		return age >= LINGER_US && tcp_all_written(&c->tcp);
+	if (c->first || c->request_waits)
+		return false;
+	if (!http_reader_idle(&c->reader))
+		return age >= (c->reader.in_body ? BODY_WAIT_US
+						 : s->limits.head_wait_us);
+	return age >= s->limits.idle_us;
+}
+
+static void end_overdue(struct server_conn *c)
+{
+	bool reading = !http_reader_idle(&c->reader) && !c->finishing;
+
+	if (reading)
+		refuse(c, STATUS_TIMEOUT);
+	else
+		close_conn(c);
+}
+
+/* Ends idle connections, and those whose request does not come whole. */
+static void sweep(void *ctx, int64_t now)
+{
+	struct http_server *s = ctx;
+	struct server_conn *c, *next;
+
+	DL_FOREACH_SAFE(s->conns, c, next)
+	if (is_overdue(s, c, now))
+		end_overdue(c);
+	if (s->full && close_idle(s))
+		tcp_listener_run(&s->listener, true);
 }
 
 static void server_release(void *part)
 {
 	struct http_server *s = part;
 
-	free(s->polled);
+	while (s->conns)
+		close_conn(s->conns);
+	tcp_listener_close(&s->listener);
 	table_free(&s->exchanges);
 	free(s);
 }
@@ -65,13 +408,6 @@
 				     struct error *err)
 {
 	struct http_server *s = calloc(1, sizeof(*s));
-	struct net_vhost_options vhost = {
-		.name = "http-server",
-		.protocols = http_server_protocols,
-		.listen = &o->listen,
-		.keepalive_secs = KEEPALIVE_SECS,
-		.user = s,
-	};
 
 	if (!s || net_on_close(net, server_release, s) < 0) {
 		free(s);
@@ -81,43 +417,65 @@
 	}
 	s->net = net;
 	s->options = *o;
-	table_init(&s->exchanges, sizeof(struct lws *), EXCHANGES_MAX);
+	s->limits = (struct http_limits){.head_bytes = HEAD_BYTES,
+					 .body_bytes = o->body_limit,
+					 .head_wait_us = HEAD_WAIT_US,
+					 .idle_us = IDLE_US};
+	s->listener.fd = -1;
+	s->listener.owner = s;
+	s->listener.accepted = accepted;
+	table_init(&s->exchanges, sizeof(struct exchange *), EXCHANGES_MAX);
 	if (net_every(net, SWEEP_US, sweep, s) < 0) {
 		error_set(err, ERROR_MEMORY, "http-server", NULL,
 			  "out of memory");
 		return NULL;
 	}
-	s->vhost = net_add_vhost(net, &vhost, err);
-	return s->vhost ? s : NULL;
+	return tcp_listen(&s->listener, net, &o->listen, err) < 0 ? NULL : s;
+}
+
+/* Sets what callers may send from now on; open connections follow. */
+void http_server_limit(struct http_server *s, const struct http_limits *l)
+{
+	struct server_conn *c;
+
+	s->limits = *l;
+	DL_FOREACH(s->conns, c)
+	{
+		c->reader.options.head_limit = l->head_bytes;
+		c->reader.options.body_limit = l->body_bytes;
+	}
 }
 
 /* Fills the address listened on, with the port that the kernel chose. */
 void http_server_addr(const struct http_server *s, struct addr *a)
 {
-	net_vhost_addr(&s->options.listen, s->vhost, a);
+	tcp_listener_addr(&s->listener, a);
 }
 
 /*
  * Gives the whole answer; m is copied. Returns -1 when the exchange is
- * gone, or when headers don't fit, and then the connection is closed.
+ * gone, or when headers can't be written, and then the connection is closed.
  */
 int http_server_answer(struct http_server *s, uint64_t exchange,
 		       const struct message *m)
 {
-	struct lws **wsi = table_get(&s->exchanges, exchange);
+	struct exchange **item = table_get(&s->exchanges, exchange);
 	struct server_conn *c;
+	struct exchange *e;
 
-	if (!wsi)
+	if (!item || (*item)->answered)
 		return -1;
-	c = lws_wsi_user(*wsi);
-	c->exchange = 0;
-	if (http_server_give(*wsi, c, m) < 0) {
-		lws_set_timeout(*wsi, PENDING_TIMEOUT_USER_OK,
-				LWS_TO_KILL_ASYNC);
-		table_remove(&s->exchanges, exchange);
+	e = *item;
+	c = e->conn;
+	e->answered = true;
+	e->closes |= s->draining;
+	if (http_write_answer(&e->answer, m, e->head, e->closes) < 0) {
+		close_conn(c);
 		return -1;
 	}
-	table_remove(&s->exchanges, exchange);
+	send_answers(c);
+	if (tcp_is_open(&c->tcp))
+		take_requests(c);
 	return 0;
 }
 
--- /dev/null
+++ b/src/net/http_write.c
@@ -0,0 +1,95 @@
+#include "net/http_impl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+/* Written for each connection anew, whatever the message holds. */
+static bool is_own(const char *name)
+{
+	return !strcmp(name, "connection") || !strcmp(name, "keep-alive") ||
+	       !strcmp(name, "content-length") ||
+	       !strcmp(name, "transfer-encoding");
+}
+
+static int append(struct buffer *out, const char *text)
+{
+	return buffer_append(out, text, strlen(text), SIZE_MAX);
+}
+
+static int write_headers(struct buffer *out, const struct message *m,
+			 bool with_host)
+{
+	const struct header *h;
+	size_t i;
+
+	for (i = 0; i < m->header_count; i++) {
+		h = &m->headers[i];
+		if (is_own(h->name) || (!with_host && !strcmp(h->name, "host")))
+			continue;
+		if (strpbrk(h->value, "\r\n") || append(out, h->name) < 0 ||
+		    append(out, ": ") < 0 || append(out, h->value) < 0 ||
+		    append(out, "\r\n") < 0)
+			return -1;
+	}
+	return 0;
+}
+
+static int write_length(struct buffer *out, size_t len)
+{
+	char text[48];
+
+	snprintf(text, sizeof(text), "content-length: %zu\r\n", len);
+	return append(out, text);
+}
+
+static const char *phrase(int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+/* Appends a whole answer; -1 when a header can't be written. */
+int http_write_answer(struct buffer *out, const struct message *m, bool head,
+		      bool close)
+{
+	bool bare = m->status < 200 || m->status == STATUS_NO_CONTENT;
+	char line[80];
+
+	snprintf(line, sizeof(line), "HTTP/1.1 %d %s\r\n", m->status,
+		 phrase(m->status));
+	if (append(out, line) < 0 || write_headers(out, m, false) < 0 ||
+	    append(out, close ? "connection: close\r\n"
+			      : "connection: keep-alive\r\n") < 0 ||
+	    (!bare && write_length(out, m->body.len) < 0) ||
+	    append(out, "\r\n") < 0)
+		return -1;
+	if (head || bare || m->status == STATUS_NOT_MODIFIED)
+		return 0;
+	return buffer_append(out, m->body.data, m->body.len, SIZE_MAX);
+}
+
+static bool takes_body(const struct message *m)
+{
+	return m->body.len || !strcmp(m->method, "POST") ||
+	       !strcmp(m->method, "PUT") || !strcmp(m->method, "PATCH");
+}
+
+/* Appends a whole request; host stands in where the message names none. */
+int http_write_request(struct buffer *out, const struct message *m,
+		       const char *host)
+{
+	if (append(out, m->method) < 0 || append(out, " ") < 0 ||
+	    append(out, m->target) < 0 || append(out, " HTTP/1.1\r\n") < 0)
+		return -1;
+	if (!message_header(m, "host") &&
+	    (append(out, "host: ") < 0 || append(out, host) < 0 ||
+	     append(out, "\r\n") < 0))
+		return -1;
+	if (write_headers(out, m, true) < 0 ||
+	    (takes_body(m) && write_length(out, m->body.len) < 0) ||
+	    append(out, "\r\n") < 0)
+		return -1;
+	return buffer_append(out, m->body.data, m->body.len, SIZE_MAX);
+}
--- a/src/net/link.c
+++ b/src/net/link.c
@@ -57,7 +57,8 @@
 }
 
 /* NOLINTNEXTLINE(readability-function-size): the macro of uthash is long */
-static struct link *listed_to(struct links *links, const struct addr *peer)
+static struct link *listed_to(const struct links *links,
+			      const struct addr *peer)
 {
 	struct link *l;
 
@@ -65,6 +66,13 @@
 	return l;
 }
 
+bool links_is_doubtful(const struct links *l, const struct addr *peer)
+{
+	const struct link *link = listed_to(l, peer);
+
+	return link && (link->state == LINK_BACKOFF || link->asked_us);
+}
+
 static int try_again(struct link *l, struct error *err, int64_t now)
 {
 	char peer[ADDR_TEXT_SIZE];
--- a/src/net/link_impl.h
+++ b/src/net/link_impl.h
@@ -7,6 +7,7 @@
 #ifndef NET_LINK_IMPL_H
 #define NET_LINK_IMPL_H
 
+#include <libwebsockets.h>
 #include <sodium.h>
 #include <uthash.h>
 #include <utlist.h>
@@ -121,6 +122,7 @@
 	int64_t ticked_us;
 	int64_t refusal_logged_us;
 	bool closed;
+	bool sealed; /* the secret is known */
 };
 
 /* link_handshake.c */
--- a/src/net/link_socket.c
+++ b/src/net/link_socket.c
@@ -97,7 +97,7 @@
 	struct links *links = lws_vhost_user(lws_get_vhost(wsi));
 	struct link *l;
 
-	if (links->closed || links->proving >= PROVING_MAX)
+	if (links->closed || !links->sealed || links->proving >= PROVING_MAX)
 		return -1;
 	l = link_new(links, false);
 	if (!l)
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -69,6 +69,11 @@
 			 "cannot serve datagrams");
 }
 
+static bool has_secret(const struct links *l)
+{
+	return !sodium_is_zero(l->options.secret, SECRET_SIZE);
+}
+
 /*
  * Listens on one port number for links and datagrams. Returns NULL with err
  * set. What is returned lives until the loop is closed.
@@ -88,6 +93,7 @@
 	l->net = net;
 	l->options = *o;
 	l->ticked_us = net_now();
+	l->sealed = has_secret(l);
 	snprintf(l->name, sizeof(l->name), "links-%u", opened++);
 	table_init(&l->handles, sizeof(struct stream *), STREAM_HANDLES_MAX);
 	if (listen_both(l, err) < 0 || adopt_datagrams(l, err) < 0 ||
@@ -114,6 +120,12 @@
 	}
 }
 
+void links_set_secret(struct links *l, const uint8_t secret[SECRET_SIZE])
+{
+	memcpy(l->options.secret, secret, SECRET_SIZE);
+	l->sealed = has_secret(l);
+}
+
 /* Tells the address, with the port in use. */
 void links_addr(const struct links *l, struct addr *a)
 {
@@ -153,8 +165,9 @@
 	struct link *link;
 	uint64_t handle;
 
-	if (l->closed) {
-		error_set(err, ERROR_STATE, "links-call", NULL, "closed");
+	if (l->closed || !l->sealed) {
+		error_set(err, ERROR_STATE, "links-call", NULL,
+			  l->closed ? "closed" : "the secret is not known yet");
 		return 0;
 	}
 	link = link_to(l, &c->to, err, now);
@@ -236,7 +249,7 @@
 	struct link *link;
 	size_t before;
 
-	if (l->closed)
+	if (l->closed || !l->sealed)
 		return -1;
 	link = link_to(l, to, NULL, now);
 	if (!link)
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -1,4 +1,6 @@
-#include "net/http_impl.h"
+#include "net/net_impl.h"
+
+#include <libwebsockets.h>
 
 #include <signal.h>
 #include <stdlib.h>
@@ -18,6 +20,18 @@
 	void *part;
 };
 
+/* Keeps libwebsockets' timers going; see pulse. */
+struct net_pulse {
+	struct lws_sorted_usec_list sul; /* first: the callback casts it */
+	struct net *net;
+};
+
+struct net_dead {
+	struct net_dead *next;
+	void (*release)(void *p);
+	void *p;
+};
+
 struct net_vhost {
 	struct net_vhost *next;
 	char iface[ADDR_TEXT_SIZE];
@@ -73,9 +87,9 @@
  */
 static void pulse(struct lws_sorted_usec_list *sul)
 {
-	struct net *net = lws_container_of(sul, struct net, pulse);
+	struct net_pulse *p = (struct net_pulse *)sul;
 
-	lws_sul_schedule(net->context, 0, sul, pulse, PULSE_US);
+	lws_sul_schedule(p->net->context, 0, sul, pulse, PULSE_US);
 }
 
 static int open_context(struct net *net)
@@ -111,7 +125,10 @@
 {
 	struct net *net = calloc(1, sizeof(*net));
 
-	if (!net) {
+	if (net)
+		net->pulse = calloc(1, sizeof(*net->pulse));
+	if (!net || !net->pulse) {
+		free(net);
 		error_set(err, ERROR_MEMORY, "net-open", NULL, "out of memory");
 		return NULL;
 	}
@@ -121,13 +138,39 @@
 	if (open_context(net) < 0) {
 		error_set(err, ERROR_IO, "net-open", NULL,
 			  "no libev loop or libwebsockets context");
+		free(net->pulse);
 		free(net);
 		return NULL;
 	}
-	pulse(&net->pulse);
+	net->pulse->net = net;
+	pulse(&net->pulse->sul);
 	return net;
 }
 
+void net_free_later(struct net *net, void *p, void (*release)(void *p))
+{
+	struct net_dead *d = calloc(1, sizeof(*d));
+
+	/* Without memory for the note, p is kept: a leak, not a fault. */
+	if (!d)
+		return;
+	d->p = p;
+	d->release = release;
+	d->next = net->dead;
+	net->dead = d;
+}
+
+static void free_dead(struct net *net)
+{
+	struct net_dead *d;
+
+	while ((d = net->dead)) {
+		net->dead = d->next;
+		d->release(d->p);
+		free(d);
+	}
+}
+
 /* Closes every connection without a report and frees all parts. */
 void net_close(struct net *net)
 {
@@ -138,20 +181,22 @@
 		return;
 	net->closing = true;
 	net_free_timers(net);
-	lws_sul_cancel(&net->pulse);
+	lws_sul_cancel(&net->pulse->sul);
 	lws_context_destroy(net->context);
 	http_pool_free_all(net);
-	http_conn_free_all(net);
+	free_dead(net);
 	while ((part = net->parts)) {
 		net->parts = part->next;
 		part->release(part->part);
 		free(part);
 	}
+	free_dead(net);
 	while ((vhost = net->vhosts)) {
 		net->vhosts = vhost->next;
 		free(vhost);
 	}
 	ev_loop_destroy(net->loop);
+	free(net->pulse);
 	free(net);
 }
 
@@ -168,6 +213,7 @@
 			lws_cancel_service(net->context);
 		net->fired = false;
 		ev_run(net->loop, EVRUN_ONCE);
+		free_dead(net);
 	}
 	net->stopping = false;
 }
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -34,9 +34,9 @@
 struct http_server_options {
 	struct addr listen; /* port 0: the kernel chooses */
 	size_t body_limit;
-	uint32_t connections_max;
-	/* More header names to take in, lower case, ended by NULL; or NULL. */
-	const char *const *header_names;
+	uint32_t connections_max; /* further callers wait with the kernel */
+	/* Says "not-run" on refusals of the server's own; or NULL. */
+	const char *outcome_header;
 	void *ctx;
 	void (*request)(void *ctx, uint64_t exchange, struct message *msg,
 			const char *peer, int64_t now);
@@ -44,6 +44,15 @@
 	void (*gone)(void *ctx, uint64_t exchange, int64_t now);
 };
 
+/* What callers may send, and how long they may take. */
+struct http_limits {
+	size_t head_bytes;
+	size_t body_bytes;
+	int64_t head_wait_us; /* for a head that has begun */
+	int64_t idle_us;      /* between requests */
+};
+
+void http_server_limit(struct http_server *s, const struct http_limits *l);
 struct http_server *http_server_open(struct net *net,
 				     const struct http_server_options *o,
 				     struct error *err);
@@ -71,17 +80,18 @@
 	struct addr addr;
 	uint32_t connections_max;
 	size_t body_limit;
-	int64_t keep_warm_us;
-	const char *const *header_names; /* as for the server */
+	int64_t keep_warm_us;	 /* unless the peer tells less */
+	int64_t connect_wait_us; /* then it cannot be reached; 0: no limit */
 };
 
 enum http_call_status {
 	HTTP_ANSWERED,
-	HTTP_NOT_SENT,	/* certain: no byte left this process */
-	HTTP_BROKEN,	/* a byte may have left; no whole answer came */
-	HTTP_GARBAGE,	/* sent; the answer was malformed */
-	HTTP_TOO_LARGE, /* sent; the answer passed body_limit */
-	HTTP_TIMED_OUT, /* sent; no whole answer by the deadline */
+	HTTP_NOT_SENT,	  /* certain: no byte left this process */
+	HTTP_UNREACHABLE, /* the same, since there was no connection */
+	HTTP_BROKEN,	  /* a byte may have left; no whole answer came */
+	HTTP_GARBAGE,	  /* sent; the answer was malformed */
+	HTTP_TOO_LARGE,	  /* sent; the answer passed body_limit */
+	HTTP_TIMED_OUT,	  /* sent; no whole answer by the deadline */
 };
 
 struct http_call_result {
@@ -93,6 +103,8 @@
 struct http_call {
 	const struct message *request; /* copied */
 	int64_t deadline_us;
+	/* An answer with another value here than the request's is stray. */
+	const char *echo_header;
 	void *ctx;
 	uint64_t tag;
 	void (*done)(void *ctx, uint64_t tag, struct http_call_result *r,
@@ -122,8 +134,8 @@
 
 struct links_options {
 	struct addr listen;
-	uint64_t incarnation; /* sent with each control message */
-	uint8_t secret[SECRET_SIZE];
+	uint64_t incarnation;	     /* sent with each control message */
+	uint8_t secret[SECRET_SIZE]; /* zero: see links_set_secret */
 	size_t body_limit;
 	void *ctx;
 	/* A call came in; answer with links_answer(stream). msg may be moved */
@@ -162,6 +174,10 @@
 struct links *links_open(struct net *net, const struct links_options *o,
 			 struct error *err);
 void links_close(struct links *l);
+/* Until the secret is known nothing is sent, and nothing taken. */
+void links_set_secret(struct links *l, const uint8_t secret[SECRET_SIZE]);
+/* Whether the link to a node is broken, or owes the answer to a ping. */
+bool links_is_doubtful(const struct links *l, const struct addr *peer);
 /* The address listened on, UDP and TCP alike. */
 void links_addr(const struct links *l, struct addr *a);
 /* done is never called before links_call returns; 0 with err set. */
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -7,7 +7,6 @@
 #define NET_NET_IMPL_H
 
 #include <ev.h>
-#include <libwebsockets.h>
 
 #include "net/net.h"
 
@@ -17,7 +16,13 @@
 struct net_timer;
 struct net_part;
 struct net_vhost;
-struct http_conn;
+struct net_dead;
+struct net_pulse;
+
+/* Of libwebsockets, whose header names what http_parser's names as well. */
+struct lws_context;
+struct lws_protocols;
+struct lws_vhost;
 
 /*
  * A moment to be called at; zeroed before its first use. libwebsockets' own
@@ -34,16 +39,15 @@
 	struct ev_loop *loop;
 	void *foreign_loops[1]; /* loop, as libwebsockets takes it */
 	struct lws_context *context;
-	struct lws_sorted_usec_list pulse;
+	struct net_pulse *pulse;
 	bool fired; /* an alarm, in this turn of the loop */
 	struct net_timer *timers;
 	struct net_part *parts;
 	struct net_vhost *vhosts;
 	struct http_pool *pools;
-	struct http_conn *conns;       /* every one made */
-	struct http_conn *spare_conns; /* those no pool uses now */
-	volatile bool stopping;	       /* set from elsewhere, too */
-	bool closing; /* set while net_close tears connections down */
+	struct net_dead *dead;	/* freed when this turn of the loop ends */
+	volatile bool stopping; /* set from elsewhere, too */
+	bool closing;		/* set while net_close tears connections down */
 };
 
 struct net_vhost_options {
@@ -70,6 +74,13 @@
 int64_t net_now(void);
 
 void net_free_timers(struct net *net);
+void http_pool_free_all(struct net *net);
+
+/*
+ * Frees p by release once the present turn of the loop is over: a callback
+ * may end the connection that it was called for.
+ */
+void net_free_later(struct net *net, void *p, void (*release)(void *p));
 
 /* Calls fire once, not before at_us; a newer set takes the older's place. */
 void net_alarm_set(struct net *net, struct net_alarm *alarm, int64_t now,
--- /dev/null
+++ b/src/net/tcp.c
@@ -0,0 +1,295 @@
+#include "net/tcp.h"
+
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "net/socket_addr.h"
+
+#define READ_SIZE (16 * 1024) /* bytes of one read */
+#define READS_MAX 4	      /* in one turn, before others get theirs */
+#define ACCEPTS_MAX 64	      /* the same for a listener */
+#define BACKLOG 1024
+/* Unacknowledged bytes end a connection: a cut link gives no other sign. */
+#define UNACKNOWLEDGED_MS 3000
+#define OUT_MAX SIZE_MAX
+
+static void set_options(int fd)
+{
+	int on = 1, ms = UNACKNOWLEDGED_MS;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
+static void end(struct tcp *t, enum tcp_end how)
+{
+	tcp_close(t);
+	t->handler->ended(t, how);
+}
+
+static void on_readable(struct ev_loop *loop, ev_io *w, int events)
+{
+	static uint8_t data[READ_SIZE];
+	struct tcp *t = w->data;
+	ssize_t n;
+	int i;
+
+	(void)loop;
+	(void)events;
+	for (i = 0; i < READS_MAX && tcp_is_open(t); i++) {
+		n = recv(t->fd, data, sizeof(data), 0);
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			return;
+		if (n <= 0) {
+			end(t, n ? TCP_BROKEN : TCP_ORDERLY);
+			return;
+		}
+		t->handler->data(t, data, (size_t)n);
+		if ((size_t)n < sizeof(data) || !ev_is_active(&t->readable))
+			return;
+	}
+}
+
+static int send_some(struct tcp *t)
+{
+	ssize_t n;
+
+	while (t->out_pos < t->out.len) {
+		n = send(t->fd, t->out.data + t->out_pos,
+			 t->out.len - t->out_pos, MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0)
+			return errno == EAGAIN ? 0 : -1;
+		t->out_pos += (size_t)n;
+	}
+	buffer_free(&t->out);
+	t->out_pos = 0;
+	return 0;
+}
+
+static void open_done(struct tcp *t)
+{
+	int fault = 0;
+	socklen_t len = sizeof(fault);
+
+	getsockopt(t->fd, SOL_SOCKET, SO_ERROR, &fault, &len);
+	if (fault) {
+		end(t, TCP_UNOPENED);
+		return;
+	}
+	t->connecting = false;
+	ev_io_start(t->net->loop, &t->readable);
+	t->handler->opened(t);
+}
+
+static void on_writable(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct tcp *t = w->data;
+
+	(void)events;
+	if (t->connecting)
+		open_done(t);
+	if (!tcp_is_open(t))
+		return;
+	if (send_some(t) < 0) {
+		end(t, TCP_BROKEN);
+		return;
+	}
+	if (!tcp_all_written(t))
+		return;
+	ev_io_stop(loop, &t->writable);
+	t->handler->drained(t);
+}
+
+static void init(struct tcp *t, struct net *net, int fd,
+		 const struct tcp_handler *handler, void *owner)
+{
+	memset(t, 0, sizeof(*t));
+	t->net = net;
+	t->fd = fd;
+	t->handler = handler;
+	t->owner = owner;
+	ev_io_init(&t->readable, on_readable, fd, EV_READ);
+	ev_io_init(&t->writable, on_writable, fd, EV_WRITE);
+	t->readable.data = t;
+	t->writable.data = t;
+	set_options(fd);
+}
+
+/* Starts to connect; -1 when that fails at once, with nothing reported. */
+int tcp_connect(struct tcp *t, struct net *net, const struct addr *to,
+		const struct tcp_handler *handler, void *owner)
+{
+	union socket_addr sa;
+	socklen_t len = socket_addr_from(to, &sa);
+	int fd = socket(sa.any.sa_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	t->fd = -1;
+	if (fd < 0)
+		return -1;
+	if (connect(fd, &sa.any, len) < 0 && errno != EINPROGRESS) {
+		close(fd);
+		return -1;
+	}
+	init(t, net, fd, handler, owner);
+	t->connecting = true;
+	ev_io_start(net->loop, &t->writable);
+	return 0;
+}
+
+/* Takes over an accepted connection and reads from it. */
+void tcp_adopt(struct tcp *t, struct net *net, int fd,
+	       const struct tcp_handler *handler, void *owner)
+{
+	init(t, net, fd, handler, owner);
+	ev_io_start(net->loop, &t->readable);
+}
+
+/*
+ * Sends bytes, those that the kernel does not take now later. Returns -1
+ * when memory is short or the connection is broken; its end is reported by
+ * the loop, not from here.
+ */
+int tcp_write(struct tcp *t, const void *data, size_t len)
+{
+	if (!tcp_is_open(t) || buffer_append(&t->out, data, len, OUT_MAX) < 0)
+		return -1;
+	if (t->connecting || ev_is_active(&t->writable))
+		return 0;
+	if (send_some(t) < 0)
+		return -1;
+	if (!tcp_all_written(t))
+		ev_io_start(t->net->loop, &t->writable);
+	return 0;
+}
+
+/* Reads on, or leaves what comes with the kernel. */
+void tcp_read(struct tcp *t, bool on)
+{
+	if (!tcp_is_open(t) || t->connecting)
+		return;
+	if (on)
+		ev_io_start(t->net->loop, &t->readable);
+	else
+		ev_io_stop(t->net->loop, &t->readable);
+}
+
+/* Closes without a report; may be called again. */
+void tcp_close(struct tcp *t)
+{
+	if (!tcp_is_open(t))
+		return;
+	ev_io_stop(t->net->loop, &t->readable);
+	ev_io_stop(t->net->loop, &t->writable);
+	close(t->fd);
+	t->fd = -1;
+	buffer_free(&t->out);
+	t->out_pos = 0;
+}
+
+bool tcp_is_open(const struct tcp *t)
+{
+	return t->fd >= 0;
+}
+
+bool tcp_all_written(const struct tcp *t)
+{
+	return t->out_pos == t->out.len;
+}
+
+bool tcp_has_input(const struct tcp *t)
+{
+	char byte;
+
+	return recv(t->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+	       errno != EAGAIN;
+}
+
+static void on_acceptable(struct ev_loop *loop, ev_io *w, int events)
+{
+	struct tcp_listener *l = w->data;
+	char peer[ADDR_TEXT_SIZE];
+	union socket_addr sa;
+	struct addr a;
+	socklen_t len;
+	int i, fd;
+
+	(void)loop;
+	(void)events;
+	for (i = 0; i < ACCEPTS_MAX && ev_is_active(&l->watcher); i++) {
+		len = sizeof(sa);
+		fd = accept4(l->fd, &sa.any, &len,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		socket_addr_to(&sa, &a);
+		addr_host(&a, peer);
+		l->accepted(l, fd, peer);
+	}
+}
+
+/* Listens at once; -1 with err set. */
+int tcp_listen(struct tcp_listener *l, struct net *net, const struct addr *a,
+	       struct error *err)
+{
+	union socket_addr sa;
+	socklen_t len = socket_addr_from(a, &sa);
+	char text[ADDR_TEXT_SIZE];
+	int on = 1;
+
+	l->net = net;
+	l->fd = socket(sa.any.sa_family,
+		       SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (l->fd >= 0) {
+		setsockopt(l->fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		if (bind(l->fd, &sa.any, len) == 0 &&
+		    listen(l->fd, BACKLOG) == 0) {
+			ev_io_init(&l->watcher, on_acceptable, l->fd, EV_READ);
+			l->watcher.data = l;
+			ev_io_start(net->loop, &l->watcher);
+			return 0;
+		}
+	}
+	addr_format(a, text);
+	error_set(err, ERROR_IO, "listen", text, "%s", strerror(errno));
+	if (l->fd >= 0)
+		close(l->fd);
+	l->fd = -1;
+	return -1;
+}
+
+/* Tells the address with the port that the kernel chose. */
+void tcp_listener_addr(const struct tcp_listener *l, struct addr *a)
+{
+	union socket_addr sa;
+	socklen_t len = sizeof(sa);
+
+	memset(a, 0, sizeof(*a));
+	if (getsockname(l->fd, &sa.any, &len) == 0)
+		socket_addr_to(&sa, a);
+}
+
+/* Takes connections, or leaves them with the kernel. */
+void tcp_listener_run(struct tcp_listener *l, bool on)
+{
+	if (l->fd < 0)
+		return;
+	if (on)
+		ev_io_start(l->net->loop, &l->watcher);
+	else
+		ev_io_stop(l->net->loop, &l->watcher);
+}
+
+/* Stops listening; what the kernel has accepted is reset. */
+void tcp_listener_close(struct tcp_listener *l)
+{
+	if (l->fd < 0)
+		return;
+	ev_io_stop(l->net->loop, &l->watcher);
+	close(l->fd);
+	l->fd = -1;
+}
--- /dev/null
+++ b/src/net/tcp.h
@@ -0,0 +1,66 @@
+/* One TCP connection of the loop: bytes in by callback, bytes out queued. */
+#ifndef NET_TCP_H
+#define NET_TCP_H
+
+#include "net/net_impl.h"
+
+struct tcp;
+
+enum tcp_end {
+	TCP_ORDERLY,  /* the peer closed its side */
+	TCP_BROKEN,   /* reset, timed out or unreachable */
+	TCP_UNOPENED, /* the connection was never made */
+};
+
+/*
+ * Called from the loop. Any of them may close the connection; its memory
+ * must stay until the turn of the loop ends, see net_free_later.
+ */
+struct tcp_handler {
+	void (*opened)(struct tcp *t); /* outgoing ones only */
+	void (*data)(struct tcp *t, const uint8_t *data, size_t len);
+	void (*ended)(struct tcp *t, enum tcp_end how);
+	void (*drained)(struct tcp *t); /* all bytes are with the kernel */
+};
+
+struct tcp {
+	ev_io readable;
+	ev_io writable;
+	struct net *net;
+	const struct tcp_handler *handler;
+	void *owner;
+	int fd; /* -1: closed */
+	bool connecting;
+	struct buffer out;
+	size_t out_pos;
+};
+
+int tcp_connect(struct tcp *t, struct net *net, const struct addr *to,
+		const struct tcp_handler *handler, void *owner);
+void tcp_adopt(struct tcp *t, struct net *net, int fd,
+	       const struct tcp_handler *handler, void *owner);
+int tcp_write(struct tcp *t, const void *data, size_t len);
+void tcp_read(struct tcp *t, bool on);
+void tcp_close(struct tcp *t);
+bool tcp_is_open(const struct tcp *t);
+bool tcp_all_written(const struct tcp *t);
+/* Bytes, or the end, wait at an idle connection: it can't be used again. */
+bool tcp_has_input(const struct tcp *t);
+
+/* A listening socket; connections are taken while it is on. */
+struct tcp_listener {
+	ev_io watcher;
+	struct net *net;
+	int fd;
+	void *owner;
+	/* Takes over fd; peer is an IP number. */
+	void (*accepted)(struct tcp_listener *l, int fd, const char *peer);
+};
+
+int tcp_listen(struct tcp_listener *l, struct net *net, const struct addr *a,
+	       struct error *err);
+void tcp_listener_addr(const struct tcp_listener *l, struct addr *a);
+void tcp_listener_run(struct tcp_listener *l, bool on);
+void tcp_listener_close(struct tcp_listener *l);
+
+#endif
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -125,6 +125,7 @@
 	case HTTP_ANSWERED:
 		return OUTCOME_DONE;
 	case HTTP_NOT_SENT:
+	case HTTP_UNREACHABLE:
 		return OUTCOME_NOT_RUN;
 	case HTTP_BROKEN:
 	case HTTP_GARBAGE:
@@ -147,53 +148,124 @@
 	case HTTP_TIMED_OUT:
 		return REASON_DEADLINE;
 	case HTTP_NOT_SENT:
+	case HTTP_UNREACHABLE:
 	case HTTP_BROKEN:
 		break;
 	}
 	return REASON_UPSTREAM_FAILED;
 }
 
+#define STATUS_MISDIRECTED 421
+
+/* What a whole answer of the upstream says happened. */
+struct judgement {
+	enum outcome outcome;
+	enum reason reason;
+	bool replaced; /* another process has the address */
+};
+
+/*
+ * An upstream may say that it did not run the call. A success that lacks the
+ * proof of one is somebody else's answer.
+ */
+static struct judgement judge_answer(const struct edge_names *edge,
+				     const struct call *c,
+				     const struct message *m)
+{
+	struct judgement j = {.outcome = OUTCOME_DONE};
+
+	if (edge->instance && m->status == STATUS_MISDIRECTED) {
+		j.outcome = OUTCOME_NOT_RUN;
+		j.reason = REASON_NO_UPSTREAM;
+		j.replaced = true;
+	} else if (edge->not_run && message_header(m, edge->not_run)) {
+		j.outcome = OUTCOME_NOT_RUN;
+		j.reason = REASON_UPSTREAM_REFUSED;
+	} else if (edge->proof && m->status < 300 &&
+		   !message_header(m, edge->proof)) {
+		j.outcome = OUTCOME_UNKNOWN;
+		j.reason = REASON_UPSTREAM_GARBAGE;
+	} else if (m->status >= 500) {
+		j.reason = c->sub_reason;
+	}
+	return j;
+}
+
+static struct judgement judge_result(struct node *n, const struct call *c,
+				     const struct http_call_result *r)
+{
+	struct judgement j = {.outcome = outcome_of(r->status),
+			      .reason = reason_of(r, c)};
+
+	if (r->status == HTTP_ANSWERED)
+		return judge_answer(n->edge, c, r->answer);
+	return j;
+}
+
+/* Whether the upstream itself failed, for its gate to judge it by. */
+static bool is_own_failure(const struct judgement *j,
+			   const struct http_call_result *r)
+{
+	/* What a refused sub-call caused is no failure of the upstream. */
+	if (j->outcome == OUTCOME_DONE)
+		return r->answer->status >= 500 && j->reason == REASON_NONE;
+	return true;
+}
+
 static void upstream_done(void *ctx, uint64_t tag, struct http_call_result *r,
 			  int64_t now)
 {
 	struct node *n = ctx;
 	struct call *c = gates_call_get(n, tag);
 	struct local_upstream *u;
+	struct judgement j;
 	uint64_t upstream;
-	bool failed;
 
 	if (!c)
 		return;
+	j = judge_result(n, c, r);
 	upstream = c->upstream;
 	u = gates_upstream(n, upstream);
-	/* What a refused sub-call caused is no failure of the upstream. */
-	failed = r->status != HTTP_ANSWERED ||
-		 (r->answer->status >= 500 && c->sub_reason == REASON_NONE);
 	if (u)
-		gate_done(u->gate, tag, !failed, now);
+		gate_done(u->gate, tag, !is_own_failure(&j, r), now);
 	if (r->status != HTTP_ANSWERED) {
 		counter_add(COUNTER_UPSTREAM_FAILURES, 1);
 		log_error(LOG_WARNING, "upstream", &r->err);
 	}
-	if (r->status == HTTP_NOT_SENT)
+	if (j.outcome == OUTCOME_NOT_RUN)
 		c->runs--;
 	cancel_sub_calls(n, tag, now);
-	end_call(n, c, outcome_of(r->status), reason_of(r, c),
-		 r->status == HTTP_ANSWERED ? r->answer : NULL, now);
+	end_call(n, c, j.outcome, j.reason,
+		 j.outcome == OUTCOME_DONE ? r->answer : NULL, now);
+	if (r->status == HTTP_UNREACHABLE)
+		gates_unreachable(n, upstream, now);
+	if (j.replaced)
+		gates_replaced(n, upstream, now);
 	gates_pump(n, upstream, now);
 }
 
-static void add_call_headers(struct call *c, int64_t now)
+static void set_header(struct message *m, const char *name, const char *value)
+{
+	if (!name)
+		return;
+	message_remove_header(m, name);
+	if (value[0])
+		message_add_header(m, name, value);
+}
+
+static void add_call_headers(const struct edge_names *edge,
+			     const struct local_upstream *u, struct call *c,
+			     int64_t now)
 {
 	char ms[24];
 
 	snprintf(ms, sizeof(ms), "%lld",
 		 (long long)((c->deadline_us - now) / USEC_PER_MSEC));
-	message_remove_header(&c->message, "x-request-id");
-	message_remove_header(&c->message, "mulberryferry-deadline-ms");
-	message_add_header(&c->message, "x-request-id", c->head.request);
-	message_add_header(&c->message, "mulberryferry-deadline-ms", ms);
-	message_add_header(&c->message, "mulberryferry-context", c->token);
+	set_header(&c->message, edge->request, c->head.request);
+	set_header(&c->message, edge->deadline_ms, ms);
+	set_header(&c->message, edge->context, c->token);
+	set_header(&c->message, edge->instance, u->instance);
+	set_header(&c->message, edge->account, c->head.account);
 }
 
 static void run_call(struct node *n, struct local_upstream *u, struct call *c,
@@ -208,8 +280,11 @@
 	};
 	struct error err;
 
+	/* Only where each call has an identity of its own. */
+	if (n->edge->status_tells_outcome)
+		http.echo_header = n->edge->request;
 	c->started_us = now;
-	add_call_headers(c, now);
+	add_call_headers(n->edge, u, c, now);
 	c->http_call = http_call_start(u->pool, &http, now, &err);
 	record_call(n, c, DECISION_RUN, REASON_NONE, waited_us);
 	if (c->http_call) {
@@ -250,6 +325,26 @@
 	}
 }
 
+/* Answers every queued call that it did not run. */
+void gates_drop_queued(struct node *n, uint64_t upstream, int64_t now)
+{
+	struct local_upstream *u;
+	struct call *c;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item))) {
+		c = item;
+		u = gates_upstream(n, upstream);
+		if (c->upstream != upstream || c->started_us || !u)
+			continue;
+		gate_cancel(u->gate, h, now);
+		record_call(n, c, DECISION_DROPPED, REASON_NO_UPSTREAM,
+			    now - c->arrived_us);
+		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
+	}
+}
+
 static uint32_t account_weight(struct node *n, const char *account)
 {
 	const struct account *a = NULL;
@@ -305,7 +400,7 @@
 		return 0;
 	}
 	handle = c->handle;
-	if (!u || u->info.state == UPSTREAM_GONE) {
+	if (!u || !gates_takes(n, u, now)) {
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
 		return handle;
 	}
@@ -353,7 +448,7 @@
 	if (!index)
 		return;
 	c = gates_call_get(n, index->call);
-	/* A once-only call that runs is let finish; its answer is dropped. */
+	/* A call that may run once only is let finish; no answer is taken. */
 	if (c && c->head.once && c->started_us)
 		return;
 	gates_cancel_call(n, index->call, now);
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "node/gates.h"
+#include "platform/platform.h"
 
 /* An upstream that was not heard for this long is gone. */
 #define ANNOUNCE_SILENCE_US (10 * USEC_PER_SEC)
@@ -14,6 +15,10 @@
 #define QUEUE_MIN 256
 #define COLD_START_US (3 * USEC_PER_SEC)
 #define KEEP_WARM_US (30 * USEC_PER_SEC)
+/* An upstream on this very host that does not answer for so long is down. */
+#define CONNECT_WAIT_US (400 * USEC_PER_MSEC)
+/* New work for a leaving upstream ends so long before it may end itself. */
+#define DRAIN_MARGIN_US (500 * USEC_PER_MSEC)
 
 /* Returns the upstream of a handle, or NULL. */
 struct local_upstream *gates_upstream(struct node *n, uint64_t handle)
@@ -31,7 +36,8 @@
 
 	while ((h = table_next(&n->local_upstreams, h, &item))) {
 		u = item;
-		if (addr_equal(&u->info.addr, a) &&
+		if (u->info.state != UPSTREAM_GONE &&
+		    addr_equal(&u->info.addr, a) &&
 		    !strcmp(u->info.service, service))
 			return u;
 	}
@@ -52,7 +58,9 @@
 		if (count == UPSTREAMS_PER_HOST_MAX)
 			break;
 		list[count] = u->info;
-		if (n->stopping)
+		if (u->unreachable)
+			list[count].state = UPSTREAM_GONE;
+		else if (n->stopping && u->info.state == UPSTREAM_READY)
 			list[count].state = UPSTREAM_LEAVING;
 		count++;
 	}
@@ -67,7 +75,7 @@
 		.connections_max = u->info.connections,
 		.body_limit = n->settings.body_limit,
 		.keep_warm_us = KEEP_WARM_US,
-		.header_names = n->header_names,
+		.connect_wait_us = CONNECT_WAIT_US,
 	};
 	struct gate_options gate = {
 		.slots = u->info.slots,
@@ -113,8 +121,8 @@
 	log_emit(&line);
 }
 
-static void add_upstream(struct node *n, const struct upstream_info *info,
-			 int64_t now)
+static struct local_upstream *
+add_upstream(struct node *n, const struct upstream_info *info, int64_t now)
 {
 	struct local_upstream *u;
 	struct error err;
@@ -122,10 +130,10 @@
 	void *item;
 
 	if (n->local_upstreams.count == UPSTREAMS_PER_HOST_MAX)
-		return;
+		return NULL;
 	h = table_add(&n->local_upstreams, &item);
 	if (!h)
-		return;
+		return NULL;
 	u = item;
 	u->handle = h;
 	u->info = *info;
@@ -133,10 +141,205 @@
 	if (open_upstream(n, u, now, &err) < 0) {
 		log_error(LOG_ERR, "announce", &err);
 		table_remove(&n->local_upstreams, h);
-		return;
+		return NULL;
 	}
 	log_upstream("upstream-ready", info);
 	gates_tell_members(n, now);
+	return u;
+}
+
+/* Takes no more work for an upstream; what runs may end. */
+static void close_gate(struct node *n, struct local_upstream *u, int64_t now)
+{
+	if (u->info.state == UPSTREAM_GONE)
+		return;
+	u->info.state = UPSTREAM_GONE;
+	log_upstream("upstream-gone", &u->info);
+	gates_tell_members(n, now);
+	gates_drop_queued(n, u->handle, now);
+}
+
+static struct local_upstream *find_instance(struct node *n, const char *id)
+{
+	struct local_upstream *u, *newest = NULL;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		u = item;
+		if (!strcmp(u->instance, id) &&
+		    (!newest || u->born_ms > newest->born_ms))
+			newest = u;
+	}
+	return newest;
+}
+
+/*
+ * Whether a process that started later is known at the address: then the
+ * announcement was held up on its way, and its sender is gone.
+ */
+static bool is_outlived(struct node *n, const struct upstream_news *news)
+{
+	struct local_upstream *u;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		u = item;
+		if (addr_equal(&u->info.addr, &news->info.addr) &&
+		    u->born_ms > news->born_ms)
+			return true;
+	}
+	return false;
+}
+
+static void start_leaving(struct node *n, struct local_upstream *u, int64_t now)
+{
+	if (u->info.state != UPSTREAM_READY)
+		return;
+	u->info.state = UPSTREAM_LEAVING;
+	u->leaving_us = now;
+	log_upstream("upstream-leaving", &u->info);
+	gates_tell_members(n, now);
+}
+
+static uint32_t connections_of(const struct node *n, const char *service)
+{
+	const struct service *s = NULL;
+
+	if (n->config)
+		s = config_service(n->config, service);
+	return s && s->connections ? s->connections : UINT32_MAX;
+}
+
+/* A process that is new at its address takes the place of what was there. */
+static void meet_upstream(struct node *n, const struct upstream_news *news,
+			  int64_t now)
+{
+	struct upstream_info info = news->info;
+	struct local_upstream *u;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item)))
+		if (addr_equal(&((struct local_upstream *)item)->info.addr,
+			       &info.addr))
+			close_gate(n, item, now);
+	gates_forget_gone(n, now);
+	info.connections = connections_of(n, info.service);
+	u = add_upstream(n, &info, now);
+	if (!u)
+		return;
+	memcpy(u->instance, news->instance, sizeof(u->instance));
+	u->born_ms = news->born_ms;
+	u->sequence = news->sequence;
+	if (info.state != UPSTREAM_READY)
+		u->leaving_us = now;
+}
+
+/* Something new of a process that is known. */
+static void hear_upstream(struct node *n, struct local_upstream *u,
+			  const struct upstream_news *news, int64_t now)
+{
+	u->heard_us = now;
+	u->sequence = news->sequence;
+	if (u->unreachable) {
+		u->unreachable = false;
+		gates_tell_members(n, now);
+	}
+	if (u->info.slots != news->info.slots) {
+		u->info.slots = news->info.slots;
+		gate_set_slots(u->gate, u->info.slots, now);
+		gates_tell_members(n, now);
+	}
+	if (news->info.state == UPSTREAM_LEAVING) {
+		start_leaving(n, u, now);
+	} else if (u->info.state == UPSTREAM_LEAVING && !u->leaves_for_good) {
+		u->info.state = UPSTREAM_READY;
+		u->leaving_us = 0;
+		log_upstream("upstream-stays", &u->info);
+		gates_tell_members(n, now);
+	}
+}
+
+static void log_passed_over(const struct upstream_news *news, const char *why)
+{
+	char addr[ADDR_TEXT_SIZE];
+	struct log_line line;
+
+	addr_format(&news->info.addr, addr);
+	log_start(&line, LOG_INFO, "announcement-passed-over");
+	log_str(&line, "instance", news->instance);
+	log_str(&line, "upstream", addr);
+	log_int(&line, "born_ms", news->born_ms);
+	log_int(&line, "sequence", (int64_t)news->sequence);
+	log_str(&line, "why", why);
+	log_emit(&line);
+}
+
+void gates_news(struct node *n, const struct upstream_news *news, int64_t now)
+{
+	struct local_upstream *u = find_instance(n, news->instance);
+	bool same;
+
+	if (news->gone) {
+		if (!u || (news->born_ms && news->born_ms != u->born_ms))
+			return;
+		start_leaving(n, u, now);
+		u->leaves_for_good = true;
+		return;
+	}
+	if (addr_is_set(&n->settings.upstream) &&
+	    !addr_equal(&n->settings.upstream, &news->info.addr)) {
+		log_passed_over(news, "address of another host");
+		return;
+	}
+	same = u && u->born_ms == news->born_ms &&
+	       !strcmp(u->info.service, news->info.service);
+	if (is_outlived(n, news))
+		log_passed_over(news, "a later process has the address");
+	else if (same && news->sequence <= u->sequence)
+		log_passed_over(news, "late");
+	else if (same && (u->leaves_for_good || u->info.state == UPSTREAM_GONE))
+		log_passed_over(news, "it has left");
+	else if (same)
+		hear_upstream(n, u, news, now);
+	else
+		meet_upstream(n, news, now);
+}
+
+/* A call could not connect: nothing is sent there until it speaks again. */
+void gates_unreachable(struct node *n, uint64_t upstream, int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, upstream);
+
+	if (!u || u->unreachable || n->settings.interface == INTERFACE_OWN)
+		return;
+	u->unreachable = true;
+	log_upstream("upstream-unreachable", &u->info);
+	gates_tell_members(n, now);
+	gates_drop_queued(n, upstream, now);
+}
+
+/* Another process answered at the address. */
+void gates_replaced(struct node *n, uint64_t upstream, int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, upstream);
+
+	if (u)
+		close_gate(n, u, now);
+}
+
+/* Whether calls may go to the upstream now. */
+bool gates_takes(const struct node *n, const struct local_upstream *u,
+		 int64_t now)
+{
+	int64_t drain = n->settings.promises.drain_us;
+
+	if (u->info.state == UPSTREAM_GONE || u->unreachable)
+		return false;
+	return !drain || !u->leaving_us ||
+	       now - u->leaving_us < drain - DRAIN_MARGIN_US;
 }
 
 /* Takes an announcement of an upstream on this host, new or again. */
@@ -171,6 +374,25 @@
 	return r.running || r.queued;
 }
 
+/* Forgets upstreams that are gone and have no call any more. */
+void gates_forget_gone(struct node *n, int64_t now)
+{
+	struct local_upstream *u;
+	bool changed = false;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		u = item;
+		if (u->info.state != UPSTREAM_GONE || has_calls(u))
+			continue;
+		close_upstream(n, u);
+		changed = true;
+	}
+	if (changed)
+		gates_tell_members(n, now);
+}
+
 /* Runs queued calls, drops what is too old, forgets silent upstreams. */
 void gates_tick(struct node *n, int64_t now)
 {
@@ -181,6 +403,8 @@
 	while ((h = table_next(&n->local_upstreams, h, &item))) {
 		gates_pump(n, h, now);
 		u = gates_upstream(n, h);
+		if (u && u->leaving_us && !gates_takes(n, u, now))
+			gates_drop_queued(n, h, now);
 		if (!u || now - u->heard_us < ANNOUNCE_SILENCE_US)
 			continue;
 		if (u->info.state != UPSTREAM_GONE) {
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "admin/admin.h"
+#include "platform/platform.h"
 
 #define ANNOUNCEMENT_PATH "/mulberryferry/v1/announcement"
 #define LOCAL_CONNECTIONS_MAX 4096
@@ -44,14 +45,48 @@
 	answer_status(n->services, exchange, 200, "ok\n");
 }
 
+/* Anything but a good announcement is refused, and changes nothing. */
+static void take_news(struct node *n, uint64_t exchange,
+		      const struct message *msg, int64_t now)
+{
+	struct upstream_news news;
+	struct error err;
+	int rc = platform_announcement(msg, &news, &err);
+
+	if (rc < 0)
+		log_error(LOG_WARNING, "announcement-refused", &err);
+	if (rc) {
+		answer_status(n->services, exchange, rc < 0 ? 400 : 404, "");
+		return;
+	}
+	gates_news(n, &news, now);
+	answer_status(n->services, exchange, 200, "{}");
+}
+
+static void on_ready(void *ctx, uint64_t exchange, struct message *msg,
+		     const char *peer, int64_t now)
+{
+	struct node *n = ctx;
+	bool asks = platform_asks_ready(msg);
+
+	(void)peer;
+	answer_status(n->ready, exchange,
+		      !asks		      ? 404
+		      : node_is_ready(n, now) ? 200
+					      : 503,
+		      "");
+}
+
 static void on_service(void *ctx, uint64_t exchange, struct message *msg,
 		       const char *peer, int64_t now)
 {
 	struct node *n = ctx;
 
 	(void)peer;
-	if (!strcmp(msg->target, ANNOUNCEMENT_PATH) &&
-	    !strcmp(msg->method, "PUT"))
+	if (n->settings.interface == INTERFACE_PLATFORM)
+		take_news(n, exchange, msg, now);
+	else if (!strcmp(msg->target, ANNOUNCEMENT_PATH) &&
+		 !strcmp(msg->method, "PUT"))
 		take_announcement(n, exchange, msg, now);
 	else
 		request_start(n, ORIGIN_SERVICE, exchange, msg, now);
@@ -126,7 +161,7 @@
 	struct http_server_options o = {.listen = s->callers,
 					.body_limit = s->body_limit,
 					.connections_max = s->connections_max,
-					.header_names = n->header_names,
+					.outcome_header = n->edge->outcome,
 					.ctx = n,
 					.request = on_caller,
 					.gone = on_gone};
@@ -146,7 +181,12 @@
 	o.request = on_admin;
 	o.gone = on_admin_gone;
 	n->admin = http_server_open(n->net, &o, err);
-	return n->admin ? 0 : -1;
+	if (!n->admin || !addr_is_set(&s->ready))
+		return n->admin ? 0 : -1;
+	o.listen = s->ready;
+	o.request = on_ready;
+	n->ready = http_server_open(n->net, &o, err);
+	return n->ready ? 0 : -1;
 }
 
 /* Opens the HTTP listeners and the links; -1 with err set. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -8,10 +8,10 @@
 
 #include "admin/admin.h"
 #include "node/listeners.h"
+#include "platform/platform.h"
 
 #define CALLS_MAX 65536
 #define CUTOFFS_MAX 32768
-#define EXPLAIN_RING 32768
 
 #define FAST_TICK_US (5 * USEC_PER_MSEC)
 #define SLOW_TICK_US (50 * USEC_PER_MSEC)
@@ -64,6 +64,22 @@
 		directory_update(n->directory, m);
 }
 
+/* Callers may send what the configuration says, where it says anything. */
+static void limit_callers(struct node *n)
+{
+	const struct caller_limits *c = config_limits(n->config);
+	struct http_limits l = {.head_bytes = c->head_bytes,
+				.body_bytes = c->body_bytes,
+				.head_wait_us = c->head_wait_us,
+				.idle_us = c->idle_us};
+
+	if (!c->head_bytes || !c->body_bytes || !c->head_wait_us || !c->idle_us)
+		return;
+	if (l.body_bytes > n->settings.body_limit)
+		l.body_bytes = n->settings.body_limit;
+	http_server_limit(n->callers, &l);
+}
+
 static void config_in_force(void *ctx, struct config *c, int64_t now)
 {
 	struct node *n = ctx;
@@ -75,6 +91,7 @@
 	if (n->quota)
 		quota_config(n->quota, c, now);
 	gates_config(n);
+	limit_callers(n);
 	log_start(&line, LOG_NOTICE, "config-in-force");
 	log_int(&line, "number", (int64_t)config_number(c));
 	log_str(&line, "release", config_release(c));
@@ -102,6 +119,8 @@
 {
 	struct node *n = ctx;
 
+	if (n->secret)
+		secret_tick(n->secret, now);
 	members_tick(n->members, now);
 	notes_tick(n->notes, now);
 	requests_expire(n, now);
@@ -164,6 +183,28 @@
 	return n->members ? 0 : -1;
 }
 
+static void secret_known(void *ctx, const uint8_t secret[SECRET_SIZE],
+			 int64_t now)
+{
+	struct node *n = ctx;
+
+	(void)now;
+	n->lot_key = XXH3_64bits(secret, SECRET_SIZE);
+	links_set_secret(n->links, secret);
+}
+
+static int open_secret(struct node *n)
+{
+	static const uint8_t none[SECRET_SIZE];
+	struct secret_options o = {
+		.store = n->store, .ctx = n, .known = secret_known};
+
+	if (memcmp(n->settings.secret, none, SECRET_SIZE) != 0)
+		return 0;
+	n->secret = secret_new(&o);
+	return n->secret ? 0 : -1;
+}
+
 static int open_controllers(struct node *n, struct error *err)
 {
 	int64_t now = clock_monotonic_us();
@@ -183,13 +224,20 @@
 					.self = n->self,
 					.incarnation = n->incarnation};
 
-	n->explain = explain_new(EXPLAIN_RING);
+	n->explain = explain_new(n->settings.records_max);
 	n->cutoffs = cutoffs_new(CUTOFFS_MAX);
 	n->directory = directory_new(n);
 	n->identities = identities_new();
 	if (!n->explain || !n->cutoffs || !n->directory || !n->identities ||
 	    open_members(n, now) < 0)
 		return error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
+	if (n->settings.store_kind == STORE_PLATFORM) {
+		notes.source = SOURCE_DOCUMENT;
+		notes.document.key = platform_config_key;
+		notes.document.read = platform_config;
+	}
+	if (open_secret(n) < 0)
+		return error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
 	notes.members = n->members;
 	quota.members = n->members;
 	claims.members = n->members;
@@ -231,15 +279,14 @@
 struct node *node_open(const struct settings *s, struct error *err)
 {
 	struct node *n = calloc(1, sizeof(*n));
-	size_t i;
 
 	if (!n) {
 		error_set(err, ERROR_MEMORY, "start", NULL, "no memory");
 		return NULL;
 	}
 	n->settings = *s;
-	for (i = 0; i < s->header_count; i++)
-		n->header_names[i] = n->settings.headers[i];
+	n->edge =
+		s->interface == INTERFACE_PLATFORM ? &platform_edge : &own_edge;
 	n->incarnation = (uint64_t)clock_wall_us();
 	n->lot_key = XXH3_64bits(s->secret, sizeof(s->secret));
 	n->rng = gsl_rng_alloc(gsl_rng_taus2);
@@ -262,6 +309,19 @@
 	net_run(n->net);
 }
 
+/*
+ * A host that knows no configuration, or can't prove that its keys are
+ * still good, would only refuse what callers bring.
+ */
+bool node_is_ready(const struct node *n, int64_t now)
+{
+	int64_t revoke = n->settings.promises.revoke_us;
+
+	if (!n->config || n->stopping)
+		return false;
+	return !revoke || notes_stale_us(n->notes, now) < revoke;
+}
+
 /* Begins a planned stop: leaves, takes nothing new, finishes the rest. */
 void node_stop(struct node *n, int64_t now)
 {
@@ -348,6 +408,7 @@
 		members_free(n->members);
 	if (n->store)
 		store_close(n->store);
+	secret_free(n->secret);
 	listeners_close(n);
 	calls_free(n);
 	free_requests(n);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -11,6 +11,7 @@
 #include "base/base.h"
 #include "conf/conf.h"
 #include "control/control.h"
+#include "filter/edge.h"
 #include "filter/filter.h"
 #include "net/net.h"
 #include "policy/policy.h"
@@ -22,6 +23,12 @@
 struct local_upstream {
 	uint64_t handle;
 	struct upstream_info info;
+	char instance[NAME_SIZE]; /* identity of its process; or empty */
+	int64_t born_ms;
+	uint64_t sequence;
+	bool leaves_for_good; /* no announcement brings it back */
+	bool unreachable;     /* until it announces itself again */
+	int64_t leaving_us;   /* since when it leaves; 0: it does not */
 	struct http_pool *pool;
 	struct gate *gate;
 	int64_t heard_us;
@@ -81,16 +88,18 @@
 
 struct node {
 	struct settings settings;
-	const char *header_names[PASS_HEADERS_MAX + 1]; /* into settings */
+	const struct edge_names *edge;
 	struct net *net;
 	struct http_server *callers;
 	struct http_server *services;
 	struct http_server *admin;
+	struct http_server *ready; /* or NULL */
 	struct admin *api;
 	struct links *links;
 	struct store *store;
 	struct members *members;
 	struct notes *notes;
+	struct secret *secret; /* or NULL: the settings name it */
 	struct quota *quota;
 	struct claims *claims;
 	struct explain *explain;
@@ -123,6 +132,8 @@
 /* Runs until a planned stop has ended. */
 void node_run(struct node *n);
 void node_close(struct node *n);
+/* Whether callers should be sent to this host. */
+bool node_is_ready(const struct node *n, int64_t now);
 /* Begins a planned stop. */
 void node_stop(struct node *n, int64_t now);
 /* Others have had the time to hear of the stop: new requests are refused. */
@@ -136,6 +147,9 @@
 		      struct error *err);
 void gates_announce(struct node *n, const struct upstream_info *info,
 		    int64_t now);
+struct upstream_news;
+/* Takes an announcement of the platform's kind, which may be late. */
+void gates_news(struct node *n, const struct upstream_news *news, int64_t now);
 void gates_tick(struct node *n, int64_t now);
 void gates_step(struct node *n, int64_t now);
 void gates_config(struct node *n);
--- a/src/node/service_retries.c
+++ b/src/node/service_retries.c
@@ -2,6 +2,14 @@
 
 #include <stdlib.h>
 
+/*
+ * Of the ratio that is promised for a service. A run that is repeated makes
+ * its calls again, and all services below count those: up to 13 calls.
+ */
+#define PROMISED_PART 0.05
+/* All hosts may spend what they saved at the same moment. */
+#define PROMISED_RESERVE 1.0
+
 /* The retry ratio of one service on this node. */
 struct service_retries {
 	char name[NAME_SIZE];
@@ -15,7 +23,10 @@
 static uint32_t percent_of(struct node *n, const char *service)
 {
 	const struct service *s = config_service(n->config, service);
+	double promised = n->settings.promises.retry_ratio;
 
+	if (promised > 0)
+		return (uint32_t)(promised * PROMISED_PART * 100);
 	return s ? s->retry_percent : 0;
 }
 
@@ -32,6 +43,10 @@
 			return &no_retries;
 		copy_name(s->name, sizeof(s->name), service);
 		retry_ratio_init(&s->ratio, percent);
+		if (n->settings.promises.retry_ratio > 0) {
+			s->ratio.reserve = PROMISED_RESERVE;
+			s->ratio.tokens = 0;
+		}
 		HASH_ADD_STR(n->retries, name, s);
 	}
 	s->ratio.percent = percent;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -136,6 +136,7 @@
 /* Retries: allowance of a chain, ratio of a service. */
 struct retry_ratio {
 	double tokens;
+	double reserve; /* tokens kept at most */
 	uint32_t percent;
 };
 
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -22,6 +22,7 @@
 void retry_ratio_init(struct retry_ratio *r, uint32_t percent)
 {
 	r->percent = percent;
+	r->reserve = RETRY_RESERVE;
 	r->tokens = percent ? RETRY_RESERVE : 0;
 }
 
@@ -29,8 +30,8 @@
 void retry_ratio_call(struct retry_ratio *r)
 {
 	r->tokens += r->percent / 100.0;
-	if (r->tokens > RETRY_RESERVE)
-		r->tokens = RETRY_RESERVE;
+	if (r->tokens > r->reserve)
+		r->tokens = r->reserve;
 }
 
 /* Takes one retry, or returns false when the ratio is used up. */
@@ -89,6 +90,7 @@
 	case REASON_LINK_LOST:
 	case REASON_STOPPING:
 	case REASON_OVERLOADED:
+	case REASON_UPSTREAM_REFUSED:
 		return true;
 	default:
 		return false;
--- a/src/store/etcd_answer.c
+++ b/src/store/etcd_answer.c
@@ -8,7 +8,7 @@
 static int get_key(struct json_object *kv, char key[STORE_KEY_SIZE])
 {
 	size_t len;
-	uint8_t *data = etcd_bytes(kv, "key", &len);
+	uint8_t *data = json_bytes(kv, "key", &len);
 	int rc = -1;
 
 	if (data && strlen((char *)data) == len)
@@ -26,18 +26,18 @@
 	memset(e, 0, sizeof(*e));
 	if (get_key(kv, e->key) < 0)
 		return -1;
-	e->mod_revision = etcd_int(kv, "mod_revision");
+	e->mod_revision = json_int(kv, "mod_revision");
 	if (e->mod_revision <= 0)
 		return -1;
 	if (removed)
 		return 0;
-	e->value = etcd_bytes(kv, "value", &e->len);
+	e->value = json_bytes(kv, "value", &e->len);
 	return e->value ? 0 : -1;
 }
 
 static int add_kvs(struct json_object *range, struct store_result *r)
 {
-	struct json_object *kvs = etcd_member(range, "kvs");
+	struct json_object *kvs = json_member(range, "kvs");
 	struct store_entry e;
 	size_t i, n;
 	int rc;
@@ -60,10 +60,10 @@
 
 static int txn_answer(struct json_object *o, struct store_result *r)
 {
-	struct json_object *responses = etcd_member(o, "responses");
+	struct json_object *responses = json_member(o, "responses");
 	size_t i, n;
 
-	if (json_object_get_boolean(etcd_member(o, "succeeded")))
+	if (json_object_get_boolean(json_member(o, "succeeded")))
 		return 0;
 	r->outcome = STORE_CONFLICT;
 	if (!responses)
@@ -72,7 +72,7 @@
 		return -1;
 	n = json_object_array_length(responses);
 	for (i = 0; i < n; i++)
-		if (add_kvs(etcd_member(json_object_array_get_idx(responses, i),
+		if (add_kvs(json_member(json_object_array_get_idx(responses, i),
 					"response_range"),
 			    r) < 0)
 			return -1;
@@ -81,13 +81,13 @@
 
 static int keep_answer(struct json_object *o, struct store_result *r)
 {
-	struct json_object *result = etcd_member(o, "result");
+	struct json_object *result = json_member(o, "result");
 
 	if (!result)
 		return -1;
-	r->revision = etcd_int(etcd_member(result, "header"), "revision");
-	if (etcd_int(result, "TTL") > 0)
-		r->lease = etcd_int(result, "ID");
+	r->revision = json_int(json_member(result, "header"), "revision");
+	if (json_int(result, "TTL") > 0)
+		r->lease = json_int(result, "ID");
 	return 0;
 }
 
@@ -98,9 +98,9 @@
 	if (kind == STORE_LEASE_KEEP)
 		return keep_answer(o, r);
 	/* Every answer of etcd has a header; a proxy's page has none. */
-	if (!etcd_member(o, "header"))
+	if (!json_member(o, "header"))
 		return -1;
-	r->revision = etcd_int(etcd_member(o, "header"), "revision");
+	r->revision = json_int(json_member(o, "header"), "revision");
 	switch (kind) {
 	case STORE_GET:
 	case STORE_LIST:
@@ -108,7 +108,7 @@
 	case STORE_TXN:
 		return txn_answer(o, r);
 	case STORE_LEASE_GRANT:
-		r->lease = etcd_int(o, "ID");
+		r->lease = json_int(o, "ID");
 		return r->lease ? 0 : -1;
 	case STORE_LEASE_KEEP:
 	case STORE_LEASE_REVOKE:
@@ -128,8 +128,8 @@
 static int error_answer(enum store_op_kind kind, struct json_object *o,
 			struct store_result *r)
 {
-	struct json_object *text = etcd_member(o, "message");
-	int64_t code = etcd_int(o, "code");
+	struct json_object *text = json_member(o, "message");
+	int64_t code = json_int(o, "code");
 
 	if (kind == STORE_LEASE_REVOKE && code == GRPC_NOT_FOUND) {
 		r->outcome = STORE_DONE;
@@ -150,12 +150,12 @@
 int etcd_answer(enum store_op_kind kind, int status, const struct buffer *body,
 		struct store_result *r)
 {
-	struct json_object *o = etcd_parse(body->data, body->len);
+	struct json_object *o = json_parse_whole(body->data, body->len);
 	int rc;
 
 	if (!json_object_is_type(o, json_type_object))
 		rc = -1;
-	else if (status == HTTP_OK && !etcd_member(o, "error"))
+	else if (status == HTTP_OK && !json_member(o, "error"))
 		rc = done_answer(kind, o, r);
 	else
 		rc = error_answer(kind, o, r);
--- a/src/store/etcd_impl.h
+++ b/src/store/etcd_impl.h
@@ -2,21 +2,9 @@
 #ifndef STORE_ETCD_IMPL_H
 #define STORE_ETCD_IMPL_H
 
-#include "net/net.h"
-#include "store/store_impl.h"
+#include "store/remote.h"
 
-#include <json-c/json.h>
-
-#define ETCD_CALLS_MAX 256
-#define ETCD_WATCHES_MAX 64
-
-struct etcd {
-	struct http_pool *calls;
-	struct http_pool *streams; /* one connection for each watch */
-	struct table open_calls;
-	struct table watches;
-	char peer[ADDR_TEXT_SIZE];
-};
+#include "base/json.h"
 
 /* Codes of gRPC with which etcd refuses a call before it has any effect. */
 enum grpc_code {
@@ -35,18 +23,15 @@
 int etcd_answer(enum store_op_kind kind, int status, const struct buffer *body,
 		struct store_result *r);
 int etcd_entry(struct json_object *kv, bool removed, struct store_entry *e);
-struct json_object *etcd_parse(const void *data, size_t len);
-struct json_object *etcd_member(struct json_object *o, const char *name);
-int64_t etcd_int(struct json_object *o, const char *name);
-uint8_t *etcd_bytes(struct json_object *o, const char *name, size_t *len);
 void etcd_add_int(struct json_object *o, const char *name, int64_t v);
-void etcd_add_bytes(struct json_object *o, const char *name, const void *data,
-		    size_t len);
-void etcd_add_text(struct json_object *o, const char *name, const char *text);
 
 int etcd_post(struct message *m, const char *path, struct json_object *body);
-void etcd_watches_open(struct etcd *e);
-void etcd_watches_tick(struct etcd *e, int64_t now);
-void etcd_watches_close(struct etcd *e);
+int etcd_post(struct message *m, const char *path, struct json_object *body);
+uint64_t etcd_watch_start(struct remote *e, const struct store_watch *w,
+			  int64_t now);
+void etcd_watch_stop(struct remote *e, uint64_t watch);
+void etcd_watches_open(struct remote *e);
+void etcd_watches_tick(struct remote *e, int64_t now);
+void etcd_watches_close(struct remote *e);
 
 #endif
--- a/src/store/etcd_request.c
+++ b/src/store/etcd_request.c
@@ -1,7 +1,12 @@
 #include "store/etcd_impl.h"
 
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#define CALL_BODY_MAX (16 * 1024 * 1024)
+
 /* Returns the path of the gateway for a kind of call. */
 const char *etcd_path(enum store_op_kind kind)
 {
@@ -31,19 +36,19 @@
 		len--;
 	if (!len || copy_name(end, sizeof(end), prefix) < 0) {
 		/* A zero byte stands for the end of all keys. */
-		etcd_add_bytes(o, "range_end", "", 1);
+		json_add_bytes(o, "range_end", "", 1);
 		return;
 	}
 	end[len - 1]++;
-	etcd_add_bytes(o, "range_end", end, len);
+	json_add_bytes(o, "range_end", end, len);
 }
 
 static void add_prefix(struct json_object *o, const char *prefix)
 {
 	if (*prefix)
-		etcd_add_text(o, "key", prefix);
+		json_add_base64(o, "key", prefix);
 	else
-		etcd_add_bytes(o, "key", "", 1);
+		json_add_bytes(o, "key", "", 1);
 	add_prefix_end(o, prefix);
 }
 
@@ -54,7 +59,7 @@
 
 	if (after && strcmp(after, op->list.prefix) >= 0) {
 		/* The first key behind another is that key and a zero byte. */
-		etcd_add_bytes(o, "key", after, strlen(after) + 1);
+		json_add_bytes(o, "key", after, strlen(after) + 1);
 		add_prefix_end(o, op->list.prefix);
 	} else {
 		add_prefix(o, op->list.prefix);
@@ -68,7 +73,7 @@
 {
 	struct json_object *o = json_object_new_object();
 
-	etcd_add_text(o, "key", c->key);
+	json_add_base64(o, "key", c->key);
 	json_object_object_add(o, "target", json_object_new_string("MOD"));
 	json_object_object_add(o, "result", json_object_new_string("EQUAL"));
 	etcd_add_int(o, "mod_revision", c->mod_revision);
@@ -80,9 +85,9 @@
 	struct json_object *outer = json_object_new_object();
 	struct json_object *o = json_object_new_object();
 
-	etcd_add_text(o, "key", w->key);
+	json_add_base64(o, "key", w->key);
 	if (!w->remove)
-		etcd_add_bytes(o, "value", w->value, w->len);
+		json_add_bytes(o, "value", w->value, w->len);
 	if (!w->remove && w->lease)
 		etcd_add_int(o, "lease", w->lease);
 	json_object_object_add(
@@ -95,7 +100,7 @@
 	struct json_object *outer = json_object_new_object();
 	struct json_object *o = json_object_new_object();
 
-	etcd_add_text(o, "key", key);
+	json_add_base64(o, "key", key);
 	json_object_object_add(outer, "request_range", o);
 	return outer;
 }
@@ -133,7 +138,7 @@
 		return txn_request(op);
 	case STORE_GET:
 		o = json_object_new_object();
-		etcd_add_text(o, "key", op->key);
+		json_add_base64(o, "key", op->key);
 		return o;
 	case STORE_LEASE_GRANT:
 		o = json_object_new_object();
@@ -160,3 +165,32 @@
 	json_object_object_add(outer, "create_request", o);
 	return outer;
 }
+
+/* Fills a POST of JSON and takes over body; m is the caller's to free. */
+int etcd_post(struct message *m, const char *path, struct json_object *body)
+{
+	const char *text;
+	size_t len = 0;
+	int rc = -1;
+
+	memset(m, 0, sizeof(*m));
+	copy_name(m->method, sizeof(m->method), "POST");
+	m->target = strdup(path);
+	text = json_object_to_json_string_length(
+		body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE,
+		&len);
+	if (m->target && text &&
+	    !message_add_header(m, "content-type", "application/json"))
+		rc = buffer_append(&m->body, text, len, CALL_BODY_MAX);
+	json_object_put(body);
+	return rc;
+}
+
+/* Adds a number as the gateway writes it, as a string. */
+void etcd_add_int(struct json_object *o, const char *name, int64_t v)
+{
+	char text[24];
+
+	snprintf(text, sizeof(text), "%" PRId64, v);
+	json_object_object_add(o, name, json_object_new_string(text));
+}
--- a/src/store/etcd_watch.c
+++ b/src/store/etcd_watch.c
@@ -21,12 +21,12 @@
 };
 
 /* Prepares the table of watches. */
-void etcd_watches_open(struct etcd *e)
+void etcd_watches_open(struct remote *e)
 {
-	table_init(&e->watches, sizeof(struct watch), ETCD_WATCHES_MAX);
+	table_init(&e->watches, sizeof(struct watch), REMOTE_WATCHES_MAX);
 }
 
-static void remove_watch(struct etcd *e, uint64_t handle)
+static void remove_watch(struct remote *e, uint64_t handle)
 {
 	struct watch *w = table_get(&e->watches, handle);
 
@@ -38,7 +38,7 @@
 	table_remove(&e->watches, handle);
 }
 
-static void end_watch(struct etcd *e, uint64_t handle, int64_t now)
+static void end_watch(struct remote *e, uint64_t handle, int64_t now)
 {
 	struct watch *watch = table_get(&e->watches, handle);
 	struct store_watch w = watch->w;
@@ -48,15 +48,15 @@
 	w.ended(w.ctx, &err, now);
 }
 
-static int one_event(struct etcd *e, uint64_t handle, struct json_object *event,
-		     int64_t now)
+static int one_event(struct remote *e, uint64_t handle,
+		     struct json_object *event, int64_t now)
 {
 	struct watch *w = table_get(&e->watches, handle);
-	struct json_object *type = etcd_member(event, "type");
+	struct json_object *type = json_member(event, "type");
 	bool removed = type && !strcmp(json_object_get_string(type), "DELETE");
 	struct store_entry entry;
 
-	if (etcd_entry(etcd_member(event, "kv"), removed, &entry) < 0) {
+	if (etcd_entry(json_member(event, "kv"), removed, &entry) < 0) {
 		free(entry.value);
 		return error_set(&w->err, ERROR_INPUT, "store-watch", e->peer,
 				 "malformed event");
@@ -68,7 +68,7 @@
 	return 0;
 }
 
-static void all_events(struct etcd *e, uint64_t handle,
+static void all_events(struct remote *e, uint64_t handle,
 		       struct json_object *events, int64_t now)
 {
 	size_t i, n = 0;
@@ -82,31 +82,31 @@
 			return;
 }
 
-static int one_message(struct etcd *e, uint64_t handle, const void *data,
+static int one_message(struct remote *e, uint64_t handle, const void *data,
 		       size_t len, int64_t now)
 {
 	struct watch *w = table_get(&e->watches, handle);
-	struct json_object *o = etcd_parse(data, len);
-	struct json_object *result = etcd_member(o, "result");
-	int64_t revision = etcd_int(etcd_member(result, "header"), "revision");
+	struct json_object *o = json_parse_whole(data, len);
+	struct json_object *result = json_member(o, "result");
+	int64_t revision = json_int(json_member(result, "header"), "revision");
 	int rc = 0;
 
 	if (!result)
 		rc = error_set(&w->err, ERROR_INPUT, "store-watch", e->peer,
 			       "answer is not the gateway's");
-	else if (json_object_get_boolean(etcd_member(result, "canceled")))
+	else if (json_object_get_boolean(json_member(result, "canceled")))
 		rc = error_set(&w->err, ERROR_STATE, "store-watch", e->peer,
 			       "ended by the store, compacted at revision %lld",
-			       (long long)etcd_int(result, "compact_revision"));
+			       (long long)json_int(result, "compact_revision"));
 	else if (!w->next_revision)
 		w->next_revision = revision + 1;
 	if (!rc)
-		all_events(e, handle, etcd_member(result, "events"), now);
+		all_events(e, handle, json_member(result, "events"), now);
 	json_object_put(o);
 	return rc;
 }
 
-static void each_line(struct etcd *e, uint64_t handle, int64_t now)
+static void each_line(struct remote *e, uint64_t handle, int64_t now)
 {
 	struct buffer lines;
 	struct watch *w = table_get(&e->watches, handle);
@@ -137,7 +137,7 @@
 static void on_piece(void *ctx, uint64_t tag, const void *data, size_t len,
 		     int64_t now)
 {
-	struct etcd *e = ctx;
+	struct remote *e = ctx;
 	struct watch *w = table_get(&e->watches, tag);
 
 	if (!w || w->err.code)
@@ -154,7 +154,7 @@
 static void on_done(void *ctx, uint64_t tag, struct http_call_result *r,
 		    int64_t now)
 {
-	struct etcd *e = ctx;
+	struct remote *e = ctx;
 	struct watch *w = table_get(&e->watches, tag);
 
 	if (!w)
@@ -168,7 +168,7 @@
 	end_watch(e, tag, now);
 }
 
-static void start_stream(struct etcd *e, uint64_t handle, int64_t now)
+static void start_stream(struct remote *e, uint64_t handle, int64_t now)
 {
 	struct watch *w = table_get(&e->watches, handle);
 	struct message m;
@@ -193,7 +193,7 @@
 }
 
 /* Starts a watch; a fault is reported as its end at a later tick. */
-uint64_t etcd_watch_start(struct etcd *e, const struct store_watch *w,
+uint64_t etcd_watch_start(struct remote *e, const struct store_watch *w,
 			  int64_t now)
 {
 	struct watch *watch;
@@ -214,13 +214,13 @@
 }
 
 /* Stops a watch without a report. */
-void etcd_watch_stop(struct etcd *e, uint64_t watch)
+void etcd_watch_stop(struct remote *e, uint64_t watch)
 {
 	remove_watch(e, watch);
 }
 
 /* Ends broken watches and replaces the streams of old ones. */
-void etcd_watches_tick(struct etcd *e, int64_t now)
+void etcd_watches_tick(struct remote *e, int64_t now)
 {
 	uint64_t handle = 0;
 	struct watch *w;
@@ -239,7 +239,7 @@
 }
 
 /* Stops all watches without a report. */
-void etcd_watches_close(struct etcd *e)
+void etcd_watches_close(struct remote *e)
 {
 	uint64_t handle = 0;
 	void *item;
--- a/src/store/gateway.c
+++ b/src/store/gateway.c
@@ -10,7 +10,7 @@
 static int get_text(struct json_object *o, const char *name,
 		    char text[STORE_KEY_SIZE], size_t *len)
 {
-	uint8_t *data = etcd_bytes(o, name, len);
+	uint8_t *data = json_bytes(o, name, len);
 	int rc = -1;
 
 	if (data && *len < STORE_KEY_SIZE) {
@@ -67,13 +67,13 @@
 {
 	struct json_object *o = json_object_new_object();
 
-	etcd_add_text(o, "key", r->key);
+	json_add_base64(o, "key", r->key);
 	etcd_add_int(o, "create_revision", r->create_revision);
 	etcd_add_int(o, "mod_revision", r->mod_revision);
 	etcd_add_int(o, "version", r->version);
 	/* Empty members are left out by the gateway. */
 	if (r->len)
-		etcd_add_bytes(o, "value", r->value, r->len);
+		json_add_bytes(o, "value", r->value, r->len);
 	if (r->lease)
 		etcd_add_int(o, "lease", r->lease);
 	return o;
@@ -82,7 +82,7 @@
 static struct json_object *on_range(struct kv *kv, struct json_object *in)
 {
 	struct json_object *out, *kvs;
-	int64_t limit = etcd_int(in, "limit"), n = 0;
+	int64_t limit = json_int(in, "limit"), n = 0;
 	const struct kv_record *r;
 	struct gateway_range range;
 	size_t i;
@@ -119,25 +119,25 @@
 
 static int get_write(struct json_object *o, struct store_write *w)
 {
-	struct json_object *put = etcd_member(o, "request_put");
-	struct json_object *del = etcd_member(o, "request_delete_range");
+	struct json_object *put = json_member(o, "request_put");
+	struct json_object *del = json_member(o, "request_delete_range");
 	size_t len;
 
 	w->remove = del != NULL;
-	w->key = (char *)etcd_bytes(put ? put : del, "key", &len);
-	w->value = etcd_bytes(put, "value", &w->len);
-	w->lease = etcd_int(put, "lease");
+	w->key = (char *)json_bytes(put ? put : del, "key", &len);
+	w->value = json_bytes(put, "value", &w->len);
+	w->lease = json_int(put, "lease");
 	return (put || del) && w->key && *w->key && w->value ? 0 : -1;
 }
 
 static int get_compare(struct json_object *o, struct store_compare *c)
 {
-	const char *target = json_object_get_string(etcd_member(o, "target"));
-	const char *result = json_object_get_string(etcd_member(o, "result"));
+	const char *target = json_object_get_string(json_member(o, "target"));
+	const char *result = json_object_get_string(json_member(o, "result"));
 	size_t len;
 
-	c->key = (char *)etcd_bytes(o, "key", &len);
-	c->mod_revision = etcd_int(o, "mod_revision");
+	c->key = (char *)json_bytes(o, "key", &len);
+	c->mod_revision = json_int(o, "mod_revision");
 	if (!c->key || !target || strcmp(target, "MOD") != 0)
 		return -1;
 	return result && !strcmp(result, "EQUAL") ? 0 : -1;
@@ -152,8 +152,8 @@
 
 static int get_txn(struct json_object *in, struct txn *t)
 {
-	struct json_object *compares = etcd_member(in, "compare");
-	struct json_object *writes = etcd_member(in, "success");
+	struct json_object *compares = json_member(in, "compare");
+	struct json_object *writes = json_member(in, "success");
 	size_t i;
 
 	if (array_length(compares) > STORE_TXN_OPS_MAX ||
@@ -192,7 +192,7 @@
 
 	for (i = 0; i < array_length(reads); i++) {
 		one = json_object_array_get_idx(reads, i);
-		range = on_range(kv, etcd_member(one, "request_range"));
+		range = on_range(kv, json_member(one, "request_range"));
 		one = json_object_new_object();
 		json_object_object_add(one, "response_range", range);
 		json_object_array_add(responses, one);
@@ -214,7 +214,7 @@
 	if (t)
 		free_txn(t);
 	if (status == KV_CONFLICT)
-		return failed_txn(kv, etcd_member(in, "failure"));
+		return failed_txn(kv, json_member(in, "failure"));
 	if (status == KV_NO_LEASE)
 		return failure(GRPC_NOT_FOUND,
 			       "etcdserver: requested lease not found");
@@ -229,7 +229,7 @@
 static struct json_object *on_grant(struct kv *kv, struct json_object *in,
 				    int64_t now)
 {
-	int64_t ttl = etcd_int(in, "TTL");
+	int64_t ttl = json_int(in, "TTL");
 	struct json_object *out;
 
 	if (ttl <= 0 || ttl > UINT32_MAX)
@@ -244,7 +244,7 @@
 static struct json_object *on_keep(struct kv *kv, struct json_object *in,
 				   int64_t now)
 {
-	int64_t id = etcd_int(in, "ID");
+	int64_t id = json_int(in, "ID");
 	uint32_t ttl = kv_lease_keep(kv, id, now);
 	struct json_object *outer = json_object_new_object();
 	struct json_object *out = header(kv);
@@ -259,7 +259,7 @@
 static struct json_object *on_revoke(struct kv *kv, struct json_object *in,
 				     int64_t now)
 {
-	if (!kv_lease_revoke(kv, etcd_int(in, "ID"), now))
+	if (!kv_lease_revoke(kv, json_int(in, "ID"), now))
 		return failure(GRPC_NOT_FOUND,
 			       "etcdserver: requested lease not found");
 	return header(kv);
@@ -287,8 +287,8 @@
 	else
 		out = failure(GRPC_NOT_FOUND, "Not Found");
 	*status = HTTP_OK;
-	if (etcd_member(out, "error"))
-		*status = etcd_int(out, "code") == GRPC_NOT_FOUND
+	if (json_member(out, "error"))
+		*status = json_int(out, "code") == GRPC_NOT_FOUND
 				  ? HTTP_NOT_FOUND
 				  : HTTP_BAD_REQUEST;
 	return out;
@@ -308,10 +308,10 @@
 				  struct gateway_range *range,
 				  uint64_t *next_event)
 {
-	struct json_object *create = etcd_member(in, "create_request");
+	struct json_object *create = json_member(in, "create_request");
 	struct json_object *outer = json_object_new_object();
 	struct json_object *out = header(kv);
-	int64_t revision = etcd_int(create, "start_revision");
+	int64_t revision = json_int(create, "start_revision");
 
 	*next_event = 0;
 	json_object_object_add(outer, "result", out);
@@ -329,10 +329,10 @@
 	struct json_object *event = json_object_new_object();
 	struct json_object *o = json_object_new_object();
 
-	etcd_add_text(o, "key", e->key);
+	json_add_base64(o, "key", e->key);
 	etcd_add_int(o, "mod_revision", e->mod_revision);
 	if (e->len)
-		etcd_add_bytes(o, "value", e->value, e->len);
+		json_add_bytes(o, "value", e->value, e->len);
 	if (!e->value)
 		json_object_object_add(event, "type",
 				       json_object_new_string("DELETE"));
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -31,16 +31,17 @@
 	return s;
 }
 
-static struct store *open_etcd(const struct store_options *o, struct error *err)
+static struct store *open_remote(const struct store_options *o,
+				 struct error *err)
 {
-	struct store *s = new_store(STORE_ETCD, o->calls_s);
+	struct store *s = new_store(o->kind, o->calls_s);
 
 	if (!s) {
 		error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 		return NULL;
 	}
-	s->etcd = etcd_open(o->net, &o->addr, err);
-	if (!s->etcd) {
+	s->remote = remote_open(o, err);
+	if (!s->remote) {
 		free(s);
 		return NULL;
 	}
@@ -61,7 +62,8 @@
 				  "no memory");
 		break;
 	case STORE_ETCD:
-		s = open_etcd(o, err);
+	case STORE_PLATFORM:
+		s = open_remote(o, err);
 		break;
 	}
 	return s;
@@ -85,7 +87,8 @@
 		memory_close(s->memory);
 		break;
 	case STORE_ETCD:
-		etcd_close(s->etcd);
+	case STORE_PLATFORM:
+		remote_close(s->remote);
 		break;
 	}
 	free(s);
@@ -108,7 +111,8 @@
 		memory_submit(s->memory, op, done, now);
 		break;
 	case STORE_ETCD:
-		return etcd_submit(s->etcd, op, done, now);
+	case STORE_PLATFORM:
+		return remote_submit(s->remote, op, done, now);
 	}
 	return 0;
 }
@@ -149,7 +153,8 @@
 	case STORE_MEMORY:
 		return memory_watch_start(s->memory, w);
 	case STORE_ETCD:
-		return etcd_watch_start(s->etcd, w, now);
+	case STORE_PLATFORM:
+		return remote_watch_start(s->remote, w, now);
 	}
 	return 0;
 }
@@ -163,7 +168,8 @@
 		memory_watch_stop(s->memory, watch);
 		break;
 	case STORE_ETCD:
-		etcd_watch_stop(s->etcd, watch);
+	case STORE_PLATFORM:
+		remote_watch_stop(s->remote, watch);
 		break;
 	}
 }
@@ -194,8 +200,9 @@
 		s->budget.watches = memory_watches(s->memory);
 		break;
 	case STORE_ETCD:
-		etcd_tick(s->etcd, now);
-		s->budget.watches = etcd_watches(s->etcd);
+	case STORE_PLATFORM:
+		remote_tick(s->remote, now);
+		s->budget.watches = remote_watches(s->remote);
 		break;
 	}
 	start_held(s, now);
--- a/src/store/store_impl.h
+++ b/src/store/store_impl.h
@@ -56,25 +56,24 @@
 void memory_tick(struct memory *m, int64_t now);
 uint32_t memory_watches(const struct memory *m);
 
-struct etcd;
+struct remote;
 
-struct etcd *etcd_open(struct net *net, const struct addr *addr,
-		       struct error *err);
-void etcd_close(struct etcd *e);
-int etcd_submit(struct etcd *e, const struct store_op *op,
-		const struct store_done *done, int64_t now);
-uint64_t etcd_watch_start(struct etcd *e, const struct store_watch *w,
-			  int64_t now);
-void etcd_watch_stop(struct etcd *e, uint64_t watch);
-void etcd_tick(struct etcd *e, int64_t now);
-uint32_t etcd_watches(const struct etcd *e);
+struct remote *remote_open(const struct store_options *o, struct error *err);
+void remote_close(struct remote *e);
+int remote_submit(struct remote *e, const struct store_op *op,
+		  const struct store_done *done, int64_t now);
+uint64_t remote_watch_start(struct remote *e, const struct store_watch *w,
+			    int64_t now);
+void remote_watch_stop(struct remote *e, uint64_t watch);
+void remote_tick(struct remote *e, int64_t now);
+uint32_t remote_watches(const struct remote *e);
 
 struct store {
 	enum store_kind kind;
 	struct budget budget;
 	union {
 		struct memory *memory; /* STORE_MEMORY, and down: STORE_NONE */
-		struct etcd *etcd;
+		struct remote *remote; /* STORE_ETCD, STORE_PLATFORM */
 	};
 };
 
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -96,6 +96,9 @@
 	[REASON_OVERLOADED] = {"overloaded", 503,
 			       "This host holds as many requests, or bytes of "
 			       "requests, as it may."},
+	[REASON_UPSTREAM_REFUSED] = {"upstream-refused", 503,
+				     "The upstream turned the request away "
+				     "before it ran."},
 };
 
 static const struct reason_row *row(enum reason r)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -76,6 +76,7 @@
 	REASON_CANCELLED,
 	REASON_STOPPING,
 	REASON_OVERLOADED, /* too many requests or bytes held by this node */
+	REASON_UPSTREAM_REFUSED, /* the upstream says that it did not run it */
 	REASON_COUNT
 };
 
--- a/tools/store.c
+++ b/tools/store.c
@@ -101,7 +101,7 @@
 
 static int on_call(struct session *s, int64_t now)
 {
-	struct json_object *in = etcd_parse(s->in.data, s->in.len);
+	struct json_object *in = json_parse_whole(s->in.data, s->in.len);
 	enum kind kind = kind_of(s->path);
 	struct json_object *out;
 	int status;
