Shed by route, and let sub-calls inherit on the platform

SIGHUP ended the process.

An account's rank now moves a request by as many classes as it stands above the lowest one. A sub-call whose identity extends that of a running call on its host inherits from it, so the root is refused instead of the chain. SIGHUP reads the settings again.

--- a/src/cmd/cmd_node.c
+++ b/src/cmd/cmd_node.c
@@ -44,13 +44,13 @@
 	.doc = "Runs the node of this host until SIGTERM.\v" EXIT_CODES_TEXT,
 };
 
-static int run(const struct settings *s)
+static int run(const struct settings *s, const char *path)
 {
 	struct error err = {0};
 	struct node *n;
 
 	log_set_level(s->log_priority);
-	n = node_open(s, &err);
+	n = node_open(s, path, &err);
 	if (!n) {
 		log_error(LOG_ERR, "start-failed", &err);
 		return EXIT_FAILED;
@@ -79,5 +79,5 @@
 		printf("%s: ok\n", a.settings);
 		return EXIT_OK;
 	}
-	return run(&s);
+	return run(&s, a.settings);
 }
--- a/src/conf/build.c
+++ b/src/conf/build.c
@@ -40,6 +40,8 @@
 
 int config_add_account(struct config *c, const struct account *a)
 {
+	if (a->rank > c->lowest_rank)
+		c->lowest_rank = a->rank;
 	return add(c, SECTION_ACCOUNTS, a, sizeof(*a));
 }
 
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -143,8 +143,7 @@
 	uint32_t weight;
 	int64_t refuse_stale_us; /* refuse with a configuration older; 0 off */
 	bool unlimited;		 /* no rate is set */
-	bool ranked;		 /* shed goes before the route's */
-	enum shed_class shed;
+	uint32_t rank;		 /* 0 is the highest; see config_shed_class */
 };
 
 /* What callers may send; zero where nothing is set. */
@@ -200,6 +199,12 @@
 const struct operator_key *config_operator(const struct config *c,
 					   const uint8_t hash[KEY_HASH_SIZE]);
 
+/*
+ * When to shed a request: as its route says, and one class later for each
+ * rank that its account, which may be NULL, stands above the lowest one.
+ */
+enum shed_class config_shed_class(const struct config *c, const struct route *r,
+				  const struct account *a);
 /* Finds the longest prefix that a host has a route for; NULL: none. */
 const struct route *config_match_place(const struct config *c, const char *host,
 				       const char *path);
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -72,6 +72,7 @@
 	struct section operators_by_hash;
 	struct section routes_by_place;
 	struct caller_limits limits;
+	uint32_t lowest_rank; /* of the accounts */
 	struct buffer source;
 	struct trie *trie;
 	struct release releases[RELEASES_KEPT]; /* by number modulo size */
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -215,6 +215,16 @@
 	return r;
 }
 
+enum shed_class config_shed_class(const struct config *c, const struct route *r,
+				  const struct account *a)
+{
+	uint32_t cls = (uint32_t)r->shed;
+
+	if (a)
+		cls += c->lowest_rank - a->rank;
+	return cls > SHED_LAST ? SHED_LAST : (enum shed_class)cls;
+}
+
 /* Limits of what callers may send; zeros where nothing is set. */
 const struct caller_limits *config_limits(const struct config *c)
 {
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -61,12 +61,6 @@
 	}
 }
 
-/* Returns the listener that requests of an origin came in by. */
-struct http_server *request_server(const struct node *n, enum request_origin o)
-{
-	return o == ORIGIN_CALLER ? n->callers : n->services;
-}
-
 /* Answers before there is a request to hold; nothing ran. */
 static void refuse_unheld(const struct edge_names *edge,
 			  struct http_server *server, uint64_t exchange,
@@ -115,6 +109,8 @@
 void request_start(struct node *n, enum request_origin origin,
 		   uint64_t exchange, struct message *msg, int64_t now)
 {
+	struct http_server *server =
+		origin == ORIGIN_CALLER ? n->callers : n->services;
 	struct exchange_index *index;
 	struct request *r;
 	uint64_t handle;
@@ -123,8 +119,7 @@
 					    : COUNTER_SUB_CALLS,
 		    1);
 	if (!n->config) {
-		refuse_unheld(n->edge, request_server(n, origin), exchange,
-			      REASON_NOT_CONFIGURED);
+		refuse_unheld(n->edge, server, exchange, REASON_NOT_CONFIGURED);
 		return;
 	}
 	if (origin == ORIGIN_CALLER && node_takes_no_more(n, now) &&
@@ -136,14 +131,14 @@
 	handle = index ? add_request(n, msg, &r) : 0;
 	if (!handle) {
 		free(index);
-		refuse_unheld(n->edge, request_server(n, origin), exchange,
-			      REASON_OVERLOADED);
+		refuse_unheld(n->edge, server, exchange, REASON_OVERLOADED);
 		return;
 	}
 	index->exchange = exchange;
 	index->request = handle;
 	HASH_ADD(hh, n->exchanges, exchange, sizeof(exchange), index);
 	r->origin = origin;
+	r->server = server;
 	r->exchange = exchange;
 	r->arrived_us = now;
 	r->config = config_get(n->config);
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -126,7 +126,7 @@
 	}
 	if (r->retry_after_ms)
 		add_retry_after(edge, m, r->retry_after_ms);
-	http_server_answer(request_server(n, r->origin), r->exchange, m);
+	http_server_answer(r->server, r->exchange, m);
 }
 
 static bool has_retry_after(enum reason reason)
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -41,7 +41,8 @@
 
 struct request {
 	uint64_t handle;
-	uint64_t exchange; /* 0: the caller has gone */
+	uint64_t exchange;	    /* 0: the caller has gone */
+	struct http_server *server; /* that it came in by */
 	enum request_origin origin;
 	enum filter_stage stage;
 	char id[REQUEST_ID_SIZE];
@@ -102,7 +103,6 @@
 enum filter_result request_answer(struct node *n, struct request *r,
 				  struct message *answer, int64_t now);
 
-struct http_server *request_server(const struct node *n, enum request_origin o);
 void problem_fill(struct message *m, enum reason reason, enum outcome outcome,
 		  const char *request);
 /* Whether a second run would be an effect that nobody asked for. */
--- a/src/filter/key.c
+++ b/src/filter/key.c
@@ -68,7 +68,6 @@
 	if (config_too_old(n, r->account, now))
 		return request_refuse(n, r, REASON_STALE_CONFIG,
 				      OUTCOME_NOT_RUN, now);
-	if (r->account->ranked)
-		r->cls = r->account->shed;
+	r->cls = config_shed_class(r->config, r->route, r->account);
 	return FILTER_NEXT;
 }
--- a/src/filter/route.c
+++ b/src/filter/route.c
@@ -41,9 +41,10 @@
 		return request_refuse(n, r, REASON_NO_ROUTE, OUTCOME_NOT_RUN,
 				      now);
 	r->service = draw_service(n, r->route);
-	if (r->origin == ORIGIN_CALLER) {
+	if (r->origin == ORIGIN_CALLER)
 		r->cls = r->route->shed;
+	/* Without a context, nothing was lent to a sub-call. */
+	if (r->origin == ORIGIN_CALLER || !n->edge->context)
 		r->allowance = (uint8_t)r->route->retries;
-	}
 	return FILTER_NEXT;
 }
--- a/src/node/call_table.c
+++ b/src/node/call_table.c
@@ -24,6 +24,18 @@
 	return c && c->started_us ? c : NULL;
 }
 
+struct call *gates_call_by_request(struct node *n, const char *id, size_t len)
+{
+	struct call_index *index;
+	struct call *c;
+
+	HASH_FIND(hh_request, n->by_request, id, len, index);
+	if (!index)
+		return NULL;
+	c = gates_call_get(n, index->call);
+	return c && c->started_us ? c : NULL;
+}
+
 /*
  * Keeps the tightest admission that the sub-calls of a call met, and whose
  * it is, for the answer to carry towards the entry.
@@ -48,6 +60,9 @@
 	index->call = c->handle;
 	c->index = index;
 	HASH_ADD(hh_token, n->by_token, token, TOKEN_SIZE - 1, index);
+	memcpy(index->request, c->head.request, sizeof(index->request));
+	HASH_ADD(hh_request, n->by_request, request[0],
+		 (unsigned)strlen(index->request), index);
 	if (c->reply_kind != REPLY_LINK)
 		return 0;
 	index->stream = c->reply.stream;
@@ -60,6 +75,7 @@
 	struct call_index *index = c->index;
 
 	HASH_DELETE(hh_token, n->by_token, index);
+	HASH_DELETE(hh_request, n->by_request, index);
 	if (c->reply_kind == REPLY_LINK)
 		HASH_DELETE(hh_stream, n->by_stream, index);
 	free(index);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -265,7 +265,9 @@
 	set_header(&c->message, edge->deadline_ms, ms);
 	set_header(&c->message, edge->context, c->token);
 	set_header(&c->message, edge->instance, u->instance);
-	set_header(&c->message, edge->account, c->head.account);
+	/* A sub-call is the service's own; its account is for fairness only. */
+	set_header(&c->message, edge->account,
+		   c->head.depth ? "" : c->head.account);
 }
 
 static void run_call(struct node *n, struct local_upstream *u, struct call *c,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -21,11 +21,40 @@
 #define STOP_LINGER_US (3 * USEC_PER_SEC)
 
 static volatile sig_atomic_t stop_asked;
+static volatile sig_atomic_t reload_asked;
 
 static void on_signal(int number)
 {
-	(void)number;
-	stop_asked = 1;
+	if (number == SIGHUP)
+		reload_asked = 1;
+	else
+		stop_asked = 1;
+}
+
+/*
+ * Reads the settings again. What can change without cutting a connection
+ * does; for the rest the process has to be started anew.
+ */
+static void reload(struct node *n)
+{
+	struct log_line line;
+	struct settings s;
+	struct error err;
+
+	if (!n->settings_path)
+		return;
+	if (settings_load(&s, n->settings_path, &err) < 0) {
+		log_error(LOG_ERR, "reload-refused", &err);
+		return;
+	}
+	n->settings.log_priority = s.log_priority;
+	n->settings.memory_limit = s.memory_limit;
+	n->settings.promises = s.promises;
+	n->settings.stop_grace_us = s.stop_grace_us;
+	log_set_level(s.log_priority);
+	log_start(&line, LOG_NOTICE, "reloaded");
+	log_str(&line, "settings", n->settings_path);
+	log_emit(&line);
 }
 
 /* Draws 64 bits that spread choices; they never guard a secret. */
@@ -113,6 +142,10 @@
 	gates_tick(n, now);
 	if (stop_asked && !n->stopping)
 		node_stop(n, now);
+	if (reload_asked) {
+		reload_asked = 0;
+		reload(n);
+	}
 }
 
 static void slow_tick(void *ctx, int64_t now)
@@ -270,13 +303,15 @@
 		return -1;
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
+	signal(SIGHUP, on_signal);
 	signal(SIGPIPE, SIG_IGN);
 	listeners_log(n);
 	return 0;
 }
 
 /* Opens listeners and controllers of one node; NULL with err set. */
-struct node *node_open(const struct settings *s, struct error *err)
+struct node *node_open(const struct settings *s, const char *path,
+		       struct error *err)
 {
 	struct node *n = calloc(1, sizeof(*n));
 
@@ -285,6 +320,7 @@
 		return NULL;
 	}
 	n->settings = *s;
+	n->settings_path = path;
 	n->edge =
 		s->interface == INTERFACE_PLATFORM ? &platform_edge : &own_edge;
 	n->incarnation = (uint64_t)clock_wall_us();
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -65,13 +65,15 @@
 	struct call_index *index;
 };
 
-/* Finds calls by context token and by stream. */
+/* Finds calls by context token, by stream and by their identity. */
 struct call_index {
 	char token[TOKEN_SIZE];
+	char request[REQUEST_ID_SIZE];
 	uint64_t stream;
 	uint64_t call;
 	UT_hash_handle hh_token;
 	UT_hash_handle hh_stream;
+	UT_hash_handle hh_request;
 };
 
 /* An upstream anywhere, as this node sees it. */
@@ -88,6 +90,7 @@
 
 struct node {
 	struct settings settings;
+	const char *settings_path; /* read again on request; or NULL */
 	const struct edge_names *edge;
 	struct net *net;
 	struct http_server *callers;
@@ -112,6 +115,7 @@
 	struct bottlenecks *bottlenecks;
 	struct call_index *by_token;
 	struct call_index *by_stream;
+	struct call_index *by_request;
 	struct table requests;
 	struct table calls;
 	struct table upstreams;
@@ -128,7 +132,8 @@
 };
 
 /* Opens listeners and controllers; NULL with err set. */
-struct node *node_open(const struct settings *s, struct error *err);
+struct node *node_open(const struct settings *s, const char *path,
+		       struct error *err);
 /* Runs until a planned stop has ended. */
 void node_run(struct node *n);
 void node_close(struct node *n);
@@ -163,6 +168,8 @@
 void gates_cancel_stream(struct node *n, uint64_t stream, int64_t now);
 void gates_cancel_call(struct node *n, uint64_t call, int64_t now);
 struct call *gates_call_by_token(struct node *n, const char *token);
+/* The running call with this identity, len characters, or NULL. */
+struct call *gates_call_by_request(struct node *n, const char *id, size_t len);
 /* A sub-call met this admission of a service. */
 void call_meets(struct call *c, uint64_t service, struct admission a);
 struct call *gates_call_get(struct node *n, uint64_t handle);
