Stay in the own data centre while it has room; bound the log

A detour must now save a sixth of the time in which an answer is worth most, unless the own data centre has no room. The test names both loads.

Log lines go to standard output, wait for nobody, and are bounded by second and by bytes; what is left out is counted in a line of its own.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -52,6 +52,12 @@
 };
 
 void log_set_level(int priority);
+/*
+ * Lines go to a descriptor, and in a loop only when log_flush is called:
+ * none waits for its reader, and what does not fit is counted instead.
+ */
+void log_open(int fd);
+void log_flush(int64_t now);
 bool log_enabled(int priority);
 void log_start(struct log_line *line, int priority, const char *event);
 void log_str(struct log_line *line, const char *key, const char *value);
@@ -143,6 +149,7 @@
 	COUNTER_CLAIMS,
 	COUNTER_NOTES_APPLIED,
 	COUNTER_LOG_LINES,
+	COUNTER_LOG_LOST,
 	COUNTER_COUNT
 };
 
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -43,6 +43,8 @@
 	[COUNTER_CLAIMS] = {"claims", "Idempotency claims written"},
 	[COUNTER_NOTES_APPLIED] = {"notes_applied", "Release notes applied"},
 	[COUNTER_LOG_LINES] = {"log_lines", "Log lines written"},
+	[COUNTER_LOG_LOST] = {"log_lost",
+			      "Log lines left out to bound their volume"},
 };
 
 /* Adds n to a counter of this process. */
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,10 +1,28 @@
 #include "base/base.h"
 
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#define HELD_MAX (128 * 1024) /* bytes that wait for the reader */
+#define LINES_S 600	      /* lines below LOG_NOTICE, a second */
+#define GAP_US USEC_PER_SEC   /* between lines that tell of a gap */
+
 static int max_priority = LOG_INFO;
+static int log_fd = STDERR_FILENO;
+
+/* Lines that wait for log_flush; without a loop none does. */
+static struct {
+	bool on;
+	char text[HELD_MAX];
+	size_t len;
+	uint64_t lost;	  /* lines, since the last one that told of them */
+	uint32_t allowed; /* lines below LOG_NOTICE until the next second */
+	int64_t since_us;
+	int64_t told_us;
+} held;
 
 /* Sets the least urgent syslog priority that is still written. */
 void log_set_level(int priority)
@@ -100,15 +118,85 @@
 	log_str(line, key, text);
 }
 
-/* Writes the line to standard error with one write call. */
+/* Keeps the line for log_flush; false when there is no room for it. */
+static bool hold(const struct log_line *line)
+{
+	bool minor = line->priority > LOG_NOTICE;
+
+	if ((minor && !held.allowed) || held.len + line->len > HELD_MAX) {
+		held.lost++;
+		return false;
+	}
+	held.allowed -= minor;
+	memcpy(held.text + held.len, line->text, line->len);
+	held.len += line->len;
+	return true;
+}
+
+/* Writes the line with one write call, or keeps it for log_flush. */
 void log_emit(struct log_line *line)
 {
 	if (!log_enabled(line->priority))
 		return;
 	line->text[line->len++] = '\n';
+	if (held.on) {
+		counter_add(hold(line) ? COUNTER_LOG_LINES : COUNTER_LOG_LOST,
+			    1);
+		return;
+	}
 	counter_add(COUNTER_LOG_LINES, 1);
-	if (write(STDERR_FILENO, line->text, line->len) < 0)
+	if (write(log_fd, line->text, line->len) < 0)
+		return;
+}
+
+void log_open(int fd)
+{
+	log_fd = fd;
+	held.on = true;
+	held.allowed = LINES_S;
+}
+
+static bool takes_bytes(void)
+{
+	struct pollfd p = {.fd = log_fd, .events = POLLOUT};
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
+static void tell_gap(int64_t now)
+{
+	struct log_line line;
+	uint64_t lost = held.lost;
+
+	if (!lost || now - held.told_us < GAP_US)
 		return;
+	held.told_us = now;
+	log_start(&line, LOG_NOTICE, "log-gap");
+	log_int(&line, "lines", (int64_t)lost);
+	held.lost = 0;
+	log_emit(&line);
+}
+
+/* Gives the reader what it takes at once, PIPE_BUF bytes at a time. */
+void log_flush(int64_t now)
+{
+	size_t at = 0, len;
+	ssize_t n;
+
+	if (now - held.since_us >= USEC_PER_SEC) {
+		held.since_us = now;
+		held.allowed = LINES_S;
+	}
+	tell_gap(now);
+	while (at < held.len && takes_bytes()) {
+		len = held.len - at < PIPE_BUF ? held.len - at : PIPE_BUF;
+		n = write(log_fd, held.text + at, len);
+		if (n <= 0)
+			break;
+		at += (size_t)n;
+	}
+	memmove(held.text, held.text + at, held.len - at);
+	held.len -= at;
 }
 
 /* Writes one line for an error with its step and peer. */
--- a/src/cmd/cmd_node.c
+++ b/src/cmd/cmd_node.c
@@ -3,6 +3,7 @@
 #include <argp.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <unistd.h>
 
 #include "conf/conf.h"
 #include "node/node.h"
@@ -50,13 +51,16 @@
 	struct node *n;
 
 	log_set_level(s->log_priority);
+	log_open(STDOUT_FILENO);
 	n = node_open(s, path, &err);
-	if (!n) {
+	if (!n)
 		log_error(LOG_ERR, "start-failed", &err);
+	log_flush(clock_monotonic_us());
+	if (!n)
 		return EXIT_FAILED;
-	}
 	node_run(n);
 	node_close(n);
+	log_flush(clock_monotonic_us());
 	return EXIT_OK;
 }
 
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -6,6 +6,8 @@
 #include "node/node.h"
 
 #define CANDIDATES_MAX 64
+/* A detour must save this part of the time in which an answer is worth most */
+#define DETOUR_PARTS 6
 #define BLIND_RETRIES 3 /* of OVERLOAD_OFF */
 
 static bool was_tried(const struct request *r, uint64_t upstream)
@@ -33,6 +35,7 @@
 		c[i].load = &u->load;
 		c[i].slots = u->info.slots;
 		c[i].same_data_centre = u->same_data_centre;
+		c[i].detour_us = r->route->target_us / DETOUR_PARTS;
 		c[i].tried = was_tried(r, handles[i]) ||
 			     links_is_doubtful(n->links, &u->member);
 	}
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -214,6 +214,7 @@
 		net->fired = false;
 		ev_run(net->loop, EVRUN_ONCE);
 		free_dead(net);
+		log_flush(net_now());
 	}
 	net->stopping = false;
 }
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -16,7 +16,10 @@
 #define EJECT_US USEC_PER_SEC		 /* doubled each time */
 #define EJECT_DOUBLINGS 4
 #define EJECTED_PART 3 /* at most one in this many candidates */
-#define ELSEWHERE_US (3 * USEC_PER_MSEC) /* a detour by another data centre */
+#define ELSEWHERE_US (3 * USEC_PER_MSEC)  /* a detour by another data centre */
+#define CALM_QUEUE_US (2 * USEC_PER_MSEC) /* more is no room */
+#define CALM_SLOTS 0.9 /* share in use that still leaves room */
+#define CALM_SHED 0.02 /* share shed that says there is none */
 
 static double fade(int64_t age_us, int64_t over_us)
 {
@@ -247,6 +250,30 @@
 	return better(c, b, a, d, now) ? b : a;
 }
 
+/* Whether an upstream takes a call at once, as far as it is known. */
+static bool has_room(const struct balance_candidate *c, int64_t now)
+{
+	const struct upstream_load *l = c->load;
+	double told = fade(now - l->heard_us, TOLD_FADE_US);
+	double calls = l->in_flight * told;
+
+	if (calls < l->outstanding)
+		calls = l->outstanding;
+	return l->queue_us * told < CALM_QUEUE_US &&
+	       calls < CALM_SLOTS * c->slots &&
+	       l->shed_share * told < CALM_SHED;
+}
+
+/* Bytes between data centres are dear: the way must be worth them. */
+static bool saves_enough(const struct balance_candidate *c, int there, int here,
+			 const struct draw *d, int64_t now)
+{
+	double saved = score(&c[here], d->typical_us, now) -
+		       score(&c[there], d->typical_us, now);
+
+	return saved > (double)c[there].detour_us;
+}
+
 /*
  * Picks an upstream: two random choices in the own data centre, and two
  * elsewhere that win only when the detour pays. Returns an index, or -1
@@ -275,5 +302,7 @@
 		return there;
 	if (there < 0)
 		return here;
+	if (has_room(&c[here], now) && !saves_enough(c, there, here, &d, now))
+		return here;
 	return better(c, there, here, &d, now) ? there : here;
 }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -170,6 +170,8 @@
 	uint32_t slots;
 	bool same_data_centre;
 	bool tried; /* by an earlier attempt of this call */
+	/* What a detour must save while the own data centre has room. */
+	int64_t detour_us;
 };
 
 /*
--- a/test/harness.bash
+++ b/test/harness.bash
@@ -60,6 +60,15 @@
 	eval "pid_${name//-/_}=$!"
 }
 
+# run_node NAME COMMAND...: the same for a node, which logs to its output.
+run_node() {
+	local name=$1
+	shift
+	"$@" >"$WORK/$name.log" 2>&1 &
+	PIDS+=($!)
+	eval "pid_${name//-/_}=$!"
+}
+
 listening() {
 	sed -n 's/^listening=//p' "$WORK/$1.out" | head -n 1
 }
@@ -86,7 +95,7 @@
 		"secret": "$SECRET", "bootstrap_operator": "$BOOTSTRAP"$more
 	}
 	END
-	run "$name" "$BIN" node --settings "$WORK/$name.json"
+	run_node "$name" "$BIN" node --settings "$WORK/$name.json"
 	wait_for 10 grep -q event=listening "$WORK/$name.log" ||
 		fail "$name did not start: $(cat "$WORK/$name.log")"
 	for l in callers services nodes admin; do
--- a/test/stop.sh
+++ b/test/stop.sh
@@ -37,7 +37,7 @@
 			"$WORK/$name.json"
 	done
 	mv "$WORK/$name.log" "$WORK/$name.log.before"
-	run "$name" "$BIN" node --settings "$WORK/$name.json"
+	run_node "$name" "$BIN" node --settings "$WORK/$name.json"
 	wait_for 10 grep -q event=listening "$WORK/$name.log" ||
 		fail "$name did not start again: $(cat "$WORK/$name.log")"
 	wait_for 20 ready "$name" || fail "$name has no configuration"
--- a/test/test_policy_balance.c
+++ b/test/test_policy_balance.c
@@ -40,8 +40,9 @@
 	memset(f, 0, sizeof(*f));
 	f->n = n;
 	for (i = 0; i < n; i++) {
-		f->c[i] = (struct balance_candidate){&f->loads[i], 100, i < 2,
-						     false};
+		f->c[i] = (struct balance_candidate){.load = &f->loads[i],
+						     .slots = 100,
+						     .same_data_centre = i < 2};
 		f->now = 1;
 		load_sent(&f->loads[i], f->now);
 		load_cancelled(&f->loads[i]);
@@ -100,6 +101,59 @@
 	assert_int_equal(near(picks), 0);
 }
 
+static void set_detour(struct fixture *f, int64_t us)
+{
+	size_t i;
+
+	for (i = 0; i < f->n; i++)
+		f->c[i].detour_us = us;
+}
+
+/*
+ * The load of a calm day: a slow upstream near, fast ones far away, and an
+ * answer that has time. Calls stay near as long as there is room for them.
+ */
+static void a_calm_day_stays_at_home(void **state)
+{
+	uint32_t picks[N_MAX];
+	struct fixture f;
+	int k;
+
+	(void)state;
+	set_up(&f, 4);
+	for (k = 0; k < 200; k++) {
+		answer(&f, 0, REASON_NONE, 0, 120 * MS);
+		answer(&f, 1, REASON_NONE, 0, 120 * MS);
+		answer(&f, 2, REASON_NONE, 0, 40 * MS);
+		answer(&f, 3, REASON_NONE, 0, 40 * MS);
+	}
+	set_detour(&f, 200 * MS);
+	count_picks(&f, picks);
+	assert_int_equal(picks[0] + picks[1], PICKS);
+	/* An urgent call is worth the way. */
+	set_detour(&f, 15 * MS);
+	count_picks(&f, picks);
+	assert_true(picks[2] + picks[3] > PICKS * 9 / 10);
+}
+
+/* The load of a burst: whoever has no room near is served elsewhere. */
+static void a_burst_leaves_home(void **state)
+{
+	uint32_t picks[N_MAX];
+	struct fixture f;
+	int k;
+
+	(void)state;
+	set_up(&f, 4);
+	set_detour(&f, 200 * MS);
+	for (k = 0; k < 50; k++) {
+		answer(&f, 0, REASON_NONE, 80 * MS, 90 * MS);
+		answer(&f, 1, REASON_NONE, 80 * MS, 90 * MS);
+	}
+	count_picks(&f, picks);
+	assert_true(picks[2] + picks[3] > PICKS * 9 / 10);
+}
+
 static void more_outstanding_means_fewer(void **state)
 {
 	struct fixture f;
@@ -260,6 +314,8 @@
 		cmocka_unit_test(nothing_to_pick_from),
 		cmocka_unit_test(own_data_centre_comes_first),
 		cmocka_unit_test(spills_when_the_detour_pays),
+		cmocka_unit_test(a_calm_day_stays_at_home),
+		cmocka_unit_test(a_burst_leaves_home),
 		cmocka_unit_test(more_outstanding_means_fewer),
 		cmocka_unit_test(misleading_upstreams_do_not_attract),
 		cmocka_unit_test(stale_news_fade),
--- a/tools/replay.c
+++ b/tools/replay.c
@@ -235,7 +235,9 @@
 	size_t run;
 
 	for (i = 0; i < 4; i++)
-		c[i] = (struct balance_candidate){&loads[i], 90, i < 2, false};
+		c[i] = (struct balance_candidate){.load = &loads[i],
+						  .slots = 90,
+						  .same_data_centre = i < 2};
 	for (run = 0; run < o->seeds; run++) {
 		g = gate_new(&go, 0);
 		cutoffs = cutoffs_new(1000);
