Answer a sub-call whose request has ended; try the platform's path

A sub-call that was still open when the request that made it ended was dropped without an answer, and its caller waited for good. It is answered now. The readiness of a host follows the same limit as the keys it takes.

--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -38,8 +38,7 @@
 static const struct field upstream_fields[] = {
 	{"service", .kind = FIELD_NAME, .offset = AT(service),
 	 .required = true},
-	{"address", .kind = FIELD_ADDR, .offset = AT(upstream),
-	 .required = true},
+	{"address", .kind = FIELD_ADDR, .offset = AT(upstream)},
 };
 
 static const struct field host_fields[] = {
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -6,6 +6,7 @@
 #include "node/node.h"
 
 #define RETRY_AFTER_MS 1000
+#define STATUS_CANCELLED 499 /* no status of a standard */
 
 /* The gate's own answer about a deadline may be on its way for so long. */
 #define EXPIRE_LAG_US (20 * USEC_PER_MSEC)
@@ -142,6 +143,8 @@
 	bool promises = status == 408 || status == 421 || status == 429 ||
 			status == 503;
 
+	if (status == STATUS_CANCELLED)
+		status = 504;
 	if (outcome == OUTCOME_NOT_RUN)
 		return status >= 500 ? 503 : status;
 	return promises ? 502 : status;
@@ -216,6 +219,18 @@
 	}
 }
 
+void request_abandon(struct node *n, uint64_t handle, int64_t now)
+{
+	struct request *r = request_get(n, handle);
+	enum outcome outcome;
+
+	if (!r)
+		return;
+	outcome = r->in_flight ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+	place_forget(n, r, now);
+	request_refuse(n, r, REASON_CANCELLED, outcome, now);
+}
+
 /*
  * The caller went away. The chain is cancelled down to the upstream, except
  * that a once-only call that was sent runs on, so that its outcome is kept.
@@ -230,7 +245,5 @@
 	counter_add(COUNTER_CANCELLED, 1);
 	if (r->in_flight && request_runs_once(r))
 		return;
-	place_forget(n, r, now);
-	request_refuse(n, r, REASON_CANCELLED,
-		       r->in_flight ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN, now);
+	request_abandon(n, handle, now);
 }
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -89,6 +89,9 @@
 /* The caller went away. */
 void request_cancel(struct node *n, uint64_t handle, int64_t now);
 
+/* Nobody needs the answer any more, but its caller still waits for one. */
+void request_abandon(struct node *n, uint64_t handle, int64_t now);
+
 uint64_t request_of_exchange(struct node *n, uint64_t exchange);
 void request_drop_exchange(struct node *n, struct request *r);
 /* Every 50 ms. */
@@ -116,6 +119,12 @@
 				  int64_t now);
 enum filter_result filter_route(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_key(struct node *n, struct request *r, int64_t now);
+/*
+ * No key is taken any more so long before a withdrawn one must be dead: the
+ * request has a way to go, and clocks of two hosts run apart.
+ */
+#define REVOKE_MARGIN_US (300 * USEC_PER_MSEC)
+
 enum filter_result filter_identity(struct node *n, struct request *r,
 				   int64_t now);
 enum filter_result filter_duplicate(struct node *n, struct request *r,
--- a/src/filter/key.c
+++ b/src/filter/key.c
@@ -20,9 +20,6 @@
 	return key ? config_account(c, key->account) : NULL;
 }
 
-/* A request is taken so much before a withdrawn key must be dead. */
-#define REVOKE_MARGIN_US (300 * USEC_PER_MSEC)
-
 /* How old the proof may be that no newer configuration exists; 0: any. */
 static int64_t stale_limit_us(const struct node *n, const struct account *a)
 {
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -115,7 +115,7 @@
 	while ((h = table_next(&n->requests, h, &item))) {
 		r = item;
 		if (r->parent == parent && r->exchange)
-			request_cancel(n, h, now);
+			request_abandon(n, h, now);
 	}
 }
 
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -231,6 +231,11 @@
 	http_server_addr(n->admin, &a);
 	addr_format(&a, text);
 	log_str(&line, "admin", text);
+	if (n->ready) {
+		http_server_addr(n->ready, &a);
+		addr_format(&a, text);
+		log_str(&line, "ready", text);
+	}
 	log_emit(&line);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -355,7 +355,8 @@
 
 	if (!n->config || n->stopping)
 		return false;
-	return !revoke || notes_stale_us(n->notes, now) < revoke;
+	return !revoke ||
+	       notes_stale_us(n->notes, now) < revoke - REVOKE_MARGIN_US;
 }
 
 /* Begins a planned stop: leaves, takes nothing new, finishes the rest. */
--- /dev/null
+++ b/tools/platform_store.c
@@ -0,0 +1,486 @@
+/*
+ * A stand-in for the users' platform: its key-value store, with faults that
+ * can be switched while it runs, and the operators who write to it.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/json.h"
+#include "net/net.h"
+#include "store/kv.h"
+
+#define HISTORY_MAX 20000
+#define BODY_MAX (16 * 1024 * 1024)
+#define CONNECTIONS_MAX 1024
+#define TICK_US (5 * USEC_PER_MSEC)
+#define WAITING_MAX 256
+#define ITEMS_MAX 500
+
+#define CALL "/mulberryferry/kv-"
+
+/* A watch that waits for its first event. */
+struct waiting {
+	uint64_t exchange;
+	char prefix[STORE_KEY_SIZE];
+	uint64_t next_event;
+	int64_t until_us;
+};
+
+static struct {
+	struct net *net;
+	struct http_server *server;
+	struct kv *kv;
+	struct waiting waiting[WAITING_MAX];
+	size_t waiting_count;
+	uint32_t refuse; /* status that each call gets instead, or 0 */
+	uint32_t silent;
+	uint32_t lose_next; /* answers to writes */
+	uint64_t calls;
+	char listen[ADDR_TEXT_SIZE];
+} platform = {.listen = "127.0.0.1:0"};
+
+static volatile sig_atomic_t stopped;
+
+static void answer_json(uint64_t exchange, int status, struct json_object *o)
+{
+	const char *text =
+		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
+	struct message m = {.status = status};
+
+	message_add_header(&m, "content-type", "application/json");
+	buffer_append(&m.body, text, strlen(text), SIZE_MAX);
+	http_server_answer(platform.server, exchange, &m);
+	message_free(&m);
+	json_object_put(o);
+}
+
+static void add_int(struct json_object *o, const char *name, int64_t v)
+{
+	json_object_object_add(o, name, json_object_new_int64(v));
+}
+
+static void add_text(struct json_object *o, const char *name, const char *text)
+{
+	json_object_object_add(o, name, json_object_new_string(text));
+}
+
+static struct json_object *as_of(void)
+{
+	struct json_object *o = json_object_new_object();
+
+	add_int(o, "as_of", kv_revision(platform.kv));
+	return o;
+}
+
+static void fill_item(struct json_object *o, const struct kv_record *r)
+{
+	add_text(o, "key", r->key);
+	json_add_bytes(o, "value", r->value, r->len);
+	add_int(o, "revision", r->mod_revision);
+	add_int(o, "created", r->create_revision);
+	add_int(o, "lease", r->lease);
+}
+
+static int hex(char c)
+{
+	return c <= '9' ? c - '0' : (c | 32) - 'a' + 10;
+}
+
+/* Decodes a parameter of the query; "" when it is not there. */
+static void parameter(const char *target, const char *name,
+		      char to[STORE_KEY_SIZE])
+{
+	const char *p = strchr(target, '?');
+	size_t n = strlen(name), len = 0;
+
+	while (p && (strncmp(p + 1, name, n) != 0 || p[n + 1] != '='))
+		p = strchr(p + 1, '&');
+	for (p = p ? p + n + 2 : "";
+	     *p && *p != '&' && len < STORE_KEY_SIZE - 1; p++) {
+		to[len] = *p;
+		if (*p == '%' && p[1] && p[2]) {
+			to[len] = (char)(hex(p[1]) << 4 | hex(p[2]));
+			p += 2;
+		}
+		len++;
+	}
+	to[len] = 0;
+}
+
+static void on_key(uint64_t exchange, const char *target)
+{
+	const struct kv_record *r;
+	char key[STORE_KEY_SIZE];
+	struct json_object *o = as_of();
+
+	parameter(target, "key", key);
+	r = kv_get(platform.kv, key);
+	if (r)
+		fill_item(o, r);
+	answer_json(exchange, r ? 200 : 404, o);
+}
+
+static void on_range(uint64_t exchange, const char *target)
+{
+	char prefix[STORE_KEY_SIZE], after[STORE_KEY_SIZE];
+	struct json_object *o = as_of(), *items = json_object_new_array(), *i;
+	const struct kv_record *r;
+	size_t at, n = 0;
+
+	parameter(target, "prefix", prefix);
+	parameter(target, "after", after);
+	at = kv_lower_bound(platform.kv, *after ? after : prefix);
+	for (; (r = kv_at(platform.kv, at)) && n < ITEMS_MAX; at++) {
+		if (strncmp(r->key, prefix, strlen(prefix)) != 0)
+			break;
+		if (!strcmp(r->key, after))
+			continue;
+		i = json_object_new_object();
+		fill_item(i, r);
+		json_object_array_add(items, i);
+		n++;
+	}
+	json_object_object_add(o, "items", items);
+	json_object_object_add(o, "truncated",
+			       json_object_new_boolean(n == ITEMS_MAX));
+	answer_json(exchange, 200, o);
+}
+
+/* Answers a watch that has an event, or whose time is up. */
+static bool end_wait(struct waiting *w, int64_t now)
+{
+	struct json_object *o, *events = json_object_new_array(), *i;
+	const struct kv_event *e;
+	int64_t last = 0;
+
+	while ((e = kv_event(platform.kv, w->next_event))) {
+		w->next_event++;
+		last = e->entry.mod_revision;
+		if (strncmp(e->entry.key, w->prefix, strlen(w->prefix)) != 0)
+			continue;
+		i = json_object_new_object();
+		add_text(i, "key", e->entry.key);
+		add_int(i, "revision", e->entry.mod_revision);
+		if (e->entry.value)
+			json_add_bytes(i, "value", e->entry.value,
+				       e->entry.len);
+		else
+			json_object_object_add(i, "tombstone",
+					       json_object_new_boolean(true));
+		json_object_array_add(events, i);
+	}
+	if (!json_object_array_length(events) && now < w->until_us) {
+		json_object_put(events);
+		return false;
+	}
+	o = json_object_new_object();
+	json_object_object_add(o, "events", events);
+	add_int(o, "as_of", last ? last : kv_revision(platform.kv));
+	answer_json(w->exchange, 200, o);
+	return true;
+}
+
+static void on_watch(uint64_t exchange, const char *target, int64_t now)
+{
+	struct waiting w = {.exchange = exchange};
+	char after[STORE_KEY_SIZE], wait[STORE_KEY_SIZE];
+
+	parameter(target, "prefix", w.prefix);
+	parameter(target, "after", after);
+	parameter(target, "wait_ms", wait);
+	w.next_event = kv_event_from(platform.kv, atoll(after) + 1);
+	w.until_us = now + atoll(wait) * USEC_PER_MSEC;
+	if (!w.next_event || platform.waiting_count == WAITING_MAX)
+		answer_json(exchange, 410, as_of());
+	else if (!end_wait(&w, now))
+		platform.waiting[platform.waiting_count++] = w;
+}
+
+#define ROWS_MAX 32
+
+/* One transaction, decoded; what it points to lies in the JSON or is freed. */
+struct txn {
+	struct store_compare compares[ROWS_MAX];
+	struct store_write writes[ROWS_MAX];
+	size_t compare_count;
+	size_t write_count;
+};
+
+static size_t rows(struct json_object *list)
+{
+	return json_object_is_type(list, json_type_array)
+		       ? json_object_array_length(list)
+		       : 0;
+}
+
+static int read_txn(struct json_object *in, struct txn *t)
+{
+	struct json_object *on = json_member(in, "expected_revision");
+	struct json_object *put = json_member(in, "writes");
+	struct json_object *drop = json_member(in, "deletes"), *o;
+	struct store_write *w;
+	size_t i;
+
+	if (rows(on) + rows(put) + rows(drop) > ROWS_MAX)
+		return -1;
+	for (i = 0; i < rows(on); i++) {
+		o = json_object_array_get_idx(on, i);
+		t->compares[i].key =
+			json_object_get_string(json_member(o, "key"));
+		t->compares[i].mod_revision = json_int(o, "revision");
+	}
+	t->compare_count = rows(on);
+	for (i = 0; i < rows(put); i++) {
+		o = json_object_array_get_idx(put, i);
+		w = &t->writes[t->write_count++];
+		w->key = json_object_get_string(json_member(o, "key"));
+		w->value = json_bytes(o, "value", &w->len);
+		w->lease = json_int(o, "lease");
+	}
+	for (i = 0; i < rows(drop); i++) {
+		w = &t->writes[t->write_count++];
+		w->key = json_object_get_string(
+			json_object_array_get_idx(drop, i));
+		w->remove = true;
+	}
+	return 0;
+}
+
+static struct json_object *compared_items(const struct txn *t)
+{
+	struct json_object *o = as_of(), *items = json_object_new_array(), *i;
+	const struct kv_record *r;
+	size_t at;
+
+	for (at = 0; at < t->compare_count; at++) {
+		r = kv_get(platform.kv, t->compares[at].key);
+		i = json_object_new_object();
+		add_text(i, "key", t->compares[at].key);
+		add_int(i, "revision", 0);
+		if (r)
+			fill_item(i, r);
+		json_object_array_add(items, i);
+	}
+	json_object_object_add(o, "items", items);
+	return o;
+}
+
+/* Loses the answer to a write that was done, as a cut connection would. */
+static bool lose(void)
+{
+	if (!platform.lose_next)
+		return false;
+	platform.lose_next--;
+	return true;
+}
+
+static void on_txn(uint64_t exchange, struct json_object *in, int64_t now)
+{
+	struct json_object *o = json_object_new_object();
+	struct txn t = {.write_count = 0};
+	enum kv_status status = KV_CONFLICT;
+	size_t i;
+
+	if (read_txn(in, &t) < 0) {
+		answer_json(exchange, 400, o);
+		return;
+	}
+	status = kv_txn(platform.kv, t.compares, t.compare_count, t.writes,
+			t.write_count, now);
+	for (i = 0; i < t.write_count; i++)
+		free((void *)t.writes[i].value);
+	if (lose()) {
+		json_object_put(o);
+	} else if (status == KV_DONE) {
+		add_int(o, "revision", kv_revision(platform.kv));
+		answer_json(exchange, 200, o);
+	} else if (status == KV_CONFLICT) {
+		json_object_put(o);
+		answer_json(exchange, 412, compared_items(&t));
+	} else {
+		answer_json(exchange, status == KV_NO_LEASE ? 404 : 400, o);
+	}
+}
+
+static void on_lease(uint64_t exchange, const char *path,
+		     struct json_object *in, int64_t now)
+{
+	struct json_object *o = json_object_new_object();
+	const char *id = strrchr(path, '/') + 1;
+	uint32_t ttl = (uint32_t)json_int(in, "ttl_s_time");
+	bool found = true;
+
+	if (!strncmp(path, CALL "lease-end/", strlen(CALL "lease-end/"))) {
+		found = kv_lease_revoke(platform.kv, atoll(id), now);
+	} else if (!strncmp(path, CALL "keep/", strlen(CALL "keep/"))) {
+		found = kv_lease_keep(platform.kv, atoll(id), now);
+	} else {
+		add_int(o, "lease", kv_lease_grant(platform.kv, ttl, now));
+		add_int(o, "ttl_s_time", ttl);
+	}
+	answer_json(exchange, found ? 200 : 404, o);
+}
+
+/* PUT /standin/document: the operators write the configuration. */
+static void on_document(uint64_t exchange, const struct message *m, int64_t now)
+{
+	struct store_write w = {
+		.key = "op/config", .value = m->body.data, .len = m->body.len};
+
+	kv_txn(platform.kv, NULL, 0, &w, 1, now);
+	answer_json(exchange, 200, as_of());
+}
+
+static void set_switch(const char *target, const char *name, uint32_t *to)
+{
+	char text[STORE_KEY_SIZE];
+
+	parameter(target, name, text);
+	if (*text)
+		*to = (uint32_t)strtoul(text, NULL, 10);
+}
+
+static void on_standin(uint64_t exchange, const struct message *m, int64_t now)
+{
+	struct json_object *o;
+
+	if (!strcmp(m->target, "/standin/document")) {
+		on_document(exchange, m, now);
+		return;
+	}
+	set_switch(m->target, "refuse", &platform.refuse);
+	set_switch(m->target, "silent", &platform.silent);
+	set_switch(m->target, "lose_next", &platform.lose_next);
+	o = as_of();
+	add_int(o, "calls", (int64_t)platform.calls);
+	answer_json(exchange, 200, o);
+}
+
+static void on_call(uint64_t exchange, const struct message *m, int64_t now)
+{
+	struct json_object *in = json_parse_whole(m->body.data, m->body.len);
+	const char *path = m->target;
+
+	if (!strncmp(path, CALL "key?", strlen(CALL "key?")))
+		on_key(exchange, path);
+	else if (!strncmp(path, CALL "range?", strlen(CALL "range?")))
+		on_range(exchange, path);
+	else if (!strncmp(path, CALL "watch?", strlen(CALL "watch?")))
+		on_watch(exchange, path, now);
+	else if (!strcmp(path, CALL "txn"))
+		on_txn(exchange, in, now);
+	else
+		on_lease(exchange, path, in, now);
+	json_object_put(in);
+}
+
+static void on_request(void *ctx, uint64_t exchange, struct message *m,
+		       const char *peer, int64_t now)
+{
+	(void)ctx;
+	(void)peer;
+	kv_expire(platform.kv, now);
+	if (!strncmp(m->target, "/standin/", strlen("/standin/"))) {
+		on_standin(exchange, m, now);
+		return;
+	}
+	platform.calls++;
+	if (platform.silent)
+		return;
+	if (platform.refuse)
+		answer_json(exchange, (int)platform.refuse, as_of());
+	else if (strncmp(m->target, CALL, strlen(CALL)) != 0)
+		answer_json(exchange, 404, as_of());
+	else
+		on_call(exchange, m, now);
+}
+
+static void on_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	size_t i;
+
+	(void)ctx;
+	(void)now;
+	for (i = 0; i < platform.waiting_count; i++)
+		if (platform.waiting[i].exchange == exchange)
+			platform.waiting[i] =
+				platform.waiting[--platform.waiting_count];
+}
+
+static void tick(void *ctx, int64_t now)
+{
+	size_t i = 0;
+
+	(void)ctx;
+	if (stopped)
+		net_stop(platform.net);
+	while (i < platform.waiting_count)
+		if (end_wait(&platform.waiting[i], now))
+			platform.waiting[i] =
+				platform.waiting[--platform.waiting_count];
+		else
+			i++;
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	(void)state;
+	if (key != 'l')
+		return ARGP_ERR_UNKNOWN;
+	copy_name(platform.listen, sizeof(platform.listen), arg);
+	return 0;
+}
+
+static const struct argp_option options[] = {
+	{"listen", 'l', "ADDR", 0, "Listen on ADDR (127.0.0.1:0)", 0}, {0}};
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_option,
+	.doc = "A stand-in for the users' platform.\v"
+	       "PUT /standin/document writes the configuration; "
+	       "GET /standin/faults?refuse=STATUS&silent=0|1&lose_next=N sets "
+	       "faults and tells the calls so far."};
+
+static void on_signal(int number)
+{
+	(void)number;
+	stopped = 1;
+}
+
+int main(int argc, char **argv)
+{
+	struct http_server_options o = {.body_limit = BODY_MAX,
+					.connections_max = CONNECTIONS_MAX,
+					.request = on_request,
+					.gone = on_gone};
+	char text[ADDR_TEXT_SIZE];
+	struct error err = {0};
+	struct addr a;
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	platform.net = net_open(&err);
+	platform.kv = kv_new(HISTORY_MAX);
+	if (platform.net && platform.kv &&
+	    addr_parse(&o.listen, platform.listen) == 0)
+		platform.server = http_server_open(platform.net, &o, &err);
+	if (!platform.server ||
+	    net_every(platform.net, TICK_US, tick, NULL) < 0) {
+		fprintf(stderr, "platform_store: %s\n", err.text);
+		return EXIT_FAILURE;
+	}
+	http_server_addr(platform.server, &a);
+	addr_format(&a, text);
+	printf("listening=%s\n", text);
+	fflush(stdout);
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	net_run(platform.net);
+	net_close(platform.net);
+	kv_free(platform.kv);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tools/platform_upstream.c
@@ -0,0 +1,265 @@
+/*
+ * A stand-in for an upstream of the users' platform: announces itself to the
+ * node beside it and answers with a signature, or as its switches say.
+ */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "net/net.h"
+
+#define BODY_MAX (16 * 1024 * 1024)
+#define CONNECTIONS_MAX 1024
+#define BEAT_US (300 * USEC_PER_MSEC)
+#define TICK_US (5 * USEC_PER_MSEC)
+#define RUNS_MAX 4096
+
+/* A run that ends later. */
+struct run {
+	uint64_t exchange;
+	int64_t until_us;
+	struct message answer;
+};
+
+static struct {
+	struct net *net;
+	struct http_server *server;
+	struct http_pool *node;
+	const char *node_addr;
+	const char *service;
+	const char *instance;
+	char addr[ADDR_TEXT_SIZE];
+	int64_t work_us;
+	int64_t born_ms;
+	int64_t beat_at_us; /* the first one waits for the address */
+	uint64_t sequence;
+	struct run runs[RUNS_MAX];
+	size_t run_count;
+	uint32_t full;	    /* turns every request away */
+	uint32_t unsigned_; /* answers without a signature */
+	uint32_t draining;
+} up = {.service = "s", .instance = "i-1"};
+
+static volatile sig_atomic_t stopped;
+
+static void add(struct message *m, const char *name, const char *value)
+{
+	if (value)
+		message_add_header(m, name, value);
+}
+
+/* Says what came in, for the test to look at, one line a run. */
+static void print_run(const struct message *m)
+{
+	static const char *const names[] = {"mulberryferry-attempt-id",
+					    "mulberryferry-tenant",
+					    "mulberryferry-caller-service",
+					    "mulberryferry-expected-instance",
+					    "mulberryferry-deadline-ms",
+					    "authorization",
+					    "host",
+					    "x-extra"};
+	const char *value;
+	size_t i;
+
+	printf("run %s %s body=%zu", m->method, m->target, m->body.len);
+	for (i = 0; i < sizeof(names) / sizeof(*names); i++) {
+		value = message_header(m, names[i]);
+		printf(" %s=%s", names[i], value ? value : "-");
+	}
+	printf("\n");
+	fflush(stdout);
+}
+
+static void later(uint64_t exchange, struct message *answer, int64_t now)
+{
+	struct run *r = &up.runs[up.run_count++];
+
+	r->exchange = exchange;
+	r->until_us = now + up.work_us;
+	r->answer = *answer;
+	memset(answer, 0, sizeof(*answer));
+}
+
+static void set_switch(const char *target, const char *name, uint32_t *to)
+{
+	const char *p = strstr(target, name);
+
+	if (p)
+		*to = (uint32_t)strtoul(p + strlen(name), NULL, 10);
+}
+
+static void on_request(void *ctx, uint64_t exchange, struct message *m,
+		       const char *peer, int64_t now)
+{
+	const char *expected =
+		message_header(m, "mulberryferry-expected-instance");
+	struct message answer = {.status = 200};
+
+	(void)ctx;
+	(void)peer;
+	add(&answer, "mulberryferry-attempt-id",
+	    message_header(m, "mulberryferry-attempt-id"));
+	if (!strncmp(m->target, "/standin/", strlen("/standin/"))) {
+		set_switch(m->target, "full=", &up.full);
+		set_switch(m->target, "unsigned=", &up.unsigned_);
+		set_switch(m->target, "draining=", &up.draining);
+	} else if (expected && strcmp(expected, up.instance) != 0) {
+		answer.status = 421;
+		add(&answer, "mulberryferry-instance-id", up.instance);
+	} else if (up.full || up.run_count == RUNS_MAX) {
+		answer.status = 503;
+		add(&answer, "mulberryferry-not-executed", "1");
+	} else {
+		print_run(m);
+		buffer_printf(&answer.body, "ran %s", m->target);
+		if (!up.unsigned_)
+			add(&answer, "mulberryferry-response-signature", "1.2");
+		later(exchange, &answer, now);
+		return;
+	}
+	http_server_answer(up.server, exchange, &answer);
+	message_free(&answer);
+}
+
+static void on_gone(void *ctx, uint64_t exchange, int64_t now)
+{
+	(void)ctx;
+	(void)now;
+	printf("gone %llu\n", (unsigned long long)exchange);
+	fflush(stdout);
+}
+
+static void beat_done(void *ctx, uint64_t tag, struct http_call_result *r,
+		      int64_t now)
+{
+	(void)ctx;
+	(void)tag;
+	(void)r;
+	(void)now;
+}
+
+static void beat(int64_t now)
+{
+	struct message m = {.method = "POST"};
+	struct http_call call = {.request = &m,
+				 .deadline_us = now + USEC_PER_SEC,
+				 .done = beat_done};
+	char target[256];
+
+	snprintf(target, sizeof(target),
+		 "/mulberryferry/instances/%s/heartbeat", up.instance);
+	m.target = target;
+	buffer_printf(&m.body,
+		      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
+		      "\"version\":\"v1\",\"slots\":16,\"state\":\"%s\","
+		      "\"cold_remaining_s\":0,\"sequence\":%llu,\"born\":%lld}",
+		      up.service, up.addr, up.draining ? "draining" : "ready",
+		      (unsigned long long)++up.sequence, (long long)up.born_ms);
+	http_call_start(up.node, &call, now, NULL);
+	buffer_free(&m.body);
+}
+
+static void tick(void *ctx, int64_t now)
+{
+	size_t i = 0;
+
+	(void)ctx;
+	if (stopped)
+		net_stop(up.net);
+	if (now >= up.beat_at_us) {
+		up.beat_at_us = now + BEAT_US;
+		beat(now);
+	}
+	while (i < up.run_count) {
+		if (now < up.runs[i].until_us) {
+			i++;
+			continue;
+		}
+		http_server_answer(up.server, up.runs[i].exchange,
+				   &up.runs[i].answer);
+		message_free(&up.runs[i].answer);
+		up.runs[i] = up.runs[--up.run_count];
+	}
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	(void)state;
+	switch (key) {
+	case 'l':
+		copy_name(up.addr, sizeof(up.addr), arg);
+		return 0;
+	case 'n':
+		up.node_addr = arg;
+		return 0;
+	case 's':
+		up.service = arg;
+		return 0;
+	case 'i':
+		up.instance = arg;
+		return 0;
+	case 'w':
+		up.work_us = strtol(arg, NULL, 10) * USEC_PER_MSEC;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp_option options[] = {
+	{"listen", 'l', "ADDR", 0, "Listen on ADDR", 0},
+	{"node", 'n', "ADDR", 0, "Announce to the node at ADDR", 0},
+	{"service", 's', "NAME", 0, "Name of the service (s)", 0},
+	{"instance", 'i', "ID", 0, "Identity of this process (i-1)", 0},
+	{"work-ms", 'w', "N", 0, "Answer after N milliseconds", 0},
+	{0}};
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_option,
+	.doc = "A stand-in for an upstream of the users' platform.\v"
+	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1 sets "
+	       "what it does."};
+
+static void on_signal(int number)
+{
+	(void)number;
+	stopped = 1;
+}
+
+int main(int argc, char **argv)
+{
+	struct http_server_options o = {.body_limit = BODY_MAX,
+					.connections_max = CONNECTIONS_MAX,
+					.request = on_request,
+					.gone = on_gone};
+	struct http_pool_options pool = {.connections_max = 2,
+					 .body_limit = BODY_MAX,
+					 .keep_warm_us = USEC_PER_SEC};
+	struct error err = {.text = "an address is malformed"};
+
+	argp_parse(&argp, argc, argv, 0, NULL, NULL);
+	up.born_ms = clock_wall_us() / USEC_PER_MSEC;
+	up.net = net_open(&err);
+	if (up.net && addr_parse(&o.listen, up.addr) == 0 && up.node_addr &&
+	    addr_parse(&pool.addr, up.node_addr) == 0) {
+		up.server = http_server_open(up.net, &o, &err);
+		up.node = http_pool_open(up.net, &pool, &err);
+	}
+	if (!up.server || !up.node ||
+	    net_every(up.net, TICK_US, tick, NULL) < 0) {
+		fprintf(stderr, "platform_upstream: %s\n", err.text);
+		return EXIT_FAILURE;
+	}
+	http_server_addr(up.server, &o.listen);
+	addr_format(&o.listen, up.addr);
+	printf("listening=%s\n", up.addr);
+	fflush(stdout);
+	signal(SIGTERM, on_signal);
+	net_run(up.net);
+	net_close(up.net);
+	return EXIT_SUCCESS;
+}
