Bring the share of hosts that are gone back within minutes

A host that goes for good kept its share of each account for an hour, as no operator declares it dead on the platform. Signs of life are written 16 to a transaction, as many as a store takes.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -87,6 +87,7 @@
 	uint32_t host_memory_mb;  /* the limits above follow these two */
 	uint32_t host_descriptors;
 	int64_t stop_grace_us; /* how long a planned stop may wait */
+	int64_t share_hold_us; /* see quota_options; 0: an hour */
 	int log_priority;
 };
 
--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -94,6 +94,8 @@
 	 .field_count = COUNT(limits_fields)},
 	{"stop_grace_s", .kind = FIELD_TIME, .offset = AT(stop_grace_us),
 	 .max = 3600, .unit_us = USEC_PER_SEC},
+	{"share_hold_s", .kind = FIELD_TIME, .offset = AT(share_hold_us),
+	 .min = 20, .max = 86400, .unit_us = USEC_PER_SEC},
 	{"log_level", .kind = FIELD_CHOICE, .offset = AT(log_priority),
 	 .choices = log_levels},
 };
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -141,6 +141,7 @@
 	struct addr self;
 	uint64_t incarnation;
 	uint64_t seed;
+	int64_t hold_us; /* a silent holder's share halves twice in it; 0: 1 h */
 	void *ctx;
 	/* Tokens of this account came in; waiting requests may try again. */
 	void (*wake)(void *ctx, const char *account, int64_t now);
--- a/src/control/quota.c
+++ b/src/control/quota.c
@@ -40,7 +40,8 @@
 	gsl_rng_set(q->rng, (unsigned long)o->seed);
 	/* Identities of questions must not repeat over restarts. */
 	q->next_id = o->incarnation << 16;
-	q->next_bump_us = now + BUMP_US;
+	q->hold_us = o->hold_us ? o->hold_us : HOLD_US;
+	q->next_bump_us = now + q->hold_us / BUMP_PARTS;
 	q->opened_us = now;
 	return q;
 }
@@ -77,6 +78,7 @@
 		return NULL;
 	}
 	a->topic = name_hash(name);
+	a->hold_us = q->hold_us;
 	a->refilled_us = now;
 	a->demand_at_us = now;
 	HASH_ADD_STR(q->accounts, name, a);
@@ -151,7 +153,7 @@
  */
 double quota_factor(const struct quota_account *a, int64_t now)
 {
-	int64_t halves = (now - a->confirmed_us) / (HOLD_US / 2);
+	int64_t halves = (now - a->confirmed_us) / (a->hold_us / 2);
 	double factor = 1;
 
 	if (halves >= 20)
--- a/src/control/quota_bump.c
+++ b/src/control/quota_bump.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A store may take 32 entries in one transaction: as many compares. */
+#define BUMP_ROWS 16
 #define WRITE_TIMEOUT_US (2 * USEC_PER_SEC)
 
 static void bump_done(void *ctx, uint64_t tag, const struct store_result *r,
@@ -56,7 +58,7 @@
 {
 	return a->share && !a->writing &&
 	       a->slice.incarnation == q->o.incarnation &&
-	       now - a->confirmed_us >= BUMP_US / 2;
+	       now - a->confirmed_us >= q->hold_us / BUMP_PARTS / 2;
 }
 
 /*
@@ -76,9 +78,10 @@
 		return;
 	q->bumped_count = 0;
 	HASH_ITER(hh, q->accounts, a, next)
-	if (b->n < STORE_TXN_OPS_MAX / 2 && bump_is_due(q, a, now))
+	if (b->n < BUMP_ROWS && bump_is_due(q, a, now))
 		add_bump(q, b, a);
-	q->next_bump_us = now + (b->n ? USEC_PER_SEC : BUMP_US / 2);
+	q->next_bump_us =
+		now + (b->n ? USEC_PER_SEC : q->hold_us / BUMP_PARTS / 2);
 	if (b->n) {
 		op.txn.compares = b->compares;
 		op.txn.compare_count = b->n;
--- a/src/control/quota_homes.c
+++ b/src/control/quota_homes.c
@@ -164,11 +164,14 @@
 	struct centre *c;
 	size_t n = 0, i;
 
-	size_t living = members_count(q->o.members, MEMBER_ALIVE) +
-			members_count(q->o.members, MEMBER_SUSPECT);
+	int64_t age_us = a->homes_at_us ? now - a->homes_at_us : INT64_MAX;
+	size_t living;
 
-	if (a->homes_at_us && now - a->homes_at_us < HOMES_REFRESH_US &&
-	    (living == a->homes_of || now - a->homes_at_us < HOMES_LEAST_US))
+	if (age_us < HOMES_LEAST_US)
+		return;
+	living = members_count(q->o.members, MEMBER_ALIVE) +
+		 members_count(q->o.members, MEMBER_SUSPECT);
+	if (age_us < HOMES_REFRESH_US && living == a->homes_of)
 		return;
 	a->homes_of = living;
 	while ((m = members_next(q->o.members, m))) {
--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -21,9 +21,9 @@
 /* Divides by every number up to 15: small bursts split into whole tokens. */
 #define SHARE_ALL 720720000u
 
-/* A share halves for each half of this without a confirmed write. */
+/* A share halves for each half of a hold without a confirmed write. */
 #define HOLD_US (3600 * USEC_PER_SEC)
-#define BUMP_US (HOLD_US / 4)
+#define BUMP_PARTS 4 /* of a hold, between signs of life */
 
 #define LOAN_US (200 * USEC_PER_MSEC)
 #define LOANS_IN_MAX 16
@@ -83,6 +83,7 @@
 	uint32_t share;	  /* confirmed */
 	uint32_t desired; /* spends at most this, even before confirmed */
 	int64_t confirmed_us;
+	int64_t hold_us; /* of the controller */
 	bool writing;
 	int64_t sent_us;
 	uint32_t proposed;
@@ -139,6 +140,7 @@
 	gsl_rng *rng;
 	uint64_t next_id;
 	int64_t opened_us;
+	int64_t hold_us;
 	struct quota_account *eager; /* next one without demand to look at */
 	bool eager_done;
 	bool listed; /* slices of an earlier process here were looked for */
--- a/src/control/quota_reclaim.c
+++ b/src/control/quota_reclaim.c
@@ -5,12 +5,12 @@
 #include <string.h>
 
 #define SLICE_PREFIX "quota/s/"
-#define SCAN_US (HOLD_US / 12)
+#define SCAN_PARTS 12 /* of a hold, between looks at all slices */
 #define PAGE 500
 #define CALL_TIMEOUT_US (2 * USEC_PER_SEC)
 
 /* Clocks of two hosts may run apart by so much over a hold. */
-#define UNCHANGED_US (HOLD_US / 2 + HOLD_US / 50)
+#define DRIFT_PARTS 50 /* of a hold */
 
 /* A slice of a host that is not alive, and since when it is unchanged. */
 struct silent_slice {
@@ -105,12 +105,12 @@
 }
 
 /* NOLINTBEGIN(clang-analyzer-unix.Malloc): HASH_DEL keeps the table whole */
-static void end_scan(struct reclaim *r, int64_t now)
+static void end_scan(const struct quota *q, struct reclaim *r, int64_t now)
 {
 	struct silent_slice *s, *next;
 
 	r->after[0] = 0;
-	r->next_scan_us = now + SCAN_US;
+	r->next_scan_us = now + q->hold_us / SCAN_PARTS;
 	HASH_ITER(hh, r->slices, s, next)
 	{
 		if (s->scan == r->scan || s->writing)
@@ -132,7 +132,7 @@
 	(void)tag;
 	r->scanning = false;
 	if (result->outcome != STORE_DONE) {
-		r->next_scan_us = now + SCAN_US / 10;
+		r->next_scan_us = now + q->hold_us / SCAN_PARTS / 10;
 		return;
 	}
 	for (i = 0; i < result->n; i++)
@@ -141,7 +141,7 @@
 		copy_name(r->after, sizeof(r->after),
 			  result->entries[PAGE - 1].key);
 	else
-		end_scan(r, now);
+		end_scan(q, r, now);
 }
 
 static void scan(struct quota *q, int64_t now)
@@ -245,12 +245,12 @@
 		return;
 	HASH_ITER(hh, r->slices, s, next)
 	if (!s->writing && s->slice.share > 1 &&
-	    now - s->since_us >= UNCHANGED_US)
+	    now - s->since_us >= q->hold_us / 2 + q->hold_us / DRIFT_PARTS)
 		take_half(q, s, now);
 	if (now < r->next_scan_us)
 		return;
 	if (members_chosen(q->o.members, name_hash("quota-reclaim"), 1))
 		scan(q, now);
 	else
-		r->next_scan_us = now + SCAN_US / 10;
+		r->next_scan_us = now + q->hold_us / SCAN_PARTS / 10;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -251,6 +251,7 @@
 				      .self = n->self,
 				      .incarnation = n->incarnation,
 				      .seed = node_random(n),
+				      .hold_us = n->settings.share_hold_us,
 				      .ctx = n,
 				      .wake = quota_wake};
 	struct claims_options claims = {.store = n->store,
--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -127,6 +127,7 @@
 				  .members = &views[i],
 				  .self = n->addr,
 				  .seed = f->o.seed + i,
+				  .hold_us = f->o.hold_us,
 				  .ctx = &targets[i],
 				  .wake = wake};
 
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -24,6 +24,7 @@
 	double duplicate; /* share of datagrams sent twice */
 	int64_t delay_us; /* one way, at most twice as long */
 	int64_t step_us;  /* of virtual time */
+	int64_t hold_us;  /* see quota_options */
 	unsigned long seed;
 };
 
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -300,6 +300,28 @@
 	fleet_close(&f);
 }
 
+/*
+ * Hosts that go for good, as where nobody declares them dead: with a short
+ * hold their share is back within minutes, and nobody passes the rate.
+ */
+static void a_short_hold_brings_the_share_back_soon(void **state)
+{
+	struct fleet_options o = slow;
+	struct fleet f;
+
+	(void)state;
+	o.hold_us = 40 * USEC_PER_SEC;
+	fleet_open(&f, &o);
+	fleet_run(&f, 120 * USEC_PER_SEC);
+	assert_true(shares_held(&f) > 0.999);
+	fleet_kill(&f, first_holder(&f));
+	assert_true(shares_held(&f) < 0.7);
+	fleet_run(&f, 120 * USEC_PER_SEC);
+	assert_true(shares_held(&f) > 0.95);
+	assert_bound(&f, "short hold");
+	fleet_close(&f);
+}
+
 static void a_restart_at_the_address_takes_the_slice_over(void **state)
 {
 	struct fleet f;
@@ -367,6 +389,7 @@
 		cmocka_unit_test(the_bound_holds_over_all_nodes),
 		cmocka_unit_test(the_bound_holds_under_pairs_of_faults),
 		cmocka_unit_test(a_dead_holders_slice_comes_back_by_halves),
+		cmocka_unit_test(a_short_hold_brings_the_share_back_soon),
 		cmocka_unit_test(a_restart_at_the_address_takes_the_slice_over),
 		cmocka_unit_test(a_planned_stop_returns_the_slice),
 		cmocka_unit_test(a_store_outage_degrades_slowly),
