Let hosts find each other before they take shares

A node that knows no other is home of every account, so it asked for all shares, and reading the seeds came last in the budget: it stayed alone. Ruled out by counting calls: configuration (288) and leases (29).

Seeds now go before shares, and shares are taken 4 s after the start, when the others are known. A restart takes its own shares over at once as before.

--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -18,7 +18,7 @@
 #define WRITES_MAX 8
 
 /* A node that starts learns of the others in this time. */
-#define SETTLE_US (2 * USEC_PER_SEC)
+#define SETTLE_US (4 * USEC_PER_SEC)
 
 /* A node stays a home for so long after others have come to rank first. */
 #define HOME_LINGER_US (5 * USEC_PER_SEC)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -19,12 +19,15 @@
 	STORE_UNKNOWN,	/* it may have taken effect */
 };
 
-/* Spent in this order when the budget is short. */
+/*
+ * Spent in this order when the budget is short. Seeds go before shares: a
+ * node that knows no other takes itself for the home of every account.
+ */
 enum store_priority {
 	STORE_CLAIM,
 	STORE_CONFIG,
-	STORE_QUOTA,
 	STORE_SEED,
+	STORE_QUOTA,
 };
 #define STORE_PRIORITIES 4
 
