Log a document that is passed over for its revision

Whether a document was not read or read and passed over could not be told from the logs; the line has both revisions and the number in force.

--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -326,6 +326,17 @@
 	submit(n, &op, on_head, now);
 }
 
+static void log_passed_over(const struct notes *n, const struct store_entry *e)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_NOTICE, "document-passed-over");
+	log_int(&line, "revision", e->mod_revision);
+	log_int(&line, "newest_revision", n->document_revision);
+	log_int(&line, "number", (int64_t)notes_number(n));
+	log_emit(&line);
+}
+
 /* Applies a document that a read or a watch of the store returned. */
 static void apply_document(struct notes *n, const struct store_entry *e,
 			   int64_t now)
@@ -333,6 +344,8 @@
 	struct config *c;
 	struct error err;
 
+	if (e->mod_revision < n->document_revision)
+		log_passed_over(n, e);
 	if (e->mod_revision <= n->document_revision)
 		return;
 	n->document_revision = e->mod_revision;
