--- a/src/store/kv.c
+++ b/src/store/kv.c
@@ -68,6 +68,65 @@
 	free(kv);
 }
 
+static uint8_t *copy_bytes(const void *data, size_t len)
+{
+	/* One byte more, as malloc(0) may return NULL, which means removed. */
+	uint8_t *p = malloc(len + 1);
+
+	if (p && len)
+		memcpy(p, data, len);
+	return p;
+}
+
+/* Copies records and events into an empty table of sufficient size. */
+static int clone_contents(struct kv *to, const struct kv *from)
+{
+	size_t i;
+
+	for (i = 0; i < from->n; i++, to->n++) {
+		to->slots[i].record = malloc(sizeof(struct kv_record));
+		if (!to->slots[i].record)
+			return -1;
+		*to->slots[i].record = *from->slots[i].record;
+		to->slots[i].record->value =
+			copy_bytes(from->slots[i].record->value,
+				   from->slots[i].record->len);
+	}
+	for (i = 0; i < from->history_max; i++) {
+		to->events[i] = from->events[i];
+		if (from->events[i].entry.value)
+			to->events[i].entry.value =
+				copy_bytes(from->events[i].entry.value,
+					   from->events[i].entry.len);
+	}
+	return 0;
+}
+
+/* Returns a copy that shares nothing with kv; NULL when out of memory. */
+struct kv *kv_clone(const struct kv *kv)
+{
+	struct kv *to = malloc(sizeof(*to));
+
+	if (!to)
+		return NULL;
+	*to = *kv;
+	to->n = 0;
+	to->slots = calloc(kv->size + 1, sizeof(*to->slots));
+	to->leases = calloc(kv->lease_size + 1, sizeof(*to->leases));
+	to->events = calloc(kv->history_max, sizeof(*to->events));
+	if (to->slots && to->leases && to->events) {
+		if (kv->lease_count)
+			memcpy(to->leases, kv->leases,
+			       kv->lease_count * sizeof(*to->leases));
+		if (!clone_contents(to, kv))
+			return to;
+	}
+	if (!to->events)
+		to->history_max = 0;
+	kv_free(to);
+	return NULL;
+}
+
 /* Returns the revision of the newest write. */
 int64_t kv_revision(const struct kv *kv)
 {
@@ -106,16 +165,6 @@
 	return kv->slots[i].record;
 }
 
-static uint8_t *copy_bytes(const void *data, size_t len)
-{
-	/* One byte more, as malloc(0) may return NULL, which means removed. */
-	uint8_t *p = malloc(len + 1);
-
-	if (p && len)
-		memcpy(p, data, len);
-	return p;
-}
-
 static void add_event(struct kv *kv, const struct kv_record *r, bool removed,
 		      int64_t now)
 {
--- a/src/store/kv.h
+++ b/src/store/kv.h
@@ -35,6 +35,7 @@
 
 struct kv *kv_new(uint64_t history_max);
 void kv_free(struct kv *kv);
+struct kv *kv_clone(const struct kv *kv);
 int64_t kv_revision(const struct kv *kv);
 
 const struct kv_record *kv_get(const struct kv *kv, const char *key);
--- a/src/store/memory.c
+++ b/src/store/memory.c
@@ -10,6 +10,7 @@
 
 struct memory_store {
 	struct kv *kv;
+	struct kv *saved; /* NULL before the first memory_store_save */
 };
 
 /* The result of a call, to be delivered when it is due. */
@@ -57,9 +58,37 @@
 	if (!m)
 		return;
 	kv_free(m->kv);
+	kv_free(m->saved);
 	free(m);
 }
 
+/* Saves a copy of the contents in place of the previous one. */
+int memory_store_save(struct memory_store *m)
+{
+	struct kv *copy = kv_clone(m->kv);
+
+	if (!copy)
+		return -1;
+	kv_free(m->saved);
+	m->saved = copy;
+	return 0;
+}
+
+/*
+ * Goes back to the saved contents: revisions, leases and the history of events
+ * included. Returns -1 if nothing was saved or memory is short.
+ */
+int memory_store_restore(struct memory_store *m)
+{
+	struct kv *copy = m->saved ? kv_clone(m->saved) : NULL;
+
+	if (!copy)
+		return -1;
+	kv_free(m->kv);
+	m->kv = copy;
+	return 0;
+}
+
 /* Opens a client of a shared store, or of a new one if shared is NULL. */
 struct memory *memory_open(struct memory_store *shared)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -154,6 +154,10 @@
 struct memory_store;
 struct memory_store *memory_store_new(void);
 void memory_store_free(struct memory_store *m);
+/* Copies the contents; -1 when out of memory. */
+int memory_store_save(struct memory_store *m);
+/* Replaces the contents by those last saved, as a restored store would. */
+int memory_store_restore(struct memory_store *m);
 struct store *store_open_memory(struct memory_store *m);
 void store_set_faults(struct store *s, const struct store_faults *f);
 
