Put changes in force after the store came back from an older copy

What callers saw: a change that operators had been told was in force was handled as only older versions allow, for as long as the store took to count its revisions up to where they had been.

Cause: a document was compared with the last one by the store's revision. A store that comes back from a copy gives revisions out again, so a newer document under a lower or equal revision was passed over, and each such read still confirmed the old version as the newest. The class: a counter of the store used as a clock across the end of its history.

Ruled out: the watch that misses events (the read each second hid it), and peers that push the older version (numbers never go back).

When the history was replaced all watches end, answers of the former history and writes compared under it become unknown, held writes are not sent, and one callback tells the node, which tells its controllers. The era and how long it is known ride on every message between nodes. A notes controller forgets the revision of its document and reads it again; the number inside decides, as before.

--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -38,6 +38,8 @@
 				   "Store calls of unknown outcome"},
 	[COUNTER_STORE_DENIED] = {"store_denied",
 				  "Store calls held back by the budget"},
+	[COUNTER_STORE_REPLACED] = {"store_replaced",
+				    "Times the store lost written data"},
 	[COUNTER_LOANS_REQUESTED] = {"loans_asked", "Token loans asked for"},
 	[COUNTER_LOANS_GRANTED] = {"loans_granted", "Token loans granted"},
 	[COUNTER_CLAIMS] = {"claims", "Idempotency claims written"},
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -116,6 +116,8 @@
 		   void (*done)(void *ctx, uint64_t tag, const char *json,
 				const struct error *err),
 		   int64_t now);
+/* Reads the store again: its history was replaced, see store_on_replaced. */
+void notes_store_replaced(struct notes *n, int64_t now);
 /* The configuration in force, or NULL before the first one. */
 struct config *notes_config(const struct notes *n);
 /*
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -62,9 +62,15 @@
 	return pair_hash(n->o.seed, ++n->draws);
 }
 
-/* Records that our number was the newest one at the time at_us. */
+/*
+ * Records that our number was the newest one at the time at_us. A store that
+ * came back from an older copy proves nothing until what it lost has been
+ * written again.
+ */
 void notes_confirm(struct notes *n, int64_t at_us)
 {
+	if (n->o.store && at_us < store_settled_us(n->o.store))
+		return;
 	if (!n->confirmed || at_us > n->confirmed_us)
 		n->confirmed_us = at_us;
 	n->confirmed = true;
@@ -184,6 +190,15 @@
 	}
 }
 
+void notes_store_replaced(struct notes *n, int64_t now)
+{
+	n->document_revision = 0;
+	n->fetch.head = 0;
+	n->fetch.revision = 0;
+	n->fetch.next_us = now;
+	peer_announce_number(n, now);
+}
+
 /* Runs all timers of the controller. Call every 50 ms. */
 void notes_tick(struct notes *n, int64_t now)
 {
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -395,7 +395,13 @@
 
 static bool document_is_due(struct notes *n, int64_t now)
 {
-	return n->is_reader || notes_stale_us(n, now) > DOCUMENT_FALLBACK_US;
+	int64_t settled_us = store_settled_us(n->o.store);
+
+	if (n->is_reader)
+		return true;
+	/* Peers are the first to confirm our number after a restore. */
+	return notes_stale_us(n, now) > DOCUMENT_FALLBACK_US &&
+	       (!settled_us || now - settled_us > DOCUMENT_FALLBACK_US);
 }
 
 /* Starts and stops being a reader, and starts fetches that are due. */
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -129,6 +129,8 @@
 	struct node *n = ctx;
 
 	admin_note_number_received(n, &msg->from, msg->config_number);
+	store_learn_era(n->store, msg->store_era,
+			msg->store_era_age_ms * USEC_PER_MSEC, now);
 	notes_number_received(n->notes, &msg->from, msg->config_number, now);
 	switch (msg->kind) {
 	case PEER_PROBE:
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -71,13 +71,23 @@
 	return high << 32 | gsl_rng_get(n->rng);
 }
 
+/* Fills in what each message tells of its sender. */
+static void stamp(struct node *n, struct peer_msg *msg, int64_t now)
+{
+	int64_t age_us;
+
+	msg->config_number = n->config ? config_number(n->config) : 0;
+	msg->incarnation = n->incarnation;
+	msg->store_era = store_era(n->store, now, &age_us);
+	msg->store_era_age_ms = age_us / USEC_PER_MSEC;
+}
+
 static int io_send(void *ctx, const struct addr *to, struct peer_msg *msg,
 		   int64_t now)
 {
 	struct node *n = ctx;
 
-	msg->config_number = n->config ? config_number(n->config) : 0;
-	msg->incarnation = n->incarnation;
+	stamp(n, msg, now);
 	return links_send(n->links, to, msg, now);
 }
 
@@ -85,8 +95,7 @@
 {
 	struct node *n = ctx;
 
-	msg->config_number = n->config ? config_number(n->config) : 0;
-	msg->incarnation = n->incarnation;
+	stamp(n, msg, clock_monotonic_us());
 	return links_datagram(n->links, to, msg);
 }
 
@@ -134,6 +143,14 @@
 	log_emit(&line);
 }
 
+/* Tells the controllers that the history of the store was replaced. */
+static void store_replaced(void *ctx, int64_t now)
+{
+	struct node *n = ctx;
+
+	notes_store_replaced(n->notes, now);
+}
+
 static void quota_wake(void *ctx, const char *account, int64_t now)
 {
 	limit_retry(ctx, account, now);
@@ -293,6 +310,7 @@
 	if (!n->notes || !n->quota || !n->claims)
 		return error_set(err, ERROR_MEMORY, "start", NULL,
 				 "out of memory");
+	store_on_replaced(n->store, n, store_replaced);
 	return 0;
 }
 
--- a/src/store/etcd_response.c
+++ b/src/store/etcd_response.c
@@ -103,6 +103,8 @@
 	if (!json_member(o, "header"))
 		return -1;
 	r->revision = json_int(json_member(o, "header"), "revision");
+	r->origin.cluster = json_object_get_uint64(
+		json_member(json_member(o, "header"), "cluster_id"));
 	switch (kind) {
 	case STORE_GET:
 	case STORE_LIST:
--- a/src/store/memory.c
+++ b/src/store/memory.c
@@ -11,6 +11,7 @@
 struct memory_store {
 	struct kv *kv;
 	struct kv *saved; /* NULL before the first memory_store_save */
+	int64_t era;
 };
 
 /* The result of a call, to be delivered when it is due. */
@@ -20,6 +21,7 @@
 	int64_t due_us;
 	struct store_done done;
 	struct store_result result;
+	struct history_call call;
 };
 
 struct watch {
@@ -31,6 +33,7 @@
 /* One client of a memory store. */
 struct memory {
 	struct memory_store *shared;
+	struct history *history;
 	bool owned;
 	struct store_faults faults;
 	struct pending_response *responses;
@@ -45,6 +48,7 @@
 	if (!m)
 		return NULL;
 	m->kv = kv_new(HISTORY_MAX);
+	m->era = 1;
 	if (!m->kv) {
 		free(m);
 		return NULL;
@@ -86,16 +90,18 @@
 		return -1;
 	kv_free(m->kv);
 	m->kv = copy;
+	m->era++;
 	return 0;
 }
 
 /* Opens a client of a shared store, or of a new one if shared is NULL. */
-struct memory *memory_open(struct memory_store *shared)
+struct memory *memory_open(struct memory_store *shared, struct history *h)
 {
 	struct memory *m = calloc(1, sizeof(*m));
 
 	if (!m)
 		return NULL;
+	m->history = h;
 	m->owned = !shared;
 	m->shared = shared ? shared : memory_store_new();
 	if (!m->shared) {
@@ -222,6 +228,7 @@
 	if (!p)
 		abort();
 	p->done = *done;
+	p->call = history_call(m->history, op);
 	p->due_us = now + m->faults.latency_us;
 	kv_expire(kv, now);
 	if (m->faults.down)
@@ -240,6 +247,8 @@
 				    "memory", "no answer in time");
 	}
 	p->result.revision = kv_revision(kv);
+	if (!m->faults.down && !m->faults.lose_response)
+		p->result.origin.era = m->shared->era;
 	DL_APPEND(m->responses, p);
 }
 
@@ -270,6 +279,28 @@
 	table_remove(&m->watches, watch);
 }
 
+static void end_watch(struct memory *m, uint64_t handle, const char *text,
+		      int64_t now)
+{
+	struct watch *watch = table_get(&m->watches, handle);
+	struct store_watch w = watch->w;
+	struct error err;
+
+	error_set(&err, ERROR_IO, "store-watch", "memory", "%s", text);
+	table_remove(&m->watches, handle);
+	w.ended(w.ctx, &err, now);
+}
+
+/* Ends all watches, as the history that they follow was replaced. */
+void memory_watches_end(struct memory *m, int64_t now)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&m->watches, handle, &item)))
+		end_watch(m, handle, "the history was replaced", now);
+}
+
 static void deliver_responses(struct memory *m, int64_t now)
 {
 	struct pending_response *p, *next, *due = NULL;
@@ -284,6 +315,11 @@
 	}
 	DL_FOREACH_SAFE(due, p, next)
 	{
+		if (history_settle(m->history, &p->call, &p->result, now)) {
+			memory_watches_end(m, now);
+			if (m->history->on_replaced)
+				m->history->on_replaced(m->history->ctx, now);
+		}
 		if (p->result.outcome == STORE_UNKNOWN)
 			counter_add(COUNTER_STORE_UNKNOWN, 1);
 		p->done.fn(p->done.ctx, p->done.tag, &p->result, now);
@@ -291,18 +327,6 @@
 	}
 }
 
-static void end_watch(struct memory *m, uint64_t handle, const char *text,
-		      int64_t now)
-{
-	struct watch *watch = table_get(&m->watches, handle);
-	struct store_watch w = watch->w;
-	struct error err;
-
-	error_set(&err, ERROR_IO, "store-watch", "memory", "%s", text);
-	table_remove(&m->watches, handle);
-	w.ended(w.ctx, &err, now);
-}
-
 static void deliver_events(struct memory *m, uint64_t handle, int64_t now)
 {
 	struct kv *kv = m->shared->kv;
--- a/src/store/poll.c
+++ b/src/store/poll.c
@@ -21,6 +21,26 @@
 	}
 }
 
+/* Returns false if the watch has ended, as the history was replaced. */
+static bool check_history(struct remote *remote, struct remote_watch *w,
+			  const struct platform_events *events, int64_t now)
+{
+	struct store_origin origin = {.era = events->era};
+
+	switch (history_check(remote->history, &origin, 0, now)) {
+	case HISTORY_CURRENT:
+		break;
+	case HISTORY_FORMER:
+		error_set(&w->err, ERROR_STATE, "store-watch", remote->peer,
+			  "answer of a former history");
+		break;
+	case HISTORY_REPLACED:
+		remote_replaced(remote, now);
+		return false;
+	}
+	return true;
+}
+
 static void on_poll_done(void *ctx, uint64_t tag, struct http_call_result *r,
 			 int64_t now)
 {
@@ -35,6 +55,10 @@
 		w->err = r->err;
 	else if (platform_watch_response(r->response, &events, &w->err) == 0)
 		w->next_revision = events.as_of + 1;
+	if (!check_history(remote, w, &events, now)) {
+		platform_events_free(&events);
+		return;
+	}
 	if (!w->err.code)
 		report_events(remote, tag, &events, now);
 	platform_events_free(&events);
--- a/src/store/remote.c
+++ b/src/store/remote.c
@@ -16,11 +16,13 @@
 struct call {
 	struct store_done done;
 	enum store_op_kind kind;
+	struct history_call sent;
 	uint64_t http;
 };
 
 /* Opens both connection pools without connecting yet. */
-struct remote *remote_open(const struct store_options *o, struct error *err)
+struct remote *remote_open(const struct store_options *o, struct history *h,
+			   struct error *err)
 {
 	struct http_pool_options pool = {
 		.addr = o->addr,
@@ -36,6 +38,7 @@
 		return NULL;
 	}
 	remote->kind = o->kind;
+	remote->history = h;
 	addr_format(&o->addr, remote->peer);
 	table_init(&remote->open_calls, sizeof(struct call), REMOTE_CALLS_MAX);
 	table_init(&remote->watches, sizeof(struct remote_watch),
@@ -120,6 +123,8 @@
 	c = *open_call;
 	table_remove(&remote->open_calls, tag);
 	read_response(remote, &c, http, &r);
+	if (history_settle(remote->history, &c.sent, &r, now))
+		remote_replaced(remote, now);
 	if (r.outcome == STORE_UNKNOWN)
 		counter_add(COUNTER_STORE_UNKNOWN, 1);
 	c.done.fn(c.done.ctx, c.done.tag, &r, now);
@@ -167,6 +172,7 @@
 	c = item;
 	c->done = *done;
 	c->kind = op->kind;
+	c->sent = history_call(remote->history, op);
 	c->http = start_http(remote, handle, op, now);
 	if (c->http)
 		return 0;
--- a/src/store/remote.h
+++ b/src/store/remote.h
@@ -10,6 +10,7 @@
 
 struct remote {
 	enum store_kind kind; /* selects the protocol */
+	struct history *history;
 	struct http_pool *call_pool;
 	struct http_pool *stream_pool; /* one connection per watch */
 	struct table open_calls;
@@ -31,6 +32,8 @@
 /* remote_watch.c */
 void remote_watch_end(struct remote *remote, uint64_t handle, int64_t now);
 void remote_watches_close(struct remote *remote);
+/* Ends all watches and reports that the history was replaced. */
+void remote_replaced(struct remote *remote, int64_t now);
 
 /* poll.c: watches by long polls, for a store without streams */
 void poll_start(struct remote *remote, uint64_t handle, int64_t now);
--- a/src/store/remote_watch.c
+++ b/src/store/remote_watch.c
@@ -78,6 +78,28 @@
 	}
 }
 
+/* Ends all watches, as the history that they follow was replaced. */
+void remote_watches_end(struct remote *remote, int64_t now)
+{
+	struct remote_watch *w;
+	uint64_t handle = 0;
+	void *item;
+
+	while ((handle = table_next(&remote->watches, handle, &item))) {
+		w = item;
+		error_set(&w->err, ERROR_STATE, "store-watch", remote->peer,
+			  "the store came back from an older copy");
+		remote_watch_end(remote, handle, now);
+	}
+}
+
+void remote_replaced(struct remote *remote, int64_t now)
+{
+	remote_watches_end(remote, now);
+	if (remote->history->on_replaced)
+		remote->history->on_replaced(remote->history->ctx, now);
+}
+
 /* Stops all watches without calling their callbacks. */
 void remote_watches_close(struct remote *remote)
 {
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -21,7 +21,7 @@
 
 	if (!s)
 		return NULL;
-	s->memory = memory_open(shared);
+	s->memory = memory_open(shared, &s->history);
 	if (!s->memory) {
 		free(s);
 		return NULL;
@@ -40,7 +40,7 @@
 		error_set(err, ERROR_MEMORY, "store-open", NULL, "no memory");
 		return NULL;
 	}
-	s->remote = remote_open(o, err);
+	s->remote = remote_open(o, &s->history, err);
 	if (!s->remote) {
 		free(s);
 		return NULL;
@@ -133,11 +133,62 @@
 void store_submit(struct store *s, const struct store_op *op,
 		  const struct store_done *done, int64_t now)
 {
-	if (budget_take(&s->budget, op->priority, now) &&
-	    !start_call(s, op, done, now))
+	struct store_op copy = *op;
+
+	copy.history = s->history.replaced;
+	if (budget_take(&s->budget, copy.priority, now) &&
+	    !start_call(s, &copy, done, now))
 		return;
 	counter_add(COUNTER_STORE_DENIED, 1);
-	budget_enqueue(&s->budget, op, done, now);
+	budget_enqueue(&s->budget, &copy, done, now);
+}
+
+/* Sets the callback that learns of a replaced history. */
+void store_on_replaced(struct store *s, void *ctx,
+		       void (*replaced)(void *ctx, int64_t now))
+{
+	s->history.ctx = ctx;
+	s->history.on_replaced = replaced;
+}
+
+/* Returns the era, and since when it is known: INT64_MAX if from the start. */
+int64_t store_era(const struct store *s, int64_t now, int64_t *age_us)
+{
+	const struct history *h = &s->history;
+
+	*age_us = h->replaced ? now - h->learnt_us : INT64_MAX;
+	return h->o.era;
+}
+
+/* Returns how often the history was replaced since the start. */
+uint32_t store_replacements(const struct store *s)
+{
+	return s->history.replaced;
+}
+
+/* Returns 0 if the history was never replaced. */
+int64_t store_settled_us(const struct store *s)
+{
+	return s->history.replaced ? s->history.learnt_us + STORE_SETTLE_US : 0;
+}
+
+/* Takes over a newer era from a peer, as if the store had told it. */
+void store_learn_era(struct store *s, int64_t era, int64_t age_us, int64_t now)
+{
+	if (history_learn(&s->history, era, age_us, now) != HISTORY_REPLACED)
+		return;
+	switch (s->kind) {
+	case STORE_NONE:
+	case STORE_MEMORY:
+		memory_watches_end(s->memory, now);
+		break;
+	case STORE_ETCD:
+	case STORE_PLATFORM:
+		remote_watches_end(s->remote, now);
+		break;
+	}
+	if (s->history.on_replaced)
+		s->history.on_replaced(s->history.ctx, now);
 }
 
 /*
@@ -186,7 +237,12 @@
 	}
 	while ((call = budget_dequeue(&s->budget, now))) {
 		call->op.timeout_us -= now - call->queued_at_us;
-		if (start_call(s, &call->op, &call->done, now) < 0)
+		if (call->op.history != s->history.replaced &&
+		    call->op.kind == STORE_TXN)
+			reject_call(&call->done,
+				    "the store came back from an older copy",
+				    now);
+		else if (start_call(s, &call->op, &call->done, now) < 0)
 			reject_call(&call->done, "call could not be started",
 				    now);
 		free(call);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -58,6 +58,7 @@
 struct store_op {
 	enum store_op_kind kind;
 	enum store_priority priority;
+	uint32_t history; /* set by store_submit: that the caller has seen */
 	int64_t timeout_us;
 	union {
 		const char *key; /* GET */
@@ -88,8 +89,16 @@
 	int64_t mod_revision;
 };
 
+/* What an answer tells of the store's history; 0 where it tells nothing. */
+struct store_origin {
+	int64_t era;	  /* raised when the store came back from a copy */
+	uint64_t cluster; /* another one: the store was built anew */
+	int64_t revision;
+};
+
 struct store_result {
 	enum store_outcome outcome;
+	struct store_origin origin;
 	int64_t revision; /* of the store at the time of the response */
 	int64_t lease;	  /* GRANT, RENEW; 0 after RENEW: expired */
 	struct store_entry *entries;
@@ -140,6 +149,24 @@
 uint64_t store_watch_start(struct store *s, const struct store_watch *w,
 			   int64_t now);
 void store_watch_stop(struct store *s, uint64_t watch);
+/*
+ * The history of the store. A store that came back from an older copy has a
+ * new one: what was written since the copy is gone, and revisions and leases
+ * are given out again. Then all watches end, calls that compared or wrote under
+ * the former history end as STORE_UNKNOWN, or as STORE_NOT_DONE if they were
+ * not sent yet, and replaced is called before any answer of the new history is
+ * delivered.
+ */
+void store_on_replaced(struct store *s, void *ctx,
+		       void (*replaced)(void *ctx, int64_t now));
+/* The era, or 0 if unknown; *age_us is set to the time since it was learnt. */
+int64_t store_era(const struct store *s, int64_t now, int64_t *age_us);
+/* How often the history was replaced since the start. */
+uint32_t store_replacements(const struct store *s);
+/* Takes over the era that a peer has known for age_us. */
+void store_learn_era(struct store *s, int64_t era, int64_t age_us, int64_t now);
+/* When operators and hosts have had time to write again what was lost. */
+int64_t store_settled_us(const struct store *s);
 /* Delivers results and ends timed-out calls; to be called every 10 ms. */
 void store_tick(struct store *s, int64_t now);
 
--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #define ENVELOPE_FIELDS 5 /* kind, from, incarnation, number, content */
+/* Store era and its age; absent in messages of older versions. */
+#define ENVELOPE_ERA_FIELDS 2
 
 static void write_digests(struct writer *w, const uint64_t *digests)
 {
@@ -71,12 +73,14 @@
 /* Writes a message: an array of the envelope fields and the content. */
 void write_peer_msg(struct writer *w, const struct peer_msg *m)
 {
-	write_array(w, ENVELOPE_FIELDS);
+	write_array(w, ENVELOPE_FIELDS + ENVELOPE_ERA_FIELDS);
 	write_uint(w, m->kind);
 	write_addr(w, &m->from);
 	write_uint(w, m->incarnation);
 	write_uint(w, m->config_number);
 	write_content(w, m);
+	write_uint(w, (uint64_t)m->store_era);
+	write_uint(w, (uint64_t)m->store_era_age_ms);
 }
 
 static void read_probe(struct reader *r, struct peer_msg *m)
@@ -208,6 +212,10 @@
 		sub.failed = true;
 	else
 		read_content(&sub, m);
+	if (!sub.failed && sub.n >= ENVELOPE_FIELDS + ENVELOPE_ERA_FIELDS) {
+		m->store_era = (int64_t)read_uint(&sub, INT64_MAX);
+		m->store_era_age_ms = (int64_t)read_uint(&sub, INT64_MAX);
+	}
 	r->failed |= sub.failed;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -262,6 +262,8 @@
 	struct addr from; /* the sender's nodes address */
 	uint64_t incarnation;
 	uint64_t config_number;
+	int64_t store_era;	  /* see struct store_origin; 0: unknown */
+	int64_t store_era_age_ms; /* since the sender learnt of it */
 	union {
 		struct {
 			uint64_t sequence;
--- a/test/notes_cluster.h
+++ b/test/notes_cluster.h
@@ -104,10 +104,12 @@
 	struct cluster *c = from->cluster;
 	struct buffer b = {0};
 	int i = find_node(c, to);
-	int64_t delay = USEC_PER_MSEC;
+	int64_t delay = USEC_PER_MSEC, age_us;
 
 	msg->from = from->addr;
 	msg->config_number = from->number;
+	msg->store_era = store_era(from->store, c->now, &age_us);
+	msg->store_era_age_ms = age_us / USEC_PER_MSEC;
 	msg->incarnation = members_self(from->members)->incarnation;
 	if (peer_msg_encode(msg, &b) < 0 || b.len > limit || i < 0) {
 		buffer_free(&b);
@@ -186,6 +188,13 @@
 	return c;
 }
 
+static void on_replaced(void *ctx, int64_t now)
+{
+	struct node *node = ctx;
+
+	notes_store_replaced(node->notes, now);
+}
+
 /* Starts or restarts a node with empty state. */
 static void cluster_start(struct cluster *c, int i)
 {
@@ -209,6 +218,7 @@
 	start_members(c, i);
 	o.members = node->members;
 	node->notes = notes_new(&o, c->now);
+	store_on_replaced(node->store, node, on_replaced);
 }
 
 /* Kills a node; its state is lost. */
@@ -309,6 +319,8 @@
 	if (!node->up ||
 	    peer_msg_decode(&msg, p->bytes.data, p->bytes.len, NULL) < 0)
 		return;
+	store_learn_era(node->store, msg.store_era,
+			msg.store_era_age_ms * USEC_PER_MSEC, c->now);
 	notes_number_received(node->notes, &msg.from, msg.config_number,
 			      c->now);
 	notes_receive(node->notes, &msg, c->now);
--- a/tools/platform_store.c
+++ b/tools/platform_store.c
@@ -41,8 +41,10 @@
 	uint32_t unresponsive;	/* leave calls unanswered */
 	uint32_t lose_next;	/* number of write answers to drop */
 	uint64_t calls;
+	struct kv *saved; /* copy that a restore goes back to */
+	int64_t era;	  /* raised by each restore */
 	char listen[ADDR_TEXT_SIZE];
-} platform = {.listen = "127.0.0.1:0"};
+} platform = {.era = 1, .listen = "127.0.0.1:0"};
 
 static volatile sig_atomic_t stopped;
 
@@ -51,8 +53,11 @@
 	const char *text =
 		json_object_to_json_string_ext(o, JSON_C_TO_STRING_PLAIN);
 	struct message m = {.status = status};
+	char era[24];
 
 	message_add_header(&m, "content-type", "application/json");
+	snprintf(era, sizeof(era), "%lld", (long long)platform.era);
+	message_add_header(&m, "store-era", era);
 	buffer_append(&m.body, text, strlen(text), SIZE_MAX);
 	http_server_respond(platform.server, exchange, &m);
 	message_free(&m);
@@ -197,7 +202,8 @@
 	query_parameter(target, "wait_ms", wait);
 	w.next_event = kv_event_from(platform.kv, atoll(after) + 1);
 	w.until_us = now + atoll(wait) * USEC_PER_MSEC;
-	if (!w.next_event || platform.watch_count == WATCHES_MAX)
+	if (!w.next_event || atoll(after) > kv_revision(platform.kv) ||
+	    platform.watch_count == WATCHES_MAX)
 		answer_json(exchange, 410, new_answer());
 	else if (!answer_watch(&w, now))
 		platform.watches[platform.watch_count++] = w;
@@ -348,6 +354,35 @@
 	answer_json(exchange, 200, new_answer());
 }
 
+/* GET /standin/save: takes the copy that a later restore goes back to. */
+static void on_save(uint64_t exchange)
+{
+	kv_free(platform.saved);
+	platform.saved = kv_clone(platform.kv);
+	answer_json(exchange, platform.saved ? 200 : 500, new_answer());
+}
+
+/*
+ * GET /standin/restore: goes back to the copy, with its revisions, leases and
+ * history. Waiting watches are cut.
+ */
+static void on_restore(uint64_t exchange)
+{
+	struct kv *copy = platform.saved ? kv_clone(platform.saved) : NULL;
+
+	if (!copy) {
+		answer_json(exchange, 500, new_answer());
+		return;
+	}
+	kv_free(platform.kv);
+	platform.kv = copy;
+	platform.era++;
+	while (platform.watch_count)
+		answer_json(platform.watches[--platform.watch_count].exchange,
+			    410, new_answer());
+	answer_json(exchange, 200, new_answer());
+}
+
 static void set_fault(const char *target, const char *name, uint32_t *to)
 {
 	char text[STORE_KEY_SIZE];
@@ -365,6 +400,14 @@
 		on_document(exchange, m, now);
 		return;
 	}
+	if (!strcmp(m->target, "/standin/save")) {
+		on_save(exchange);
+		return;
+	}
+	if (!strcmp(m->target, "/standin/restore")) {
+		on_restore(exchange);
+		return;
+	}
 	set_fault(m->target, "refuse", &platform.refuse_status);
 	set_fault(m->target, "silent", &platform.unresponsive);
 	set_fault(m->target, "lose_next", &platform.lose_next);
@@ -457,6 +500,8 @@
 	.parser = parse_option,
 	.doc = "Stand-in for the users' platform.\v"
 	       "PUT /standin/document writes the configuration; "
+	       "GET /standin/save takes a copy of the store, GET "
+	       "/standin/restore goes back to it and raises the era; "
 	       "GET /standin/faults?refuse=STATUS&silent=0|1&lose_next=N sets "
 	       "faults and returns the number of calls."};
 
@@ -496,5 +541,6 @@
 	net_run(platform.net);
 	net_close(platform.net);
 	kv_free(platform.kv);
+	kv_free(platform.saved);
 	return EXIT_SUCCESS;
 }
