Test that a restored store proves no version at once

A version that was acknowledged and lost is written again some time after the store is back. Until then the copy's version must not count as proved, or withdrawn keys would run on.

--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -7,6 +7,7 @@
 #define NODES 8
 #define START_US (8 * USEC_PER_SEC)
 #define STALE_READS_US (1500 * USEC_PER_MSEC)
+#define PROVEN_US (2 * USEC_PER_SEC)
 
 struct restore_case {
 	const char *name;
@@ -67,10 +68,37 @@
 		check_change_after_restore(&restore_cases[i]);
 }
 
+/*
+ * The copy's version was taken for the newest one, although a later one had
+ * been acknowledged and lost.
+ */
+static void restored_store_proves_nothing_at_once(void **state)
+{
+	struct cluster c;
+	int i;
+
+	(void)state;
+	open_with_copy(&c);
+	cluster_put(&c, DOCUMENT_KEY, "9");
+	assert_int_equal(memory_store_restore(c.shared), 0);
+	cluster_run(&c, STALE_READS_US);
+	for (i = 0; i < NODES; i++)
+		assert_true(notes_stale_us(c.nodes[i].notes, c.now) >=
+			    STALE_READS_US);
+	cluster_put(&c, DOCUMENT_KEY, "9");
+	assert_true(cluster_wait_number(&c, 9, IN_FORCE_US));
+	cluster_run(&c, PROVEN_US);
+	for (i = 0; i < NODES; i++)
+		assert_true(notes_stale_us(c.nodes[i].notes, c.now) <
+			    PROVEN_US);
+	cluster_close(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(change_after_restore_is_in_force),
+		cmocka_unit_test(restored_store_proves_nothing_at_once),
 	};
 
 	log_set_level(LOG_EMERG);
