Write seeds again at once when the store has lost their leases

What callers saw: a process that started after the store came back found no other node, or only those of its data centre, for up to 21 s.

Cause: a holder learnt of its lost lease from its next renewal, 6 s later, and then paused 5 to 15 s; if the store had given the id of the lease to another node, it renewed that one and never learnt.

Change: on a replaced history a holder drops its lease, whatever call is in flight, and acquires its entry again, with short pauses for 4 s. An entry of its own that the copy brought back is taken over under the new lease.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -51,6 +51,8 @@
 const struct member_info *members_next(const struct members *m,
 				       const struct member_info *after);
 const struct member_info *members_self(const struct members *m);
+/* Acquires the seed lease again: see store_on_replaced. */
+void members_store_replaced(struct members *m, int64_t now);
 size_t members_count(const struct members *m, enum member_state state);
 /* A random live member of this data centre or, with remote, of the others. */
 const struct member_info *members_random(struct members *m, bool remote);
--- a/src/control/members.c
+++ b/src/control/members.c
@@ -198,6 +198,12 @@
 	members_gossip(m, URGENT_FANOUT);
 }
 
+void members_store_replaced(struct members *m, int64_t now)
+{
+	if (m->seed_lease)
+		seed_lease_store_replaced(m->seed_lease, now);
+}
+
 /* Begins a planned stop: no new work for this node or its upstreams. */
 void members_leave(struct members *m, int64_t now)
 {
--- a/src/control/members_impl.h
+++ b/src/control/members_impl.h
@@ -80,6 +80,8 @@
 	int64_t list_due_us;
 	int64_t list_wait_us;
 	bool listed; /* seeds have been read from the store */
+	bool lost;   /* the store lost the lease; the pending result is void */
+	int64_t hurry_until_us; /* retries are short until then */
 	char key[STORE_KEY_SIZE];
 	char value[ADDR_TEXT_SIZE];
 };
@@ -186,6 +188,7 @@
 void seed_lease_tick(struct seed_lease *s, int64_t now);
 void seed_lease_list(struct seed_lease *s, int64_t now);
 void seed_lease_release(struct seed_lease *s, int64_t now);
+void seed_lease_store_replaced(struct seed_lease *s, int64_t now);
 int members_rank(const struct members *m, uint64_t topic, int most);
 
 #endif
--- a/src/control/members_seed.c
+++ b/src/control/members_seed.c
@@ -15,6 +15,9 @@
 #define KEEP_ALIVE_PERIOD_US (6 * USEC_PER_SEC)
 #define RETRY_US (10 * USEC_PER_SEC)
 #define FIRST_TRY_US USEC_PER_SEC
+/* After the store lost the leases: time in which entries have to be back. */
+#define HURRY_US (4 * USEC_PER_SEC)
+#define HURRY_RETRY_US (200 * USEC_PER_MSEC)
 /* Time between reads of the seeds; doubles while no other member is known. */
 #define LIST_MIN_US USEC_PER_SEC
 #define LIST_MAX_US (16 * USEC_PER_SEC)
@@ -51,7 +54,9 @@
 static void retry_later(struct seed_lease *s, int64_t now)
 {
 	s->state = SEED_NONE;
-	s->due_us = now + jittered(s->members, RETRY_US);
+	s->due_us = now + jittered(s->members, now < s->hurry_until_us
+						       ? HURRY_RETRY_US
+						       : RETRY_US);
 }
 
 static void add_stored_seed(struct members *m, const struct store_entry *e)
@@ -108,19 +113,44 @@
 	s->due_us = now + KEEP_ALIVE_PERIOD_US;
 }
 
+static bool is_own_entry(const struct seed_lease *s,
+			 const struct store_entry *e)
+{
+	return !strcmp(e->key, s->key) && e->len == strlen(s->value) &&
+	       !memcmp(e->value, s->value, e->len);
+}
+
 /* After a lost response, the key shows whether the write took effect. */
 static void on_read_back(struct seed_lease *s, const struct store_result *r,
 			 int64_t now)
 {
-	const struct store_entry *e = r->n ? &r->entries[0] : NULL;
-
-	if (r->outcome == STORE_DONE && e && e->len == strlen(s->value) &&
-	    !memcmp(e->value, s->value, e->len))
+	if (r->outcome == STORE_DONE && r->n && is_own_entry(s, &r->entries[0]))
 		set_held(s, now);
 	else
 		retry_later(s, now);
 }
 
+/* Writes the entry if the key has this revision; 0: if it is absent. */
+static void put_entry(struct seed_lease *s, int64_t mod_revision, int64_t now)
+{
+	const char *const reads[] = {s->key};
+	struct store_compare compare = {.key = s->key,
+					.mod_revision = mod_revision};
+	struct store_write write = {.key = s->key,
+				    .value = s->value,
+				    .len = strlen(s->value),
+				    .lease = s->lease};
+	struct store_op op = {.kind = STORE_TXN};
+
+	op.txn.compares = &compare;
+	op.txn.compare_count = 1;
+	op.txn.writes = &write;
+	op.txn.write_count = 1;
+	op.txn.reads = reads;
+	op.txn.read_count = 1;
+	submit(s, &op, STEP_PUT, now);
+}
+
 static void on_put(struct seed_lease *s, const struct store_result *r,
 		   int64_t now)
 {
@@ -130,6 +160,10 @@
 		set_held(s, now);
 	} else if (r->outcome == STORE_UNKNOWN) {
 		submit(s, &op, STEP_READ_BACK, now);
+	} else if (r->outcome == STORE_CONFLICT && r->n &&
+		   is_own_entry(s, &r->entries[0])) {
+		/* Under a lease that was lost: the entry needs ours. */
+		put_entry(s, r->entries[0].mod_revision, now);
 	} else {
 		/* Ranks change, so this index may be held by another node. */
 		s->conflicts++;
@@ -140,22 +174,12 @@
 static void on_granted(struct seed_lease *s, const struct store_result *r,
 		       int64_t now)
 {
-	struct store_compare absent = {.key = s->key};
-	struct store_write write = {.key = s->key, .value = s->value};
-	struct store_op op = {.kind = STORE_TXN};
-
 	if (r->outcome != STORE_DONE) {
 		retry_later(s, now);
 		return;
 	}
 	s->lease = r->lease;
-	write.len = strlen(s->value);
-	write.lease = s->lease;
-	op.txn.compares = &absent;
-	op.txn.compare_count = 1;
-	op.txn.writes = &write;
-	op.txn.write_count = 1;
-	submit(s, &op, STEP_PUT, now);
+	put_entry(s, 0, now);
 }
 
 static void on_keep_alive(struct seed_lease *s, const struct store_result *r,
@@ -173,6 +197,11 @@
 {
 	struct seed_lease *s = ctx;
 
+	if (s->lost && tag != STEP_LIST) {
+		s->lost = false;
+		retry_later(s, now);
+		return;
+	}
 	switch ((enum seed_step)tag) {
 	case STEP_LIST:
 		on_listed(s, r, now);
@@ -248,6 +277,22 @@
 		s->due_us = now + jittered(m, RETRY_US);
 }
 
+/*
+ * Acquires the entry again under a new lease: the store may have given the id
+ * of the former one to another node.
+ */
+void seed_lease_store_replaced(struct seed_lease *s, int64_t now)
+{
+	s->hurry_until_us = now + HURRY_US;
+	s->list_due_us = now;
+	s->conflicts = 0;
+	if (s->state == SEED_PENDING)
+		s->lost = true;
+	else
+		s->state = SEED_NONE;
+	s->due_us = now;
+}
+
 /* Returns NULL when out of memory. */
 struct seed_lease *seed_lease_new(struct members *m)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -148,6 +148,7 @@
 {
 	struct node *n = ctx;
 
+	members_store_replaced(n->members, now);
 	notes_store_replaced(n->notes, now);
 }
 
--- a/test/notes_cluster.h
+++ b/test/notes_cluster.h
@@ -156,6 +156,7 @@
 			 .incarnation = (uint64_t)c->now},
 		.seed_count = (size_t)c->n,
 		.io = {&c->nodes[i], send_link, send_datagram},
+		.store = c->document ? c->nodes[i].store : NULL,
 		.seed = (uint64_t)i,
 	};
 	struct addr seeds[NODES_MAX];
@@ -192,6 +193,7 @@
 {
 	struct node *node = ctx;
 
+	members_store_replaced(node->members, now);
 	notes_store_replaced(node->notes, now);
 }
 
--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -7,6 +7,7 @@
 #define NODES 8
 #define START_US (8 * USEC_PER_SEC)
 #define STALE_READS_US (1500 * USEC_PER_MSEC)
+#define SEEDS_BACK_US (2 * USEC_PER_SEC)
 #define PROVEN_US (2 * USEC_PER_SEC)
 
 struct restore_case {
@@ -94,11 +95,72 @@
 	cluster_close(&c);
 }
 
+struct listing {
+	size_t n;
+	bool done;
+};
+
+static void on_seeds(void *ctx, uint64_t tag, const struct store_result *r,
+		     int64_t now)
+{
+	struct listing *l = ctx;
+
+	(void)tag;
+	(void)now;
+	l->n = r->n;
+	l->done = true;
+}
+
+/* Returns how many seeds a process that starts now would find. */
+static size_t seeds_in_store(struct cluster *c)
+{
+	struct store_op op = {.kind = STORE_LIST, .list = {.prefix = "seeds/"}};
+	struct listing l = {0};
+	struct store_done done = {.ctx = &l, .fn = on_seeds};
+
+	store_submit(c->operator_store, &op, &done, c->now);
+	while (!l.done)
+		run_step(c);
+	return l.n;
+}
+
+/*
+ * Seeds whose leases the store had lost were back only after their holders'
+ * next renewal and a pause, 21 s at most, or never, as the id of the lease had
+ * been given to another node.
+ */
+static void seeds_are_back_after_restore(void **state)
+{
+	struct cluster c;
+
+	(void)state;
+	cluster_open_document(&c, NODES, 2);
+	assert_int_equal(memory_store_save(c.shared), 0);
+	cluster_put(&c, DOCUMENT_KEY, "8");
+	cluster_run(&c, 4 * START_US);
+	assert_int_equal(seeds_in_store(&c), 6);
+	assert_int_equal(memory_store_restore(c.shared), 0);
+	assert_int_equal(seeds_in_store(&c), 0);
+	cluster_put(&c, DOCUMENT_KEY, "8");
+	cluster_run(&c, SEEDS_BACK_US);
+	assert_int_equal(seeds_in_store(&c), 6);
+	cluster_run(&c, 4 * START_US);
+	assert_int_equal(seeds_in_store(&c), 6);
+	/* Entries of the copy whose leases are no longer known. */
+	assert_int_equal(memory_store_save(c.shared), 0);
+	cluster_run(&c, START_US);
+	assert_int_equal(memory_store_restore(c.shared), 0);
+	cluster_run(&c, 4 * START_US);
+	assert_int_equal(seeds_in_store(&c), 6);
+	cluster_close(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(change_after_restore_is_in_force),
 		cmocka_unit_test(restored_store_proves_nothing_at_once),
+		cmocka_unit_test(seeds_are_back_after_restore),
 	};
 
 	log_set_level(LOG_EMERG);
