Keep one secret of links when the store has lost it

What callers saw: nodes that ran before the store came back and nodes that started after it could not talk to each other, for good, if the copy was older than the key.

Cause: a starting node that found no key wrote one of its own at once; the others never looked again. Same class: a write under compare-and-swap taken as settled beyond the history that it was made in.

Change: nodes that know the secret compare it with the store's when the history was replaced. If it is absent they write theirs; if another one is there they adopt it.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -134,7 +134,7 @@
 struct secret_options {
 	struct store *store;
 	void *ctx;
-	/* Called once, when the secret is known. */
+	/* Called when the secret is known, and again if it changes. */
 	void (*on_known)(void *ctx, const uint8_t secret[SECRET_SIZE],
 			 int64_t now);
 };
@@ -142,6 +142,8 @@
 struct secret *secret_new(const struct secret_options *o);
 void secret_free(struct secret *s);
 void secret_tick(struct secret *s, int64_t now); /* every 50 ms */
+/* Compares the secret with the store's: see store_on_replaced. */
+void secret_store_replaced(struct secret *s, int64_t now);
 
 /* Quota: account limits enforced over all hosts. */
 struct quota;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -148,6 +148,8 @@
 {
 	struct node *n = ctx;
 
+	if (n->secret)
+		secret_store_replaced(n->secret, now);
 	members_store_replaced(n->members, now);
 	notes_store_replaced(n->notes, now);
 }
--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -155,12 +155,110 @@
 	cluster_close(&c);
 }
 
+/* One process as far as the secret of links is concerned. */
+struct secret_holder {
+	struct store *store;
+	struct secret *secret;
+	uint8_t value[SECRET_SIZE];
+	bool known;
+	bool paused;
+};
+
+static void on_secret(void *ctx, const uint8_t secret[SECRET_SIZE], int64_t now)
+{
+	struct secret_holder *h = ctx;
+
+	(void)now;
+	memcpy(h->value, secret, SECRET_SIZE);
+	h->known = true;
+}
+
+static void secret_replaced(void *ctx, int64_t now)
+{
+	struct secret_holder *h = ctx;
+
+	secret_store_replaced(h->secret, now);
+}
+
+static void holder_open(struct secret_holder *h, struct memory_store *shared)
+{
+	struct secret_options o = {.ctx = h, .on_known = on_secret};
+
+	memset(h, 0, sizeof(*h));
+	h->store = store_open_memory(shared);
+	o.store = h->store;
+	h->secret = secret_new(&o);
+	store_on_replaced(h->store, h, secret_replaced);
+}
+
+/* Also reads from the store once a second, as the other controllers do. */
+static void holders_run(struct secret_holder *h, size_t n, int64_t *now,
+			int64_t us)
+{
+	struct store_op read = {.kind = STORE_GET, .key = DOCUMENT_KEY};
+	struct store_done done = {.fn = ignore_result};
+	int64_t until = *now + us;
+	size_t i;
+
+	for (; *now < until; *now += STEP_US)
+		for (i = 0; i < n; i++) {
+			if (h[i].paused)
+				continue;
+			if (*now % USEC_PER_SEC == 0)
+				store_submit(h[i].store, &read, &done, *now);
+			store_tick(h[i].store, *now);
+			secret_tick(h[i].secret, *now);
+		}
+}
+
+static void check_one_secret(bool survivors_paused)
+{
+	struct memory_store *shared = memory_store_new();
+	struct secret_holder h[3];
+	int64_t now = USEC_PER_SEC;
+	size_t i;
+
+	assert_int_equal(memory_store_save(shared), 0);
+	holder_open(&h[0], shared);
+	holder_open(&h[1], shared);
+	holders_run(h, 2, &now, START_US);
+	assert_true(h[0].known && h[1].known);
+	assert_int_equal(memory_store_restore(shared), 0);
+	h[0].paused = survivors_paused;
+	h[1].paused = survivors_paused;
+	holder_open(&h[2], shared);
+	holders_run(h, 3, &now, START_US);
+	h[0].paused = false;
+	h[1].paused = false;
+	holders_run(h, 3, &now, START_US);
+	assert_true(h[2].known);
+	assert_memory_equal(h[0].value, h[1].value, SECRET_SIZE);
+	assert_memory_equal(h[0].value, h[2].value, SECRET_SIZE);
+	for (i = 0; i < 3; i++) {
+		store_close(h[i].store);
+		secret_free(h[i].secret);
+	}
+	memory_store_free(shared);
+}
+
+/*
+ * Where the store had lost the secret, a process that started wrote another
+ * one, and could not talk to those that ran before.
+ */
+static void processes_share_one_secret_after_restore(void **state)
+{
+	(void)state;
+	check_one_secret(false);
+	check_one_secret(true);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(change_after_restore_is_in_force),
 		cmocka_unit_test(restored_store_proves_nothing_at_once),
 		cmocka_unit_test(seeds_are_back_after_restore),
+		cmocka_unit_test(processes_share_one_secret_after_restore),
 	};
 
 	log_set_level(LOG_EMERG);
