Read the ledger of account limits again after a restore

Cause looked for elsewhere: the ledger's transactions compare revisions read before the store came back, and a share is used until the next renewal, an eighth of the hold period, whatever the ledger says by then.

A slice's own revision guards its pool against a transaction that matches by chance; the reclaim of a lost host's slice has no such guard, and compares a pool that may be another one under the same revision.

A pool that the store lost does not start with full buckets. The reclaim waits anew.

Evidence: spending_stays_within_limit_after_restore passes; nine tenths of the rate are in use again 14 s after the return.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -201,6 +201,8 @@
  */
 void quota_leave(struct quota *q, bool host_stays, int64_t now);
 bool quota_drained(const struct quota *q);
+/* Reads the ledger again: see store_on_replaced. */
+void quota_store_replaced(struct quota *q, int64_t now);
 int quota_status(const struct quota *q, struct buffer *json, int64_t now);
 
 /* Claims: at most one execution per idempotency key. */
--- a/src/control/quota_impl.h
+++ b/src/control/quota_impl.h
@@ -189,6 +189,8 @@
 	/* Last group for which slices were acquired before any demand. */
 	struct account_group *preacquire_cursor;
 	bool preacquire_done;
+	/* No slice is written before; see quota_store_replaced. */
+	int64_t ledger_settled_us;
 	/* Slices of an earlier process at this address have been read. */
 	bool own_slices_listed;
 	bool list_pending;
@@ -245,5 +247,6 @@
 struct reclaim *reclaim_new(void);
 void reclaim_free(struct reclaim *r);
 void reclaim_tick(struct quota *q, int64_t now);
+void reclaim_store_replaced(struct quota *q, int64_t now);
 
 #endif
--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -174,8 +174,11 @@
 	log_share(g);
 	for (a = g->accounts; a && g->share; a = a->sibling) {
 		a->had_tokens = true;
-		/* Without a pool no node held tokens yet: start full. */
-		if (g->creates_pool && first_slice)
+		/*
+		 * Without a pool no node held tokens yet: start full, unless
+		 * the store has lost the pool.
+		 */
+		if (g->creates_pool && first_slice && !q->ledger_settled_us)
 			a->level = a->burst * g->limit_fraction * g->share /
 				   SHARE_ALL;
 	}
@@ -300,7 +303,7 @@
 static void update_group(struct quota *q, struct account_group *g, int64_t now)
 {
 	if (g->writing || now < g->next_write_us ||
-	    (!g->active_us && !g->slice.share))
+	    now < q->ledger_settled_us || (!g->active_us && !g->slice.share))
 		return;
 	choose_desired(q, g, now);
 	if (!needs_write(q, g))
@@ -315,6 +318,46 @@
 	propose(q, g, now);
 }
 
+/*
+ * Limits the shares in use to those of the slices just read. A slice of this
+ * process is to be written again, which confirms it in the present history.
+ */
+static void limit_to_slices(struct quota *q, int64_t now)
+{
+	struct account_group *g, *next;
+
+	HASH_ITER(hh, q->account_groups, g, next)
+	{
+		quota_refill_all(g, now);
+		if (g->share > g->slice.share)
+			g->share = g->slice.share;
+		quota_refill_all(g, now);
+		if (g->slice.incarnation == q->o.incarnation)
+			g->slice.incarnation = 0;
+	}
+}
+
+/*
+ * Forgets what was read of the ledger, as its revisions stand for other writes
+ * now, and reads the slices of this node again. No slice is written until other
+ * nodes have had time to do the same, so that no two use the same share.
+ */
+void quota_store_replaced(struct quota *q, int64_t now)
+{
+	struct account_group *g, *next;
+
+	HASH_ITER(hh, q->account_groups, g, next)
+	{
+		g->pool = (struct ledger_record){0};
+		g->slice = (struct ledger_record){0};
+	}
+	q->ledger_settled_us = store_settled_us(q->o.store);
+	q->own_slices_listed = false;
+	q->list_after[0] = 0;
+	q->next_list_us = now;
+	reclaim_store_replaced(q, now);
+}
+
 static void list_done(void *ctx, uint64_t tag, const struct store_result *r,
 		      int64_t now)
 {
@@ -337,11 +380,13 @@
 		g->desired_share = g->slice.share;
 		g->not_owner_since_us = now;
 	}
-	if (r->n == LIST_PAGE)
+	if (r->n == LIST_PAGE) {
 		copy_name(q->list_after, sizeof(q->list_after),
 			  r->entries[r->n - 1].key);
-	else
-		q->own_slices_listed = true;
+		return;
+	}
+	limit_to_slices(q, now);
+	q->own_slices_listed = true;
 }
 
 static void list_own_slices(struct quota *q, int64_t now)
--- a/src/control/quota_reclaim.c
+++ b/src/control/quota_reclaim.c
@@ -161,6 +161,23 @@
 	store_submit(q->o.store, &op, &done, now);
 }
 
+/*
+ * Begins the wait for each slice anew: an unchanged revision of the former
+ * history does not show that its holder is silent.
+ */
+void reclaim_store_replaced(struct quota *q, int64_t now)
+{
+	struct orphaned_slice *s, *next;
+
+	HASH_ITER(hh, q->reclaim->slices, s, next)
+	{
+		s->slice = (struct ledger_record){0};
+		s->pool = (struct ledger_record){0};
+		s->unchanged_since_us = now;
+	}
+	q->reclaim->after[0] = 0;
+}
+
 static void adopt_reads(struct orphaned_slice *s, const struct store_result *r,
 			int64_t now)
 {
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -152,6 +152,7 @@
 		secret_store_replaced(n->secret, now);
 	members_store_replaced(n->members, now);
 	notes_store_replaced(n->notes, now);
+	quota_store_replaced(n->quota, now);
 }
 
 static void quota_wake(void *ctx, const char *account, int64_t now)
--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -123,6 +123,13 @@
 
 static struct members views[FLEET_MAX];
 
+static void store_replaced(void *ctx, int64_t now)
+{
+	struct fleet_node *n = ctx;
+
+	quota_store_replaced(n->quota, now);
+}
+
 static void start_node(struct fleet *f, size_t i)
 {
 	struct fleet_node *n = &f->nodes[i];
@@ -144,6 +151,7 @@
 	n->quota = quota_new(&o, f->now);
 	assert(n->quota);
 	quota_config(n->quota, f->config, f->now);
+	store_on_replaced(n->store, n, store_replaced);
 	n->dead = false;
 }
 
@@ -350,6 +358,20 @@
 	n->dead = true;
 }
 
+/* Goes back to the saved store; the nodes learn of it over a second. */
+void fleet_restore_store(struct fleet *f, int64_t era)
+{
+	size_t i;
+
+	if (memory_store_restore(f->memory) < 0)
+		abort();
+	for (i = 0; i < f->o.nodes; i++) {
+		if (f->nodes[i].quota)
+			store_learn_era(f->nodes[i].store, era, 0, f->now);
+		fleet_run(f, USEC_PER_SEC / (int64_t)f->o.nodes);
+	}
+}
+
 /* Sets the same faults on every node's store client. */
 void fleet_store_faults(struct fleet *f, const struct store_faults *faults)
 {
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -76,6 +76,7 @@
 void fleet_set_rate(struct fleet *f, double rate, double burst);
 void fleet_restart(struct fleet *f, size_t node);
 void fleet_kill(struct fleet *f, size_t node);
+void fleet_restore_store(struct fleet *f, int64_t era);
 void fleet_store_faults(struct fleet *f, const struct store_faults *faults);
 /* Resets the counts, so that a later phase is checked by itself. */
 void fleet_reset_counts(struct fleet *f);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -13,6 +13,8 @@
 #define ROUNDING 1e-6
 
 #define REFUSED_WITHIN_RATE 0.5 /* percent */
+#define SHARE_BACK 0.9		/* of the rate, some seconds after a restore */
+#define RESTORE_NODES 6
 #define HOUR_US (3600 * USEC_PER_SEC)
 
 static const struct fleet_options default_options = {
@@ -456,6 +458,56 @@
 	}
 }
 
+/*
+ * One run: shares move after the copy is taken, and again after the restore.
+ */
+static void run_restore(uint32_t groups, unsigned long seed)
+{
+	struct fleet_options o = default_options;
+	struct fleet f;
+	char name[64];
+	size_t lost = seed % RESTORE_NODES;
+
+	snprintf(name, sizeof(name), "groups %u, seed %lu", groups, seed);
+	o.groups = groups;
+	o.seed = seed;
+	o.demand_per_s = 600;
+	o.hold_us = 60 * USEC_PER_SEC;
+	o.nodes = RESTORE_NODES;
+	o.step_us = 20 * USEC_PER_MSEC;
+	fleet_open(&f, &o);
+	fleet_run(&f, (int64_t)(seed % 4) * 4 * USEC_PER_SEC);
+	assert_int_equal(memory_store_save(f.memory), 0);
+	fleet_run(&f, 8 * USEC_PER_SEC);
+	fleet_kill(&f, lost);
+	fleet_run(&f, 14 * USEC_PER_SEC);
+	fleet_kill(&f, (lost + 1) % RESTORE_NODES);
+	fleet_kill(&f, (lost + 2) % RESTORE_NODES);
+	fleet_restore_store(&f, 2);
+	fleet_restart(&f, lost);
+	fleet_restart(&f, (lost + 1) % RESTORE_NODES);
+	fleet_restart(&f, (lost + 2) % RESTORE_NODES);
+	fleet_run(&f, 14 * USEC_PER_SEC);
+	fleet_reset_counts(&f);
+	fleet_run(&f, 5 * USEC_PER_SEC);
+	assert_within_limit(&f, name);
+	if ((double)f.taken < o.rate * 5 * SHARE_BACK)
+		fail_msg("%s: %d tokens in 5 s", name, (int)f.taken);
+	fleet_close(&f);
+}
+
+/* Shares of a ledger that went back must not be used by two hosts at once. */
+static void spending_stays_within_limit_after_restore(void **state)
+{
+	unsigned long seed;
+
+	(void)state;
+	for (seed = 1; seed <= 8; seed++) {
+		run_restore(0, seed);
+		run_restore(4, seed);
+	}
+}
+
 /*
  * Hosts are restarted in turn, as in a rollout. Slices stay with their hosts,
  * so a restart costs one read of its own slices and, if it holds any, one
@@ -499,6 +551,7 @@
 		cmocka_unit_test(spending_stays_within_limit),
 		cmocka_unit_test(spending_stays_within_limit_under_fault_pairs),
 		cmocka_unit_test(spending_stays_within_limit_with_groups),
+		cmocka_unit_test(spending_stays_within_limit_after_restore),
 		cmocka_unit_test(rolling_restarts_cost_few_store_calls),
 		cmocka_unit_test(dead_holders_slice_is_reclaimed_by_halves),
 		cmocka_unit_test(short_hold_reclaims_share_within_minutes),
