Failing test: an upstream gets more than the limit that it named

Real processes: an upstream that names Server-Limit 5 gets 66 requests in 4 s, where one and a half times the limit and 5 allow 35. The stand-in upstream can name a limit, well-formed or not, and say in its answers that it leaves.

--- /dev/null
+++ b/test/platform.bash
@@ -0,0 +1,111 @@
+# Functions for the scripts that run nodes with the platform interface, to be
+# sourced after harness.bash.
+
+HOST=h.example
+
+# document VERSION SERVICE KEYS: prints a configuration with a route for the
+# requests of accounts, one for once-only requests and one that needs no key.
+document() {
+	local route='"safe",2,0.5,2,"'$2'",2,false'
+	local once='"unsafe",2,0.5,0,"'$2'",2,false'
+	local open='"safe",2,0.5,1,"'$2'",2,true'
+	cat <<-END
+	{"version": $1, "routes": {"columns": ["name", "host", "prefix",
+	"route_kind", "timeout_s", "target_latency_s", "priority", "service",
+	"max_attempts", "allow_anonymous"], "rows": [
+	["r", "$HOST", "/r/", $route], ["once", "$HOST", "/once/", $once],
+	["open", "$HOST", "/open/", $open]]},
+	"services": {"columns": ["name", "max_connections"],
+	"rows": [["one", 64], ["two", 64]]},
+	"limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+	"header_timeout_s": 3, "idle_timeout_s": 15},
+	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
+	"burst"], "rows": [["acc", [$3], 1, 1000, 200],
+	["few", ["key-few"], 1, 2, 4]]}}
+	END
+}
+
+# put_document VERSION SERVICE KEYS: writes the configuration to the store.
+put_document() {
+	document "$@" | curl -sf -o /dev/null -X PUT --data-binary @- \
+		"http://$STORE/standin/document" || fail "document $1"
+}
+
+# store_fault QUERY: sets faults of the store.
+store_fault() {
+	curl -sf -o /dev/null "http://$STORE/standin/faults?$1"
+}
+
+# upstream_fault NAME QUERY: sets faults of an upstream.
+upstream_fault() {
+	curl -sf -o /dev/null "http://$(listening "$1")/standin/faults?$2"
+}
+
+# request NODE PATH [CURL OPTIONS]: prints the status; leaves the headers in
+# WORK/head and the body in WORK/body.
+request() {
+	local callers="callers_$1" path=$2
+	shift 2
+	curl -s -o "$WORK/body" -D "$WORK/head" -w '%{http_code}' -m 5 \
+		-H "Host: $HOST" -H "Mulberryferry-Deadline-Ms: 3000" \
+		-H "X-Extra: kept" "$@" "http://${!callers}$path"
+}
+
+# key KEY: prints the header that carries a client's key.
+key() {
+	echo "Authorization: Bearer $1"
+}
+
+# expect STATUS NODE PATH [CURL OPTIONS]: fails unless the status is as given.
+expect() {
+	local status
+	status=$(request "${@:2}")
+	[ "$status" = "$1" ] || fail "${*:3}: status $status instead of $1," \
+		"$(cat "$WORK/body")"
+}
+
+# status_is STATUS NODE PATH [CURL OPTIONS]: succeeds if the status is as given.
+status_is() {
+	[ "$(request "${@:2}")" = "$1" ]
+}
+
+# start_platform_node NAME DATA_CENTRE
+start_platform_node() {
+	local name=$1 dc=$2 l
+	cat >"$WORK/$name.json" <<-END
+	{
+		"host": "$name", "data_centre": "$dc", "region": "test",
+		"interface": "platform",
+		"listen": {"callers": "127.0.0.1:0", "services": "127.0.0.1:0",
+			"ready": "127.0.0.1:0", "nodes": "127.0.0.1:0",
+			"admin": "127.0.0.1:0"},
+		"upstream": {"service": "front"},
+		"store": {"kind": "platform", "address": "$STORE",
+			"calls_per_second": 100},
+		"promises": ["revoke_s=2", "drain_s=2", "grace_s=6",
+			"budget_ratio=0.2", "not_known=1"]
+	}
+	END
+	run_node "$name" "$BIN" node --settings "$WORK/$name.json"
+	wait_for 10 grep -q event=listening "$WORK/$name.log" ||
+		fail "$name did not start: $(cat "$WORK/$name.log")"
+	for l in callers services nodes admin ready; do
+		eval "${l}_$name=$(field "$WORK/$name.log" listening $l)"
+	done
+}
+
+# start_platform_upstream NAME NODE SERVICE [WORK_MS]
+start_platform_upstream() {
+	local services="services_$2"
+	run "$1" "$TOOLS/platform_upstream" --listen 127.0.0.1:0 \
+		--node "${!services}" --service "$3" --instance "$1" \
+		--work-ms "${4:-5}"
+	wait_for 5 test -s "$WORK/$1.out" || fail "$1 did not start"
+}
+
+# start_platform_store: starts the platform's store and sets STORE.
+start_platform_store() {
+	run store "$TOOLS/platform_store"
+	wait_for 5 test -s "$WORK/store.out" || fail "store did not start"
+	STORE=$(listening store)
+}
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -40,6 +40,8 @@
 	uint32_t full;		 /* refuse every request */
 	uint32_t omit_signature; /* answer without a signature */
 	uint32_t draining;
+	uint32_t leaving; /* say so in answers, not in heartbeats */
+	char limit[32];	  /* requests a second named in answers, or empty */
 } upstream = {.service = "s", .instance = "i-1"};
 
 static volatile sig_atomic_t stopped;
@@ -64,7 +66,8 @@
 	const char *value;
 	size_t i;
 
-	printf("run %s %s body=%zu", m->method, m->target, m->body.len);
+	printf("run %s %s body=%zu at_ms=%lld", m->method, m->target,
+	       m->body.len, (long long)(clock_wall_us() / USEC_PER_MSEC));
 	for (i = 0; i < sizeof(names) / sizeof(*names); i++) {
 		value = message_header(m, names[i]);
 		printf(" %s=%s", names[i], value ? value : "-");
@@ -92,6 +95,25 @@
 		*to = (uint32_t)strtoul(p + strlen(name), NULL, 10);
 }
 
+/* Sets the limit to name, as text, so that tests can name malformed ones. */
+static void set_limit(const char *target)
+{
+	const char *p = strstr(target, "limit=");
+
+	if (p)
+		snprintf(upstream.limit, sizeof(upstream.limit), "%s",
+			 p + strlen("limit="));
+}
+
+/* Adds what the upstream says of itself in every answer. */
+static void add_state(struct message *answer)
+{
+	if (upstream.limit[0])
+		add_header(answer, "server-limit", upstream.limit);
+	if (upstream.leaving)
+		add_header(answer, "server-leaving", "1");
+}
+
 static void on_request(void *ctx, uint64_t exchange, struct message *m,
 		       const char *peer, int64_t now)
 {
@@ -107,6 +129,8 @@
 		set_fault(m->target, "full=", &upstream.full);
 		set_fault(m->target, "unsigned=", &upstream.omit_signature);
 		set_fault(m->target, "draining=", &upstream.draining);
+		set_fault(m->target, "leaving=", &upstream.leaving);
+		set_limit(m->target);
 	} else if (expected && strcmp(expected, upstream.instance) != 0) {
 		answer.status = 421;
 		add_header(&answer, "mulberryferry-instance-id",
@@ -123,6 +147,7 @@
 		answer_later(exchange, &answer, now);
 		return;
 	}
+	add_state(&answer);
 	http_server_respond(upstream.server, exchange, &answer);
 	message_free(&answer);
 }
@@ -183,6 +208,7 @@
 			i++;
 			continue;
 		}
+		add_state(&upstream.runs[i].answer);
 		http_server_respond(upstream.server, upstream.runs[i].exchange,
 				    &upstream.runs[i].answer);
 		message_free(&upstream.runs[i].answer);
