Keep the limit that an upstream names in its answers

What callers and operators saw: an upstream in need that named 9.6 and 16.6 requests a second got 201 and 200 in 4 s, 63 and 105 allowed.

Cause: nothing read the header. The gate bounded what runs at once, and a call of 60 ms lets 100 slots pass far more than the upstream could take.

Ruled out: that the limit was lost when the routes changed or a host stopped (the rule was broken before both), and that calls went round the gate.

Change: the gate takes a token for each start from a bucket of the named rate, a quarter of a second deep. It sees every call that reaches its upstream, sub-calls and retries too, so the bound is exact without talking to anybody. Its capacity, from which the cutoffs of less important calls and accounts follow, is the lower one of slots and limit; what would wait past the longest queueing time is refused on arrival as not run. Answers tell entries the limit, and an entry counts only as many slots of the upstream as the limit starts in the time of a call. Until an upstream was heard for the first time four calls run at once, so that a restarted gate sends no burst at a limit that it does not know yet.

--- a/src/filter/interface_headers.h
+++ b/src/filter/interface_headers.h
@@ -15,6 +15,8 @@
 	const char *caller;	   /* service on the caller's host */
 	const char *not_run;	   /* set by upstreams that did not run it */
 	const char *success_proof; /* set on every 2xx answer of an upstream */
+	const char *rate_limit;	   /* requests a second an upstream takes */
+	const char *leaving;	   /* "1": the upstream leaves */
 	/*
 	 * Callers learn the outcome from the status: 408, 421, 429 and 503
 	 * mean that the request did not run.
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -105,6 +105,7 @@
 	gate_report(u->gate, &report);
 	head->queue_us = (uint32_t)report.queue_us;
 	head->in_flight = report.running + report.queued;
+	head->rate_milli = (uint32_t)(report.rate * 1000);
 	head->leaving |= u->info.state != UPSTREAM_READY;
 	own = gate_admission(
 		u->gate, c->head.account[0] ? name_hash(c->head.account) : 0);
@@ -257,6 +258,8 @@
 	u = gates_upstream(n, upstream);
 	if (u)
 		gate_done(u->gate, tag, !is_upstream_failure(&result, r), now);
+	if (u && r->status == HTTP_COMPLETED && !result.replaced)
+		gates_heard(n, u, r->response, now);
 	if (r->status != HTTP_COMPLETED) {
 		counter_add(COUNTER_UPSTREAM_FAILURES, 1);
 		log_error(LOG_WARNING, "upstream", &r->err);
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -101,6 +101,7 @@
 		.queue_target_us = QUEUE_TARGET_US,
 		.queue_max = u->info.slots * QUEUE_PER_SLOT + QUEUE_MIN,
 		.cold_start_us = ramp_up_us(n),
+		.names_rate = n->headers->rate_limit != NULL,
 		.headroom = n->settings.interface == INTERFACE_PLATFORM
 				    ? PLATFORM_HEADROOM
 				    : 0,
@@ -364,6 +365,13 @@
 		mark_gone(n, u, now);
 }
 
+void gates_heard(struct node *n, struct local_upstream *u,
+		 const struct message *answer, int64_t now)
+{
+	if (n->headers->rate_limit)
+		upstream_limit_heard(u, answer, n->headers->rate_limit, now);
+}
+
 bool gates_accepts(const struct node *n, const struct local_upstream *u,
 		   int64_t now)
 {
--- a/src/node/gates.h
+++ b/src/node/gates.h
@@ -15,6 +15,12 @@
  * announces itself again.
  */
 void gates_mark_unreachable(struct node *n, uint64_t upstream, int64_t now);
+/* Applies what an upstream says of itself in an answer. */
+void gates_heard(struct node *n, struct local_upstream *u,
+		 const struct message *answer, int64_t now);
+/* upstream_limit.c: the limit that an answer names in a header. */
+void upstream_limit_heard(struct local_upstream *u, const struct message *m,
+			  const char *header, int64_t now);
 /* Marks an upstream as gone when another process answers at its address. */
 void gates_mark_gone(struct node *n, uint64_t upstream, int64_t now);
 /* Answers every queued call of the upstream as not run. */
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,9 @@
 	char instance[NAME_SIZE]; /* identity of its process, or empty */
 	int64_t started_ms;	  /* wall time of the start of its process */
 	uint64_t sequence;	  /* of its latest announcement */
+	double rate; /* requests a second that it takes, if rate_named */
+	bool rate_named;
+	bool rate_refused; /* its last answer named a malformed limit */
 	bool withdrawn;	  /* said it is gone; later announcements are ignored */
 	bool unreachable; /* cleared by its next announcement */
 	int64_t leaving_us; /* when it began to leave; 0: it is not leaving */
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -22,6 +22,7 @@
 #define ROOM_QUEUE_MAX_US (2 * USEC_PER_MSEC) /* a longer queue: no room */
 #define ROOM_SLOT_SHARE_MAX 0.9	   /* of the slots in use; more: no room */
 #define REMOTE_SCORE_SHARE_MAX 0.8 /* of the local score, without local room */
+#define RATE_SLOTS_MIN 0.05	   /* of an upstream with a limit a second */
 #define ROOM_SHED_SHARE_MAX 0.02   /* a larger shed share: no room */
 
 static double age_weight(int64_t age_us, int64_t over_us)
@@ -96,6 +97,7 @@
 		return;
 	}
 	count_result(l, is_upstream_failure(h->reason), now);
+	l->rate = h->rate_milli / 1000.0;
 	if (h->reason != REASON_NONE)
 		return;
 	if (l->latency_us <= 0)
@@ -139,6 +141,23 @@
 	return weight > 0 ? sum / weight : LATENCY_UNKNOWN_US;
 }
 
+/*
+ * Returns the number of calls that the upstream may have at once: its slots, or
+ * as many as its limit a second starts in the time that a call takes.
+ */
+static double usable_slots(const struct balance_candidate *c, double latency_us,
+			   int64_t now)
+{
+	const struct upstream_load *l = c->load;
+	double slots = c->slots ? c->slots : 1;
+	double at_rate = l->rate * latency_us / USEC_PER_SEC;
+
+	if (l->rate <= 0 || at_rate >= slots ||
+	    now - l->last_update_us >= REPORTED_FADE_US)
+		return slots;
+	return at_rate < RATE_SLOTS_MIN ? RATE_SLOTS_MIN : at_rate;
+}
+
 /* Returns the expected time of a call sent now, in microseconds. */
 static double score(const struct balance_candidate *c, double typical_us,
 		    int64_t now)
@@ -146,13 +165,13 @@
 	const struct upstream_load *l = c->load;
 	double reported = age_weight(now - l->last_update_us, REPORTED_FADE_US);
 	double measured = age_weight(now - l->last_update_us, MEASURED_FADE_US);
-	double slots = c->slots ? c->slots : 1;
-	double latency = typical_us, errors, calls, warm;
+	double latency = typical_us, errors, calls, warm, slots;
 	double warm_up_us =
 		(double)(c->warm_up_us ? c->warm_up_us : WARM_UP_US);
 
 	if (l->latency_us > 0)
 		latency += (l->latency_us - typical_us) * measured;
+	slots = usable_slots(c, latency, now);
 	warm = l->first_sent_us ? (double)(now - l->first_sent_us) / warm_up_us
 				: 0;
 	if (warm < 1)
@@ -271,7 +290,8 @@
 	if (calls < l->outstanding)
 		calls = l->outstanding;
 	return l->queue_us * reported < ROOM_QUEUE_MAX_US &&
-	       calls < ROOM_SLOT_SHARE_MAX * c->slots &&
+	       calls < ROOM_SLOT_SHARE_MAX *
+			       usable_slots(c, l->latency_us, now) &&
 	       l->shed_share * reported < ROOM_SHED_SHARE_MAX;
 }
 
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -21,6 +21,7 @@
 	g->busy_counted_us = now;
 	g->adaptive_limit = o->slots;
 	g->trim = 1;
+	g->unheard = o->names_rate;
 	for (cls = 0; cls < SHED_CLASSES; cls++)
 		g->admitted[cls] = ADMIT_ALL;
 	gate_set_limit(g, now);
@@ -87,11 +88,12 @@
 static int64_t expected_wait_us(const struct gate *g, const struct gate_call *c,
 				const struct gate_account *a)
 {
+	bool rate_free = !g->starts.rate || g->starts.level >= 1;
 	const struct gate_flow *f;
 	double ahead = 0, own, weights = 0;
 	int cls;
 
-	if (g->running < g->limit || !g->limit)
+	if ((g->running < g->limit && rate_free) || !g->limit)
 		return 0;
 	for (cls = SHED_CLASSES - 1; cls > (int)c->cls; cls--)
 		ahead += g->class_n[cls];
@@ -105,7 +107,12 @@
 		if (weights < own)
 			own = weights;
 	}
-	return (int64_t)((ahead + own) * g->service_us / g->limit);
+	return (int64_t)((ahead + own) * USEC_PER_SEC / gate_capacity(g));
+}
+
+static int64_t queue_time_max_us(const struct gate *g)
+{
+	return g->overload ? QUEUE_TIME_MAX_OVERLOAD_US : QUEUE_TIME_MAX_US;
 }
 
 static void drop_item(struct gate *g, struct gate_item *it, enum reason why)
@@ -120,12 +127,9 @@
 static enum reason expiry_reason(const struct gate *g,
 				 const struct gate_item *it, int64_t now)
 {
-	int64_t age_max =
-		g->overload ? QUEUE_TIME_MAX_OVERLOAD_US : QUEUE_TIME_MAX_US;
-
 	if (now > it->start_by_us)
 		return REASON_DEADLINE;
-	if (now - it->offered_us > age_max)
+	if (now - it->offered_us > queue_time_max_us(g))
 		return REASON_QUEUE_TIMEOUT;
 	return REASON_NONE;
 }
@@ -154,15 +158,20 @@
 {
 	struct gate_item *victim;
 	int64_t half = (int64_t)g->service_us / 2;
+	int64_t wait = expected_wait_us(g, c, a);
 	/* With a free slot and no queue, admitting above the cutoff is free. */
-	bool idle = g->running < g->limit && !g->queued;
+	bool idle =
+		g->running < g->limit && !g->queued && gate_rate_allows(g, now);
 
 	if (!idle &&
 	    !admit_hash_passes(admit_hash_at_depth(c->admit_hash, c->depth),
 			       a->demand[c->cls].admitted))
 		return REASON_SHED;
-	if (now + expected_wait_us(g, c, a) + half > c->deadline_us)
+	if (now + wait + half > c->deadline_us)
 		return REASON_DEADLINE;
+	/* It would be dropped from the queue before its turn. */
+	if (g->starts.rate && wait > queue_time_max_us(g))
+		return REASON_SHED;
 	if (g->queued < g->o.queue_max)
 		return REASON_NONE;
 	victim = queue_victim(g, c->cls, a);
@@ -233,7 +242,7 @@
 	struct gate_item *it;
 	enum reason why;
 
-	while (g->running < g->limit) {
+	while (g->running < g->limit && gate_rate_allows(g, now)) {
 		it = g->o.mode == OVERLOAD_ENFORCE ? queue_pick(g)
 						   : queue_oldest(g);
 		if (!it)
@@ -247,6 +256,7 @@
 		queue_remove(g, it);
 		gate_count_busy(g, now);
 		g->running++;
+		gate_rate_count(g);
 		it->running = true;
 		g->last_wait_us = now - it->offered_us;
 		*waited_us = g->last_wait_us;
@@ -359,6 +369,7 @@
 	r->running = g->running;
 	r->queued = g->queued;
 	r->queue_us = g->queued || g->running >= g->limit ? g->last_wait_us : 0;
+	r->rate = g->starts.rate;
 	r->service_us = (int64_t)g->service_us;
 	r->admitted_rate = g->admitted_rate;
 	for (cls = 0; cls < SHED_CLASSES; cls++)
--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -66,6 +66,8 @@
 	uint64_t seq;
 	uint32_t running;
 	uint32_t queued;
+	struct bucket starts; /* rate 0: the upstream names no limit */
+	bool unheard;	      /* no answer of the upstream has come yet */
 
 	int64_t started_us;
 	int64_t last_step_us;
@@ -89,6 +91,12 @@
 /* gate_step.c */
 void gate_count_busy(struct gate *g, int64_t now);
 void gate_set_limit(struct gate *g, int64_t now);
+double gate_capacity(const struct gate *g);
+
+/* gate_rate.c */
+bool gate_rate_allows(struct gate *g, int64_t now);
+void gate_rate_count(struct gate *g);
+double gate_rate_capacity(const struct gate *g, double slots_capacity);
 
 /* gate_queue.c */
 int queue_add(struct gate *g, struct gate_item *it, struct gate_account *a);
--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -143,14 +143,17 @@
 		g->overload = false;
 }
 
-/* Returns the calls a second that the limit can serve, by Little's law. */
-static double gate_capacity(const struct gate *g)
+/*
+ * Returns the calls a second that the limit can serve, by Little's law, or that
+ * the upstream has named, if that is less.
+ */
+double gate_capacity(const struct gate *g)
 {
-	double capacity;
+	double capacity = UNLIMITED_RATE;
 
-	if (g->service_us <= 0)
-		return UNLIMITED_RATE;
-	capacity = g->limit / g->service_us * USEC_PER_SEC;
+	if (g->service_us > 0)
+		capacity = g->limit / g->service_us * USEC_PER_SEC;
+	capacity = gate_rate_capacity(g, capacity);
 	return capacity < CAPACITY_MIN ? CAPACITY_MIN : capacity;
 }
 
@@ -166,6 +169,14 @@
 	return target > noise ? target : noise;
 }
 
+/* Returns the share of slot time left; none while the named limit binds. */
+static double gate_idle_share(const struct gate *g, double dt_s)
+{
+	if (!g->limit || (g->starts.rate && g->starts.level < 1))
+		return 0;
+	return 1 - g->busy_slot_us / (dt_s * USEC_PER_SEC * g->limit);
+}
+
 /* Updates limit, admitted rate and cutoffs. */
 void gate_step(struct gate *g, int64_t now)
 {
@@ -180,8 +191,7 @@
 	update_adaptive_limit(g);
 	capacity = gate_capacity(g);
 	goal = backlog_goal(g, capacity, dt_s);
-	idle = g->limit ? 1 - g->busy_slot_us / (dt_s * USEC_PER_SEC * g->limit)
-			: 0;
+	idle = gate_idle_share(g, dt_s);
 	update_overload(g, capacity, goal);
 	if (g->overload && g->o.mode != OVERLOAD_OFF) {
 		update_trim(g, idle, (g->queued - goal) / (capacity * DRAIN_S),
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -48,6 +48,7 @@
 	uint32_t queue_max;	 /* calls waiting */
 	int64_t cold_start_us;	 /* ramp from a tenth of the slots */
 	double headroom;	 /* share of the slots that stays unused */
+	bool names_rate; /* the upstream may name a limit in its answers */
 	enum overload_mode mode;
 };
 
@@ -75,6 +76,12 @@
 struct gate *gate_new(const struct gate_options *o, int64_t now);
 void gate_free(struct gate *g);
 void gate_set_slots(struct gate *g, uint32_t slots, int64_t now);
+/*
+ * Limits the calls started a second to rate; negative: no limit. Until this was
+ * called once, only GATE_UNHEARD_MAX calls run at a time.
+ */
+#define GATE_UNHEARD_MAX 4
+void gate_set_rate(struct gate *g, double rate, int64_t now);
 void gate_set_mode(struct gate *g, enum overload_mode mode);
 /*
  * Offers a call and stores the reason of a refusal in why. OVERLOAD_OBSERVE
@@ -107,6 +114,7 @@
 	int64_t queue_us;     /* latest measured queueing time */
 	int64_t service_us;   /* smoothed time at the upstream */
 	double admitted_rate; /* admitted calls a second; 0 unlimited */
+	double rate;	      /* named by the upstream, a second; 0: none */
 	uint16_t admitted[SHED_CLASSES];
 };
 void gate_report(const struct gate *g, struct gate_report *r);
@@ -171,6 +179,7 @@
 	uint32_t outstanding; /* calls of this node */
 	uint32_t queue_us;    /* last reported by the gate */
 	uint32_t in_flight;   /* last reported by the gate */
+	double rate; /* limit last reported by the gate, a second; 0: none */
 };
 
 struct balance_candidate {
--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -1,13 +1,14 @@
 #include "wire/wire_impl.h"
 
 #define ANSWER_HEAD_FIELDS 11
+#define ANSWER_HEAD_RATE_FIELDS 1 /* absent in older versions */
 
 /* Writes the head of an answer as one array. */
 void write_answer_head(struct writer *w, const struct answer_head *h)
 {
 	int i;
 
-	write_array(w, ANSWER_HEAD_FIELDS);
+	write_array(w, ANSWER_HEAD_FIELDS + ANSWER_HEAD_RATE_FIELDS);
 	write_uint(w, h->outcome);
 	write_uint(w, h->reason);
 	write_uint(w, h->allowance_left);
@@ -21,6 +22,7 @@
 	write_uint(w, h->retry_after_ms);
 	write_bool(w, h->leaving);
 	write_uint(w, h->bottleneck);
+	write_uint(w, h->rate_milli);
 }
 
 /*
@@ -54,5 +56,8 @@
 	h->retry_after_ms = (uint32_t)read_uint(&sub, UINT32_MAX);
 	h->leaving = read_bool(&sub);
 	h->bottleneck = read_uint(&sub, UINT64_MAX);
+	if (!sub.failed &&
+	    sub.n >= ANSWER_HEAD_FIELDS + ANSWER_HEAD_RATE_FIELDS)
+		h->rate_milli = (uint32_t)read_uint(&sub, UINT32_MAX);
 	r->failed |= sub.failed || admitted.failed;
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -123,6 +123,7 @@
 	uint32_t in_flight;  /* at the gate for this upstream */
 	uint32_t retry_after_ms;
 	bool leaving;
+	uint32_t rate_milli; /* calls in 1000 s that it takes; 0: no limit */
 };
 
 enum frame_kind {
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -109,3 +109,41 @@
 	wait_for 5 test -s "$WORK/store.out" || fail "store did not start"
 	STORE=$(listening store)
 }
+
+LOAD_GAP_S=0.025 # between two requests of load
+
+# now_ms: prints the wall time.
+now_ms() {
+	date +%s%3N
+}
+
+# load SECONDS: sends requests to both nodes in turn, without waiting for the
+# answers, and adds their statuses to WORK/statuses.
+load() {
+	local end=$(($(now_ms) + $1 * 1000)) i=0 node
+	while [ "$(now_ms)" -lt "$end" ]; do
+		node=callers_a1
+		((i++ % 2)) && node=callers_b1
+		curl -s -o /dev/null -w '%{http_code}\n' -m 5 \
+			-H "Host: $HOST" -H "$(key key-1)" \
+			-H "Mulberryferry-Deadline-Ms: 3000" \
+			"http://${!node}/r/$i" >>"$WORK/statuses" &
+		LOAD_PIDS+=($!)
+		sleep "$LOAD_GAP_S"
+	done
+	wait "${LOAD_PIDS[@]}"
+	LOAD_PIDS=()
+}
+LOAD_PIDS=()
+
+# runs UPSTREAM FROM_MS: prints the times of its runs from FROM_MS on.
+runs() {
+	sed -n 's/^run .* at_ms=\([0-9]*\) .*/\1/p' "$WORK/$1.out" |
+		awk -v from="$2" '$1 >= from'
+}
+
+# served_share: prints the share of statuses 200 in percent.
+served_share() {
+	awk '{n++; ok += $1 == 200} END {print int(100 * ok / n)}' \
+		"$WORK/statuses"
+}
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -2,6 +2,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 #include <cmocka.h>
 
 #include "policy/policy.h"
@@ -443,6 +444,158 @@
 	gate_free(g);
 }
 
+#define RATE_WINDOW_US (4 * USEC_PER_SEC)
+#define RATE_STARTS_MAX 100000
+
+/* Starts of calls at a gate whose upstream names a limit. */
+struct rated_run {
+	struct gate *g;
+	int64_t now;
+	uint64_t id;
+	int64_t starts[RATE_STARTS_MAX];
+	size_t n;
+	uint32_t important_offered;
+	uint32_t important_started;
+};
+
+/*
+ * Offers demand calls a second for us, a quarter of them important, with
+ * deadlines of a second. A call takes 10 ms.
+ */
+static void run_rated(struct rated_run *r, double demand, int64_t us)
+{
+	int64_t until = r->now + us, waited;
+	double due = 0;
+	struct gate_drop d;
+	struct gate_call c;
+	enum reason why;
+	uint64_t id;
+
+	for (; r->now < until; r->now += 10 * MS) {
+		for (due += demand / 100; due >= 1; due--) {
+			r->id++;
+			c = make_call(r->id, 1 + r->id % 3,
+				      r->id % 4 ? SHED_FIRST : SHED_LAST);
+			c.admit_hash = (uint16_t)pair_hash(r->id, 3);
+			c.deadline_us = r->now + USEC_PER_SEC;
+			r->important_offered += r->id % 4 == 0;
+			gate_offer(r->g, &c, &why, r->now);
+		}
+		while (gate_next_drop(r->g, r->now, &d))
+			;
+		while ((id = gate_next(r->g, r->now, &waited))) {
+			assert_true(r->n < RATE_STARTS_MAX);
+			r->starts[r->n++] = r->now;
+			r->important_started += id % 4 == 0;
+			gate_done(r->g, id, true, r->now + MS);
+		}
+		if (r->now % GATE_STEP_US == 0)
+			gate_step(r->g, r->now);
+	}
+}
+
+/* Returns the most starts in a window that begins at from or later. */
+static size_t most_starts(const struct rated_run *r, int64_t from)
+{
+	size_t first = 0, i, most = 0;
+
+	for (i = 0; i < r->n; i++) {
+		while (r->starts[first] < from ||
+		       r->starts[i] - r->starts[first] > RATE_WINDOW_US)
+			if (++first > i)
+				break;
+		if (first <= i && i - first + 1 > most)
+			most = i - first + 1;
+	}
+	return most;
+}
+
+static size_t allowed_starts(double rate)
+{
+	return (size_t)(1.5 * rate * 4) + 5;
+}
+
+static void open_rated(struct rated_run *r, double rate)
+{
+	memset(r, 0, sizeof(*r));
+	r->g = make_gate(20, OVERLOAD_ENFORCE);
+	gate_set_rate(r->g, rate, 0);
+}
+
+/* The gate sent as many calls as its slots held, whatever the limit. */
+static void named_limit_is_kept_and_used(void **state)
+{
+	static const double rates[] = {0.5, 1, 9.7, 16.8, 300};
+	static struct rated_run r;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rates) / sizeof(*rates); i++) {
+		open_rated(&r, rates[i]);
+		run_rated(&r, rates[i] * 5, 20 * USEC_PER_SEC);
+		assert_true(most_starts(&r, 0) <= allowed_starts(rates[i]));
+		assert_true((double)r.n >= rates[i] * 20 * 0.9 - 2);
+		gate_free(r.g);
+	}
+}
+
+/* What waited for the limit was the oldest, not the most important. */
+static void named_limit_sheds_the_least_important(void **state)
+{
+	static struct rated_run r;
+
+	(void)state;
+	open_rated(&r, 40);
+	run_rated(&r, 120, 20 * USEC_PER_SEC);
+	assert_true(r.important_started > r.important_offered * 0.9);
+	gate_free(r.g);
+}
+
+/* Tokens saved under one limit were spent at once under the next. */
+static void changed_limit_holds_without_a_burst(void **state)
+{
+	static struct rated_run r;
+	int64_t changed;
+
+	(void)state;
+	open_rated(&r, 200);
+	run_rated(&r, 0, 5 * USEC_PER_SEC);
+	changed = r.now;
+	gate_set_rate(r.g, 10, r.now);
+	run_rated(&r, 300, 8 * USEC_PER_SEC);
+	assert_true(most_starts(&r, changed) <= allowed_starts(10));
+	gate_set_rate(r.g, 100, r.now);
+	changed = r.now;
+	run_rated(&r, 300, 8 * USEC_PER_SEC);
+	assert_true(most_starts(&r, changed) > 300);
+	assert_true(most_starts(&r, changed) <= allowed_starts(100));
+	gate_set_rate(r.g, -1, r.now);
+	changed = r.now;
+	run_rated(&r, 300, 8 * USEC_PER_SEC);
+	assert_true(most_starts(&r, changed) > 1000);
+	gate_free(r.g);
+}
+
+/* A gate that restarted sent a burst before the first answer named the limit. */
+static void unheard_upstream_gets_few_calls(void **state)
+{
+	struct gate_options o = {.slots = 20,
+				 .queue_max = 100,
+				 .names_rate = true,
+				 .mode = OVERLOAD_ENFORCE};
+	struct gate *g = gate_new(&o, 0);
+	int i;
+
+	(void)state;
+	offer_many(g, 1, 20, 1, SHED_MIDDLE);
+	for (i = 0; i < GATE_UNHEARD_MAX; i++)
+		assert_int_not_equal(next(g, 0), 0);
+	assert_int_equal(next(g, 0), 0);
+	gate_set_rate(g, -1, 0);
+	assert_int_not_equal(next(g, 0), 0);
+	gate_free(g);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -459,6 +612,10 @@
 		cmocka_unit_test(overload_sheds_the_least_important_and_ends),
 		cmocka_unit_test(observe_reports_reason_without_refusing),
 		cmocka_unit_test(only_failures_lower_the_limit),
+		cmocka_unit_test(named_limit_is_kept_and_used),
+		cmocka_unit_test(named_limit_sheds_the_least_important),
+		cmocka_unit_test(changed_limit_holds_without_a_burst),
+		cmocka_unit_test(unheard_upstream_gets_few_calls),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
