Take an answer that says the upstream leaves like an announcement of it

What callers saw: requests reached an upstream that had said in its answers that it leaves, until it ended, if no announcement said so too.

Cause: the header was not read. Change: an answer with it and an announcement of leaving end in one state of the gate, which takes nothing new half a second before the drain time is over. An announcement of readiness undoes it only 10 s after the last such answer, as one may be on its way for seconds.

A test of test_gates has the late announcement, and one the malformed limits.

--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -264,6 +264,16 @@
 		u->leaving_us = now;
 }
 
+/*
+ * Whether the upstream said in an answer that it leaves, too recently for an
+ * announcement of the opposite to be later than that.
+ */
+static bool said_leaving(const struct local_upstream *u, int64_t now)
+{
+	return u->said_leaving_us &&
+	       now - u->said_leaving_us < ANNOUNCE_TIMEOUT_US;
+}
+
 /* Applies a newer announcement of a known process. */
 static void update_upstream(struct node *n, struct local_upstream *u,
 			    const struct upstream_announcement *announcement,
@@ -282,7 +292,8 @@
 	}
 	if (announcement->info.state == UPSTREAM_LEAVING) {
 		start_leaving(n, u, now);
-	} else if (u->info.state == UPSTREAM_LEAVING && !u->withdrawn) {
+	} else if (u->info.state == UPSTREAM_LEAVING && !u->withdrawn &&
+		   !said_leaving(u, now)) {
 		u->info.state = UPSTREAM_READY;
 		u->leaving_us = 0;
 		log_upstream("upstream-stays", &u->info);
@@ -368,8 +379,16 @@
 void gates_heard(struct node *n, struct local_upstream *u,
 		 const struct message *answer, int64_t now)
 {
+	const char *leaving = NULL;
+
 	if (n->headers->rate_limit)
 		upstream_limit_heard(u, answer, n->headers->rate_limit, now);
+	if (n->headers->leaving)
+		leaving = message_header(answer, n->headers->leaving);
+	if (!leaving || strcmp(leaving, "1") != 0)
+		return;
+	u->said_leaving_us = now;
+	start_leaving(n, u, now);
 }
 
 bool gates_accepts(const struct node *n, const struct local_upstream *u,
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -32,6 +32,7 @@
 	bool withdrawn;	  /* said it is gone; later announcements are ignored */
 	bool unreachable; /* cleared by its next announcement */
 	int64_t leaving_us; /* when it began to leave; 0: it is not leaving */
+	int64_t said_leaving_us; /* in its latest such answer; 0: never */
 	struct http_pool *pool;
 	struct gate *gate;
 	int64_t last_update_us;
--- a/test/test_gates.c
+++ b/test/test_gates.c
@@ -165,6 +165,74 @@
 	node_close(n);
 }
 
+/*
+ * An announcement from before the upstream began to leave undid what its
+ * answer had said.
+ */
+static void leaving_said_in_an_answer_outlasts_a_late_announcement(void **state)
+{
+	struct upstream_announcement announcement =
+		announcement_of("a", 100, 1);
+	struct header leaving = {"server-leaving", "1"};
+	struct message answer = {
+		.status = 200, .headers = &leaving, .header_count = 1};
+	struct node *n = open_node();
+	int64_t now = clock_monotonic_us();
+
+	(void)state;
+	gates_announce_platform(n, &announcement, now);
+	gates_heard(n, upstream_at_address(n), &answer, now);
+	announcement.sequence = 2;
+	gates_announce_platform(n, &announcement, now + USEC_PER_SEC);
+	assert_int_equal(upstream_at_address(n)->info.state, UPSTREAM_LEAVING);
+	assert_false(gates_accepts(n, upstream_at_address(n),
+				   now + 2 * USEC_PER_SEC));
+	announcement.sequence = 3;
+	gates_announce_platform(n, &announcement, now + 11 * USEC_PER_SEC);
+	assert_int_equal(upstream_at_address(n)->info.state, UPSTREAM_READY);
+	node_close(n);
+}
+
+static double rate_after(struct node *n, const char *first, const char *second)
+{
+	struct header named[] = {{"server-limit", (char *)first},
+				 {"server-limit", (char *)second}};
+	struct message answer = {.status = 200, .headers = named};
+	struct gate_report r;
+
+	answer.header_count = (first != NULL) + (second != NULL);
+	gates_heard(n, upstream_at_address(n), &answer, 0);
+	gate_report(upstream_at_address(n)->gate, &r);
+	return r.rate;
+}
+
+/* Values that are no number must neither end a limit nor set one. */
+static void malformed_limits_are_refused(void **state)
+{
+	static const char *const malformed[] = {
+		"", "-1", "abc", "nan", "inf", "1e3", "0x10", "1.2.3", "5 "};
+	struct upstream_announcement announcement =
+		announcement_of("a", 100, 1);
+	struct node *n = open_node();
+	size_t i;
+
+	(void)state;
+	gates_announce_platform(n, &announcement, 0);
+	for (i = 0; i < sizeof(malformed) / sizeof(*malformed); i++) {
+		assert_true(rate_after(n, NULL, NULL) == 0);
+		assert_true(rate_after(n, malformed[i], NULL) == 0);
+		assert_true(rate_after(n, "12.5", NULL) == 12.5);
+		assert_true(rate_after(n, malformed[i], NULL) == 12.5);
+	}
+	assert_true(rate_after(n, "30", "20") == 20);
+	assert_true(rate_after(n, "abc", "7") == 7);
+	assert_true(rate_after(n, "99999999999999999999", NULL) == 1e6);
+	assert_true(rate_after(n, "0", NULL) > 0);
+	assert_true(rate_after(n, "0", NULL) < 1);
+	assert_true(rate_after(n, NULL, NULL) == 0);
+	node_close(n);
+}
+
 /* An unreachable upstream must get calls again once it announces itself. */
 static void announcement_clears_unreachable(void **state)
 {
@@ -280,6 +348,9 @@
 		cmocka_unit_test(announcements_for_other_hosts_are_ignored),
 		cmocka_unit_test(
 			leaving_upstream_refuses_calls_before_drain_ends),
+		cmocka_unit_test(
+			leaving_said_in_an_answer_outlasts_a_late_announcement),
+		cmocka_unit_test(malformed_limits_are_refused),
 		cmocka_unit_test(announcement_clears_unreachable),
 		cmocka_unit_test(restarted_gate_admits_without_ramp_up),
 		cmocka_unit_test(planned_stop_closes_gate_last),
