Keep account shares in use while the ledger settles after a restore

What callers saw, in a run of our own before any landing: every request with a key got 429 for 2 s after the store came back from a copy that held no shares. test/store_restore.sh shows it; a change was in force 0.04 s after the return, and the first request under it served after 2.1 s.

Cause: the change that reads the ledger again bounded the shares in use by what the ledger holds before this node could take a share again.

Change: the shares in use stay, as together they were within the limits, and the slices are read and written again only 2 s after the return, when all nodes have learnt of it.

--- a/src/control/quota_ledger.c
+++ b/src/control/quota_ledger.c
@@ -318,29 +318,21 @@
 	propose(q, g, now);
 }
 
-/*
- * Limits the shares in use to those of the slices just read. A slice of this
- * process is to be written again, which confirms it in the present history.
- */
-static void limit_to_slices(struct quota *q, int64_t now)
+/* Has slices of this process written again, which confirms them. */
+static void rewrite_own_slices(struct quota *q)
 {
 	struct account_group *g, *next;
 
 	HASH_ITER(hh, q->account_groups, g, next)
-	{
-		quota_refill_all(g, now);
-		if (g->share > g->slice.share)
-			g->share = g->slice.share;
-		quota_refill_all(g, now);
-		if (g->slice.incarnation == q->o.incarnation)
-			g->slice.incarnation = 0;
-	}
+	if (g->slice.incarnation == q->o.incarnation)
+		g->slice.incarnation = 0;
 }
 
 /*
  * Forgets what was read of the ledger, as its revisions stand for other writes
- * now, and reads the slices of this node again. No slice is written until other
- * nodes have had time to do the same, so that no two use the same share.
+ * now. The shares in use stay: together they were within the limits. Only when
+ * all nodes have had time to learn of the restore does each read and write its
+ * slices again, so that none takes a share that another still uses.
  */
 void quota_store_replaced(struct quota *q, int64_t now)
 {
@@ -354,7 +346,7 @@
 	q->ledger_settled_us = store_settled_us(q->o.store);
 	q->own_slices_listed = false;
 	q->list_after[0] = 0;
-	q->next_list_us = now;
+	q->next_list_us = q->ledger_settled_us;
 	reclaim_store_replaced(q, now);
 }
 
@@ -385,7 +377,7 @@
 			  r->entries[r->n - 1].key);
 		return;
 	}
-	limit_to_slices(q, now);
+	rewrite_own_slices(q);
 	q->own_slices_listed = true;
 }
 
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -82,7 +82,7 @@
 		"upstream": {"service": "front"},
 		"store": {"kind": "platform", "address": "$STORE",
 			"calls_per_second": 100},
-		"promises": ["revoke_s=2", "drain_s=2", "grace_s=6",
+		"promises": ["revoke_s=${REVOKE_S:-2}", "drain_s=2", "grace_s=6",
 			"budget_ratio=0.2", "not_known=1"]
 	}
 	END
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -508,6 +508,32 @@
 	}
 }
 
+/*
+ * Hosts gave up their shares at once where the ledger had lost them, and no
+ * account was served until they could take shares again.
+ */
+static void shares_stay_in_use_after_restore(void **state)
+{
+	struct fleet_options o = default_options;
+	struct fleet f;
+
+	(void)state;
+	o.nodes = RESTORE_NODES;
+	o.groups = 4;
+	o.demand_per_s = 2 * o.rate;
+	o.hold_us = 60 * USEC_PER_SEC;
+	o.step_us = 20 * USEC_PER_MSEC;
+	fleet_open(&f, &o);
+	assert_int_equal(memory_store_save(f.memory), 0);
+	fleet_run(&f, 10 * USEC_PER_SEC);
+	fleet_reset_counts(&f);
+	fleet_restore_store(&f, 2);
+	fleet_run(&f, 4 * USEC_PER_SEC);
+	assert_true((double)f.taken >= o.rate * 5 * SHARE_BACK);
+	assert_within_limit(&f, "after a restore");
+	fleet_close(&f);
+}
+
 /*
  * Hosts are restarted in turn, as in a rollout. Slices stay with their hosts,
  * so a restart costs one read of its own slices and, if it holds any, one
@@ -552,6 +578,7 @@
 		cmocka_unit_test(spending_stays_within_limit_under_fault_pairs),
 		cmocka_unit_test(spending_stays_within_limit_with_groups),
 		cmocka_unit_test(spending_stays_within_limit_after_restore),
+		cmocka_unit_test(shares_stay_in_use_after_restore),
 		cmocka_unit_test(rolling_restarts_cost_few_store_calls),
 		cmocka_unit_test(dead_holders_slice_is_reclaimed_by_halves),
 		cmocka_unit_test(short_hold_reclaims_share_within_minutes),
