--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -152,6 +152,8 @@
 	json_add_int(o, "queued", r.queued);
 	json_add_int(o, "queue_us", r.queue_us);
 	json_add_int(o, "service_us", r.service_us);
+	json_object_object_add(o, "named_limit_s",
+			       json_object_new_double(r.rate));
 	json_object_object_add(o, "admitted_s",
 			       json_object_new_double(r.admitted_rate));
 	json_object_object_add(o, "admitted_share", admitted_json(r.admitted));
@@ -225,6 +227,17 @@
 	return o;
 }
 
+static void add_store(struct node *n, struct json_object *o, int64_t now)
+{
+	int64_t age_us, era = store_era(n->store, now, &age_us);
+	uint32_t replaced = store_replacements(n->store);
+
+	json_add_int(o, "store_era", era);
+	json_add_int(o, "store_replaced", replaced);
+	if (replaced)
+		json_add_int(o, "store_replaced_s", age_us / USEC_PER_SEC);
+}
+
 /* GET /v1/status: the state of this host, and of the others as it knows it. */
 void admin_status(struct admin_call *c)
 {
@@ -243,6 +256,7 @@
 			  : "");
 	json_add_int(o, "stale_s",
 		     notes_stale_us(n->notes, c->now) / USEC_PER_SEC);
+	add_store(n, o, c->now);
 	json_add_int(o, "requests", n->requests.count);
 	json_add_int(o, "calls", n->calls.count);
 	add_members(c, o);
--- a/src/cmd/status_page.c
+++ b/src/cmd/status_page.c
@@ -40,6 +40,12 @@
 	if (json_number(s, "stale_s") > 60)
 		printf("cut off from configuration changes for %lld s\n",
 		       (long long)json_number(s, "stale_s"));
+	if (json_number(s, "store_replaced"))
+		printf("the store came back from an older copy %lld s ago, "
+		       "%lld times since the start; its era is %lld\n",
+		       (long long)json_number(s, "store_replaced_s"),
+		       (long long)json_number(s, "store_replaced"),
+		       (long long)json_number(s, "store_era"));
 	printf("%lld requests and %lld calls held\n",
 	       (long long)json_number(s, "requests"),
 	       (long long)json_number(s, "calls"));
@@ -96,6 +102,9 @@
 		       number(admitted, "last") * PERCENT,
 		       number(admitted, "middle") * PERCENT,
 		       number(admitted, "first") * PERCENT);
+		if (number(g, "named_limit_s") > 0)
+			printf("    it takes %g requests a second\n",
+			       number(g, "named_limit_s"));
 	}
 	if (!i)
 		printf("  none\n");
--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -214,7 +214,8 @@
 		read_content(&sub, m);
 	if (!sub.failed && sub.n >= ENVELOPE_FIELDS + ENVELOPE_ERA_FIELDS) {
 		m->store_era = (int64_t)read_uint(&sub, INT64_MAX);
-		m->store_era_age_ms = (int64_t)read_uint(&sub, INT64_MAX);
+		m->store_era_age_ms =
+			(int64_t)read_uint(&sub, INT64_MAX / USEC_PER_MSEC);
 	}
 	r->failed |= sub.failed;
 }
