Soak a store that comes back from copies, and upstreams that limit or leave

Five more kinds of fault out of 14: a copy is taken, the store goes back to the last one while the operator writes its version again and a newer one, an upstream names a limit of 20 a second until the end, one says for a moment that it leaves. New checks: no limited upstream gets more than 125 in 4 s from 3 s after it named the limit, and every node ends with the newest version.

--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -1,11 +1,13 @@
 #!/usr/bin/env bash
 # soak.sh SEED [SECONDS]: runs nodes with the platform interface, their store
 # and their upstreams as real processes. Injects signals and store faults, which
-# may overlap and are chosen by SEED, while callers send once-only requests.
-# Then compares what callers and upstreams recorded with the promises: no
-# request ran twice, each one answered with 200 ran, and none answered with 429,
-# 503, 408 or 421 ran. Prints a summary and keeps no files; ends only the
-# processes that it started.
+# may overlap and are chosen by SEED, while callers send once-only requests. The
+# store also comes back from older copies, and upstreams name limits or say that
+# they leave. Then compares what callers and upstreams recorded with the
+# promises: no request ran twice, each one answered with 200 ran, none answered
+# with 429, 503, 408 or 421 ran, no upstream got more than its limit allows, and
+# the newest configuration is in force. Prints a summary and keeps no files;
+# ends only the processes that it started.
 cd "$(dirname "$0")/../.."
 BIN=${BIN_OF_SOAK:-${BUILD:-build}/mulberryferry-san}
 . test/harness.bash
@@ -17,6 +19,10 @@
 NODES=(a1 a2 b1 b2)
 CALLERS=6
 declare -A ENDING
+LIMIT=20      # requests a second that an upstream names
+LIMIT_MAX=$((LIMIT * 6 + 5)) # most requests in 4 s
+LIMIT_AFTER_MS=3000 # from then on the limit holds
+VERSION=3
 RECOVERY_S=20 # the users' bound of 15 s plus one start under the sanitizers
 
 # draw N: sets DRAWN to a random number from 0 to N-1. It is not printed, as
@@ -74,10 +80,11 @@
 	done
 }
 
+# Writes the configuration, of version VERSION; the store may be suspended.
 put_document() {
-	curl -sf -o /dev/null -X PUT --data-binary @- \
+	curl -sf -m 10 -o /dev/null -X PUT --data-binary @- \
 		"http://$STORE/standin/document" <<-END || fail "document"
-	{"version": 3, "routes": {"columns": ["name", "host", "prefix",
+	{"version": $VERSION, "routes": {"columns": ["name", "host", "prefix",
 	"route_kind", "timeout_s", "target_latency_s", "priority", "service",
 	"max_attempts", "allow_anonymous"], "rows": [
 	["once", "$HOST", "/once/", "unsafe", 2, 0.5, 0, "one", 2, false]]},
@@ -121,6 +128,35 @@
 	(pause_ms "$2"; kill -CONT "$pid" 2>/dev/null) &
 }
 
+# Goes back to the last copy; the operator writes again and makes a change.
+restore_store() {
+	curl -sf -m 10 -o /dev/null "http://$STORE/standin/restore" ||
+		fail "seed $SEED: restore"
+	put_document
+	VERSION=$((VERSION + 1))
+	put_document
+}
+
+# upstream_says NODE QUERY: changes what the upstream of NODE says of itself.
+upstream_says() {
+	curl -sf -m 2 -o /dev/null "http://$(listening "up_$1")/standin/faults?$2"
+}
+
+# Lets the upstream of NODE name a limit from now on.
+limit_upstream() {
+	upstream_says "$1" "limit=$LIMIT" || return
+	[ -e "$WORK/limited-$1" ] || date +%s%3N >"$WORK/limited-$1"
+}
+
+# most_runs NODE: prints the most runs of its upstream in 4 s under the limit.
+most_runs() {
+	sed -n 's/^run .* at_ms=\([0-9]*\) .*/\1/p' "$WORK/up_$1.out" |
+		awk -v from="$(cat "$WORK/limited-$1")" -v a=$LIMIT_AFTER_MS '
+		$1 < from + a {next}
+		{t[++n] = $1; while ($1 - t[first + 1] > 4000) first++
+		if (n - first > most) most = n - first} END {print most + 0}'
+}
+
 # Injects one random fault.
 inject_fault() {
 	local node up ms
@@ -129,7 +165,7 @@
 	up=up_$node
 	draw 2000
 	ms=$((200 + DRAWN))
-	draw 9
+	draw 14
 	echo "fault $DRAWN $node $ms" >>"$WORK/faults"
 	case $DRAWN in
 	0 | 1) suspend_process "$node" "$ms" ;;
@@ -140,6 +176,11 @@
 	7) curl -sf -m 2 -o /dev/null \
 		"http://$STORE/standin/faults?lose_next=3" ;;
 	8) kill -HUP "$(pid_of "$node")" 2>/dev/null ;;
+	9) curl -sf -m 2 -o /dev/null "http://$STORE/standin/save" ;;
+	10 | 11) restore_store ;;
+	12) limit_upstream "$node" ;;
+	13) upstream_says "$node" leaving=1
+		(pause_ms "$ms"; upstream_says "$node" leaving=0) & ;;
 	esac
 }
 
@@ -152,6 +193,7 @@
 run store "$TOOLS/platform_store"
 wait_for 5 test -s "$WORK/store.out" || fail "store did not start"
 STORE=$(listening store)
+curl -sf -o /dev/null "http://$STORE/standin/save"
 put_document
 for n in "${NODES[@]}"; do
 	write_settings "$n" 127.0.0.1:0 127.0.0.1:0 127.0.0.1:0 127.0.0.1:0 \
@@ -197,6 +239,12 @@
 	wait_for "$RECOVERY_S" serves "$n" ||
 		fail "seed $SEED: $n does not serve again; $(cat "$WORK/faults")"
 done
+for n in "${NODES[@]}"; do
+	wait_for 10 grep -q "event=config-in-force number=$VERSION " \
+		"$WORK/$n.log" ||
+		fail "seed $SEED: $n lacks version $VERSION: $(grep -h \
+			"config-in-force\|store-replaced" "$WORK/$n.log")"
+done
 touch "$WORK/stop"
 wait "${callers[@]}"
 sleep 3 # time in which a request that is still queued would wrongly run
@@ -223,6 +271,13 @@
 		fail "seed $SEED: $(grep -h -A9 'Sanitizer\|runtime error' \
 			"$WORK/$n.log" "$WORK/$n.all")"
 done
+for n in "${NODES[@]}"; do
+	[ -e "$WORK/limited-$n" ] || continue
+	most=$(most_runs "$n")
+	[ "$most" -le "$LIMIT_MAX" ] ||
+		fail "seed $SEED: up_$n named $LIMIT a second and got $most" \
+			"in 4 s; $(cat "$WORK/faults")"
+done
 [ -s "$WORK/status-200" ] || fail "seed $SEED: nothing was served"
 echo "seed=$SEED faults=$(wc -l <"$WORK/faults")" \
 	"requests=$(wc -l <"$WORK/seen") ran=$(wc -l <"$WORK/ran")" \
