--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -18,7 +18,7 @@
 HOST=h.example
 NODES=(a1 a2 b1 b2)
 CALLERS=6
-declare -A ENDING
+declare -A ENDING=()
 LIMIT=20      # requests a second that an upstream names
 LIMIT_MAX=$((LIMIT * 6 + 5)) # most requests in 4 s
 LIMIT_AFTER_MS=3000 # from then on the limit holds
