--- a/test/test_store_restore.c
+++ b/test/test_store_restore.c
@@ -155,6 +155,32 @@
 	cluster_close(&c);
 }
 
+/*
+ * A note that the store had lost was acknowledged under its number, so no
+ * other note may get it.
+ */
+static void restored_store_takes_no_number_twice(void **state)
+{
+	struct append_result result;
+	struct cluster c;
+	int i;
+
+	(void)state;
+	cluster_begin(&c, NODES, 2);
+	assert_int_equal(memory_store_save(c.shared), 0);
+	cluster_append(&c, 0, rate_note(1, 0), NULL, &result);
+	assert_int_equal(result.status, APPEND_ACCEPTED);
+	assert_int_equal(result.number, 2);
+	assert_true(cluster_wait_number(&c, 2, IN_FORCE_US));
+	assert_int_equal(memory_store_restore(c.shared), 0);
+	for (i = 0; i < NODES; i += 3) {
+		cluster_append(&c, i, rate_note(2 + i, 0), NULL, &result);
+		assert_int_equal(result.status, APPEND_STORE_UNAVAILABLE);
+	}
+	cluster_assert_same(&c, 2);
+	cluster_close(&c);
+}
+
 /* One process as far as the secret of links is concerned. */
 struct secret_holder {
 	struct store *store;
@@ -258,6 +284,7 @@
 		cmocka_unit_test(change_after_restore_is_in_force),
 		cmocka_unit_test(restored_store_proves_nothing_at_once),
 		cmocka_unit_test(seeds_are_back_after_restore),
+		cmocka_unit_test(restored_store_takes_no_number_twice),
 		cmocka_unit_test(processes_share_one_secret_after_restore),
 	};
 
