Tell callers refused for a named limit when there is room

What callers saw: a Retry-After from the share that a gate admits, at a limit of a call a second as short as at a hundred, so they came back in vain.

Change: a gate with a named limit tells the time in which the limit lets its queue pass and takes one more call, once to twice that so that callers do not return together, 10 s before spreading at most.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -4,6 +4,9 @@
 
 #include "node/gates.h"
 
+/* Longest wait for a named limit that callers are told, before spreading. */
+#define LIMIT_WAIT_MAX_MS 10000
+
 /*
  * An answer to an entry on this node. It is delivered in the next iteration
  * of the event loop, so that the caller is not re-entered.
@@ -116,6 +119,26 @@
 	head->bottleneck = name_hash(c->head.service);
 }
 
+/*
+ * Tells a call refused by a gate with a named limit when there will be room,
+ * spread so that the callers do not return together.
+ */
+static uint32_t limit_retry_after_ms(struct node *n, const struct call *c)
+{
+	const struct local_upstream *u = gates_upstream(n, c->upstream);
+	int64_t wait_ms;
+
+	if (!u)
+		return 0;
+	wait_ms = gate_rate_wait_us(u->gate) / USEC_PER_MSEC;
+	if (!wait_ms)
+		return 0;
+	if (wait_ms > LIMIT_WAIT_MAX_MS)
+		wait_ms = LIMIT_WAIT_MAX_MS;
+	return (uint32_t)(wait_ms +
+			  (int64_t)(node_random(n) % (uint64_t)wait_ms));
+}
+
 /* Sends the outcome to the entry and frees the call. */
 static void end_call(struct node *n, struct call *c, enum outcome outcome,
 		     enum reason reason, const struct message *m, int64_t now)
@@ -123,6 +146,8 @@
 	struct answer_head head = {.outcome = outcome, .reason = reason};
 
 	fill_answer_head(n, c, &head, now);
+	if (outcome == OUTCOME_NOT_RUN && reason != REASON_UPSTREAM_REFUSED)
+		head.retry_after_ms = limit_retry_after_ms(n, c);
 	if (c->reply_kind == REPLY_LINK)
 		links_answer(n->links, c->reply.stream, &head, m);
 	else
--- a/src/policy/gate_rate.c
+++ b/src/policy/gate_rate.c
@@ -47,6 +47,13 @@
 		g->starts.level -= 1;
 }
 
+int64_t gate_rate_wait_us(const struct gate *g)
+{
+	if (!g->starts.rate)
+		return 0;
+	return (int64_t)((g->queued + 1) / g->starts.rate * USEC_PER_SEC);
+}
+
 /* Returns the calls a second that both slots and the named limit allow. */
 double gate_rate_capacity(const struct gate *g, double slots_capacity)
 {
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -82,6 +82,11 @@
  */
 #define GATE_UNHEARD_MAX 4
 void gate_set_rate(struct gate *g, double rate, int64_t now);
+/*
+ * Returns the microseconds until the limit has let the queue pass and takes one
+ * more call; 0 without a limit.
+ */
+int64_t gate_rate_wait_us(const struct gate *g);
 void gate_set_mode(struct gate *g, enum overload_mode mode);
 /*
  * Offers a call and stores the reason of a refusal in why. OVERLOAD_OBSERVE
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -576,6 +576,22 @@
 	gate_free(r.g);
 }
 
+/* Callers were told to come back long before there was room for them. */
+static void named_limit_tells_when_there_is_room(void **state)
+{
+	struct gate *g = make_gate(20, OVERLOAD_ENFORCE);
+
+	(void)state;
+	assert_int_equal(gate_rate_wait_us(g), 0);
+	gate_set_rate(g, 2, 0);
+	assert_int_equal(gate_rate_wait_us(g), USEC_PER_SEC / 2);
+	offer_many(g, 1, 1, 1, SHED_MIDDLE);
+	assert_int_equal(gate_rate_wait_us(g), USEC_PER_SEC);
+	gate_set_rate(g, -1, 0);
+	assert_int_equal(gate_rate_wait_us(g), 0);
+	gate_free(g);
+}
+
 /* A gate that restarted sent a burst before the first answer named the limit. */
 static void unheard_upstream_gets_few_calls(void **state)
 {
@@ -615,6 +631,7 @@
 		cmocka_unit_test(named_limit_is_kept_and_used),
 		cmocka_unit_test(named_limit_sheds_the_least_important),
 		cmocka_unit_test(changed_limit_holds_without_a_burst),
+		cmocka_unit_test(named_limit_tells_when_there_is_room),
 		cmocka_unit_test(unheard_upstream_gets_few_calls),
 	};
 
