Test the placement at a named limit; bound its log lines

An upstream may name another value in each answer: only the begin and the end of a limit are notices, changes are of level info, which is bounded. Doc comments above the public functions of the gate's limit.

--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -376,6 +376,7 @@
 		mark_gone(n, u, now);
 }
 
+/* Applies a named limit, or that the upstream leaves, from its answer. */
 void gates_heard(struct node *n, struct local_upstream *u,
 		 const struct message *answer, int64_t now)
 {
--- a/src/node/upstream_limit.c
+++ b/src/node/upstream_limit.c
@@ -8,14 +8,14 @@
 /* Calls a second; a higher limit binds no host. */
 #define RATE_MAX 1e6
 
-static void log_rate(const struct local_upstream *u, const char *event,
-		     const char *text)
+static void log_rate(const struct local_upstream *u, int level,
+		     const char *event, const char *text)
 {
 	char addr[ADDR_TEXT_SIZE];
 	struct log_line line;
 
 	addr_format(&u->info.addr, addr);
-	log_start(&line, LOG_NOTICE, event);
+	log_start(&line, level, event);
 	log_str(&line, "service", u->info.service);
 	log_str(&line, "upstream", addr);
 	log_str(&line, "requests_s", text);
@@ -74,15 +74,20 @@
 	text = find_rate(m, header, &rate, &malformed);
 	if (!text && malformed) {
 		if (!u->rate_refused)
-			log_rate(u, "upstream-limit-refused", malformed);
+			log_rate(u, LOG_NOTICE, "upstream-limit-refused",
+				 malformed);
 		u->rate_refused = true;
 		gate_set_rate(u->gate, u->rate_named ? u->rate : -1, now);
 		return;
 	}
 	u->rate_refused = false;
-	if (u->rate_named != (text != NULL) || u->rate != rate)
-		log_rate(u, text ? "upstream-limit" : "upstream-limit-ended",
+	/* An upstream may name another value in each answer. */
+	if (u->rate_named != (text != NULL))
+		log_rate(u, LOG_NOTICE,
+			 text ? "upstream-limit" : "upstream-limit-ended",
 			 text ? text : "");
+	else if (u->rate != rate)
+		log_rate(u, LOG_INFO, "upstream-limit", text);
 	u->rate_named = text != NULL;
 	u->rate = rate;
 	gate_set_rate(u->gate, text ? rate : -1, now);
--- a/src/policy/gate_rate.c
+++ b/src/policy/gate_rate.c
@@ -8,6 +8,7 @@
  */
 #define RATE_MIN 0.25
 
+/* Applies the limit named in an answer; a changed one gives no burst. */
 void gate_set_rate(struct gate *g, double rate, int64_t now)
 {
 	double level;
@@ -47,6 +48,7 @@
 		g->starts.level -= 1;
 }
 
+/* Returns the wait in microseconds behind the queue; 0 without a limit. */
 int64_t gate_rate_wait_us(const struct gate *g)
 {
 	if (!g->starts.rate)
--- a/test/test_policy_balance.c
+++ b/test/test_policy_balance.c
@@ -334,6 +334,29 @@
 	assert_in_range(sent, 1, 60);
 }
 
+/* Entries placed work by slots that the upstream's limit left unused. */
+static void upstream_with_a_named_limit_gets_few_picks(void **state)
+{
+	uint32_t picks[N_MAX];
+	struct fixture f;
+
+	(void)state;
+	set_up(&f, 2);
+	f.loads[0].rate = 5;
+	f.loads[0].in_flight = 1;
+	f.loads[1].in_flight = 50;
+	count_picks(&f, picks);
+	assert_true(picks[0] < PICKS / 10);
+	f.loads[0].rate = 0;
+	count_picks(&f, picks);
+	assert_true(picks[0] > PICKS / 2);
+	/* A limit heard a second ago may have ended. */
+	f.loads[0].rate = 5;
+	f.now += USEC_PER_SEC;
+	count_picks(&f, picks);
+	assert_true(picks[0] > PICKS / 4);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -349,6 +372,7 @@
 		cmocka_unit_test(at_most_a_third_is_ejected),
 		cmocka_unit_test(ejection_ends),
 		cmocka_unit_test(tried_upstreams_are_picked_last),
+		cmocka_unit_test(upstream_with_a_named_limit_gets_few_picks),
 		cmocka_unit_test(new_upstream_is_not_flooded),
 	};
 
