--- a/src/control/members.c
+++ b/src/control/members.c
@@ -198,6 +198,7 @@
 	members_gossip(m, URGENT_FANOUT);
 }
 
+/* Takes this node's seed again after the store came back from an older copy. */
 void members_store_replaced(struct members *m, int64_t now)
 {
 	if (m->seed_lease)
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -190,6 +190,10 @@
 	}
 }
 
+/*
+ * Forgets the revisions of the former history, reads the store as soon as it is
+ * a reader's turn, and spreads the news with the number of the configuration.
+ */
 void notes_store_replaced(struct notes *n, int64_t now)
 {
 	n->document_revision = 0;
--- a/src/control/secret.c
+++ b/src/control/secret.c
@@ -125,6 +125,10 @@
 	}
 }
 
+/*
+ * Has the next tick compare the secret with the store's after the store came
+ * back from an older copy.
+ */
 void secret_store_replaced(struct secret *s, int64_t now)
 {
 	s->check_due = true;
--- a/src/store/remote_watch.c
+++ b/src/store/remote_watch.c
@@ -93,6 +93,7 @@
 	}
 }
 
+/* Ends all watches, then reports that the history was replaced. */
 void remote_replaced(struct remote *remote, int64_t now)
 {
 	remote_watches_end(remote, now);
