--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -472,7 +472,9 @@
 	uint64_t id;
 
 	for (; r->now < until; r->now += 10 * MS) {
-		for (due += demand / 100; due >= 1; due--) {
+		due += demand / 100;
+		while (due >= 1) {
+			due--;
 			r->id++;
 			c = make_call(r->id, 1 + r->id % 3,
 				      r->id % 4 ? SHED_FIRST : SHED_LAST);
