Write claims again that a restored store has lost

Callers saw, in test_claims_restore: the repeat of a once-only request whose claim was written after the copy found its key free and ran again.

Cause: nothing but the store knew of a claim, and a store back from an older copy has forgotten the newest. Ruled out: the lease (claims without an outcome have none) and a claim under the old history (it ends as unknown already).

Each node now remembers the records that it wrote in the last minute, writes the missing ones again when the history was replaced, and claims no key until 2 s after.

A claim whose node is gone as well stays unknown.

--- a/src/control/claims.c
+++ b/src/control/claims.c
@@ -42,6 +42,7 @@
 	while ((handle = table_next(&c->batches, handle, &item)))
 		free(*(struct batch **)item);
 	claims_lists_free(c);
+	claims_written_free(c);
 	table_free(&c->table);
 	table_free(&c->batches);
 	free(c);
@@ -264,8 +265,10 @@
 {
 	struct claim *e = get_held(c, claim);
 
-	if (e)
-		claim_set_outcome(c, e, CLAIM_OUTCOME_REMOVED, now);
+	if (!e)
+		return;
+	claim_forget(c, e);
+	claim_set_outcome(c, e, CLAIM_OUTCOME_REMOVED, now);
 }
 
 /* Ends a claim whose request may have run, with an unknown result. */
@@ -359,6 +362,7 @@
 		tick_claim(c, *(struct claim **)item, now);
 	if (c->table.count)
 		claims_lease_tick(c, now);
+	claims_restore_tick(c, now);
 	claims_flush(c, now);
 	claims_cleanup_tick(c, now);
 }
--- a/src/control/claims_batch.c
+++ b/src/control/claims_batch.c
@@ -10,7 +10,6 @@
  * hangs delays them no longer than this.
  */
 #define BATCH_WAIT_US (50 * USEC_PER_MSEC)
-#define BATCH_BYTES_MAX (512 * 1024)
 #define BACKOFF_MIN_US (10 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (500 * USEC_PER_MSEC)
 /*
@@ -27,7 +26,8 @@
 	if (e->phase != phase || e->in_flight || e->not_before_us > now)
 		return false;
 	if (phase == PHASE_CREATE)
-		return e->requester_waiting;
+		return e->requester_waiting &&
+		       now >= store_settled_us(c->options.store);
 	if (e->outcome == CLAIM_OUTCOME_DONE && !c->lease &&
 	    now - e->ended_us < LEASE_WAIT_US)
 		return false;
@@ -48,7 +48,7 @@
 		if (e->batch_kind != b->kind ||
 		    !is_due(c, e, phase, joins_batch, now))
 			continue;
-		if (b->n && b->bytes + e->value.len > BATCH_BYTES_MAX)
+		if (b->n && b->bytes + e->value.len > CLAIM_BATCH_BYTES_MAX)
 			return;
 		b->bytes += e->value.len;
 		b->claims[b->n++] = handle;
@@ -150,6 +150,7 @@
 	} else if (e->outcome == CLAIM_OUTCOME_REMOVED) {
 		claim_discard(c, e, 1, now);
 	} else {
+		claim_remember(c, e, now);
 		claim_remove(c, e);
 	}
 }
@@ -188,6 +189,7 @@
 	 */
 	if (found && e->outcome != CLAIM_OUTCOME_REMOVED &&
 	    r.state == e->record.state) {
+		claim_remember(c, e, now);
 		claim_remove(c, e);
 		return;
 	}
--- a/src/control/claims_impl.h
+++ b/src/control/claims_impl.h
@@ -10,6 +10,7 @@
 #define CLAIM_KEY_SIZE 64
 #define CLAIM_TOKEN_SIZE 25
 #define CLAIM_ANSWER_MAX (16 * 1024)
+#define CLAIM_BATCH_BYTES_MAX (512 * 1024)
 #define CLAIM_CALL_US (2 * USEC_PER_SEC) /* timeout of a store call */
 
 enum record_state {
@@ -84,6 +85,7 @@
 	bool requester_waiting; /* the callback is still to be called */
 	bool in_flight;
 	bool maybe_written; /* a write had an unknown result */
+	bool remembered;    /* its record is among claims.written */
 };
 
 /* Claims of one transaction. */
@@ -94,6 +96,17 @@
 	size_t bytes;
 };
 
+/* A record that this node wrote of late; see claims_restore.c. */
+struct written {
+	char key[CLAIM_KEY_SIZE];
+	struct buffer value;
+	int64_t written_us;
+	int64_t expected_revision; /* that writing it again replaces */
+	bool is_done;
+	bool missing; /* the store may have lost it */
+	bool in_batch;
+};
+
 struct claims {
 	struct claims_options options;
 	char self[ADDR_TEXT_SIZE];
@@ -112,6 +125,14 @@
 	int64_t lease_granted_us;
 	int64_t lease_retry_us;
 	bool lease_requested;
+	struct written *written; /* a ring; NULL until the first */
+	size_t written_first;
+	size_t written_count;
+	size_t written_bytes;
+	int64_t restored_us; /* when the store's history was replaced */
+	int64_t restore_next_us;
+	bool restoring; /* some of written are missing */
+	bool restore_busy;
 };
 
 /* Returns NULL if there is no such claim. */
@@ -157,6 +178,12 @@
 /* Drops a lease that the store no longer knows. */
 void claims_lease_lost(struct claims *c);
 
+/* Remembers the record of a claim, in case the store loses it. */
+void claim_remember(struct claims *c, struct claim *e, int64_t now);
+void claim_forget(struct claims *c, struct claim *e);
+void claims_restore_tick(struct claims *c, int64_t now);
+void claims_written_free(struct claims *c);
+
 void claims_lists_free(struct claims *c);
 
 #endif
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -256,6 +256,8 @@
 void claims_mark_unresolved(struct claims *c, uint64_t claim, int64_t now);
 /* Whether no claim is held and no write or first cleanup read is pending. */
 bool claims_idle(const struct claims *c);
+/* Writes records again that were lost: see store_on_replaced. */
+void claims_store_replaced(struct claims *c, int64_t now);
 /* Lists the claims without an outcome as a JSON array; done is called once. */
 void claims_list(struct claims *c, void *ctx, uint64_t tag,
 		 void (*done)(void *ctx, uint64_t tag, const char *json,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -153,6 +153,7 @@
 	members_store_replaced(n->members, now);
 	notes_store_replaced(n->notes, now);
 	quota_store_replaced(n->quota, now);
+	claims_store_replaced(n->claims, now);
 }
 
 static void quota_wake(void *ctx, const char *account, int64_t now)
--- a/test/claims_fixture.h
+++ b/test/claims_fixture.h
@@ -19,6 +19,7 @@
 
 #define NODES 3
 #define TICK_US (5 * USEC_PER_MSEC)
+#define POLL_US USEC_PER_SEC
 #define DEADLINE_MS 500
 #define REQUESTS_MAX 4096
 #define KEYS 32
@@ -48,6 +49,7 @@
 	struct claims *claims[NODES];
 	struct members members;
 	bool paused[NODES];
+	bool polls; /* each node calls the store each second */
 	int64_t now;
 	struct request requests[REQUESTS_MAX];
 	int request_count;
@@ -68,6 +70,29 @@
 	return NULL;
 }
 
+static inline void on_polled(void *ctx, uint64_t tag,
+			     const struct store_result *r, int64_t now)
+{
+	(void)ctx;
+	(void)tag;
+	(void)r;
+	(void)now;
+}
+
+static inline void on_replaced(void *ctx, int64_t now)
+{
+	claims_store_replaced(ctx, now);
+}
+
+/* Asks the store for nothing in particular, as other controllers do. */
+static inline void poll_store(int i)
+{
+	struct store_op op = {.kind = STORE_GET, .key = "config"};
+	struct store_done done = {.fn = on_polled};
+
+	store_submit(fixture.stores[i], &op, &done, fixture.now);
+}
+
 static inline void start_node(int i, uint64_t incarnation)
 {
 	struct member_info *m = &fixture.members.rows[i];
@@ -83,6 +108,7 @@
 	o.store = fixture.stores[i];
 	o.self = m->node_addr;
 	fixture.claims[i] = claims_new(&o, fixture.now);
+	store_on_replaced(fixture.stores[i], fixture.claims[i], on_replaced);
 }
 
 /* Ends a node without writing outcomes; its member row stays unchanged. */
@@ -131,6 +157,8 @@
 		for (i = 0; i < NODES; i++) {
 			if (!fixture.claims[i] || fixture.paused[i])
 				continue;
+			if (fixture.polls && fixture.now % POLL_US < TICK_US)
+				poll_store(i);
 			store_tick(fixture.stores[i], fixture.now);
 			claims_tick(fixture.claims[i], fixture.now);
 		}
--- a/test/test_claims_random.c
+++ b/test/test_claims_random.c
@@ -96,10 +96,69 @@
 	gsl_rng_free(rng);
 }
 
+/* Applies one random event of a fleet whose store goes back to copies. */
+static void random_restore_step(gsl_rng *rng)
+{
+	static const enum end ends[] = {END_FINISH, END_RELEASE,
+					END_MARK_UNRESOLVED};
+	int node = (int)gsl_rng_uniform_int(rng, NODES);
+	unsigned long step = gsl_rng_uniform_int(rng, 24);
+	struct store_faults f = {.lose_response = step == 0};
+	struct request *r;
+
+	if (step <= 2) {
+		set_faults(node, f);
+	} else if (step <= 4) {
+		assert_int_equal(memory_store_save(fixture.memory), 0);
+	} else if (step == 5) {
+		assert_int_equal(memory_store_restore(fixture.memory), 0);
+		for (node = 0; node < NODES; node++)
+			set_faults(node, f);
+		run_ms(1000);
+	} else if (step <= 11) {
+		r = find_running_request(
+			gsl_rng_uniform_int(rng, REQUESTS_MAX));
+		if (!r)
+			return;
+		r->ended = true;
+		end_request(r, ends[gsl_rng_uniform_int(rng, 3)]);
+	} else {
+		begin(node, (int)gsl_rng_uniform_int(rng, KEYS), 1);
+	}
+}
+
+/*
+ * A store that goes back to copies of up to a minute ago, and that each node
+ * reaches within a second of its return. on_state asserts as above.
+ */
+static void random_restores_never_make_a_key_fresh_twice(void **state)
+{
+	gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+	int key, step, fresh = 0;
+	unsigned long seed;
+
+	for (seed = 1; seed <= SEEDS; seed++) {
+		gsl_rng_set(rng, seed);
+		set_up(state);
+		fixture.polls = true;
+		assert_int_equal(memory_store_save(fixture.memory), 0);
+		for (step = 0; step < STEPS; step++) {
+			random_restore_step(rng);
+			run_ms((int64_t)gsl_rng_uniform_int(rng, 200));
+		}
+		for (key = 0; key < KEYS; key++)
+			fresh += fixture.fresh[key];
+		tear_down(state);
+	}
+	assert_true(fresh > (int)SEEDS * KEYS / 2);
+	gsl_rng_free(rng);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(random_faults_never_make_a_key_fresh_twice),
+		cmocka_unit_test(random_restores_never_make_a_key_fresh_twice),
 	};
 
 	log_set_level(LOG_CRIT);
