Send reads again when a connection to the store went silent

Callers saw: a key withdrawn half a second after all connections to the store had gone silent was served past config_s (CONFIG).

Cause: a read took an idle connection, waited 2 s on it for nothing, and the next took the next dead connection of the pool.

A read that meets silence on a used connection now goes over another one, the idle connections of before are closed, and watches are sent again.

--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -11,16 +11,21 @@
 /* An idle connection is closed this long before the peer's Keep-Alive ends. */
 #define KEEP_ALIVE_MARGIN_US (1500 * USEC_PER_MSEC)
 
+/* A slow peer may take this many times as long as for its last response. */
+#define SILENCE_FACTOR 4
+
 /* One call of a pool. */
 struct pool_call {
 	struct pool_call *prev; /* in the waiting list */
 	struct pool_call *next;
 	struct net_alarm deadline;
+	struct net_alarm silence; /* see silence_us of http_call */
 	struct http_pool *pool;
 	struct pool_conn *conn; /* NULL while waiting for one */
 	uint64_t handle;
 	struct http_call options; /* options.request is not valid here */
-	struct buffer request;	  /* serialised; freed once written */
+	struct buffer request;	  /* serialised; freed once it is not needed */
+	int64_t sent_us;	  /* last time */
 	char expected_id[REQUEST_ID_SIZE];
 	bool no_body; /* is a HEAD request */
 	bool queued;  /* in the waiting list of its pool */
@@ -36,6 +41,7 @@
 	struct tcp tcp;
 	struct http_reader reader;
 	bool reused;			  /* has completed a call before */
+	int64_t used_us;		  /* when it last completed one */
 	struct net_alarm connect_timeout; /* limits connect time */
 	int64_t idle_until_us;
 };
@@ -51,6 +57,7 @@
 	struct pool_conn *busy;
 	struct pool_conn *idle; /* most recently used first */
 	uint32_t conn_count;
+	int64_t response_us; /* how long the last response took */
 	struct net_alarm start_alarm;
 	bool start_scheduled;
 };
@@ -58,6 +65,7 @@
 static void free_call(struct pool_call *call)
 {
 	net_alarm_cancel(&call->deadline);
+	net_alarm_cancel(&call->silence);
 	table_remove(&call->pool->calls, call->handle);
 	buffer_free(&call->request);
 	free(call);
@@ -156,17 +164,35 @@
 					   data, len, net_now());
 }
 
+static void silence_passed(struct net_alarm *alarm, int64_t now);
+
+static void watch_for_silence(struct pool_conn *c, int64_t now)
+{
+	struct pool_call *call = c->call;
+	int64_t limit_us = SILENCE_FACTOR * c->pool->response_us;
+
+	if (limit_us < call->options.silence_us)
+		limit_us = call->options.silence_us;
+	net_alarm_set(c->pool->net, &call->silence, now, now + limit_us,
+		      silence_passed);
+}
+
 static void send_request(struct pool_conn *c)
 {
 	struct pool_call *call = c->call;
+	int64_t now = net_now();
 
 	call->sent = true;
+	call->sent_us = now;
 	if (tcp_write(&c->tcp, call->request.data, call->request.len) < 0) {
 		fail_call(call, HTTP_CONNECTION_LOST,
 			  "cannot write the request");
 		return;
 	}
-	buffer_free(&call->request);
+	if (c->reused && call->options.silence_us)
+		watch_for_silence(c, now);
+	else
+		buffer_free(&call->request);
 }
 
 static void on_opened(struct tcp *t)
@@ -206,7 +232,8 @@
 	struct http_pool *p = c->pool;
 
 	c->call = NULL;
-	c->idle_until_us = idle_until(c, net_now());
+	c->used_us = net_now();
+	c->idle_until_us = idle_until(c, c->used_us);
 	if (!keep || c->idle_until_us <= net_now()) {
 		close_conn(c, true);
 		return;
@@ -227,6 +254,7 @@
 		    tcp_all_written(&c->tcp);
 
 	memset(&c->reader.message, 0, sizeof(c->reader.message));
+	c->pool->response_us = net_now() - call->sent_us;
 	call->conn = NULL;
 	release_conn(c, keep);
 	report_result(call, HTTP_COMPLETED, NULL, &m);
@@ -256,6 +284,8 @@
 		close_conn(c, false);
 		return;
 	}
+	if (c->call->request.len)
+		watch_for_silence(c, net_now());
 	while (len && c->call) {
 		rc = http_reader_feed(&c->reader, data, len, &used);
 		data += used;
@@ -328,6 +358,28 @@
 	return NULL;
 }
 
+/*
+ * Sends the request of a silent connection over another one. Its deadline
+ * stays.
+ */
+static void silence_passed(struct net_alarm *alarm, int64_t now)
+{
+	struct pool_call *call =
+		(struct pool_call *)((char *)alarm -
+				     offsetof(struct pool_call, silence));
+	struct http_pool *p = call->pool;
+	struct pool_conn *c = call->conn;
+
+	detach(call);
+	close_conn(c, true);
+	http_pool_close_idle(p, call->sent_us);
+	DL_PREPEND(p->waiting, call);
+	call->queued = true;
+	schedule_start(p);
+	if (p->options.on_silent)
+		p->options.on_silent(p->options.ctx, call->sent_us, now);
+}
+
 static void connect_timed_out(struct net_alarm *alarm, int64_t now)
 {
 	struct pool_conn *c =
@@ -605,6 +657,17 @@
 	free_call(call);
 }
 
+void http_pool_close_idle(struct http_pool *p, int64_t used_us)
+{
+	struct pool_conn *c, *next;
+
+	DL_FOREACH_SAFE(p->idle, c, next)
+	{
+		if (c->used_us < used_us)
+			close_conn(c, false);
+	}
+}
+
 /* Returns the number of connections, including those being opened. */
 uint32_t http_pool_connections(const struct http_pool *p)
 {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -87,6 +87,12 @@
 	size_t body_limit;
 	int64_t idle_timeout_us;    /* or less, as Keep-Alive says */
 	int64_t connect_timeout_us; /* then HTTP_UNREACHABLE; 0: no limit */
+	void *ctx;
+	/*
+	 * A request sent at sent_us met silence; see silence_us. May be NULL,
+	 * and must not close the pool.
+	 */
+	void (*on_silent)(void *ctx, int64_t sent_us, int64_t now);
 };
 
 enum http_call_status {
@@ -113,6 +119,13 @@
 	 * belongs to another request and is skipped.
 	 */
 	const char *echo_header;
+	/*
+	 * If set, a request that gets no byte for this long on a connection
+	 * that was used before is sent again over another one, and the idle
+	 * connections that were last used before it was sent are closed. Only
+	 * for requests that may be repeated.
+	 */
+	int64_t silence_us;
 	void *ctx;
 	uint64_t tag;
 	void (*done)(void *ctx, uint64_t tag, struct http_call_result *r,
@@ -136,6 +149,8 @@
 /* Ends a call without calling done; closes the connection it was using. */
 void http_call_cancel(struct http_pool *p, uint64_t handle);
 uint32_t http_pool_connections(const struct http_pool *p);
+/* Closes the idle connections that were last used before used_us. */
+void http_pool_close_idle(struct http_pool *p, int64_t used_us);
 
 /*
  * Links: one TCP connection per pair of nodes, opened when first needed,
--- a/src/store/poll.c
+++ b/src/store/poll.c
@@ -87,6 +87,7 @@
 		.done = on_poll_done,
 	};
 
+	w->started_us = now;
 	counter_add(COUNTER_STORE_READS, 1);
 	if (platform_watch_request(w->prefix, after, POLL_WAIT_MS, &m) == 0)
 		w->http = http_call_start(remote->stream_pool, &call, now,
--- a/src/store/remote.c
+++ b/src/store/remote.c
@@ -12,6 +12,11 @@
 /* Every host normally reaches the store within a few milliseconds. */
 #define CONNECT_TIMEOUT_US (700 * USEC_PER_MSEC)
 #define IDLE_TIMEOUT_US (30 * USEC_PER_SEC)
+/*
+ * A read that got no byte for this long over a connection of before is sent
+ * over another one: connections may go silent for good without a sign.
+ */
+#define SILENCE_US (300 * USEC_PER_MSEC)
 
 struct call {
 	struct store_done done;
@@ -20,6 +25,18 @@
 	uint64_t http;
 };
 
+static void on_silent(void *ctx, int64_t sent_us, int64_t now)
+{
+	struct remote *remote = ctx;
+	struct log_line line;
+
+	counter_add(COUNTER_STORE_SILENT, 1);
+	log_start(&line, LOG_WARNING, "store-connection-silent");
+	log_str(&line, "peer", remote->peer);
+	log_emit(&line);
+	remote_watches_renew(remote, sent_us, now);
+}
+
 /* Opens both connection pools without connecting yet. */
 struct remote *remote_open(const struct store_options *o, struct history *h,
 			   struct error *err)
@@ -30,6 +47,7 @@
 		.body_limit = CALL_BODY_MAX,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.on_silent = on_silent,
 	};
 	struct remote *remote = calloc(1, sizeof(*remote));
 
@@ -43,6 +61,7 @@
 	table_init(&remote->open_calls, sizeof(struct call), REMOTE_CALLS_MAX);
 	table_init(&remote->watches, sizeof(struct remote_watch),
 		   REMOTE_WATCHES_MAX);
+	pool.ctx = remote;
 	remote->call_pool = http_pool_open(o->net, &pool, err);
 	pool.connections_max = REMOTE_WATCHES_MAX;
 	pool.body_limit = STREAM_BODY_MAX;
@@ -139,6 +158,11 @@
 	return etcd_post(m, etcd_path(op->kind), etcd_request(op));
 }
 
+static bool may_repeat(const struct store_op *op)
+{
+	return op->kind == STORE_GET || op->kind == STORE_LIST;
+}
+
 static uint64_t start_http(struct remote *remote, uint64_t handle,
 			   const struct store_op *op, int64_t now)
 {
@@ -146,6 +170,7 @@
 	struct http_call call = {
 		.request = &m,
 		.deadline_us = now + op->timeout_us,
+		.silence_us = may_repeat(op) ? SILENCE_US : 0,
 		.ctx = remote,
 		.tag = handle,
 		.done = on_call_done,
--- a/src/store/remote.h
+++ b/src/store/remote.h
@@ -24,7 +24,7 @@
 	char prefix[STORE_KEY_SIZE];
 	int64_t next_revision;	    /* 0: from now on */
 	uint64_t http;		    /* 0: no request is open */
-	int64_t started_us;	    /* of the current stream */
+	int64_t started_us;	    /* of the current stream or request */
 	struct buffer partial_line; /* incomplete last line of a stream */
 	struct error err;	    /* code set: the watch is to be ended */
 };
@@ -32,6 +32,11 @@
 /* remote_watch.c */
 void remote_watch_end(struct remote *remote, uint64_t handle, int64_t now);
 void remote_watches_close(struct remote *remote);
+/*
+ * Sends the requests of watches again over other connections, where they were
+ * last sent before sent_us.
+ */
+void remote_watches_renew(struct remote *remote, int64_t sent_us, int64_t now);
 /* Ends all watches and reports that the history was replaced. */
 void remote_replaced(struct remote *remote, int64_t now);
 
--- a/src/store/remote_watch.c
+++ b/src/store/remote_watch.c
@@ -101,6 +101,26 @@
 		remote->history->on_replaced(remote->history->ctx, now);
 }
 
+void remote_watches_renew(struct remote *remote, int64_t sent_us, int64_t now)
+{
+	uint64_t handle = 0;
+	void *item;
+
+	http_pool_close_idle(remote->stream_pool, sent_us);
+	while ((handle = table_next(&remote->watches, handle, &item))) {
+		struct remote_watch *w = item;
+
+		if (!w->http || w->started_us >= sent_us)
+			continue;
+		http_call_cancel(remote->stream_pool, w->http);
+		w->http = 0;
+		if (remote->kind == STORE_PLATFORM)
+			poll_start(remote, handle, now);
+		else
+			etcd_stream_start(remote, handle, now);
+	}
+}
+
 /* Stops all watches without calling their callbacks. */
 void remote_watches_close(struct remote *remote)
 {
--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -23,7 +23,8 @@
 	HOLD,  /* keeps the connection open until the client closes it */
 	CLOSE, /* closes after the response */
 	RESET, /* resets after the response */
-	RESPOND_TWICE, /* responds to a second request, then as HOLD */
+	RESPOND_TWICE,	 /* responds to a second request, then as HOLD */
+	RESPOND_IN_PART, /* to a second request, then as HOLD */
 };
 
 /* How the peer serves one accepted connection. */
@@ -58,18 +59,21 @@
 static void serve(struct peer *p, int fd, const struct script *s)
 {
 	static const struct linger reset = {.l_onoff = 1};
-	int i, n = s->ending == RESPOND_TWICE ? 2 : 1;
+	bool holds = s->ending != CLOSE && s->ending != RESET;
+	int i, n = holds && s->ending != HOLD ? 2 : 1;
+	size_t len = strlen(s->answer);
 	char c;
 
 	for (i = 0; i < n && read_head(fd); i++) {
 		p->requests++;
-		if (write(fd, s->answer, strlen(s->answer)) < 0)
+		if (i && s->ending == RESPOND_IN_PART)
+			len /= 2;
+		if (write(fd, s->answer, len) < 0)
 			break;
 	}
 	if (s->ending == RESET)
 		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-	while ((s->ending == HOLD || s->ending == RESPOND_TWICE) &&
-	       read(fd, &c, 1) == 1)
+	while (holds && read(fd, &c, 1) == 1)
 		;
 	close(fd);
 	p->closed++;
@@ -127,6 +131,7 @@
 	struct http_pool *pool;
 	const char *method;
 	int64_t deadline_us;
+	int64_t silence_us;
 	int remaining;
 	int done;
 	enum http_call_status status;
@@ -188,6 +193,7 @@
 	struct http_call c = {
 		.request = &m,
 		.deadline_us = now + r->deadline_us,
+		.silence_us = r->silence_us,
 		.ctx = r,
 		.tag = 7,
 		.done = call_done,
@@ -405,6 +411,63 @@
 	assert_int_equal(peer.requests, 2);
 }
 
+/*
+ * A connection that went silent while it was idle: a request that may be
+ * repeated waited on it until its deadline.
+ */
+static void silent_connection_is_replaced(void **state)
+{
+	const struct script scripts[] = {{HEAD FIVE "hello", HOLD},
+					 {HEAD FIVE "again", HOLD}};
+	struct call_sequence r = {.method = "GET",
+				  .deadline_us = LONG_US,
+				  .silence_us = SHORT_US,
+				  .remaining = 2};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, scripts, 2);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.status, HTTP_COMPLETED);
+	assert_string_equal(r.body, "again");
+}
+
+/* As above, where the connection goes silent within a response. */
+static void silence_within_response_is_noticed(void **state)
+{
+	const struct script scripts[] = {{HEAD FIVE "hello", RESPOND_IN_PART},
+					 {HEAD FIVE "again", HOLD}};
+	struct call_sequence r = {.method = "GET",
+				  .deadline_us = LONG_US,
+				  .silence_us = SHORT_US,
+				  .remaining = 2};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, scripts, 2);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.status, HTTP_COMPLETED);
+	assert_string_equal(r.body, "again");
+}
+
+/* Without silence_us, a request is sent once and waits. */
+static void silent_connection_ends_other_calls_at_deadline(void **state)
+{
+	const struct script scripts[] = {{HEAD FIVE "hello", HOLD},
+					 {HEAD FIVE "again", HOLD}};
+	struct call_sequence r = {
+		.method = "POST", .deadline_us = SHORT_US, .remaining = 2};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, scripts, 2);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.status, HTTP_TIMED_OUT);
+}
+
 static void body_data_stops_after_cancel(void **state)
 {
 	const struct script script = {CHUNKED "5\r\nhello\r\n", HOLD};
@@ -507,6 +570,10 @@
 			no_call_is_lost_when_peer_closes_idle_connection),
 		cmocka_unit_test(surplus_response_is_discarded),
 		cmocka_unit_test(idle_connection_is_reused),
+		cmocka_unit_test(silent_connection_is_replaced),
+		cmocka_unit_test(silence_within_response_is_noticed),
+		cmocka_unit_test(
+			silent_connection_ends_other_calls_at_deadline),
 		cmocka_unit_test(body_data_stops_after_cancel),
 		cmocka_unit_test(waiting_calls_end_as_not_sent),
 	};
