--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -20,6 +20,8 @@
 	"[\"short\",\"h.example\",\"/a/\",\"unsafe\",0.8,1.5,0,null,3,true,"
 	"\"two\"],"
 	"[\"other\",\"g.example\",\"/a/\",\"safe\",1,1,1,null,1,false,"
+	"\"two\"],"
+	"[\"large\",\"g.example\",\"/l/\",\"download\",1,1,1,null,2,false,"
 	"\"two\"]]},"
 	"\"services\":{\"columns\":[\"name\",\"max_connections\"],"
 	"\"rows\":[[\"one\",730],[\"two\",160]]},"
@@ -59,6 +61,8 @@
 	assert_int_equal(r->effect, EFFECT_NOT_IDEMPOTENT);
 	assert_true(r->anonymous);
 	assert_int_equal(r->deadline_us, 800000);
+	r = config_match_host_prefix(c, "g.example", "/l/x");
+	assert_int_equal(r->effect, EFFECT_IDEMPOTENT);
 	assert_int_equal(config_service(c, "one")->connections, 730);
 	assert_int_equal(config_limits(c)->idle_timeout_us, 15500000);
 	low = config_account(c, "low");
@@ -145,6 +149,21 @@
 	free(cut);
 }
 
+/* A route of a kind that nobody knows was run as one that may not repeat. */
+static void unknown_route_kind_is_named(void **state)
+{
+	static const char text[] =
+		"{\"version\":1,\"routes\":{\"columns\":[\"name\",\"host\","
+		"\"prefix\",\"route_kind\",\"service\"],\"rows\":[[\"manual\","
+		"\"h\",\"/a/\",\"upload\",\"s\"]]}}";
+	struct error err;
+
+	(void)state;
+	assert_null(platform_config(text, strlen(text), &err));
+	assert_non_null(strstr(err.text, "manual"));
+	assert_non_null(strstr(err.text, "upload"));
+}
+
 #define HEARTBEAT_PATH "/mulberryferry/instances/i-7/heartbeat"
 #define DEREGISTER_PATH "/mulberryferry/instances/i-7/deregister"
 #define COMMON_MEMBERS                                                         \
@@ -381,6 +400,7 @@
 		cmocka_unit_test(prefixes_match_whole_path_segments),
 		cmocka_unit_test(account_priority_raises_shed_class),
 		cmocka_unit_test(malformed_documents_are_refused),
+		cmocka_unit_test(unknown_route_kind_is_named),
 		cmocka_unit_test(announcements_are_decoded),
 		cmocka_unit_test(malformed_announcements_are_refused),
 		cmocka_unit_test(store_responses_are_decoded),
