Give retries at the end of a chain to the highest bids

Gates counted that as failing, lowered their limit and shed roots; one retry in a hundred calls was allowed, to whichever call was rejected first. Ruled out: slots (a third in use) and accounts' limits (179 of 1,100 refusals in 3 s).

A rejection now counts as a lack of room only while most slots are in use. Calls that make no calls themselves share six tenths of the retry ratio; the others, whose repeats count at each service below, keep one in a hundred.

--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -186,7 +186,7 @@
 	}
 	r->in_flight = true;
 	if (!r->attempt)
-		retry_ratio_call(service_retry_ratio(n, r->service));
+		retries_count_call(n, r, now);
 	return 0;
 }
 
@@ -264,7 +264,7 @@
 		return true;
 	if (!r->allowance)
 		return false;
-	if (!retry_ratio_take(service_retry_ratio(n, r->service)))
+	if (!retries_take(n, r))
 		return false;
 	r->allowance--;
 	return true;
@@ -317,6 +317,7 @@
 		load_failed(&u->load, now);
 	if (u && head->leaving)
 		u->info.state = UPSTREAM_LEAVING;
+	retries_heard(n, r, head);
 	if (head->bottleneck) {
 		cutoffs_merge(n->cutoffs, head->bottleneck, account,
 			      &head->admission, now);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -255,15 +255,19 @@
 	return result;
 }
 
-/* Whether the gate should count the result as a failure of its upstream. */
-static bool is_upstream_failure(const struct call_result *result,
-				const struct http_call_result *r)
+/* How the gate should count the result. */
+static enum gate_end gate_end_of(const struct call_result *result,
+				 const struct http_call_result *r)
 {
+	if (result->outcome == OUTCOME_NOT_RUN &&
+	    result->reason == REASON_UPSTREAM_REFUSED)
+		return GATE_REJECTED;
+	if (result->outcome != OUTCOME_DONE)
+		return GATE_FAILED;
 	/* A 5xx caused by a failed sub-call is not the upstream's failure. */
-	if (result->outcome == OUTCOME_DONE)
-		return r->response->status >= 500 &&
-		       result->reason == REASON_NONE;
-	return true;
+	return r->response->status >= 500 && result->reason == REASON_NONE
+		       ? GATE_FAILED
+		       : GATE_SERVED;
 }
 
 static void upstream_done(void *ctx, uint64_t tag, struct http_call_result *r,
@@ -282,7 +286,7 @@
 	upstream = c->upstream;
 	u = gates_upstream(n, upstream);
 	if (u)
-		gate_done(u->gate, tag, !is_upstream_failure(&result, r), now);
+		gate_done(u->gate, tag, gate_end_of(&result, r), now);
 	if (u && r->status == HTTP_COMPLETED && !result.replaced)
 		gates_heard(n, u, r->response, now);
 	if (r->status != HTTP_COMPLETED) {
@@ -291,6 +295,8 @@
 	}
 	if (result.outcome == OUTCOME_NOT_RUN)
 		c->runs--;
+	if (result.outcome == OUTCOME_DONE && r->response->status < 500)
+		route_stats_add_sub_calls(n, c->head.route, c->sub_calls);
 	cancel_sub_calls(n, tag, now);
 	end_call(n, c, result.outcome, result.reason,
 		 result.outcome == OUTCOME_DONE ? r->response : NULL, now);
@@ -356,7 +362,7 @@
 		return;
 	}
 	log_error(LOG_WARNING, "upstream", &err);
-	gate_done(u->gate, c->handle, false, now);
+	gate_done(u->gate, c->handle, GATE_FAILED, now);
 	end_call(n, c, OUTCOME_NOT_RUN, REASON_UPSTREAM_FAILED, NULL, now);
 }
 
@@ -384,7 +390,7 @@
 		if (c)
 			run_call(n, u, c, waited_us, now);
 		else
-			gate_done(u->gate, id, false, now);
+			gate_done(u->gate, id, GATE_FAILED, now);
 	}
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -514,6 +514,7 @@
 	if (n->config)
 		config_put(n->config);
 	service_retries_free(n);
+	route_stats_free(n);
 	bottlenecks_free(n);
 	if (n->admin_state)
 		admin_free(n->admin_state);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -119,6 +119,7 @@
 	struct identities *identities;
 	struct exchange_index *exchanges;
 	struct service_retries *retries;
+	struct route_stats *route_stats;
 	struct bottlenecks *bottlenecks;
 	struct call_index *by_token;
 	struct call_index *by_stream;
@@ -223,9 +224,40 @@
 /* Returns the upstream with this handle, or NULL if it was removed. */
 struct known_upstream *directory_get(struct directory *d, uint64_t handle);
 
-/* Returns the retry ratio of a service; never NULL. */
-struct retry_ratio *service_retry_ratio(struct node *n, const char *service);
+/* Retries of a service at this node; see service_retries.c. */
+struct service_retries {
+	char name[NAME_SIZE];
+	struct retry_ratio ratio;   /* of calls that make calls themselves */
+	struct retry_market market; /* of the others */
+	double rejected_share;	    /* of the answers, smoothed */
+	UT_hash_handle hh;
+};
+
+/* Returns the retries of a service; never NULL. */
+struct service_retries *service_retries(struct node *n, const char *service);
 void service_retries_free(struct node *n);
+/* Counts a first attempt of a call on the route. */
+void retries_count_call(struct node *n, const struct request *r, int64_t now);
+/* Learns the share of rejected calls from an answer. */
+void retries_heard(struct node *n, const struct request *r,
+		   const struct answer_head *head);
+/* Takes a retry of the request, or returns false if it gets none. */
+bool retries_take(struct node *n, const struct request *r);
+
+/* What is known of the requests of a route; see route_stats.c. */
+struct route_stats {
+	uint64_t route;	  /* hash of its name */
+	double runs;	  /* by one call, its sub-calls included; smoothed */
+	double sub_calls; /* that a run makes itself; smoothed */
+	UT_hash_handle hh;
+};
+
+/* Returns the entry of a route, or NULL when out of memory. */
+struct route_stats *route_stats(struct node *n, const char *route);
+void route_stats_free(struct node *n);
+void route_stats_add_runs(struct node *n, const char *route, uint32_t runs);
+void route_stats_add_sub_calls(struct node *n, const char *route,
+			       uint32_t sub_calls);
 
 struct identities *identities_new(void);
 void identities_free(struct identities *ids);
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -6,6 +6,8 @@
 #define QUEUE_TIME_MAX_OVERLOAD_US \
 	(250 * USEC_PER_MSEC)			 /* during an overload */
 #define QUEUE_TIME_MAX_US (1000 * USEC_PER_MSEC) /* otherwise */
+/* Of the slots in use: rejections are then taken for a lack of room. */
+#define FULL_SHARE 0.75
 
 /* Creates the gate of one upstream; NULL when out of memory. */
 struct gate *gate_new(const struct gate_options *o, int64_t now)
@@ -297,21 +299,42 @@
 {
 	gate_count_busy(g, now);
 	g->running--;
-	g->ended++;
 	HASH_DEL(g->items, it);
 	free(it);
 }
 
-/* Frees the slot of a running call; unknown ids are ignored. */
-void gate_done(struct gate *g, uint64_t id, bool ok, int64_t now)
+/* Whether the upstream has most of its slots in use. */
+static bool is_nearly_full(const struct gate *g)
+{
+	return g->running >= g->o.slots * FULL_SHARE;
+}
+
+/*
+ * Frees the slot of a running call; unknown ids are ignored. An upstream that
+ * rejects calls with slots free does so at any load: fewer calls at once would
+ * not help, and the rejections tell nothing of how long a call takes.
+ */
+void gate_done(struct gate *g, uint64_t id, enum gate_end end, int64_t now)
 {
 	struct gate_item *it = find_item(g, id);
+	bool nearly_full = is_nearly_full(g);
 
 	if (!it || !it->running)
 		return;
-	if (!ok)
-		g->failed++;
 	end_running(g, it, now);
+	switch (end) {
+	case GATE_SERVED:
+		g->ended++;
+		return;
+	case GATE_FAILED:
+		g->ended++;
+		g->failed++;
+		return;
+	case GATE_REJECTED:
+		g->ended += nearly_full;
+		g->failed += nearly_full;
+		return;
+	}
 }
 
 static void cancel_drop(struct gate *g, uint64_t id)
@@ -339,6 +362,7 @@
 	}
 	if (it->running) {
 		end_running(g, it, now);
+		g->ended++;
 		return;
 	}
 	queue_remove(g, it);
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -99,11 +99,17 @@
 uint64_t gate_next(struct gate *g, int64_t now, int64_t *waited_us);
 /* Takes the next call dropped from the queue; false if there is none. */
 bool gate_next_drop(struct gate *g, int64_t now, struct gate_drop *d);
+enum gate_end {
+	GATE_SERVED,
+	GATE_FAILED,   /* by an error or timeout of the upstream itself */
+	GATE_REJECTED, /* by the upstream, without running it */
+};
+
 /*
- * Reports that a running call ended. ok is false for errors and timeouts of
- * the upstream itself, not for those caused by a failed sub-call.
+ * Reports that a running call ended. A call that failed because of a sub-call
+ * counts as served.
  */
-void gate_done(struct gate *g, uint64_t id, bool ok, int64_t now);
+void gate_done(struct gate *g, uint64_t id, enum gate_end end, int64_t now);
 /* Removes a cancelled call, queued or running. */
 void gate_cancel(struct gate *g, uint64_t id, int64_t now);
 /* Updates limit and cutoffs; to be called every GATE_STEP_US. */
@@ -159,6 +165,23 @@
 	uint32_t percent;
 };
 
+/*
+ * Retries of a service that go to the highest bids: the price follows the
+ * demand, so that the retries there are serve what is worth most.
+ */
+struct retry_market {
+	double tokens;
+	double per_call; /* tokens that a first attempt earns */
+	double earned_s; /* tokens a second, smoothed */
+	double price;	 /* lowest bid accepted */
+	int64_t last_us; /* last first attempt */
+};
+
+void retry_market_init(struct retry_market *m);
+void retry_market_call(struct retry_market *m, int64_t now);
+bool retry_market_take(struct retry_market *m, enum shed_class cls,
+		       double rejected_share, uint32_t calls_after);
+
 uint8_t allowance_lend(uint8_t *left);
 void retry_ratio_init(struct retry_ratio *r, uint32_t percent);
 void retry_ratio_call(struct retry_ratio *r);
@@ -174,9 +197,9 @@
 
 /* Balance: measurements by this node of one upstream. */
 struct upstream_load {
-	double latency_us;  /* smoothed */
-	double error_share; /* smoothed, 0 to 1 */
-	double shed_share;  /* from its cutoffs, smoothed, 0 to 1 */
+	double latency_us;     /* smoothed */
+	double error_share;    /* smoothed, 0 to 1 */
+	double shed_share;     /* from its cutoffs, smoothed, 0 to 1 */
 	int64_t last_update_us;
 	int64_t first_sent_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
--- a/test/replay_calls.c
+++ b/test/replay_calls.c
@@ -190,7 +190,8 @@
 	struct attempt *a = table_get(&m->attempts, handle);
 	uint32_t hop = a->hop, upstream = a->upstream;
 
-	gate_done(model_upstream(m, hop, upstream)->gate, handle, ok, m->now);
+	gate_done(model_upstream(m, hop, upstream)->gate, handle,
+		  ok ? GATE_SERVED : GATE_FAILED, m->now);
 	send_answer(m, handle, outcome, reason);
 	model_run_gate(m, hop, upstream);
 }
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -82,7 +82,7 @@
 		offer_many(g, 1, 20, 1, SHED_LAST);
 		assert_int_equal(start_all(g, 0), 5);
 		gate_set_slots(g, 3, 1);
-		gate_done(g, 1, true, 1);
+		gate_done(g, 1, GATE_SERVED, 1);
 		assert_int_equal(start_all(g, 1), 0);
 		gate_set_slots(g, 0, 1);
 		gate_step(g, GATE_STEP_US);
@@ -154,7 +154,7 @@
 			left[i] -= busy > SATURATION_RUNNING ? 1 / 1.3 : 1;
 			if (left[i] > 0)
 				continue;
-			gate_done(g, running[i], true, now);
+			gate_done(g, running[i], GATE_SERVED, now);
 			running[i] = 0;
 			ended++;
 		}
@@ -196,7 +196,7 @@
 	assert_false(gate_next_drop(g, FAR_FUTURE_US, &d));
 	for (id = 1; id <= 150; id++) {
 		assert_int_equal(next(g, FAR_FUTURE_US), id);
-		gate_done(g, id, true, FAR_FUTURE_US);
+		gate_done(g, id, GATE_SERVED, FAR_FUTURE_US);
 	}
 	gate_free(g);
 }
@@ -257,7 +257,9 @@
 		while (gate_next_drop(g, now, &d))
 			;
 		while (n)
-			gate_done(g, running[--n], ok, now + 10 * MS);
+			gate_done(g, running[--n],
+				  ok ? GATE_SERVED : GATE_FAILED,
+				  now + 10 * MS);
 		if ((now + 10 * MS) % GATE_STEP_US == 0)
 			gate_step(g, now + 10 * MS);
 	}
@@ -298,7 +300,7 @@
 	assert_int_equal(offer(g, &c, 0), REASON_NONE);
 	c = make_call(3, 1, SHED_LAST);
 	assert_int_equal(offer(g, &c, 0), REASON_NONE);
-	gate_done(g, 1, true, 6 * MS);
+	gate_done(g, 1, GATE_SERVED, 6 * MS);
 	assert_int_equal(next(g, 6 * MS), 3);
 	assert_true(gate_next_drop(g, 6 * MS, &d));
 	assert_int_equal(d.id, 2);
@@ -342,8 +344,8 @@
 	gate_cancel(g, 2, 0);
 	gate_cancel(g, 1, 0);
 	gate_cancel(g, 1, 0);
-	gate_done(g, 1, true, 0);
-	gate_done(g, 4, true, 0); /* not running */
+	gate_done(g, 1, GATE_SERVED, 0);
+	gate_done(g, 4, GATE_SERVED, 0); /* not running */
 	assert_int_equal(next(g, 0), 3);
 	assert_int_equal(next(g, 0), 0);
 	assert_false(gate_next_drop(g, 0, &d));
@@ -376,7 +378,7 @@
 			;
 		for (i = 0; i < 2; i++) {
 			if (running[i])
-				gate_done(g, running[i], true, now);
+				gate_done(g, running[i], GATE_SERVED, now);
 			running[i] = next(g, now);
 		}
 		if (now % GATE_STEP_US == 0)
@@ -489,7 +491,7 @@
 			assert_true(r->n < RATE_STARTS_MAX);
 			r->starts[r->n++] = r->now;
 			r->important_started += id % 4 == 0;
-			gate_done(r->g, id, true, r->now + MS);
+			gate_done(r->g, id, GATE_SERVED, r->now + MS);
 		}
 		if (r->now % GATE_STEP_US == 0)
 			gate_step(r->g, r->now);
--- a/tools/replay.c
+++ b/tools/replay.c
@@ -212,7 +212,7 @@
 	load_sent(c[i].load, now);
 	cutoffs_take_unreported(cutoffs, 1, call.account, call.shed_unreported);
 	gate_offer(g, &call, &why, now);
-	gate_done(g, gate_next(g, now, &waited), true, now + 1);
+	gate_done(g, gate_next(g, now, &waited), GATE_SERVED, now + 1);
 	a = gate_admission(g, call.account);
 	head.admission = a;
 	load_answered(c[i].load, &head, 1000, now);
