Leave an upstream that fails or rejects, also when there are only two

Callers lost half of their calls while one of the two upstreams of a service garbled every answer: 50 of 100 in 5 s.

Cause: at most a third of the candidates may be ejected, which is none of two, and the detour to the other data centre had to save a sixth of the target time although the near upstream answered nothing. Retries were allowed and not made, as one in a hundred calls was all that a call at the end of a chain could get. Ruled out: the answer's outcome (unknown, so a safe call may be repeated) and the allowance (unspent).

A failed call counts as its route's target time in the balance, a rejected one likewise, and one of two may be ejected.

--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -46,6 +46,7 @@
 			.slots = u->info.slots,
 			.same_data_centre = u->same_data_centre,
 			.detour_us = r->route->target_us / DETOUR_DIVISOR,
+			.failure_us = r->route->target_us,
 			.tried = was_tried(r, handles[i]) ||
 				 links_is_suspect(n->links, &u->member),
 		};
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -17,7 +17,8 @@
 #define EJECT_SHARE 0.6		      /* error share that ejects */
 #define EJECT_US USEC_PER_SEC	      /* doubled each time */
 #define EJECT_DOUBLINGS 4
-#define EJECTED_DIVISOR 3 /* at most one in this many candidates */
+#define EJECTED_DIVISOR 3  /* at most one in this many candidates */
+#define REJECTED_GAIN 0.02 /* weight of a call in the rejected share */
 #define REMOTE_PENALTY_US (3 * USEC_PER_MSEC) /* added to remote scores */
 #define ROOM_QUEUE_MAX_US (2 * USEC_PER_MSEC) /* a longer queue: no room */
 #define ROOM_SLOT_SHARE_MAX 0.9	   /* of the slots in use; more: no room */
@@ -93,9 +94,13 @@
 	l->queue_us = h->queue_us;
 	l->in_flight = h->in_flight;
 	if (h->outcome == OUTCOME_NOT_RUN) {
+		if (h->reason == REASON_UPSTREAM_REFUSED)
+			l->rejected_share +=
+				(1 - l->rejected_share) * REJECTED_GAIN;
 		l->last_update_us = now;
 		return;
 	}
+	l->rejected_share -= l->rejected_share * REJECTED_GAIN;
 	count_result(l, is_upstream_failure(h->reason), now);
 	l->rate = h->rate_milli / 1000.0;
 	if (h->reason != REASON_NONE)
@@ -179,18 +184,25 @@
 	calls = l->outstanding;
 	if (l->in_flight * reported > calls)
 		calls = l->in_flight * reported;
-	errors = l->error_share * measured;
+	errors =
+		(1 - (1 - l->error_share) * (1 - l->rejected_share)) * measured;
 	if (errors > ERROR_MAX)
 		errors = ERROR_MAX;
 	return (l->queue_us * reported +
+		(double)c->failure_us * errors / (1 - errors) +
 		latency * (1 + calls / slots) / (1 - errors)) /
 		       (1 - SHED_WEIGHT * l->shed_share * reported) +
 	       (c->same_data_centre ? 0 : REMOTE_PENALTY_US);
 }
 
+/* How many candidates may be ejected at once: a third, and one of two. */
+static size_t ejected_max(size_t n)
+{
+	return n == 2 ? 1 : n / EJECTED_DIVISOR;
+}
+
 /*
- * At most a third of the candidates stay ejected: those whose ejection ends
- * last, and among equals the first ones.
+ * Those stay ejected whose ejection ends last, and among equals the first ones.
  */
 static bool ejected(const struct balance_candidate *c, size_t n, size_t i,
 		    int64_t now)
@@ -204,7 +216,7 @@
 		if (c[j].load->ejected_until_us > until ||
 		    (c[j].load->ejected_until_us == until && j < i))
 			ahead++;
-	return ahead < n / EJECTED_DIVISOR;
+	return ahead < ejected_max(n);
 }
 
 /*
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -200,6 +200,7 @@
 	double latency_us;     /* smoothed */
 	double error_share;    /* smoothed, 0 to 1 */
 	double shed_share;     /* from its cutoffs, smoothed, 0 to 1 */
+	double rejected_share; /* of the calls that reached it, smoothed */
 	int64_t last_update_us;
 	int64_t first_sent_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
@@ -217,6 +218,7 @@
 	bool tried; /* by an earlier attempt of this call */
 	/* Time that another data centre must save while this one has room. */
 	int64_t detour_us;
+	int64_t failure_us; /* time that a failed call is counted as */
 	/* Time until a new upstream gets its full share; 0: five seconds. */
 	int64_t warm_up_us;
 };
