Bound the memory of answers that callers do not read

With 200 callers that read answers of 12 MB slowly, a node used 1,613 MB of the 260 of its host: it would have been killed, with all requests it held.

Cause: responses were queued for each caller without a bound, grown by doubling, and memory once used was kept by the allocator, whose threshold for large blocks follows their size.

Large responses of upstreams are read on only when there is room for all of them. Bytes are written to the socket before any are queued, and what was sent of a long queue is freed.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -73,6 +73,8 @@
 	size_t size;
 };
 
+/* Makes room for size bytes in all, and no more; -1 when out of memory. */
+int buffer_reserve(struct buffer *b, size_t size);
 int buffer_append(struct buffer *b, const void *data, size_t len, size_t limit);
 int buffer_printf(struct buffer *b, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
@@ -151,6 +153,7 @@
 	COUNTER_STORE_DENIED,
 	COUNTER_STORE_REPLACED,
 	COUNTER_STORE_SILENT,
+	COUNTER_SLOW_READERS,
 	COUNTER_LOANS_REQUESTED,
 	COUNTER_LOANS_GRANTED,
 	COUNTER_CLAIMS,
--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -26,6 +26,20 @@
 	return 0;
 }
 
+int buffer_reserve(struct buffer *b, size_t size)
+{
+	uint8_t *p;
+
+	if (size <= b->size)
+		return 0;
+	p = realloc(b->data, size);
+	if (!p)
+		return -1;
+	b->data = p;
+	b->size = size;
+	return 0;
+}
+
 /*
  * Appends len bytes. Returns -1 and leaves the buffer unchanged if the result
  * would exceed limit bytes or when out of memory.
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -42,6 +42,8 @@
 				    "Times the store lost written data"},
 	[COUNTER_STORE_SILENT] = {"store_silent",
 				  "Silent connections to the store"},
+	[COUNTER_SLOW_READERS] = {"slow_readers",
+				  "Callers cut off with unread answers"},
 	[COUNTER_LOANS_REQUESTED] = {"loans_asked", "Token loans asked for"},
 	[COUNTER_LOANS_GRANTED] = {"loans_granted", "Token loans granted"},
 	[COUNTER_CLAIMS] = {"claims", "Idempotency claims written"},
--- a/src/cmd/cmd_node.c
+++ b/src/cmd/cmd_node.c
@@ -1,6 +1,7 @@
 #include "cmd/cmd.h"
 
 #include <argp.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <unistd.h>
@@ -8,6 +9,8 @@
 #include "conf/conf.h"
 #include "node/node.h"
 
+#define LARGE_ALLOCATION (256 * 1024) /* bytes */
+
 struct node_arguments {
 	const char *settings;
 	bool check_only;
@@ -50,6 +53,8 @@
 	struct error err = {0};
 	struct node *n;
 
+	/* The memory of large bodies goes back to the host at once. */
+	mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION);
 	log_set_level(s->log_priority);
 	log_open(STDOUT_FILENO);
 	n = node_open(s, path, &err);
--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -64,6 +64,7 @@
 enum http_read_result http_reader_eof(struct http_reader *r);
 /* Whether the peer keeps the connection open after this message. */
 bool http_reader_keep_alive(const struct http_reader *r);
+int64_t http_reader_body_left(const struct http_reader *r);
 /* Whether no byte of the next message has been read. */
 bool http_reader_idle(const struct http_reader *r);
 
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -206,6 +206,15 @@
 	       status == STATUS_NOT_MODIFIED;
 }
 
+/* Returns the bytes left of a body whose length was announced, or -1. */
+int64_t http_reader_body_left(const struct http_reader *r)
+{
+	if (r->parser.flags & F_CHUNKED ||
+	    r->parser.content_length == UINT64_MAX)
+		return -1;
+	return (int64_t)r->parser.content_length;
+}
+
 /* Returning 1 tells http_parser that the message has no body. */
 static int on_headers_complete(http_parser *p)
 {
@@ -225,7 +234,12 @@
 	r->in_body = true;
 	if (r->options.responses) {
 		r->message.status = (int)p->status_code;
-		return response_has_no_body(r);
+		if (response_has_no_body(r))
+			return 1;
+		/* Grown step by step, a large body takes twice its size. */
+		if (http_reader_body_left(r) < 0 || r->options.body_data)
+			return 0;
+		return buffer_reserve(&r->message.body, p->content_length);
 	}
 	if (set_request_line(r) < 0 || !request_is_valid(r))
 		return -1;
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -12,6 +12,8 @@
 /* A lingering connection is closed after this time if all output is written. */
 #define LINGER_US USEC_PER_SEC
 #define TIMEOUT_CHECK_US (250 * USEC_PER_MSEC)
+/* A peer that reads nothing of its response for this long has given up. */
+#define READ_STALL_US (15 * USEC_PER_SEC)
 
 /* Limits until http_server_set_limits is called; the body timeout is fixed. */
 #define DEFAULT_HEAD_BYTES (8 * 1024)
@@ -44,12 +46,14 @@
 	char peer[ADDR_TEXT_SIZE];
 	struct exchange *first; /* oldest, or NULL if none is open */
 	uint32_t exchange_count;
-	struct buffer input;	/* received, not parsed yet */
-	bool request_pending;	/* complete in the reader, not dispatched */
-	bool processing;	/* process_requests is running */
-	bool no_more_requests;	/* further input is discarded */
-	bool lingering;		/* to be closed once all output is written */
-	int64_t state_since_us; /* idle or reading a request since */
+	struct buffer input;	 /* received, not parsed yet */
+	bool request_pending;	 /* complete in the reader, not dispatched */
+	bool processing;	 /* process_requests is running */
+	bool no_more_requests;	 /* further input is discarded */
+	bool lingering;		 /* to be closed once all output is written */
+	size_t unread;		 /* bytes of unread output, when last looked */
+	int64_t unread_since_us; /* since when it has not changed */
+	int64_t state_since_us;	 /* idle or reading a request since */
 };
 
 struct http_server {
@@ -379,6 +383,65 @@
 	return age >= s->limits.idle_timeout_us;
 }
 
+static void log_slow_reader(const struct server_conn *c, const char *why,
+			    size_t unread_total)
+{
+	struct log_line line;
+
+	counter_add(COUNTER_SLOW_READERS, 1);
+	log_start(&line, LOG_WARNING, "slow-reader-cut");
+	log_str(&line, "peer", c->peer);
+	log_int(&line, "unread", (int64_t)tcp_queued_memory(&c->tcp));
+	log_int(&line, "unread_total", (int64_t)unread_total);
+	log_str(&line, "why", why);
+	log_emit(&line);
+}
+
+static size_t unread_total(const struct http_server *s)
+{
+	const struct server_conn *c;
+	size_t total = 0;
+
+	DL_FOREACH(s->conns, c)
+	total += tcp_queued_memory(&c->tcp);
+	return total;
+}
+
+/*
+ * Closes connections until unread responses fit into memory again, first those
+ * whose response was written first: whoever reads has it by then.
+ */
+static void limit_unread(struct http_server *s)
+{
+	size_t total = unread_total(s), max = s->options.unread_max;
+	struct server_conn *c, *next;
+
+	if (!max)
+		return;
+	DL_FOREACH_SAFE(s->conns, c, next)
+	{
+		if (total <= max)
+			return;
+		if (!tcp_queued_memory(&c->tcp))
+			continue;
+		log_slow_reader(c, "memory", total);
+		total -= tcp_queued_memory(&c->tcp);
+		close_conn(c);
+	}
+}
+
+/* Whether the peer has read nothing of its output for too long. */
+static bool has_stopped_reading(struct server_conn *c, int64_t now)
+{
+	size_t unread = tcp_unsent(&c->tcp);
+
+	if (unread && unread == c->unread)
+		return now - c->unread_since_us >= READ_STALL_US;
+	c->unread = unread;
+	c->unread_since_us = now;
+	return false;
+}
+
 static void end_timed_out(struct server_conn *c)
 {
 	bool reading = !http_reader_idle(&c->reader) && !c->lingering;
@@ -399,8 +462,14 @@
 	struct server_conn *c, *next;
 
 	DL_FOREACH_SAFE(s->conns, c, next)
-	if (has_timed_out(s, c, now))
-		end_timed_out(c);
+	{
+		if (has_stopped_reading(c, now)) {
+			log_slow_reader(c, "stopped", unread_total(s));
+			close_conn(c);
+		} else if (has_timed_out(s, c, now)) {
+			end_timed_out(c);
+		}
+	}
 	if (s->accept_paused && close_longest_idle(s))
 		tcp_listener_set_accepting(&s->listener, true);
 }
@@ -492,6 +561,8 @@
 	send_responses(c);
 	if (tcp_is_open(&c->tcp))
 		process_requests(c);
+	if (tcp_is_open(&c->tcp) && tcp_queued_memory(&c->tcp))
+		limit_unread(s);
 	return 0;
 }
 
--- a/src/net/http_write.c
+++ b/src/net/http_write.c
@@ -68,6 +68,8 @@
 		return -1;
 	if (head || no_length || m->status == STATUS_NOT_MODIFIED)
 		return 0;
+	if (buffer_reserve(out, out->len + m->body.len) < 0)
+		return -1;
 	return buffer_append(out, m->body.data, m->body.len, SIZE_MAX);
 }
 
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -36,6 +36,8 @@
 	struct addr listen; /* port 0: chosen by the kernel */
 	size_t body_limit;
 	uint32_t connections_max; /* more wait in the listen backlog */
+	/* Memory for responses that callers do not read yet; 0: no limit. */
+	size_t unread_max;
 	/*
 	 * Header set to "not-run" in error responses that the server sends
 	 * without calling the request handler, or NULL.
@@ -75,6 +77,12 @@
 void http_server_drain(struct http_server *s);
 uint32_t http_server_connections(const struct http_server *s);
 
+/*
+ * Limits the memory for large responses that pools with bodies_wait receive at
+ * once. A response that would exceed it is read on when there is room.
+ */
+void net_limit_bodies(struct net *net, size_t max);
+
 /*
  * HTTP client: a pool of connections to one address. Each connection carries
  * one call at a time; calls beyond connections_max wait in FIFO order.
@@ -87,6 +95,7 @@
 	size_t body_limit;
 	int64_t idle_timeout_us;    /* or less, as Keep-Alive says */
 	int64_t connect_timeout_us; /* then HTTP_UNREACHABLE; 0: no limit */
+	bool bodies_wait;	    /* for memory; see net_limit_bodies */
 	void *ctx;
 	/*
 	 * A request sent at sent_us met silence; see silence_us. May be NULL,
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -46,6 +46,9 @@
 	struct net_close_hook *close_hooks;
 	struct net_vhost *vhosts;
 	struct http_pool *pools;
+	size_t bodies_max;  /* see net_limit_bodies; 0: no limit */
+	size_t bodies_held; /* reserved for large responses */
+	struct pool_conn *bodies_waiting;
 	struct net_deferred_free *deferred_frees; /* after this iteration */
 	volatile bool stopping; /* also set by other threads and signals */
 	bool closing;		/* net_close is running */
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <netinet/tcp.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -16,6 +17,7 @@
  * (TCP_USER_TIMEOUT): a cut network path gives no other sign.
  */
 #define USER_TIMEOUT_MS 3000
+#define RELEASE_MIN (256 * 1024) /* bytes sent of a queue, to free them */
 #define OUT_MAX SIZE_MAX
 
 static void set_options(int fd)
@@ -56,19 +58,52 @@
 	}
 }
 
-/* Sends queued bytes until the socket buffer is full; -1 on error. */
-static int send_queued(struct tcp *t)
+/* Sends until the socket buffer is full; returns the bytes sent, or -1. */
+static ssize_t send_now(struct tcp *t, const uint8_t *data, size_t len)
 {
+	size_t sent = 0;
 	ssize_t n;
 
-	while (t->out_pos < t->out.len) {
-		n = send(t->fd, t->out.data + t->out_pos,
-			 t->out.len - t->out_pos, MSG_NOSIGNAL);
+	while (sent < len) {
+		n = send(t->fd, data + sent, len - sent, MSG_NOSIGNAL);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0)
-			return errno == EAGAIN ? 0 : -1;
-		t->out_pos += (size_t)n;
+			return errno == EAGAIN ? (ssize_t)sent : -1;
+		sent += (size_t)n;
+	}
+	return (ssize_t)sent;
+}
+
+/* Frees the memory of the bytes that were sent, if it is a large part. */
+static void release_sent(struct tcp *t)
+{
+	uint8_t *p;
+
+	if (t->out_pos < RELEASE_MIN || t->out_pos < t->out.len / 4)
+		return;
+	t->out.len -= t->out_pos;
+	memmove(t->out.data, t->out.data + t->out_pos, t->out.len);
+	t->out_pos = 0;
+	p = realloc(t->out.data, t->out.len);
+	if (!p)
+		return;
+	t->out.data = p;
+	t->out.size = t->out.len;
+}
+
+/* Sends queued bytes until the socket buffer is full; -1 on error. */
+static int send_queued(struct tcp *t)
+{
+	ssize_t n =
+		send_now(t, t->out.data + t->out_pos, t->out.len - t->out_pos);
+
+	if (n < 0)
+		return -1;
+	t->out_pos += (size_t)n;
+	if (t->out_pos < t->out.len) {
+		release_sent(t);
+		return 0;
 	}
 	buffer_free(&t->out);
 	t->out_pos = 0;
@@ -161,13 +196,16 @@
  */
 int tcp_write(struct tcp *t, const void *data, size_t len)
 {
-	if (!tcp_is_open(t) || buffer_append(&t->out, data, len, OUT_MAX) < 0)
+	ssize_t sent = 0;
+
+	if (!tcp_is_open(t))
 		return -1;
-	if (t->connecting || ev_is_active(&t->writable))
-		return 0;
-	if (send_queued(t) < 0)
+	if (!t->connecting && !ev_is_active(&t->writable))
+		sent = send_now(t, data, len);
+	if (sent < 0 || buffer_append(&t->out, (const uint8_t *)data + sent,
+				      len - (size_t)sent, OUT_MAX) < 0)
 		return -1;
-	if (!tcp_all_written(t))
+	if (!t->connecting && !tcp_all_written(t))
 		ev_io_start(t->net->loop, &t->writable);
 	return 0;
 }
@@ -206,6 +244,16 @@
 	return t->out_pos == t->out.len;
 }
 
+size_t tcp_unsent(const struct tcp *t)
+{
+	return t->out.len - t->out_pos;
+}
+
+size_t tcp_queued_memory(const struct tcp *t)
+{
+	return t->out.size;
+}
+
 bool tcp_has_input(const struct tcp *t)
 {
 	char byte;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -44,6 +44,10 @@
 void tcp_close(struct tcp *t);
 bool tcp_is_open(const struct tcp *t);
 bool tcp_all_written(const struct tcp *t);
+/* Bytes that the peer does not read yet. */
+size_t tcp_unsent(const struct tcp *t);
+/* Memory that holds bytes which the peer does not read yet. */
+size_t tcp_queued_memory(const struct tcp *t);
 /*
  * Whether data, an end of file or an error is pending; an idle connection
  * with one can't be reused.
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -95,6 +95,7 @@
 		.body_limit = n->settings.body_limit,
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
+		.bodies_wait = true,
 	};
 	struct gate_options gate = {
 		.slots = u->info.slots,
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -6,6 +6,8 @@
 #include "admin/admin.h"
 #include "platform/platform.h"
 
+#define UNREAD_DIVISOR 2   /* of the memory for bodies: unread by callers */
+#define RECEIVED_DIVISOR 4 /* and of large answers that upstreams send */
 #define ANNOUNCEMENT_PATH "/mulberryferry/v1/announcement"
 #define LOCAL_CONNECTIONS_MAX 4096
 #define ADMIN_CONNECTIONS_MAX 256
@@ -163,6 +165,8 @@
 	struct http_server_options o = {.listen = s->callers,
 					.body_limit = s->body_limit,
 					.connections_max = s->connections_max,
+					.unread_max = s->memory_limit /
+						      UNREAD_DIVISOR,
 					.outcome_header = n->headers->outcome,
 					.ctx = n,
 					.on_request = on_caller,
@@ -201,6 +205,7 @@
 				  .on_cancelled = on_cancelled,
 				  .on_peer_msg = on_peer_message};
 
+	net_limit_bodies(n->net, n->settings.memory_limit / RECEIVED_DIVISOR);
 	if (open_http(n, err) < 0)
 		return -1;
 	memcpy(o.secret, n->settings.secret, sizeof(o.secret));
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -82,6 +82,7 @@
 		"upstream": {"service": "front"},
 		"store": {"kind": "platform", "address": "$STORE",
 			"calls_per_second": 100},
+		${HOST_LIMITS:-}
 		"promises": ["revoke_s=${REVOKE_S:-2}", "drain_s=2", "grace_s=6",
 			"budget_ratio=0.2", "not_known=1"]
 	}
--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -468,6 +468,62 @@
 	assert_int_equal(r.status, HTTP_TIMED_OUT);
 }
 
+#define LARGE_BYTES 300000
+
+static char *large_answer(void)
+{
+	char *text = malloc(LARGE_BYTES + 100);
+	int n = sprintf(text, HEAD "Content-Length: %d\r\n\r\n", LARGE_BYTES);
+
+	memset(text + n, 'x', LARGE_BYTES);
+	text[n + LARGE_BYTES] = 0;
+	return text;
+}
+
+/* Large responses beyond the limit wait, and arrive whole. */
+static void large_responses_wait_for_memory(void **state)
+{
+	char *text = large_answer();
+	const struct script script = {text, HOLD};
+	struct call_sequence r[3];
+	struct peer peers[3];
+	struct error err;
+	struct net *net = net_open(&err);
+	int i, done;
+
+	(void)state;
+	net_limit_bodies(net, LARGE_BYTES + 1);
+	for (i = 0; i < 3; i++) {
+		struct http_pool_options o = {.connections_max = 1,
+					      .body_limit = 2 * LARGE_BYTES,
+					      .idle_timeout_us = LONG_US,
+					      .bodies_wait = true};
+
+		peer_start(&peers[i], &script, 1);
+		o.addr = peers[i].addr;
+		r[i] = (struct call_sequence){.net = net,
+					      .method = "GET",
+					      .deadline_us = LONG_US,
+					      .remaining = 1};
+		r[i].pool = http_pool_open(net, &o, &err);
+		start_call(&r[i], clock_monotonic_us());
+	}
+	do {
+		net_run(net);
+		for (i = 0, done = 0; i < 3; i++)
+			done += r[i].done;
+	} while (done < 3);
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(r[i].status, HTTP_COMPLETED);
+		assert_string_equal(r[i].body + 60, "xxx");
+		http_pool_close(r[i].pool);
+	}
+	net_close(net);
+	for (i = 0; i < 3; i++)
+		peer_stop(&peers[i]);
+	free(text);
+}
+
 static void body_data_stops_after_cancel(void **state)
 {
 	const struct script script = {CHUNKED "5\r\nhello\r\n", HOLD};
@@ -570,6 +626,7 @@
 			no_call_is_lost_when_peer_closes_idle_connection),
 		cmocka_unit_test(surplus_response_is_discarded),
 		cmocka_unit_test(idle_connection_is_reused),
+		cmocka_unit_test(large_responses_wait_for_memory),
 		cmocka_unit_test(silent_connection_is_replaced),
 		cmocka_unit_test(silence_within_response_is_noticed),
 		cmocka_unit_test(
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -114,6 +114,25 @@
 		add_header(answer, "server-leaving", "1");
 }
 
+/* Fills the body of an answer; a target with "bytes=N" gets N bytes. */
+static void fill_body(struct buffer *body, const char *target)
+{
+	uint32_t bytes = 0;
+	char *text;
+
+	set_fault(target, "bytes=", &bytes);
+	if (!bytes) {
+		buffer_printf(body, "ran %s", target);
+		return;
+	}
+	text = calloc(1, bytes);
+	if (!text)
+		abort();
+	memset(text, 'x', bytes);
+	buffer_append(body, text, bytes, SIZE_MAX);
+	free(text);
+}
+
 static void on_request(void *ctx, uint64_t exchange, struct message *m,
 		       const char *peer, int64_t now)
 {
@@ -140,7 +159,7 @@
 		add_header(&answer, "mulberryferry-not-executed", "1");
 	} else {
 		print_run(m);
-		buffer_printf(&answer.body, "ran %s", m->target);
+		fill_body(&answer.body, m->target);
 		if (!upstream.omit_signature)
 			add_header(&answer, "mulberryferry-response-signature",
 				   "1.2");
@@ -253,7 +272,9 @@
 	.parser = parse_option,
 	.doc = "Stand-in for an upstream of the users' platform.\v"
 	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1 sets "
-	       "faults."};
+	       "faults. A request with bytes=N in its target is answered with "
+	       "N "
+	       "bytes."};
 
 static void on_signal(int number)
 {
