--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -1,4 +1,4 @@
-#include "net/http_impl.h"
+#include "net/http_pool_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -11,62 +11,9 @@
 /* An idle connection is closed this long before the peer's Keep-Alive ends. */
 #define KEEP_ALIVE_MARGIN_US (1500 * USEC_PER_MSEC)
 
-#define LARGE_BODY (256 * 1024) /* responses above this reserve memory */
 /* A slow peer may take this many times as long as for its last response. */
 #define SILENCE_FACTOR 4
 
-/* One call of a pool. */
-struct pool_call {
-	struct pool_call *prev; /* in the waiting list */
-	struct pool_call *next;
-	struct net_alarm deadline;
-	struct net_alarm silence; /* see silence_us of http_call */
-	struct http_pool *pool;
-	struct pool_conn *conn; /* NULL while waiting for one */
-	uint64_t handle;
-	struct http_call options; /* options.request is not valid here */
-	struct buffer request;	  /* serialised; freed once it is not needed */
-	int64_t sent_us;	  /* last time */
-	char expected_id[REQUEST_ID_SIZE];
-	bool no_body; /* is a HEAD request */
-	bool queued;  /* in the waiting list of its pool */
-	bool failed;  /* could not be started; start_waiting reports it */
-	bool sent;    /* a byte may have been sent */
-};
-
-struct pool_conn {
-	struct pool_conn *prev;
-	struct pool_conn *next;
-	struct http_pool *pool;
-	struct pool_call *call; /* NULL: idle */
-	struct tcp tcp;
-	struct http_reader reader;
-	bool reused;			  /* has completed a call before */
-	int64_t used_us;		  /* when it last completed one */
-	struct net_alarm connect_timeout; /* limits connect time */
-	int64_t idle_until_us;
-	size_t body_reserved; /* of net.bodies_max */
-	bool body_waits;      /* listed in net.bodies_waiting */
-	struct pool_conn *waits_prev;
-	struct pool_conn *waits_next;
-};
-
-struct http_pool {
-	struct http_pool *prev;
-	struct http_pool *next;
-	struct net *net;
-	struct http_pool_options options;
-	char peer[ADDR_TEXT_SIZE]; /* with port */
-	struct table calls;	   /* of struct pool_call * */
-	struct pool_call *waiting;
-	struct pool_conn *busy;
-	struct pool_conn *idle; /* most recently used first */
-	uint32_t conn_count;
-	int64_t response_us; /* how long the last response took */
-	struct net_alarm start_alarm;
-	bool start_scheduled;
-};
-
 static void free_call(struct pool_call *call)
 {
 	net_alarm_cancel(&call->deadline);
@@ -114,81 +61,6 @@
 	message_free(&response);
 }
 
-void net_limit_bodies(struct net *net, size_t max)
-{
-	net->bodies_max = max;
-}
-
-/* Size of the response being read, or 0 while it is not large. */
-static size_t large_body(const struct pool_conn *c)
-{
-	const struct http_reader *r = &c->reader;
-	int64_t left = http_reader_body_left(r);
-	size_t size = r->message.body.len;
-
-	if (!r->in_body || r->options.body_data)
-		return 0;
-	if (left >= 0)
-		size += (size_t)left;
-	else if (size > LARGE_BODY)
-		size = r->options.body_limit;
-	return size > LARGE_BODY ? size : 0;
-}
-
-static bool reserve_body(struct pool_conn *c, size_t size)
-{
-	struct net *net = c->pool->net;
-
-	if (net->bodies_max && net->bodies_held &&
-	    net->bodies_held + size > net->bodies_max)
-		return false;
-	net->bodies_held += size;
-	c->body_reserved = size;
-	return true;
-}
-
-/* Stops reading a large response until there is memory for all of it. */
-static void check_body_size(struct pool_conn *c)
-{
-	size_t size = large_body(c);
-
-	if (!c->pool->options.bodies_wait || !size || c->body_reserved ||
-	    c->body_waits)
-		return;
-	if (reserve_body(c, size))
-		return;
-	c->body_waits = true;
-	DL_APPEND2(c->pool->net->bodies_waiting, c, waits_prev, waits_next);
-	tcp_set_reading(&c->tcp, false);
-}
-
-/* Reads on responses that waited for memory, in order. */
-static void read_waiting_bodies(struct net *net)
-{
-	struct pool_conn *c;
-
-	while ((c = net->bodies_waiting) && reserve_body(c, large_body(c))) {
-		c->body_waits = false;
-		DL_DELETE2(net->bodies_waiting, c, waits_prev, waits_next);
-		tcp_set_reading(&c->tcp, true);
-	}
-}
-
-/* Ends the reservation or the wait of a connection's response. */
-static void release_body(struct pool_conn *c)
-{
-	struct net *net = c->pool->net;
-
-	if (c->body_waits)
-		DL_DELETE2(net->bodies_waiting, c, waits_prev, waits_next);
-	c->body_waits = false;
-	if (!c->body_reserved)
-		return;
-	net->bodies_held -= c->body_reserved;
-	c->body_reserved = 0;
-	read_waiting_bodies(net);
-}
-
 static void free_conn(void *p)
 {
 	struct pool_conn *c = p;
@@ -205,7 +77,7 @@
 	struct http_pool *p = c->pool;
 
 	tcp_close(&c->tcp);
-	release_body(c);
+	pool_body_release(c);
 	net_alarm_cancel(&c->connect_timeout);
 	if (was_busy)
 		DL_DELETE(p->busy, c);
@@ -313,7 +185,7 @@
 	struct http_pool *p = c->pool;
 
 	c->call = NULL;
-	release_body(c);
+	pool_body_release(c);
 	c->used_us = net_now();
 	c->idle_until_us = idle_until(c, c->used_us);
 	if (!keep || c->idle_until_us <= net_now()) {
@@ -380,7 +252,7 @@
 	if (!c->call)
 		return;
 	if (rc == HTTP_READ_MORE)
-		check_body_size(c);
+		pool_body_check(c);
 	if (rc == HTTP_READ_ERROR)
 		fail_call(c->call, read_error_status(&c->reader),
 			  "malformed response");
--- a/test/test_policy_rejection.c
+++ b/test/test_policy_rejection.c
@@ -320,7 +320,8 @@
 			gate_done(g, *slot, GATE_SERVED, now);
 			*slot = 0;
 		}
-		for (due += demand_s / 1000; due >= 1; due--) {
+		due += demand_s / 1000;
+		while (due >= 1) {
 			struct gate_call c = {
 				.id = ++id,
 				.account = 1 + id % 3,
@@ -330,6 +331,7 @@
 
 			c.admit_hash = (uint16_t)pair_hash(id, 7);
 			gate_offer(g, &c, &why, now);
+			due--;
 		}
 		slot = running[now / USEC_PER_MSEC % CALL_MS];
 		while ((started = gate_next(g, now, &waited)))
