--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -64,6 +64,7 @@
 	struct table exchanges;	   /* of struct exchange * */
 	struct server_conn *conns; /* least recently active first */
 	uint32_t connections;
+	size_t unread_most; /* unread output of all connections, at most */
 	bool accept_paused;
 	bool draining;
 };
@@ -411,25 +412,34 @@
  * Closes connections until unread responses fit into memory again, first those
  * whose response was written first: whoever reads has it by then.
  */
-static void limit_unread(struct http_server *s)
+static void cut_slow_readers(struct http_server *s)
 {
-	size_t total = unread_total(s), max = s->options.unread_max;
 	struct server_conn *c, *next;
 
-	if (!max)
-		return;
+	s->unread_most = unread_total(s);
 	DL_FOREACH_SAFE(s->conns, c, next)
 	{
-		if (total <= max)
+		if (s->unread_most <= s->options.unread_max)
 			return;
 		if (!tcp_queued_memory(&c->tcp))
 			continue;
-		log_slow_reader(c, "memory", total);
-		total -= tcp_queued_memory(&c->tcp);
+		log_slow_reader(c, "memory", s->unread_most);
+		s->unread_most -= tcp_queued_memory(&c->tcp);
 		close_conn(c);
 	}
 }
 
+/* Counts the output that c holds; the exact total is only added up if needed.
+ */
+static void limit_unread(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	s->unread_most += tcp_queued_memory(&c->tcp);
+	if (s->options.unread_max && s->unread_most > s->options.unread_max)
+		cut_slow_readers(s);
+}
+
 /* Whether the peer has read nothing of its output for too long. */
 static bool has_stopped_reading(struct server_conn *c, int64_t now)
 {
@@ -461,6 +471,7 @@
 	struct http_server *s = ctx;
 	struct server_conn *c, *next;
 
+	s->unread_most = unread_total(s);
 	DL_FOREACH_SAFE(s->conns, c, next)
 	{
 		if (has_stopped_reading(c, now)) {
@@ -561,8 +572,8 @@
 	send_responses(c);
 	if (tcp_is_open(&c->tcp))
 		process_requests(c);
-	if (tcp_is_open(&c->tcp) && tcp_queued_memory(&c->tcp))
-		limit_unread(s);
+	if (tcp_is_open(&c->tcp))
+		limit_unread(c);
 	return 0;
 }
 
--- a/src/node/route_stats.c
+++ b/src/node/route_stats.c
@@ -2,7 +2,19 @@
 
 #include <stdlib.h>
 
-#define GAIN 0.05 /* weight of a request */
+#define GAIN 0.05	/* weight of a request */
+#define ROUTES_MAX 4096 /* then all are forgotten, as routes come and go */
+
+void route_stats_free(struct node *n)
+{
+	struct route_stats *s = n->route_stats, *next;
+
+	HASH_CLEAR(hh, n->route_stats);
+	for (; s; s = next) {
+		next = s->hh.next;
+		free(s);
+	}
+}
 
 struct route_stats *route_stats(struct node *n, const char *route)
 {
@@ -12,6 +24,8 @@
 	HASH_FIND(hh, n->route_stats, &hash, sizeof(hash), s);
 	if (s)
 		return s;
+	if (HASH_COUNT(n->route_stats) >= ROUTES_MAX)
+		route_stats_free(n);
 	s = calloc(1, sizeof(*s));
 	if (!s)
 		return NULL;
@@ -20,17 +34,6 @@
 	return s;
 }
 
-void route_stats_free(struct node *n)
-{
-	struct route_stats *s = n->route_stats, *next;
-
-	HASH_CLEAR(hh, n->route_stats);
-	for (; s; s = next) {
-		next = s->hh.next;
-		free(s);
-	}
-}
-
 /* Counts a call that was answered, as its entry sees it. */
 void route_stats_add_runs(struct node *n, const char *route, uint32_t runs)
 {
