--- a/src/node/service_retries.c
+++ b/src/node/service_retries.c
@@ -24,7 +24,8 @@
 
 static uint32_t chain_percent(struct node *n, const char *service)
 {
-	const struct service *s = config_service(n->config, service);
+	const struct service *s =
+		n->config ? config_service(n->config, service) : NULL;
 	double promised = n->settings.promises.retry_ratio;
 
 	if (promised > 0)
