--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -6,18 +6,12 @@
 
 #define BUFFER_MIN 256
 
-static int grow(struct buffer *b, size_t need)
+int buffer_reserve(struct buffer *b, size_t size)
 {
-	size_t size = b->size ? b->size : BUFFER_MIN;
 	uint8_t *p;
 
-	if (need <= b->size)
+	if (size <= b->size)
 		return 0;
-	while (size < need) {
-		if (size > SIZE_MAX / 2)
-			return -1;
-		size *= 2;
-	}
 	p = realloc(b->data, size);
 	if (!p)
 		return -1;
@@ -26,18 +20,18 @@
 	return 0;
 }
 
-int buffer_reserve(struct buffer *b, size_t size)
+static int grow(struct buffer *b, size_t need)
 {
-	uint8_t *p;
+	size_t size = b->size ? b->size : BUFFER_MIN;
 
-	if (size <= b->size)
+	if (need <= b->size)
 		return 0;
-	p = realloc(b->data, size);
-	if (!p)
-		return -1;
-	b->data = p;
-	b->size = size;
-	return 0;
+	while (size < need) {
+		if (size > SIZE_MAX / 2)
+			return -1;
+		size *= 2;
+	}
+	return buffer_reserve(b, size);
 }
 
 /*
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -111,6 +111,22 @@
 	STORE=$(listening store)
 }
 
+# start_two_hosts [WORK_MS]: starts the store, the nodes a1 and b1, and beside
+# each an upstream of service one, u1 and u2; waits until both nodes serve.
+start_two_hosts() {
+	local n
+	start_platform_store
+	start_platform_node a1 a
+	start_platform_node b1 b
+	put_document 3 one '"key-1"'
+	start_platform_upstream u1 a1 one "${1:-5}"
+	start_platform_upstream u2 b1 one "${1:-5}"
+	for n in a1 b1; do
+		wait_for 15 status_is 200 $n /r/0 -H "$(key key-1)" ||
+			fail "$n does not serve"
+	done
+}
+
 LOAD_GAP_S=0.025 # between two requests of load
 
 # now_ms: prints the wall time.
--- a/test/upstream_of_two.sh
+++ b/test/upstream_of_two.sh
@@ -8,16 +8,7 @@
 
 SERVED_MIN=95 # percent
 
-start_platform_store
-start_platform_node a1 a
-start_platform_node b1 b
-put_document 3 one '"key-1"'
-start_platform_upstream u1 a1 one
-start_platform_upstream u2 b1 one
-for n in a1 b1; do
-	wait_for 15 status_is 200 $n /r/0 -H "$(key key-1)" ||
-		fail "$n does not serve"
-done
+start_two_hosts
 load 2
 : >"$WORK/statuses"
 
