Send reads again also when a new connection goes silent

Its logs are gone, so the cause is likely and not proven: a read that was under way over a new connection when that went silent waited for its timeout of 2 s.

Such a read is now sent again after 600 ms, once, so that a store which takes longer than that can still answer. silent_new_connection_is_replaced fails without the change (timed out).

--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -13,6 +13,7 @@
 
 /* A slow peer may take this many times as long as for its last response. */
 #define SILENCE_FACTOR 4
+#define NEW_CONN_FACTOR 2 /* and on a new connection again as many */
 
 static void free_call(struct pool_call *call)
 {
@@ -126,6 +127,9 @@
 
 	if (limit_us < call->options.silence_us)
 		limit_us = call->options.silence_us;
+	/* Its opening has just shown that the peer can be reached. */
+	if (!c->reused)
+		limit_us *= NEW_CONN_FACTOR;
 	net_alarm_set(c->pool->net, &call->silence, now, now + limit_us,
 		      silence_passed);
 }
@@ -142,7 +146,8 @@
 			  "cannot write the request");
 		return;
 	}
-	if (c->reused && call->options.silence_us)
+	/* A slow peer gets until the deadline for the second try. */
+	if (call->options.silence_us && (c->reused || !call->resent))
 		watch_for_silence(c, now);
 	else
 		buffer_free(&call->request);
@@ -326,6 +331,7 @@
 	struct http_pool *p = call->pool;
 	struct pool_conn *c = call->conn;
 
+	call->resent = true;
 	detach(call);
 	close_conn(c, true);
 	http_pool_close_idle(p, call->sent_us);
--- a/src/net/http_pool_impl.h
+++ b/src/net/http_pool_impl.h
@@ -21,6 +21,7 @@
 	bool queued;  /* in the waiting list of its pool */
 	bool failed;  /* could not be started; start_waiting reports it */
 	bool sent;    /* a byte may have been sent */
+	bool resent;  /* over another connection, after silence */
 };
 
 struct pool_conn {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -129,10 +129,11 @@
 	 */
 	const char *echo_header;
 	/*
-	 * If set, a request that gets no byte for this long on a connection
-	 * that was used before is sent again over another one, and the idle
-	 * connections that were last used before it was sent are closed. Only
-	 * for requests that may be repeated.
+	 * If set, a request that gets no byte for this long (on a new
+	 * connection, twice as long) is sent again over another connection, and
+	 * the idle ones that were last used before it was sent are closed. Over
+	 * new connections it is sent again once only, so that a slow peer can
+	 * answer. Only for requests that may be repeated.
 	 */
 	int64_t silence_us;
 	void *ctx;
--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -433,6 +433,27 @@
 	assert_string_equal(r.body, "again");
 }
 
+/*
+ * A new connection that went silent after it was opened: the first request on
+ * it waited until its deadline.
+ */
+static void silent_new_connection_is_replaced(void **state)
+{
+	const struct script scripts[] = {{"", HOLD}, {HEAD FIVE "again", HOLD}};
+	struct call_sequence r = {.method = "GET",
+				  .deadline_us = LONG_US / 10,
+				  .silence_us = SHORT_US,
+				  .remaining = 1};
+	struct peer peer;
+
+	(void)state;
+	peer_start(&peer, scripts, 2);
+	run_calls(&r, &peer.addr);
+	peer_stop(&peer);
+	assert_int_equal(r.status, HTTP_COMPLETED);
+	assert_string_equal(r.body, "again");
+}
+
 /* As above, where the connection goes silent within a response. */
 static void silence_within_response_is_noticed(void **state)
 {
@@ -628,6 +649,7 @@
 		cmocka_unit_test(idle_connection_is_reused),
 		cmocka_unit_test(large_responses_wait_for_memory),
 		cmocka_unit_test(silent_connection_is_replaced),
+		cmocka_unit_test(silent_new_connection_is_replaced),
 		cmocka_unit_test(silence_within_response_is_noticed),
 		cmocka_unit_test(
 			silent_connection_ends_other_calls_at_deadline),
