--- a/src/store/memory.c
+++ b/src/store/memory.c
@@ -19,6 +19,7 @@
 	struct pending_response *prev;
 	struct pending_response *next;
 	int64_t due_us;
+	int64_t timeout_at_us; /* 0: none */
 	struct store_done done;
 	struct store_result result;
 	struct history_call call;
@@ -28,6 +29,7 @@
 	struct store_watch w;
 	char prefix[STORE_KEY_SIZE];
 	uint64_t next_event; /* 0: the event to start from was evicted */
+	bool silent;
 };
 
 /* One client of a memory store. */
@@ -139,6 +141,26 @@
 	m->faults = *f;
 }
 
+/* Ends open calls at their timeouts and keeps open watches from reporting. */
+void memory_silence(struct memory *m, int64_t now)
+{
+	struct pending_response *p;
+	uint64_t handle = 0;
+	void *item;
+
+	DL_FOREACH(m->responses, p)
+	{
+		if (p->due_us <= now || !p->timeout_at_us)
+			continue;
+		p->due_us = p->timeout_at_us;
+		p->result.origin.era = 0;
+		result_fail(&p->result, STORE_UNKNOWN, ERROR_TIMEOUT, "memory",
+			    "no answer in time");
+	}
+	while ((handle = table_next(&m->watches, handle, &item)))
+		((struct watch *)item)->silent = true;
+}
+
 static int add_record(struct store_result *r, const struct kv_record *record)
 {
 	if (!record)
@@ -230,6 +252,8 @@
 	p->done = *done;
 	p->call = history_call(m->history, op);
 	p->due_us = now + m->faults.latency_us;
+	if (op->timeout_us)
+		p->timeout_at_us = now + op->timeout_us;
 	kv_expire(kv, now);
 	if (m->faults.down)
 		result_fail(&p->result, STORE_NOT_DONE, ERROR_IO, "memory",
@@ -335,6 +359,8 @@
 
 	/* The callback may stop the watch, so look it up each time. */
 	while ((watch = table_get(&m->watches, handle))) {
+		if (watch->silent)
+			return;
 		e = kv_event(kv, watch->next_event);
 		if (!e && watch->next_event < kv_event_from(kv, INT64_MAX)) {
 			end_watch(m, handle, "revision was compacted", now);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -273,3 +273,10 @@
 	if (s->kind == STORE_MEMORY)
 		memory_set_faults(s->memory, f);
 }
+
+/* Silences the open calls and watches of a client of a memory store. */
+void store_silence(struct store *s, int64_t now)
+{
+	if (s->kind == STORE_MEMORY)
+		memory_silence(s->memory, now);
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -187,5 +187,10 @@
 int memory_store_restore(struct memory_store *m);
 struct store *store_open_memory(struct memory_store *m);
 void store_set_faults(struct store *s, const struct store_faults *f);
+/*
+ * Silences what is open: calls in progress end at their timeouts, and watches
+ * report nothing more. Later calls and watches are not affected.
+ */
+void store_silence(struct store *s, int64_t now);
 
 #endif
--- a/src/store/store_impl.h
+++ b/src/store/store_impl.h
@@ -83,6 +83,7 @@
 struct memory *memory_open(struct memory_store *shared, struct history *h);
 void memory_close(struct memory *m);
 void memory_set_faults(struct memory *m, const struct store_faults *f);
+void memory_silence(struct memory *m, int64_t now);
 void memory_submit(struct memory *m, const struct store_op *op,
 		   const struct store_done *done, int64_t now);
 uint64_t memory_watch_start(struct memory *m, const struct store_watch *w);
--- a/test/notes_cluster.h
+++ b/test/notes_cluster.h
@@ -54,9 +54,10 @@
 	struct packet *packets;
 	int loss_percent; /* of datagrams */
 	int duplicate_percent;
-	int64_t delay_us; /* of datagrams, at most; links keep order */
-	bool partitioned; /* no messages between data centres */
-	bool document;	  /* the configuration is one document */
+	int64_t delay_us;  /* of datagrams, at most; links keep order */
+	bool partitioned;  /* no messages between data centres */
+	bool links_silent; /* no messages on links; datagrams arrive */
+	bool document;	   /* the configuration is one document */
 	struct store *operator_store;
 };
 
@@ -118,6 +119,10 @@
 	from->sent++;
 	if (!link)
 		delay += (int64_t)random_below(c, (uint64_t)c->delay_us + 1);
+	if (link && c->links_silent) {
+		buffer_free(&b);
+		return 0;
+	}
 	if (!c->partitioned || c->nodes[i].data_centre == from->data_centre) {
 		if (link || (int)random_below(c, 100) >= c->loss_percent)
 			put_packet(c, i, &b, c->now + delay);
@@ -172,17 +177,22 @@
 }
 
 #define DOCUMENT_KEY "operator/document"
+#define INVALID_DOCUMENT "invalid"
 
 /* Reads a document that is only the number of a configuration. */
 static struct config *read_number_document(const void *data, size_t len,
 					   struct error *err)
 {
-	struct config *c = config_new();
+	struct config *c;
 	char text[24] = "";
 
-	(void)err;
 	if (len < sizeof(text))
 		memcpy(text, data, len);
+	if (!strcmp(text, INVALID_DOCUMENT)) {
+		error_set(err, ERROR_INPUT, "document", NULL, "invalid");
+		return NULL;
+	}
+	c = config_new();
 	if (c)
 		config_publish(c, strtoull(text, NULL, 10), "document", data,
 			       len);
