Read the store when peers do not deliver a newer document

Callers were refused with 404 for a route that had been added more than 2 s before, on hosts whose links had gone silent.

Cause: a host that knew of a newer number pulled the document over a link, and had no other road until its own proof was 1.6 s old; a link that is silent ends only after 0.85 s, and the store may be slow. Class: one road for something that has several, each of which can fail without a sign.

silent_links_do_not_delay_a_change (store answers in 700 ms, links silent) failed at phase 24 of 40 and passes in all. It works because the store is asked 300 ms after the number was learnt, however fresh the last proof is; the reads are spread over the members, so a large fleet does not ask at once. Log lines number-behind and config-received tell the roads apart.

--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -88,13 +88,29 @@
 	return now > n->confirmed_us ? now - n->confirmed_us : 0;
 }
 
+static void log_received(const struct config *c, enum notes_road road)
+{
+	static const char *const names[] = {[ROAD_READ] = "store-read",
+					    [ROAD_WATCH] = "store-watch",
+					    [ROAD_PEER] = "peer",
+					    [ROAD_NOTE] = "note"};
+	struct log_line line;
+
+	log_start(&line, LOG_INFO, "config-received");
+	log_int(&line, "number", (int64_t)config_number(c));
+	log_str(&line, "road", names[road]);
+	log_emit(&line);
+}
+
 /* Puts c in force if it is newer. Takes over the caller's reference. */
-void notes_set_config(struct notes *n, struct config *c, int64_t now)
+void notes_set_config(struct notes *n, struct config *c, enum notes_road road,
+		      int64_t now)
 {
 	if (config_number(c) <= notes_number(n)) {
 		config_put(c);
 		return;
 	}
+	log_received(c, road);
 	config_put(n->config);
 	n->config = c;
 	if (n->newest_number < config_number(c))
@@ -160,7 +176,7 @@
 		note_faults_free(&faults);
 		return -1;
 	}
-	notes_set_config(n, c, now);
+	notes_set_config(n, c, ROAD_NOTE, now);
 	return 0;
 }
 
--- a/src/control/notes_document.c
+++ b/src/control/notes_document.c
@@ -17,6 +17,14 @@
 #define UNANSWERED_US (500 * USEC_PER_MSEC)
 #define UNANSWERED_FACTOR 2
 #define OPEN_READS_MAX 3
+/*
+ * A node that was told of a newer number reads the store when no peer has
+ * delivered it in this time, spread over the members so that the store gets
+ * about a thousand such reads a second at most.
+ */
+#define CATCH_UP_US (300 * USEC_PER_MSEC)
+#define CATCH_UP_SPREAD_US USEC_PER_MSEC /* per member */
+#define CATCH_UP_SPREAD_MAX_US USEC_PER_SEC
 
 static void log_passed_over(const struct notes *n, const struct store_entry *e)
 {
@@ -31,7 +39,7 @@
 
 /* Applies a document that a read or a watch of the store returned. */
 static void apply_document(struct notes *n, const struct store_entry *e,
-			   int64_t now)
+			   enum notes_road road, int64_t now)
 {
 	struct config *c;
 	struct error err;
@@ -49,14 +57,14 @@
 		return;
 	}
 	n->fetch.head = config_number(c);
-	notes_set_config(n, c, now);
+	notes_set_config(n, c, road, now);
 }
 
 /* Handles a watch event of the document's key. */
 void document_changed(struct notes *n, const struct store_entry *e, int64_t now)
 {
 	if (e->value && !strcmp(e->key, n->o.document.key))
-		apply_document(n, e, now);
+		apply_document(n, e, ROAD_WATCH, now);
 }
 
 /* Schedules the next read after one that began at started_us has ended. */
@@ -92,7 +100,7 @@
 		if (r->n && r->revision < r->entries[0].mod_revision)
 			n->fetch.revision = r->entries[0].mod_revision;
 		if (r->n)
-			apply_document(n, &r->entries[0], now);
+			apply_document(n, &r->entries[0], ROAD_READ, now);
 	}
 	read_ended(n, (int64_t)tag, success, now);
 	append_fetch_ended(n, success, now);
@@ -128,6 +136,45 @@
 	return f->started_us + (wait << (f->open_reads - 1));
 }
 
+/* Gives peers time to deliver a newer document, or the rest of one. */
+void document_await(struct notes *n, int64_t now)
+{
+	int64_t spread = CATCH_UP_SPREAD_US *
+			 (int64_t)members_count(n->o.members, MEMBER_ALIVE);
+
+	if (spread > CATCH_UP_SPREAD_MAX_US)
+		spread = CATCH_UP_SPREAD_MAX_US;
+	n->catch_up_us = now + CATCH_UP_US +
+			 (int64_t)(notes_random(n) % (uint64_t)(spread + 1));
+}
+
+static void log_behind(const struct notes *n)
+{
+	char peer[ADDR_TEXT_SIZE];
+	struct log_line line;
+
+	addr_format(&n->newest_from, peer);
+	log_start(&line, LOG_INFO, "number-behind");
+	log_int(&line, "number", (int64_t)notes_number(n));
+	log_int(&line, "newest", (int64_t)n->newest_number);
+	log_str(&line, "peer", peer);
+	log_emit(&line);
+}
+
+/* Whether peers told of a newer document and have not delivered it in time. */
+static bool must_catch_up(struct notes *n, int64_t now)
+{
+	if (n->newest_number <= notes_number(n)) {
+		n->catch_up_us = 0;
+		return false;
+	}
+	if (!n->catch_up_us) {
+		log_behind(n);
+		document_await(n, now);
+	}
+	return now >= n->catch_up_us;
+}
+
 static bool read_is_wanted(struct notes *n, int64_t now)
 {
 	int64_t settled_us = store_settled_us(n->o.store);
@@ -142,6 +189,11 @@
 /* Starts a read if one is due. */
 void document_tick(struct notes *n, int64_t now)
 {
-	if (now >= next_read_us(n) && read_is_wanted(n, now))
+	bool catch_up = must_catch_up(n, now);
+
+	if (catch_up && !n->catching_up)
+		n->fetch.next_us = now;
+	n->catching_up = catch_up;
+	if (now >= next_read_us(n) && (catch_up || read_is_wanted(n, now)))
 		document_fetch(n, now);
 }
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -189,7 +189,7 @@
 		fetch_end(n, false, now);
 		return;
 	}
-	notes_set_config(n, c, now);
+	notes_set_config(n, c, ROAD_READ, now);
 	fetch_list(n, now);
 }
 
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -94,6 +94,14 @@
 	struct buffer bytes;
 };
 
+/* How a configuration came to this node. */
+enum notes_road {
+	ROAD_READ,
+	ROAD_WATCH,
+	ROAD_PEER,
+	ROAD_NOTE, /* a note applied to the one before, from anywhere */
+};
+
 struct append;
 struct history;
 
@@ -118,6 +126,8 @@
 	struct snapshot_writer writer;
 
 	uint64_t newest_number; /* highest number known to exist */
+	int64_t catch_up_us;	/* when to read the store for it; 0: unset */
+	bool catching_up;	/* that time has come */
 	struct addr newest_from;
 	uint64_t pulled_after;
 	int64_t next_pull_us;	   /* earliest time of the next pull */
@@ -139,7 +149,8 @@
 void notes_confirm(struct notes *n, int64_t at_us);
 void notes_add(struct notes *n, uint64_t number, const char *text, size_t len,
 	       int64_t now);
-void notes_set_config(struct notes *n, struct config *c, int64_t now);
+void notes_set_config(struct notes *n, struct config *c, enum notes_road road,
+		      int64_t now);
 int notes_pack(const struct notes *n, struct buffer *out);
 struct config *notes_unpack(const struct notes *n, const void *data, size_t len,
 			    struct error *err);
@@ -184,6 +195,7 @@
 void document_fetch(struct notes *n, int64_t now);
 void document_changed(struct notes *n, const struct store_entry *e,
 		      int64_t now);
+void document_await(struct notes *n, int64_t now);
 void document_tick(struct notes *n, int64_t now);
 
 void append_fetch_ended(struct notes *n, bool success, int64_t now);
--- a/src/control/notes_transfer.c
+++ b/src/control/notes_transfer.c
@@ -159,6 +159,8 @@
 			  msg->snapshot.bytes.len, SNAPSHOT_BYTES_MAX) < 0)
 		return;
 	n->next_pull_us = now + PART_TIMEOUT_US;
+	if (n->o.source == SOURCE_DOCUMENT)
+		document_await(n, now);
 	if (++a->part < a->parts)
 		return;
 	c = notes_unpack(n, a->bytes.data, a->bytes.len, &err);
@@ -166,7 +168,7 @@
 	a->number = 0;
 	n->next_pull_us = now;
 	if (c)
-		notes_set_config(n, c, now);
+		notes_set_config(n, c, ROAD_PEER, now);
 	else
 		log_error(LOG_ERR, "snapshot-refused", &err);
 }
