Count the age of a peer's proof from the question, not from its arrival

A host that had been paused, or whose messages were slow, held its version for the newest after a change, and served keys that had been withdrawn.

Cause: a peer tells the age of its proof, and the receiver subtracted it from the time at which it read the message. Class: an age that is taken over without the time that its message was under way (a permission that had run out while its holder was paused).

Ruled out: wall clocks, as they step; dropping what is read after a gap between ticks, as it sees only pauses of the receiver.

A proof now counts from the question that its message answers, which is never later than the proof itself; pushes and watch events prove nothing. The same cause was looked for in eras (too young only delays proofs), loans (counted from the question already) and the watch of notes (mended here).

--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -22,6 +22,7 @@
 	n->o = *o;
 	n->started_us = now;
 	n->note_cache_first = 1;
+	n->last_question = notes_random(n) / 2;
 	n->config = config_new();
 	if (n->config)
 		return n;
--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -59,9 +59,8 @@
 		return;
 	notes_add(n, number, env.text, env.len, now);
 	envelope_free(&env);
-	if (notes_number(n) == number)
-		notes_confirm(n, now);
-	else if (notes_number(n) < number)
+	/* Events may have waited, so they prove nothing; the next fetch does. */
+	if (notes_number(n) < number)
 		fetch_start(n, now);
 }
 
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -78,9 +78,18 @@
 	uint64_t sweep; /* number of the next note to remove */
 };
 
+/* Asked of a peer; the answer proves nothing later than that time. */
+struct question {
+	uint64_t id; /* 0: none */
+	int64_t asked_us;
+};
+
+#define QUESTIONS_MAX 16 /* a power of two */
+
 /* Outgoing snapshot. */
 struct transfer {
 	struct addr to;
+	uint64_t question; /* that it answers */
 	uint32_t part;
 	bool active;
 };
@@ -130,10 +139,13 @@
 	bool catching_up;	/* that time has come */
 	struct addr newest_from;
 	uint64_t pulled_after;
-	int64_t next_pull_us;	   /* earliest time of the next pull */
-	int64_t reannounce_us;	   /* 0: not scheduled */
-	int64_t next_confirm_us;   /* request to a peer is due */
-	int64_t announced_us;	   /* confirmed_us as last announced */
+	int64_t next_pull_us;	 /* earliest time of the next pull */
+	int64_t reannounce_us;	 /* 0: not scheduled */
+	int64_t next_confirm_us; /* request to a peer is due */
+	struct question questions[QUESTIONS_MAX];
+	uint64_t last_question;
+	int64_t asked_us;     /* when a peer was last asked for its proof */
+	int64_t announced_us; /* confirmed_us as last announced */
 	int64_t document_revision; /* mod_revision, or 0 */
 	uint32_t pull_rounds;	   /* selects the peer */
 
@@ -211,11 +223,12 @@
 void peer_push(struct notes *n, const struct cached_note *note, int64_t now);
 void peer_announce_number(struct notes *n, int64_t now);
 void peer_free(struct notes *n);
-void transfer_start(struct notes *n, const struct addr *to, int64_t now);
+void transfer_start(struct notes *n, const struct addr *to, uint64_t question,
+		    int64_t now);
 void transfer_tick(struct notes *n, int64_t now);
 void reassembly_receive(struct notes *n, const struct peer_msg *msg,
 			int64_t now);
 void send_number(struct notes *n, const struct addr *to, bool on_link,
-		 int64_t now);
+		 uint64_t question, int64_t now);
 
 #endif
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -11,6 +11,8 @@
 #define PUSH_REMOTE 2 /* members of others, from a node that reads the store */
 /* Minimum advance of confirmed_us before it is announced again. */
 #define CONFIRM_ADVANCE_MIN_US (400 * USEC_PER_MSEC)
+/* Shortest time between questions for a proof. */
+#define ASK_INTERVAL_US (100 * USEC_PER_MSEC)
 #define REANNOUNCE_LOCAL 4 /* members of the own data centre */
 #define REANNOUNCE_DELAY_US (150 * USEC_PER_MSEC)
 #define PULL_BATCH_NOTES 64
@@ -29,12 +31,16 @@
 	return age < AGE_MAX_MS ? age : AGE_MAX_MS;
 }
 
-/* Sends our number and the age of its confirmation to a peer. */
+/*
+ * Sends our number and the age of its confirmation to a peer, as the answer to
+ * its question, or 0.
+ */
 void send_number(struct notes *n, const struct addr *to, bool on_link,
-		 int64_t now)
+		 uint64_t question, int64_t now)
 {
 	struct peer_msg msg = {.kind = PEER_NOTE};
 
+	msg.note.question = question;
 	msg.note.number = notes_number(n);
 	msg.note.age_ms = age_ms(n, now);
 	if (on_link)
@@ -64,7 +70,7 @@
 	fill_note(n, &msg, note, now);
 	if (note->len > DATAGRAM_MAX ||
 	    n->o.io.datagram(n->o.io.ctx, &m->node_addr, &msg) < 0)
-		send_number(n, &m->node_addr, false, now);
+		send_number(n, &m->node_addr, false, 0, now);
 }
 
 /* Pushes a note that was just applied to random members. */
@@ -90,7 +96,7 @@
 	for (i = 0; i < PUSH_LOCAL + (n->is_reader ? PUSH_REMOTE : 0); i++) {
 		m = members_random(n->o.members, i >= PUSH_LOCAL);
 		if (m)
-			send_number(n, &m->node_addr, false, now);
+			send_number(n, &m->node_addr, false, 0, now);
 	}
 	if (!n->reannounce_us)
 		n->reannounce_us = now + REANNOUNCE_DELAY_US;
@@ -109,20 +115,32 @@
 	for (i = 0; i < REANNOUNCE_LOCAL; i++) {
 		m = members_random(n->o.members, false);
 		if (m)
-			send_number(n, &m->node_addr, false, now);
+			send_number(n, &m->node_addr, false, 0, now);
 	}
 }
 
-static void pull_from(struct notes *n, const struct addr *to, int64_t now)
+/* Asks a peer for what follows our number, or for the age of its proof. */
+static void ask(struct notes *n, const struct addr *to, int64_t now)
 {
+	uint64_t id = ++n->last_question;
+	struct question *q = &n->questions[id % QUESTIONS_MAX];
 	struct peer_msg msg = {.kind = PEER_NOTES_PULL};
 
+	q->id = id;
+	q->asked_us = now;
+	n->asked_us = now;
 	msg.notes_pull.after = notes_number(n);
+	msg.notes_pull.question = id;
+	n->o.io.datagram(n->o.io.ctx, to, &msg);
+}
+
+static void pull_from(struct notes *n, const struct addr *to, int64_t now)
+{
 	n->pulled_after = notes_number(n);
 	n->next_pull_us = now + PULL_RETRY_US;
 	if (n->rejected_number == notes_number(n) + 1)
 		n->next_pull_us = now + REJECTED_RETRY_US;
-	n->o.io.datagram(n->o.io.ctx, to, &msg);
+	ask(n, to, now);
 }
 
 static void pull_random(struct notes *n, bool other_data_centre, int64_t now)
@@ -217,7 +235,7 @@
 	int count = 0;
 
 	if (number > notes_number(n)) {
-		send_number(n, &in->from, false, now);
+		send_number(n, &in->from, false, in->notes_pull.question, now);
 		return;
 	}
 	for (; count < PULL_BATCH_NOTES && bytes < PULL_BATCH_BYTES;
@@ -232,9 +250,29 @@
 		bytes += note->len;
 	}
 	if (count)
-		send_number(n, &in->from, true, now);
+		send_number(n, &in->from, true, in->notes_pull.question, now);
 	else
-		transfer_start(n, &in->from, now);
+		transfer_start(n, &in->from, in->notes_pull.question, now);
+}
+
+/*
+ * Takes over the proof that a peer has for our number. The message may have
+ * been under way for long, or have waited while this process was paused, so it
+ * proves nothing later than its question. One that answers none only shows who
+ * is worth asking.
+ */
+static void receive_proof(struct notes *n, const struct peer_msg *msg,
+			  int64_t now)
+{
+	const struct question *q =
+		&n->questions[msg->note.question % QUESTIONS_MAX];
+	int64_t age_us = msg->note.age_ms * USEC_PER_MSEC;
+
+	if (msg->note.question && q->id == msg->note.question)
+		notes_confirm(n, q->asked_us - age_us);
+	else if (now - age_us - n->confirmed_us >= CONFIRM_ADVANCE_MIN_US &&
+		 now - n->asked_us >= ASK_INTERVAL_US)
+		ask(n, &msg->from, now);
 }
 
 static void receive_note(struct notes *n, const struct peer_msg *msg,
@@ -252,7 +290,7 @@
 		n->next_pull_us = now;
 	if (age >= 0 && age < AGE_MAX_MS &&
 	    msg->config_number == notes_number(n))
-		notes_confirm(n, now - age * USEC_PER_MSEC);
+		receive_proof(n, msg, now);
 }
 
 /* Handles a message of another node's notes controller. */
--- a/src/control/notes_transfer.c
+++ b/src/control/notes_transfer.c
@@ -68,7 +68,8 @@
  * Starts to send a snapshot. Does nothing if no transfer slot is free or the
  * snapshot can't be packed; the peer then pulls from another node.
  */
-void transfer_start(struct notes *n, const struct addr *to, int64_t now)
+void transfer_start(struct notes *n, const struct addr *to, uint64_t question,
+		    int64_t now)
 {
 	struct transfer *t;
 	size_t i;
@@ -80,6 +81,7 @@
 		if (t->active)
 			continue;
 		t->to = *to;
+		t->question = question;
 		t->part = 0;
 		t->active = true;
 		return;
@@ -106,7 +108,7 @@
 	if (++t->part < msg.snapshot.parts)
 		return;
 	t->active = false;
-	send_number(n, &t->to, true, now);
+	send_number(n, &t->to, true, t->question, now);
 }
 
 /* Sends the next parts, and frees an unused packed snapshot. */
--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -6,6 +6,9 @@
 #define ENVELOPE_FIELDS 5 /* kind, from, incarnation, number, content */
 /* Store era and its age; absent in messages of older versions. */
 #define ENVELOPE_ERA_FIELDS 2
+/* A question follows; it is absent in messages of older versions. */
+#define PULL_FIELDS 1
+#define NOTE_FIELDS 3
 
 static void write_digests(struct writer *w, const uint64_t *digests)
 {
@@ -36,14 +39,16 @@
 		write_bool(w, m->members.more);
 		break;
 	case PEER_NOTES_PULL:
-		write_array(w, 1);
+		write_array(w, PULL_FIELDS + 1);
 		write_uint(w, m->notes_pull.after);
+		write_uint(w, m->notes_pull.question);
 		break;
 	case PEER_NOTE:
-		write_array(w, 3);
+		write_array(w, NOTE_FIELDS + 1);
 		write_uint(w, m->note.number);
 		write_uint(w, m->note.age_ms < 0 ? 0 : m->note.age_ms);
 		write_bytes(w, m->note.text.data, m->note.text.len);
+		write_uint(w, m->note.question);
 		break;
 	case PEER_SNAPSHOT:
 		write_array(w, 4);
@@ -119,10 +124,12 @@
 {
 	struct reader sub;
 
-	reader_array(r, &sub, 3);
+	reader_array(r, &sub, NOTE_FIELDS);
 	m->note.number = read_uint(&sub, UINT64_MAX);
 	m->note.age_ms = (int64_t)read_uint(&sub, INT64_MAX);
 	read_buffer(&sub, &m->note.text, PEER_BYTES_MAX);
+	if (sub.n > NOTE_FIELDS)
+		m->note.question = read_uint(&sub, UINT64_MAX);
 	r->failed |= sub.failed;
 }
 
@@ -152,8 +159,10 @@
 {
 	struct reader sub;
 
-	reader_array(r, &sub, 1);
+	reader_array(r, &sub, PULL_FIELDS);
 	m->notes_pull.after = read_uint(&sub, UINT64_MAX);
+	if (sub.n > PULL_FIELDS)
+		m->notes_pull.question = read_uint(&sub, UINT64_MAX);
 	r->failed |= sub.failed;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -283,11 +283,13 @@
 		} members;
 		struct {
 			uint64_t after;
+			uint64_t question; /* repeated by the answer */
 		} notes_pull;
 		struct {
 			uint64_t number;
 			int64_t age_ms; /* since it was accepted */
 			struct buffer text;
+			uint64_t question; /* that it answers; 0: none */
 		} note;
 		struct {
 			uint64_t number;
