Read the head when a watch reports a note, and ask sooner when proofs are old

An event now has the head read, which proves the number as of the read; and a node whose proof is older than 30 s asks every 5 s instead of every 10 s.

--- a/src/control/notes_fetch.c
+++ b/src/control/notes_fetch.c
@@ -59,9 +59,8 @@
 		return;
 	notes_add(n, number, env.text, env.len, now);
 	envelope_free(&env);
-	/* Events may have waited, so they prove nothing; the next fetch does. */
-	if (notes_number(n) < number)
-		fetch_start(n, now);
+	/* An event may have waited and proves nothing; a read does. */
+	fetch_start(n, now);
 }
 
 static void watch_ended(void *ctx, const struct error *err, int64_t now)
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -20,6 +20,7 @@
 #define PULL_RETRY_US (250 * USEC_PER_MSEC)
 #define REJECTED_RETRY_US (5 * USEC_PER_SEC)
 #define CONFIRM_INTERVAL_US (10 * USEC_PER_SEC)
+#define CONFIRM_INTERVAL_STALE_US (5 * USEC_PER_SEC)
 /* Older confirmations are requested from other data centres too. */
 #define CONFIRM_STALE_US (30 * USEC_PER_SEC)
 #define AGE_MAX_MS (INT64_C(100) * 365 * 86400 * 1000)
@@ -163,9 +164,11 @@
 static void request_confirmation(struct notes *n, int64_t now)
 {
 	bool stale = notes_stale_us(n, now) > CONFIRM_STALE_US;
+	int64_t interval =
+		stale ? CONFIRM_INTERVAL_STALE_US : CONFIRM_INTERVAL_US;
 
-	n->next_confirm_us = now + CONFIRM_INTERVAL_US / 2 +
-			     (int64_t)(notes_random(n) % CONFIRM_INTERVAL_US);
+	n->next_confirm_us = now + interval / 2 +
+			     (int64_t)(notes_random(n) % (uint64_t)interval);
 	if (!n->watch || stale)
 		pull_random(n, stale && n->pull_rounds++ % 2, now);
 }
