Hear peers before the first document of a process is in force

A host that was killed and started again while the store was back from an older copy had the older version in force for up to 1.1 s: a change that had been confirmed was undone there, and keys withdrawn since were served.

Cause: a process that starts takes the first answer of the store for the truth, and can't know that the store went back. Class: a belief from one source at the one time when it can't be judged.

Weighed (docs/design/store.md): to refuse requests with keys only, to wait always, to ask first. Asked first: the document is held until a peer that has a configuration was heard, 0.1 s as a rule; 0.3 s where all are starting; 2 s for a host that hears nobody.

--- a/src/control/members_join.c
+++ b/src/control/members_join.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define JOIN_PERIOD_US USEC_PER_SEC /* while no other live member is known */
+/* A process that has just started waits for peers before it serves. */
+#define START_US (2 * USEC_PER_SEC)
+#define START_JOIN_PERIOD_US (250 * USEC_PER_MSEC)
 #define SEED_PROBE_PERIOD_US (30 * USEC_PER_SEC) /* afterwards */
 #define JOIN_PROBES 3
 
@@ -44,11 +47,14 @@
 void members_join_tick(struct members *m, int64_t now)
 {
 	bool alone = !m->local.n && !m->remote.n;
+	bool starting = now - m->started_us < START_US;
 	int i;
 
 	if (now < m->join_due_us)
 		return;
-	m->join_due_us = now + (alone ? JOIN_PERIOD_US : SEED_PROBE_PERIOD_US);
+	m->join_due_us = now + (!alone	   ? SEED_PROBE_PERIOD_US
+				: starting ? START_JOIN_PERIOD_US
+					   : JOIN_PERIOD_US);
 	if (alone && m->seed_lease)
 		seed_lease_list(m->seed_lease, now);
 	for (i = 0; i < (alone ? JOIN_PROBES : 1); i++)
--- a/src/control/members_seed.c
+++ b/src/control/members_seed.c
@@ -19,7 +19,7 @@
 #define HURRY_US (4 * USEC_PER_SEC)
 #define HURRY_RETRY_US (200 * USEC_PER_MSEC)
 /* Time between reads of the seeds; doubles while no other member is known. */
-#define LIST_MIN_US USEC_PER_SEC
+#define LIST_MIN_US (250 * USEC_PER_MSEC)
 #define LIST_MAX_US (16 * USEC_PER_SEC)
 #define STORE_TIMEOUT_US (2 * USEC_PER_SEC)
 
--- a/src/control/notes.c
+++ b/src/control/notes.c
@@ -41,6 +41,8 @@
 	snapshot_writer_free(n);
 	peer_free(n);
 	note_cache_free(n);
+	if (n->held)
+		config_put(n->held);
 	config_put(n->config);
 	free(n);
 }
--- a/src/control/notes_document.c
+++ b/src/control/notes_document.c
@@ -25,6 +25,14 @@
 #define CATCH_UP_US (300 * USEC_PER_MSEC)
 #define CATCH_UP_SPREAD_US USEC_PER_MSEC /* per member */
 #define CATCH_UP_SPREAD_MAX_US USEC_PER_SEC
+/*
+ * The store may have come back from an older copy, which a process that has
+ * just started can't see. It hears first what its peers have in force: in some
+ * tens of milliseconds, or not at all.
+ */
+#define ASK_PEERS_US (2 * USEC_PER_SEC)
+/* Enough for a peer that has a configuration, once others were heard. */
+#define ASK_STARTING_PEERS_US (300 * USEC_PER_MSEC)
 
 static void log_passed_over(const struct notes *n, const struct store_entry *e)
 {
@@ -37,6 +45,43 @@
 	log_emit(&line);
 }
 
+/* Whether to hear peers before this node's first document is in force. */
+static bool must_ask_peers(const struct notes *n, uint64_t number, int64_t now)
+{
+	int64_t asked_us = now - n->started_us;
+
+	if (notes_number(n) || asked_us >= ASK_PEERS_US)
+		return false;
+	if (number < n->newest_number)
+		return true;
+	return !n->heard_config &&
+	       !(n->heard_peer && asked_us >= ASK_STARTING_PEERS_US);
+}
+
+/* Puts the document that is held back in force once peers were asked. */
+static void release_held(struct notes *n, int64_t now)
+{
+	struct config *c = n->held;
+
+	if (!c || must_ask_peers(n, config_number(c), now))
+		return;
+	n->held = NULL;
+	notes_set_config(n, c, ROAD_READ, now);
+}
+
+static void hold(struct notes *n, struct config *c)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_INFO, "document-held");
+	log_int(&line, "number", (int64_t)config_number(c));
+	log_int(&line, "newest", (int64_t)n->newest_number);
+	log_emit(&line);
+	if (n->held)
+		config_put(n->held);
+	n->held = c;
+}
+
 /* Applies a document that a read or a watch of the store returned. */
 static void apply_document(struct notes *n, const struct store_entry *e,
 			   enum notes_road road, int64_t now)
@@ -57,7 +102,10 @@
 		return;
 	}
 	n->fetch.head = config_number(c);
-	notes_set_config(n, c, road, now);
+	if (must_ask_peers(n, config_number(c), now))
+		hold(n, c);
+	else
+		notes_set_config(n, c, road, now);
 }
 
 /* Handles a watch event of the document's key. */
@@ -191,6 +239,7 @@
 {
 	bool catch_up = must_catch_up(n, now);
 
+	release_held(n, now);
 	if (catch_up && !n->catching_up)
 		n->fetch.next_us = now;
 	n->catching_up = catch_up;
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -147,6 +147,9 @@
 	int64_t asked_us;     /* when a peer was last asked for its proof */
 	int64_t announced_us; /* confirmed_us as last announced */
 	int64_t document_revision; /* mod_revision, or 0 */
+	struct config *held;	   /* not in force before peers were heard */
+	bool heard_peer;	   /* a message of one that runs */
+	bool heard_config;	   /* of one that has a configuration */
 	uint32_t pull_rounds;	   /* selects the peer */
 
 	struct buffer packed;
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -219,6 +219,8 @@
 			   uint64_t number, int64_t now)
 {
 	(void)now;
+	n->heard_peer = true;
+	n->heard_config |= number != 0;
 	if (number <= n->newest_number && n->newest_number > notes_number(n))
 		return;
 	if (number <= notes_number(n))
--- a/test/store_restore.sh
+++ b/test/store_restore.sh
@@ -104,4 +104,20 @@
 	at_most "$(seconds refused_everywhere key-$v a1 b1 c1)" $REVOKE_S \
 		"the key of change $v stops"
 done
+# A process that is killed and started again beside the copy must not have the
+# older version in force.
+standin save
+put_document 40 one '"key-1","key-40"'
+wait_for 4 in_use_everywhere key-40 a1 b1 c1 || fail "40 is not in force"
+standin restore
+kill -KILL "$pid_c1"
+start_platform_node d1 c
+wait_for 10 grep -q event=config-in-force "$WORK/d1.log" ||
+	fail "d1 has no configuration"
+first=$(field "$WORK/d1.log" config-in-force number)
+[ "$first" = 40 ] || fail "version $first came into force before 40"
+echo "ok a process started beside an older copy never had it in force"
+put_document 40 one '"key-1","key-40"'
+at_most "$(seconds in_use_everywhere key-40 d1)" $SERVES_S \
+	"it serves once the version was written again,"
 echo "store restore passed"
