Failing test: a request that crashes every upstream that runs it

Six upstreams that end by themselves under a popular request do it no harm; that part passes and must stay so. The stand-in for an upstream learns to crash and to come back.

--- a/test/platform.bash
+++ b/test/platform.bash
@@ -95,12 +95,12 @@
 	done
 }
 
-# start_platform_upstream NAME NODE SERVICE [WORK_MS]
+# start_platform_upstream NAME NODE SERVICE [WORK_MS [OPTIONS]]
 start_platform_upstream() {
 	local services="services_$2"
 	run "$1" "$TOOLS/platform_upstream" --listen 127.0.0.1:0 \
 		--node "${!services}" --service "$3" --instance "$1" \
-		--work-ms "${4:-5}"
+		--work-ms "${4:-5}" "${@:5}"
 	wait_for 5 test -s "$WORK/$1.out" || fail "$1 did not start"
 }
 
--- /dev/null
+++ b/test/upstream_crash.sh
@@ -0,0 +1,90 @@
+#!/usr/bin/env bash
+# A request crashed every upstream that ran it, came again on every host, and
+# was sent to the next upstream each time: 50 ended in 20 s, and the calls of
+# other callers were lost with them.
+cd "$(dirname "$0")/.."
+. test/harness.bash
+. test/platform.bash
+
+STABILITY_MS=3000 # from the third end until every host refuses the request
+LATE_RUNS_MAX=3
+SERVED_MIN=95 # percent of other requests, once every host refuses
+UPSTREAMS="u1 u2 u3 u4 u5 u6"
+
+# ends: prints the times at which upstreams crashed since BEGIN, in order.
+ends() {
+	cat "$WORK"/u?.out | sed -n 's/^crash at_ms=//p' |
+		awk -v from="$BEGIN" '$1 >= from' | sort -n
+}
+
+# runs_of TARGET FROM_MS: counts the runs of a target from FROM_MS on.
+runs_of() {
+	cat "$WORK"/u?.out | sed -n "s|^run GET $1 .* at_ms=\([0-9]*\) .*|\1|p" |
+		awk -v from="$2" '$1 >= from' | wc -l
+}
+
+# send_crashing SECONDS: sends the request to both nodes in turn.
+send_crashing() {
+	local end=$(($(now_ms) + $1 * 1000)) i=0 node
+	while [ "$(now_ms)" -lt "$end" ]; do
+		node=callers_a1
+		((i++ % 2)) && node=callers_b1
+		curl -s -o /dev/null -m 5 -H "Host: $HOST" -H "$(key key-1)" \
+			-H "Mulberryferry-Deadline-Ms: 3000" \
+			"http://${!node}/r/crashing" &
+		sleep 0.5
+	done
+	wait
+}
+
+start_platform_store
+start_platform_node a1 a
+start_platform_node b1 b
+put_document 3 one '"key-1"'
+for u in $UPSTREAMS; do
+	node=a1
+	[[ $u == u[246] ]] && node=b1
+	start_platform_upstream $u $node one 20 --crash-on crashing
+done
+for n in a1 b1; do
+	wait_for 15 status_is 200 $n /r/0 -H "$(key key-1)" ||
+		fail "$n does not serve"
+done
+
+# Upstreams that end by themselves under a popular request do it no harm.
+for u in $UPSTREAMS; do
+	LOAD_GAP_S=0.02 load 1 &
+	sleep 0.5
+	upstream_fault $u crash=1
+	wait $!
+done
+wait_for 5 status_is 200 a1 /r/1 -H "$(key key-1)" ||
+	fail "a popular request is refused"
+echo "ok a popular request is served after six upstreams ended under it"
+sleep 2
+
+BEGIN=$(now_ms)
+: >"$WORK/statuses"
+load 14 &
+load_pid=$!
+send_crashing 13 &
+wait $!
+wait $load_pid
+third=$(ends | sed -n 3p)
+[ -n "$third" ] || fail "fewer than three upstreams ended"
+late=$(runs_of /r/crashing $((third + STABILITY_MS)))
+echo "upstreams ended: $(ends | wc -l); runs later than 3 s after the third:" \
+	"$late; other requests served: $(served_share) %"
+[ "$late" -le $LATE_RUNS_MAX ] ||
+	fail "the request ran $late times more, later than 3 s after the third"
+
+: >"$WORK/statuses"
+LOAD_GAP_S=0.02 load 3
+[ "$(served_share)" -ge $SERVED_MIN ] ||
+	fail "$(served_share) % of the other requests were served"
+echo "ok other requests served afterwards: $(served_share) %"
+
+status_is 503 a1 /r/crashing -H "$(key key-1)" ||
+	fail "the request is not refused"
+grep -qi '^retry-after' "$WORK/head" || fail "no time to come back was told"
+echo "upstream crash passed"
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "net/net.h"
 
@@ -40,9 +41,15 @@
 	uint32_t full;		 /* refuse every request */
 	uint32_t omit_signature; /* answer without a signature */
 	uint32_t draining;
+	uint32_t crash;	  /* at the next tick */
 	uint32_t leaving; /* say so in answers, not in heartbeats */
 	char limit[32];	  /* requests a second named in answers, or empty */
-} upstream = {.service = "s", .instance = "i-1"};
+	const char *program;
+	const char *crash_on; /* part of a target; NULL: none */
+	const char *down_ms;  /* before a crashed process is back */
+	const char *work_ms;
+} upstream = {
+	.service = "s", .instance = "i-1", .down_ms = "2000", .work_ms = "0"};
 
 static volatile sig_atomic_t stopped;
 
@@ -133,6 +140,42 @@
 	free(text);
 }
 
+/*
+ * Ends this process as a crash would: all connections are lost at once. Another
+ * one with the next instance takes its place and address after down_ms.
+ */
+static void crash(void)
+{
+	char instance[NAME_SIZE];
+	char *args[] = {(char *)upstream.program,
+			"--listen",
+			upstream.addr,
+			"--node",
+			(char *)upstream.node_addr,
+			"--service",
+			(char *)upstream.service,
+			"--instance",
+			instance,
+			"--work-ms",
+			(char *)upstream.work_ms,
+			"--down-ms",
+			(char *)upstream.down_ms,
+			"--start-after-ms",
+			(char *)upstream.down_ms,
+			"--crash-on",
+			(char *)(upstream.crash_on ? upstream.crash_on : ""),
+			NULL};
+
+	snprintf(instance, sizeof(instance), "%.32s.%lld",
+		 strtok((char *)upstream.instance, "."),
+		 (long long)(clock_wall_us() / USEC_PER_MSEC));
+	printf("crash at_ms=%lld\n",
+	       (long long)(clock_wall_us() / USEC_PER_MSEC));
+	fflush(stdout);
+	execv("/proc/self/exe", args);
+	abort();
+}
+
 static void on_request(void *ctx, uint64_t exchange, struct message *m,
 		       const char *peer, int64_t now)
 {
@@ -150,6 +193,7 @@
 		set_fault(m->target, "draining=", &upstream.draining);
 		set_fault(m->target, "leaving=", &upstream.leaving);
 		set_limit(m->target);
+		set_fault(m->target, "crash=", &upstream.crash);
 	} else if (expected && strcmp(expected, upstream.instance) != 0) {
 		answer.status = 421;
 		add_header(&answer, "mulberryferry-instance-id",
@@ -159,6 +203,9 @@
 		add_header(&answer, "mulberryferry-not-executed", "1");
 	} else {
 		print_run(m);
+		if (upstream.crash_on && upstream.crash_on[0] &&
+		    strstr(m->target, upstream.crash_on))
+			crash();
 		fill_body(&answer.body, m->target);
 		if (!upstream.omit_signature)
 			add_header(&answer, "mulberryferry-response-signature",
@@ -218,6 +265,8 @@
 	(void)ctx;
 	if (stopped)
 		net_stop(upstream.net);
+	if (upstream.crash)
+		crash();
 	if (now >= upstream.next_heartbeat_us) {
 		upstream.next_heartbeat_us = now + HEARTBEAT_INTERVAL_US;
 		send_heartbeat(now);
@@ -251,7 +300,17 @@
 	case 'i':
 		upstream.instance = arg;
 		return 0;
+	case 'c':
+		upstream.crash_on = arg;
+		return 0;
+	case 'd':
+		upstream.down_ms = arg;
+		return 0;
+	case 'a':
+		usleep((useconds_t)(strtol(arg, NULL, 10) * USEC_PER_MSEC));
+		return 0;
 	case 'w':
+		upstream.work_ms = arg;
 		upstream.service_us = strtol(arg, NULL, 10) * USEC_PER_MSEC;
 		return 0;
 	default:
@@ -265,14 +324,18 @@
 	{"service", 's', "NAME", 0, "Name of the service (s)", 0},
 	{"instance", 'i', "ID", 0, "ID of this instance (i-1)", 0},
 	{"work-ms", 'w', "N", 0, "Answer after N milliseconds", 0},
+	{"crash-on", 'c', "TEXT", 0, "Crash on a target that contains TEXT", 0},
+	{"down-ms", 'd', "N", 0, "Be back N milliseconds after a crash", 0},
+	{"start-after-ms", 'a', "N", 0, "Wait N milliseconds first", 0},
 	{0}};
 
 static const struct argp argp = {
 	.options = options,
 	.parser = parse_option,
 	.doc = "Stand-in for an upstream of the users' platform.\v"
-	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1 sets "
-	       "faults. A request with bytes=N in its target is answered with "
+	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1&crash=1 "
+	       "sets faults. A request with bytes=N in its target is answered "
+	       "with "
 	       "N "
 	       "bytes."};
 
@@ -294,6 +357,7 @@
 	struct error err = {
 		.text = "missing or malformed address of --listen or --node"};
 
+	upstream.program = argv[0];
 	argp_parse(&argp, argc, argv, 0, NULL, NULL);
 	upstream.started_ms = clock_wall_us() / USEC_PER_MSEC;
 	upstream.net = net_open(&err);
