--- a/test/platform.bash
+++ b/test/platform.bash
@@ -4,7 +4,8 @@
 HOST=h.example
 
 # document VERSION SERVICE KEYS: prints a configuration with a route for the
-# requests of accounts, one for once-only requests and one that needs no key.
+# requests of accounts, one for once-only requests and one that needs no key,
+# and the rows of EXTRA_ROUTES.
 document() {
 	local route='"safe",2,0.5,2,"'$2'",2,false'
 	local once='"unsafe",2,0.5,0,"'$2'",2,false'
@@ -14,7 +15,7 @@
 	"route_kind", "timeout_s", "target_latency_s", "priority", "service",
 	"max_attempts", "allow_anonymous"], "rows": [
 	["r", "$HOST", "/r/", $route], ["once", "$HOST", "/once/", $once],
-	["open", "$HOST", "/open/", $open]]},
+	["open", "$HOST", "/open/", $open]${EXTRA_ROUTES:-}]},
 	"services": {"columns": ["name", "max_connections"],
 	"rows": [["one", 64], ["two", 64]]},
 	"limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
--- a/test/store_silent.sh
+++ b/test/store_silent.sh
@@ -7,7 +7,7 @@
 . test/platform.bash
 
 CONFIG_MS=2000 # until a change is in force
-ROUNDS=4
+ROUNDS=6
 
 # refused_everywhere KEY: succeeds if both nodes refuse the key.
 refused_everywhere() {
@@ -34,6 +34,7 @@
 wait_for 15 served_everywhere key-1 || fail "nodes do not serve"
 
 version=4
+silencer=
 for round in $(seq $ROUNDS); do
 	put_document $version one "\"key-1\",\"key-$round-x\""
 	wait_for 10 served_everywhere "key-$round-x" ||
@@ -41,6 +42,16 @@
 	# Changes come at different times after the last read of the store.
 	sleep "0.$((round * 2 % 10))5"
 	kill -USR1 "$pid_proxy"
+	# In every other round connections go silent twice more.
+	if ((round % 2 == 0)); then
+		{
+			sleep "0.$((round * 2 % 10))5"
+			kill -USR1 "$pid_proxy"
+			sleep 0.6
+			kill -USR1 "$pid_proxy"
+		} &
+		silencer=$!
+	fi
 	sleep 0.05
 	put_document $((version + 1)) one '"key-1"'
 	start=$(now_ms)
@@ -51,4 +62,6 @@
 		"stopped after $took ms instead of $CONFIG_MS"
 	echo "ok round $round: a withdrawn key stopped after $took ms"
 	version=$((version + 2))
+	[ -z "$silencer" ] || wait "$silencer"
+	silencer=
 done
