Refuse a request that crashes the upstreams that run it

Cause: nothing remembered what an upstream ran when it ended, so each repeat was placed like a new request, and each retry took it to the next upstream. Class: a failure whose cause travels with the request, treated as one of the upstream.

Evidence: the id that ran at 55.354 s was sent again at 55.416 s; others came with new ids on many hosts. Ruled out: that only callers' own repeats spread it.

The gate finds out that a process ended while it ran a call, and counts that against all calls that ran there; a run that ends well clears its request.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -7,6 +7,7 @@
 
 #include "base/base.h"
 #include "conf/conf.h"
+#include "policy/poison.h"
 #include "store/store.h"
 #include "wire/wire.h"
 
@@ -58,6 +59,8 @@
 const struct member_info *members_random(struct members *m, bool remote);
 /* Whether self is among the first k of its data centre for a topic. */
 bool members_chosen(const struct members *m, uint64_t topic, size_t k);
+/* Whether self is the first of all live members for a topic. */
+bool members_first(const struct members *m, uint64_t topic);
 
 /* Notes: keeps the newest configuration and distributes it to the peers. */
 struct notes;
@@ -264,6 +267,21 @@
 			      const struct error *err),
 		 int64_t now);
 
+/* Poison gossip: tells other nodes of requests that crash upstreams. */
+struct poison_gossip;
+
+struct poison_gossip_options {
+	struct control_io io;
+	struct members *members;
+	struct poison *poison; /* not freed with the controller */
+};
+
+struct poison_gossip *poison_gossip_new(const struct poison_gossip_options *o);
+void poison_gossip_free(struct poison_gossip *g);
+void poison_gossip_tick(struct poison_gossip *g, int64_t now); /* every 5 ms */
+void poison_gossip_receive(struct poison_gossip *g, const struct peer_msg *msg,
+			   int64_t now);
+
 /* Explain: a ring of decision records, and counts of decisions per minute. */
 struct explain;
 
--- a/src/control/members.c
+++ b/src/control/members.c
@@ -280,3 +280,24 @@
 {
 	return members_rank(m, topic, k > INT32_MAX ? INT32_MAX : (int)k) >= 0;
 }
+
+static bool ranks_above(const struct member_set *s, uint64_t own,
+			uint64_t topic)
+{
+	uint32_t i;
+
+	for (i = 0; i < s->n; i++)
+		if (pair_hash(s->items[i]->hash, topic) > own)
+			return true;
+	return false;
+}
+
+/* Whether self is the first of all live members for a topic. */
+bool members_first(const struct members *m, uint64_t topic)
+{
+	uint64_t own = pair_hash(m->self->hash, topic);
+
+	return m->self->info.state == MEMBER_ALIVE &&
+	       !ranks_above(&m->local, own, topic) &&
+	       !ranks_above(&m->remote, own, topic);
+}
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -30,6 +30,8 @@
 		return filter_route(n, r, now);
 	case STAGE_KEY:
 		return filter_key(n, r, now);
+	case STAGE_POISON:
+		return filter_poison(n, r, now);
 	case STAGE_DUPLICATE:
 		return filter_duplicate(n, r, now);
 	case STAGE_DEADLINE:
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -24,6 +24,7 @@
 	STAGE_CONTEXT,
 	STAGE_ROUTE,
 	STAGE_KEY,
+	STAGE_POISON,
 	STAGE_DUPLICATE,
 	STAGE_DEADLINE,
 	STAGE_SHED,
@@ -68,6 +69,8 @@
 	uint16_t runs;		/* executions by upstreams so far */
 	bool presumed_sub_call; /* treated as a sub-call when shedding */
 	bool id_from_caller;	/* the caller supplied the request id */
+	bool trial;		/* runs although it is refused as poison */
+	bool upstream_ended;	/* while it ran an attempt */
 	bool may_have_run;	/* an attempt ran or its outcome is unknown */
 	bool token_spent;	/* a token of the account was spent */
 	uint64_t claim;
@@ -139,6 +142,12 @@
 #define REVOKE_MARGIN_US (300 * USEC_PER_MSEC)
 enum filter_result filter_key(struct node *n, struct request *r, int64_t now);
 
+enum filter_result filter_poison(struct node *n, struct request *r,
+				 int64_t now);
+/* Learns from the answer to an attempt that its upstream ended. */
+void poison_heard(struct node *n, const struct request *r,
+		  const struct answer_head *head, int64_t now);
+
 enum filter_result filter_identity(struct node *n, struct request *r,
 				   int64_t now);
 enum filter_result filter_duplicate(struct node *n, struct request *r,
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -77,6 +77,7 @@
 	h->depth = r->depth;
 	h->attempt = r->attempt;
 	h->once = request_runs_once(r);
+	h->trial = r->trial;
 	memcpy(h->shed_unreported, r->shed_unreported,
 	       sizeof(h->shed_unreported));
 	memset(r->shed_unreported, 0, sizeof(r->shed_unreported));
@@ -246,6 +247,21 @@
 	return true;
 }
 
+/*
+ * Whether a request whose upstream ended under it may cost another one. If it
+ * ran there alone it is the likely cause, and so it is if two ended; a request
+ * that shared the end with others most likely is not.
+ */
+static bool may_follow_end(struct request *r, const struct answer_head *head)
+{
+	bool again = r->upstream_ended;
+
+	if (!head->ended_incarnation)
+		return !r->trial;
+	r->upstream_ended = true;
+	return !again && !r->trial && head->ended_calls > 1;
+}
+
 /*
  * Whether to send the call again. Takes the retry from the allowance and from
  * the retry ratio of the service, unless it is a reroute or overload control is
@@ -373,10 +389,12 @@
 		return;
 	}
 	/* A failure caused by a sub-call would recur: it is not retried. */
+	poison_heard(n, r, head, now);
 	retriable = head->outcome != OUTCOME_DONE || !answer ||
 		    (status_is_retriable(answer->status) &&
 		     head->reason == REASON_NONE);
-	if (retriable && start_retry(n, r, head->outcome, head->reason, now))
+	if (retriable && may_follow_end(r, head) &&
+	    start_retry(n, r, head->outcome, head->reason, now))
 		return;
 	if (head->outcome == OUTCOME_DONE && answer) {
 		/* Reported to the parent call as the cause if it fails too. */
--- a/src/net/net.c
+++ b/src/net/net.c
@@ -183,6 +183,7 @@
 	lws_sul_cancel(&net->lws_tick->sul);
 	lws_context_destroy(net->context);
 	http_pool_free_all(net);
+	net_probes_free_all(net);
 	run_deferred_frees(net);
 	while ((hook = net->close_hooks)) {
 		net->close_hooks = hook->next;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -162,6 +162,29 @@
 /* Closes the idle connections that were last used before used_us. */
 void http_pool_close_idle(struct http_pool *p, int64_t used_us);
 
+/* What an attempt to connect tells of the process at an address. */
+enum listen_state {
+	LISTEN_OPEN,
+	LISTEN_REFUSED, /* nobody listens there */
+	LISTEN_SILENT,	/* no answer in time */
+};
+
+struct listen_probe_options {
+	struct addr addr;
+	int64_t timeout_us;
+	void *ctx;
+	uint64_t tag;
+	void (*done)(void *ctx, uint64_t tag, enum listen_state state,
+		     int64_t now);
+};
+
+/*
+ * Connects once and closes again, without a byte. done is called later, once.
+ * Returns -1 if no attempt could be made.
+ */
+int net_probe(struct net *net, const struct listen_probe_options *o,
+	      int64_t now);
+
 /*
  * Links: one TCP connection per pair of nodes, opened when first needed,
  * authenticated and sealed with the cluster secret, closed when idle.
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -46,6 +46,7 @@
 	struct net_close_hook *close_hooks;
 	struct net_vhost *vhosts;
 	struct http_pool *pools;
+	struct listen_probe *probes;
 	size_t bodies_max;  /* see net_limit_bodies; 0: no limit */
 	size_t bodies_held; /* reserved for large responses */
 	struct pool_conn *bodies_waiting;
@@ -79,6 +80,8 @@
 
 void net_free_timers(struct net *net);
 void http_pool_free_all(struct net *net);
+/* Ends the probes without reporting them. */
+void net_probes_free_all(struct net *net);
 
 /*
  * Calls release(p) after the current loop iteration, because a callback may
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "node/gates.h"
+#include "node/upstream_end.h"
 
 /* Longest wait for a named limit that callers are told, before spreading. */
 #define LIMIT_WAIT_MAX_MS 10000
@@ -101,6 +102,8 @@
 	head->admission = c->sub_call_admission;
 	head->bottleneck = c->sub_call_service;
 	head->leaving = n->gates_closing;
+	head->ended_incarnation = c->ended_incarnation;
+	head->ended_calls = c->ended_calls;
 	if (c->started_us)
 		head->service_us = (uint32_t)(now - c->started_us);
 	if (!u)
@@ -270,6 +273,27 @@
 		       : GATE_SERVED;
 }
 
+/* Answers a call whose connection was lost; incarnation 0: not by its end. */
+void call_answer_lost(struct node *n, struct call *c, uint64_t incarnation,
+		      uint32_t calls, int64_t now)
+{
+	c->ended_incarnation = incarnation;
+	c->ended_calls = calls;
+	end_call(n, c, OUTCOME_UNKNOWN, REASON_UPSTREAM_FAILED, NULL, now);
+}
+
+/* A run that ended well clears its request of crashing upstreams. */
+static void note_good_run(struct node *n, const struct call *c,
+			  const struct http_call_result *r, int64_t now)
+{
+	struct fingerprint id;
+
+	if (r->response->status >= 500)
+		return;
+	fingerprint_of(n, &c->message, c->head.account, &id);
+	poison_run_ended_well(n->poison, &id, now);
+}
+
 static void upstream_done(void *ctx, uint64_t tag, struct http_call_result *r,
 			  int64_t now)
 {
@@ -295,9 +319,14 @@
 	}
 	if (result.outcome == OUTCOME_NOT_RUN)
 		c->runs--;
+	if (result.outcome == OUTCOME_DONE)
+		note_good_run(n, c, r, now);
 	if (result.outcome == OUTCOME_DONE && r->response->status < 500)
 		route_stats_add_sub_calls(n, c->head.route, c->sub_calls);
 	cancel_sub_calls(n, tag, now);
+	if (u && r->status == HTTP_CONNECTION_LOST &&
+	    upstream_end_hold(n, u, c, now) == 0)
+		return;
 	end_call(n, c, result.outcome, result.reason,
 		 result.outcome == OUTCOME_DONE ? r->response : NULL, now);
 	if (r->status == HTTP_UNREACHABLE)
@@ -375,7 +404,7 @@
 	int64_t waited_us;
 	uint64_t id;
 
-	if (!u)
+	if (!u || upstream_end_is_open(u))
 		return;
 	while (gate_next_drop(u->gate, now, &drop)) {
 		c = gates_call_get(n, drop.id);
@@ -443,6 +472,19 @@
 	return gate_offer(u->gate, &g, why, now);
 }
 
+/* An entry may not know yet, or be of an older build. */
+static bool is_refused_poison(struct node *n, const struct call *c, int64_t now)
+{
+	enum poison_verdict verdict;
+	struct fingerprint id;
+
+	if (c->head.trial || !poison_count(n->poison))
+		return false;
+	fingerprint_of(n, &c->message, c->head.account, &id);
+	verdict = poison_check(n->poison, &id, now);
+	return verdict == POISON_REFUSED || verdict == POISON_TRIAL_DUE;
+}
+
 /*
  * Offers a call to the gate of an upstream on this host. The outcome is sent
  * to the entry as its reply. Returns the handle of the call, which may have
@@ -478,6 +520,11 @@
 		return handle;
 	}
 	c->upstream = u->handle;
+	if (is_refused_poison(n, c, now)) {
+		record_call(n, c, DECISION_DROPPED, REASON_POISON, 0);
+		end_call(n, c, OUTCOME_NOT_RUN, REASON_POISON, NULL, now);
+		return handle;
+	}
 	if (offer_call(n, u, c, &why, now) == GATE_REFUSED) {
 		record_call(n, c, DECISION_DROPPED, why, 0);
 		end_call(n, c, OUTCOME_NOT_RUN, why, NULL, now);
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -282,6 +282,7 @@
 {
 	u->last_update_us = now;
 	u->sequence = announcement->sequence;
+	u->ended_incarnation = 0;
 	if (u->unreachable) {
 		u->unreachable = false;
 		gates_publish_upstreams(n, now);
@@ -416,6 +417,7 @@
 		return;
 	}
 	u->last_update_us = now;
+	u->ended_incarnation = 0;
 	changed = u->info.slots != info->slots || u->info.state != info->state;
 	u->info.state = info->state;
 	if (u->info.slots != info->slots) {
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -156,6 +156,9 @@
 	case PEER_QUERY_RESPONSE:
 		admin_peer(n, msg, now);
 		break;
+	case PEER_POISON:
+		poison_gossip_receive(n->poison_gossip, msg, now);
+		break;
 	}
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -12,6 +12,7 @@
 
 #define CALLS_MAX 65536
 #define CUTOFFS_MAX 32768
+#define POISON_MAX 4096
 
 #define FAST_TICK_US (5 * USEC_PER_MSEC)
 #define SLOW_TICK_US (50 * USEC_PER_MSEC)
@@ -167,6 +168,7 @@
 
 	quota_tick(n->quota, now);
 	claims_tick(n->claims, now);
+	poison_gossip_tick(n->poison_gossip, now);
 	limit_retry(n, NULL, now);
 	gates_tick(n, now);
 	if (stop_requested && !n->stopping)
@@ -286,16 +288,18 @@
 				      .data_centre = n->settings.data_centre,
 				      .ctx = n,
 				      .wake = quota_wake};
+	struct poison_gossip_options poison = {.io = node_io(n)};
 	struct claims_options claims = {.store = n->store,
 					.self = n->self,
 					.incarnation = n->incarnation};
 
 	n->explain = explain_new(n->settings.records_max);
 	n->cutoffs = cutoffs_new(CUTOFFS_MAX);
+	n->poison = poison_new(POISON_MAX);
 	n->directory = directory_new(n);
 	n->identities = identities_new();
-	if (!n->explain || !n->cutoffs || !n->directory || !n->identities ||
-	    open_members(n, now) < 0)
+	if (!n->explain || !n->cutoffs || !n->poison || !n->directory ||
+	    !n->identities || open_members(n, now) < 0)
 		return error_set(err, ERROR_MEMORY, "start", NULL,
 				 "out of memory");
 	if (n->settings.store_kind == STORE_PLATFORM) {
@@ -312,7 +316,10 @@
 	n->quota = quota_new(&quota, now);
 	n->claims = claims_new(&claims, now);
 	n->notes = notes_new(&notes, now);
-	if (!n->notes || !n->quota || !n->claims)
+	poison.members = n->members;
+	poison.poison = n->poison;
+	n->poison_gossip = poison_gossip_new(&poison);
+	if (!n->poison_gossip || !n->notes || !n->quota || !n->claims)
 		return error_set(err, ERROR_MEMORY, "start", NULL,
 				 "out of memory");
 	store_on_replaced(n->store, n, store_replaced);
@@ -509,6 +516,8 @@
 		identities_free(n->identities);
 	if (n->cutoffs)
 		cutoffs_free(n->cutoffs);
+	poison_gossip_free(n->poison_gossip);
+	poison_free(n->poison);
 	if (n->explain)
 		explain_free(n->explain);
 	if (n->config)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -33,6 +33,9 @@
 	bool unreachable; /* cleared by its next announcement */
 	int64_t leaving_us; /* when it began to leave; 0: it is not leaving */
 	int64_t said_leaving_us; /* in its latest such answer; 0: never */
+	bool end_probed; /* being found out whether its process has ended */
+	uint64_t ended_incarnation; /* its process has ended; 0: it runs */
+	uint32_t ended_calls;	    /* that it was running then */
 	struct http_pool *pool;
 	struct gate *gate;
 	int64_t last_update_us;
@@ -60,6 +63,9 @@
 	int64_t started_us; /* 0 while queued */
 	int64_t deadline_us;
 	uint64_t http_call;
+	bool lost; /* its connection; held until the upstream was probed */
+	uint64_t ended_incarnation; /* of the upstream that ended; or 0 */
+	uint32_t ended_calls;
 	char token[TOKEN_SIZE];
 	uint8_t allowance; /* left for sub-calls */
 	uint16_t runs;
@@ -114,6 +120,9 @@
 	struct claims *claims;
 	struct explain *explain;
 	struct cutoffs *cutoffs;
+	struct poison *poison;
+	struct poison_gossip *poison_gossip;
+	uint64_t upstream_ends; /* numbers processes without a start time */
 	struct config *config;
 	struct directory *directory;
 	struct identities *identities;
@@ -155,6 +164,12 @@
 bool node_refuses_requests(const struct node *n, int64_t now);
 /* Advances a planned stop: closes the gates, then ends the event loop. */
 void node_stop_step(struct node *n, int64_t now);
+/*
+ * Hash, with a key that all nodes share, of the method, host, path with query,
+ * body and account of a request; of the calling service if it has no account.
+ */
+void fingerprint_of(const struct node *n, const struct message *m,
+		    const char *account, struct fingerprint *id);
 /* Returns 64 random bits; not suitable for cryptography. */
 uint64_t node_random(struct node *n);
 
--- /dev/null
+++ b/src/node/upstream_end.c
@@ -0,0 +1,161 @@
+#include "node/upstream_end.h"
+
+#include <stdio.h>
+
+/* The upstream is on this host: if it listens, it says so at once. */
+#define PROBE_TIMEOUT_US (100 * USEC_PER_MSEC)
+
+/* Identifies the process behind an upstream; each start has another. */
+static uint64_t incarnation_of(struct node *n, const struct local_upstream *u)
+{
+	uint64_t start = (uint64_t)u->started_ms;
+	char addr[ADDR_TEXT_SIZE];
+
+	addr_format(&u->info.addr, addr);
+	if (!start)
+		start = pair_hash(n->incarnation, ++n->upstream_ends);
+	return pair_hash(pair_hash(name_hash(addr), name_hash(u->instance)),
+			 start);
+}
+
+/* Counts the calls that the upstream was running, those held included. */
+static uint32_t running_calls(const struct node *n, uint64_t upstream)
+{
+	const struct call *c;
+	uint32_t count = 0;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item))) {
+		c = item;
+		count += c->upstream == upstream && c->started_us;
+	}
+	return count;
+}
+
+static void log_ended(const struct local_upstream *u, uint32_t calls)
+{
+	char addr[ADDR_TEXT_SIZE];
+	struct log_line line;
+
+	addr_format(&u->info.addr, addr);
+	log_start(&line, LOG_NOTICE, "upstream-ended");
+	log_str(&line, "service", u->info.service);
+	log_str(&line, "upstream", addr);
+	log_str(&line, "instance", u->instance);
+	log_int(&line, "calls", calls);
+	log_emit(&line);
+}
+
+static void log_evidence(const struct call *c, const struct fingerprint *id,
+			 const struct poison_entry *e, uint32_t calls)
+{
+	char text[FINGERPRINT_TEXT_SIZE];
+	struct log_line line;
+
+	fingerprint_format(id, text);
+	log_start(&line, e->refused_us ? LOG_WARNING : LOG_INFO,
+		  e->refused_us ? "poison-refused" : "poison-suspect");
+	log_str(&line, "fingerprint", text);
+	log_str(&line, "request", c->head.request);
+	log_str(&line, "route", c->head.route);
+	log_str(&line, "account", c->head.account);
+	log_str(&line, "service", c->head.service);
+	log_int(&line, "ends", e->facts.end_count);
+	log_int(&line, "calls", calls);
+	log_emit(&line);
+}
+
+/* Counts the end of its upstream as evidence against a call. */
+static void add_evidence(struct node *n, const struct call *c,
+			 uint64_t incarnation, uint32_t calls, int64_t now)
+{
+	struct fingerprint id;
+
+	fingerprint_of(n, &c->message, c->head.account, &id);
+	if (poison_add_end(n->poison, &id, c->head.service, incarnation, now))
+		log_evidence(c, &id, poison_find(n->poison, &id), calls);
+}
+
+/* Answers the calls that are held; incarnation is 0 if the process runs. */
+static void release_calls(struct node *n, uint64_t upstream,
+			  uint64_t incarnation, uint32_t calls, int64_t now)
+{
+	struct call *c;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item))) {
+		c = item;
+		if (c->upstream != upstream || !c->lost)
+			continue;
+		if (incarnation)
+			add_evidence(n, c, incarnation, calls, now);
+		call_answer_lost(n, c, incarnation, calls, now);
+	}
+}
+
+static void on_probed(void *ctx, uint64_t upstream, enum listen_state state,
+		      int64_t now)
+{
+	struct node *n = ctx;
+	struct local_upstream *u = gates_upstream(n, upstream);
+
+	if (u)
+		u->end_probed = false;
+	if (!u || state != LISTEN_REFUSED) {
+		release_calls(n, upstream, 0, 0, now);
+		gates_dispatch(n, upstream, now);
+		return;
+	}
+	counter_add(COUNTER_UPSTREAM_ENDS, 1);
+	u->ended_incarnation = incarnation_of(n, u);
+	u->ended_calls = running_calls(n, upstream);
+	log_ended(u, u->ended_calls);
+	gates_mark_unreachable(n, upstream, now);
+	release_calls(n, upstream, u->ended_incarnation, u->ended_calls, now);
+}
+
+static bool start_probe(struct node *n, struct local_upstream *u, int64_t now)
+{
+	struct listen_probe_options o = {.addr = u->info.addr,
+					 .timeout_us = PROBE_TIMEOUT_US,
+					 .ctx = n,
+					 .tag = u->handle,
+					 .done = on_probed};
+
+	u->end_probed = net_probe(n->net, &o, now) == 0;
+	return u->end_probed;
+}
+
+/* A planned end proves nothing: the upstream may cut what still runs. */
+static bool end_is_planned(const struct node *n, const struct local_upstream *u,
+			   int64_t now)
+{
+	return u->info.state == UPSTREAM_GONE || u->withdrawn ||
+	       (u->info.state == UPSTREAM_LEAVING &&
+		now - u->leaving_us >= n->settings.promises.drain_us);
+}
+
+int upstream_end_hold(struct node *n, struct local_upstream *u, struct call *c,
+		      int64_t now)
+{
+	if (end_is_planned(n, u, now))
+		return -1;
+	if (u->ended_incarnation) {
+		add_evidence(n, c, u->ended_incarnation, u->ended_calls, now);
+		call_answer_lost(n, c, u->ended_incarnation, u->ended_calls,
+				 now);
+		return 0;
+	}
+	if (!u->end_probed && !start_probe(n, u, now))
+		return -1;
+	c->lost = true;
+	c->http_call = 0;
+	return 0;
+}
+
+bool upstream_end_is_open(const struct local_upstream *u)
+{
+	return u->end_probed;
+}
--- a/src/wire/answer_head.c
+++ b/src/wire/answer_head.c
@@ -1,14 +1,17 @@
 #include "wire/wire_impl.h"
 
 #define ANSWER_HEAD_FIELDS 11
-#define ANSWER_HEAD_RATE_FIELDS 1 /* absent in older versions */
+/* Absent in older versions. */
+#define ANSWER_HEAD_RATE_FIELDS 1
+#define ANSWER_HEAD_END_FIELDS 2
 
 /* Writes the head of an answer as one array. */
 void write_answer_head(struct writer *w, const struct answer_head *h)
 {
 	int i;
 
-	write_array(w, ANSWER_HEAD_FIELDS + ANSWER_HEAD_RATE_FIELDS);
+	write_array(w, ANSWER_HEAD_FIELDS + ANSWER_HEAD_RATE_FIELDS +
+			       ANSWER_HEAD_END_FIELDS);
 	write_uint(w, h->outcome);
 	write_uint(w, h->reason);
 	write_uint(w, h->allowance_left);
@@ -23,6 +26,8 @@
 	write_bool(w, h->leaving);
 	write_uint(w, h->bottleneck);
 	write_uint(w, h->rate_milli);
+	write_uint(w, h->ended_incarnation);
+	write_uint(w, h->ended_calls);
 }
 
 /*
@@ -59,5 +64,11 @@
 	if (!sub.failed &&
 	    sub.n >= ANSWER_HEAD_FIELDS + ANSWER_HEAD_RATE_FIELDS)
 		h->rate_milli = (uint32_t)read_uint(&sub, UINT32_MAX);
+	if (!sub.failed && sub.n >= ANSWER_HEAD_FIELDS +
+					    ANSWER_HEAD_RATE_FIELDS +
+					    ANSWER_HEAD_END_FIELDS) {
+		h->ended_incarnation = read_uint(&sub, UINT64_MAX);
+		h->ended_calls = (uint32_t)read_uint(&sub, UINT32_MAX);
+	}
 	r->failed |= sub.failed || admitted.failed;
 }
--- a/src/wire/call_head.c
+++ b/src/wire/call_head.c
@@ -1,13 +1,14 @@
 #include "wire/wire_impl.h"
 
 #define CALL_HEAD_FIELDS 14
+#define CALL_HEAD_TRIAL_FIELDS 1 /* absent in older versions */
 
 /* Writes the head of a call as one array. */
 void write_call_head(struct writer *w, const struct call_head *h)
 {
 	int i;
 
-	write_array(w, CALL_HEAD_FIELDS);
+	write_array(w, CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS);
 	write_text(w, h->request);
 	write_text(w, h->root);
 	write_text(w, h->service);
@@ -24,6 +25,7 @@
 	write_array(w, SHED_CLASSES);
 	for (i = 0; i < SHED_CLASSES; i++)
 		write_uint(w, h->shed_unreported[i]);
+	write_bool(w, h->trial);
 }
 
 /* Decodes the output of write_call_head. */
@@ -50,5 +52,7 @@
 	for (i = 0; i < SHED_CLASSES; i++)
 		h->shed_unreported[i] =
 			(uint32_t)read_uint(&unreported, UINT32_MAX);
+	if (!sub.failed && sub.n >= CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS)
+		h->trial = read_bool(&sub);
 	r->failed |= sub.failed || unreported.failed;
 }
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -101,6 +101,9 @@
 	[REASON_UPSTREAM_REFUSED] = {"upstream-refused", 503,
 				     "The upstream turned the request away "
 				     "before it ran."},
+	[REASON_POISON] = {"poison", 503,
+			   "Several upstreams crashed while they ran this "
+			   "request, so it is not run again for now."},
 };
 
 static const struct reason_row *row(enum reason r)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -77,6 +77,7 @@
 	REASON_STOPPING,
 	REASON_OVERLOADED,	 /* too many requests or bytes held */
 	REASON_UPSTREAM_REFUSED, /* upstream reported: not run */
+	REASON_POISON,		 /* upstreams ended that ran it */
 	REASON_COUNT
 };
 
@@ -105,6 +106,7 @@
 	uint8_t depth;
 	uint8_t attempt;
 	bool once;
+	bool trial; /* run it although it is refused: see poison.h */
 	/* Calls of this account shed before they reached this gate. */
 	uint32_t shed_unreported[SHED_CLASSES];
 };
@@ -124,6 +126,9 @@
 	uint32_t retry_after_ms;
 	bool leaving;
 	uint32_t rate_milli; /* calls in 1000 s that it takes; 0: no limit */
+	/* The upstream ended while it ran the call. */
+	uint64_t ended_incarnation; /* 0: it did not */
+	uint32_t ended_calls;	    /* that it ran then, this one included */
 };
 
 enum frame_kind {
@@ -234,6 +239,7 @@
 	PEER_LOAN_SPENT,
 	PEER_QUERY,
 	PEER_QUERY_RESPONSE,
+	PEER_POISON,
 };
 
 #define MEMBERS_DIGESTS 256
@@ -254,6 +260,26 @@
 	uint32_t remaining; /* thousandths left at the lender; a hint */
 };
 
+/* Keyed hash of what makes a request the same one again. */
+struct fingerprint {
+	uint64_t low;
+	uint64_t high;
+};
+
+#define POISON_ENDS_MAX 6 /* remembered per request */
+
+/* What nodes know of a request under which upstreams ended; see poison.h. */
+struct poison_facts {
+	struct fingerprint id;
+	uint64_t epoch; /* raised when it is cleared of its evidence */
+	uint64_t ends[POISON_ENDS_MAX]; /* incarnations that ended, sorted */
+	uint8_t end_count;
+	bool tried; /* was run once more since it is refused */
+	char service[NAME_SIZE];
+};
+
+#define POISON_FACTS_MAX 6 /* in one message */
+
 /*
  * A control message between nodes. Each carries the sender's address,
  * incarnation and configuration number; probes also carry membership changes.
@@ -304,6 +330,10 @@
 			uint64_t id;
 			struct buffer text; /* JSON */
 		} query;
+		struct {
+			struct poison_facts items[POISON_FACTS_MAX];
+			size_t n;
+		} poison;
 	};
 };
 
--- a/src/wire/wire_impl.h
+++ b/src/wire/wire_impl.h
@@ -56,6 +56,11 @@
 void write_message(struct writer *w, const struct message *m);
 void read_message(struct reader *r, struct message *m);
 
+void write_poison_facts(struct writer *w, const struct poison_facts *f,
+			size_t n);
+size_t read_poison_facts(struct reader *r,
+			 struct poison_facts f[POISON_FACTS_MAX]);
+
 void write_members(struct writer *w, const struct member_info *m, size_t n);
 size_t read_members(struct reader *r, struct member_info **m);
 void write_peer_msg(struct writer *w, const struct peer_msg *m);
--- a/test/notes_cluster.h
+++ b/test/notes_cluster.h
@@ -19,6 +19,7 @@
 #include "control/control.h"
 
 #define NODES_MAX 64
+#define POISON_MAX 64
 #define STEP_US (10 * USEC_PER_MSEC)
 #define RECOVERY_US (20 * USEC_PER_SEC)
 #define IN_FORCE_US (2 * USEC_PER_SEC)
@@ -27,6 +28,8 @@
 	struct cluster *cluster;
 	struct members *members;
 	struct notes *notes;
+	struct poison *poison;
+	struct poison_gossip *gossip;
 	struct store *store;
 	struct addr addr;
 	int data_centre;
@@ -211,6 +214,8 @@
 static void cluster_start(struct cluster *c, int i)
 {
 	struct node *node = &c->nodes[i];
+	struct poison_gossip_options gossip = {
+		.io = {node, send_link, send_datagram}};
 	struct notes_options o = {
 		.io = {node, send_link, send_datagram},
 		.seed = (uint64_t)i,
@@ -230,6 +235,10 @@
 	start_members(c, i);
 	o.members = node->members;
 	node->notes = notes_new(&o, c->now);
+	node->poison = poison_new(POISON_MAX);
+	gossip.members = node->members;
+	gossip.poison = node->poison;
+	node->gossip = poison_gossip_new(&gossip);
 	store_on_replaced(node->store, node, on_replaced);
 }
 
@@ -244,6 +253,8 @@
 	node->paused = false;
 	store_close(node->store);
 	notes_free(node->notes);
+	poison_gossip_free(node->gossip);
+	poison_free(node->poison);
 	members_free(node->members);
 }
 
@@ -336,6 +347,8 @@
 	notes_number_received(node->notes, &msg.from, msg.config_number,
 			      c->now);
 	notes_receive(node->notes, &msg, c->now);
+	if (msg.kind == PEER_POISON)
+		poison_gossip_receive(node->gossip, &msg, c->now);
 	members_receive(node->members, &msg, c->now);
 	peer_msg_free(&msg);
 }
@@ -363,6 +376,7 @@
 			continue;
 		members_tick(c->nodes[i].members, c->now);
 		notes_tick(c->nodes[i].notes, c->now);
+		poison_gossip_tick(c->nodes[i].gossip, c->now);
 	}
 }
 
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -261,7 +261,7 @@
 	enum peer_msg_kind kind;
 
 	(void)state;
-	for (kind = PEER_PROBE; kind <= PEER_QUERY_RESPONSE; kind++) {
+	for (kind = PEER_PROBE; kind <= PEER_POISON; kind++) {
 		struct peer_msg m = {.kind = kind, .config_number = 3};
 		struct buffer once = {0}, twice = {0};
 
@@ -280,6 +280,35 @@
 	}
 }
 
+static void poison_facts_keep_every_field(void **state)
+{
+	struct peer_msg m = {.kind = PEER_POISON}, read;
+	struct buffer b = {0};
+	size_t i, j;
+
+	(void)state;
+	m.poison.n = POISON_FACTS_MAX;
+	for (i = 0; i < POISON_FACTS_MAX; i++) {
+		struct poison_facts *f = &m.poison.items[i];
+
+		f->id.low = UINT64_MAX;
+		f->id.high = UINT64_MAX - i;
+		f->epoch = UINT64_MAX - i;
+		f->end_count = (uint8_t)(POISON_ENDS_MAX - i);
+		for (j = 0; j < f->end_count; j++)
+			f->ends[j] = UINT64_MAX - j;
+		f->tried = i % 2;
+		memset(f->service, 'x', sizeof(f->service) - 1);
+	}
+	assert_int_equal(peer_msg_encode(&m, &b), 0);
+	assert_true(b.len < DATAGRAM_MAX - 100);
+	assert_int_equal(peer_msg_decode(&read, b.data, b.len, NULL), 0);
+	assert_int_equal(read.poison.n, m.poison.n);
+	assert_memory_equal(read.poison.items, m.poison.items,
+			    sizeof(m.poison.items));
+	buffer_free(&b);
+}
+
 static void datagrams_need_the_secret(void **state)
 {
 	static const uint8_t secret[SECRET_SIZE] = {1}, other[SECRET_SIZE];
@@ -342,6 +371,7 @@
 		cmocka_unit_test(fields_of_newer_versions_are_ignored),
 		cmocka_unit_test(oversized_fields_are_refused),
 		cmocka_unit_test(peer_messages_round_trip),
+		cmocka_unit_test(poison_facts_keep_every_field),
 		cmocka_unit_test(datagrams_need_the_secret),
 		cmocka_unit_test(every_reason_has_a_code_status_and_sentence),
 	};
