--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -150,6 +150,9 @@
 void admin_operators(struct admin_call *c);
 void admin_status(struct admin_call *c);
 void admin_claims(struct admin_call *c);
+void admin_poison(struct admin_call *c);
+void admin_poison_lift(struct admin_call *c);
+struct json_object *admin_poison_json(struct node *n, int64_t now);
 void admin_decisions(struct admin_call *c);
 void admin_counts(struct admin_call *c);
 
--- a/src/admin/route.c
+++ b/src/admin/route.c
@@ -19,6 +19,8 @@
 	{"GET", "/v1/operators", ACCESS_READ, admin_operators},
 	{"GET", "/v1/status", ACCESS_READ, admin_status},
 	{"GET", "/v1/claims", ACCESS_READ, admin_claims},
+	{"GET", "/v1/poison", ACCESS_READ, admin_poison},
+	{"POST", "/v1/poison/lift", ACCESS_CHANGE, admin_poison_lift},
 	{"GET", "/v1/decisions", ACCESS_READ, admin_decisions},
 	{"GET", "/v1/counts", ACCESS_READ, admin_counts},
 };
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -44,5 +44,6 @@
 int cmd_explain(int argc, char **argv);
 int cmd_status(int argc, char **argv);
 int cmd_claims(int argc, char **argv);
+int cmd_poison(int argc, char **argv);
 
 #endif
--- a/src/cmd/cmd_main.c
+++ b/src/cmd/cmd_main.c
@@ -12,6 +12,7 @@
 	 "explain what happened to a request or an account"},
 	{"status", cmd_status, "show hosts, upstreams, cutoffs and limits"},
 	{"claims", cmd_claims, "list once-only requests without an outcome"},
+	{"poison", cmd_poison, "list and lift requests that crash upstreams"},
 };
 
 /* Reads the subcommand and runs it; returns an exit_code. */
--- a/src/cmd/status_page.c
+++ b/src/cmd/status_page.c
@@ -156,6 +156,22 @@
 		printf("  none\n");
 }
 
+/* Prints nothing while no request is refused. */
+static void print_poison(struct json_object *list)
+{
+	long long refused = 0;
+	size_t i;
+
+	for (i = 0; i < json_length(list); i++)
+		refused += !strcmp(
+			json_text(json_object_array_get_idx(list, i), "state"),
+			"refused");
+	if (refused)
+		printf("\n%lld requests are refused as they crash upstreams: "
+		       "see mulberryferry poison\n",
+		       refused);
+}
+
 void status_page_print(struct json_object *s, bool terminal)
 {
 	print_summary(s);
@@ -163,4 +179,5 @@
 	print_gates(json_member(s, "gates"), terminal);
 	print_cutoffs(json_member(s, "cutoffs"), terminal);
 	print_limits(json_member(s, "limits"), terminal);
+	print_poison(json_member(s, "poison"));
 }
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -80,7 +80,7 @@
 		"listen": {"callers": "127.0.0.1:0", "services": "127.0.0.1:0",
 			"ready": "127.0.0.1:0", "nodes": "127.0.0.1:0",
 			"admin": "127.0.0.1:0"},
-		"upstream": {"service": "front"},
+		"upstream": {"service": "front"}, "bootstrap_operator": "$BOOTSTRAP",
 		"store": {"kind": "platform", "address": "$STORE",
 			"calls_per_second": 100},
 		${HOST_LIMITS:-}
--- a/test/upstream_crash.sh
+++ b/test/upstream_crash.sh
@@ -44,7 +44,8 @@
 for u in $UPSTREAMS; do
 	node=a1
 	[[ $u == u[246] ]] && node=b1
-	start_platform_upstream $u $node one 20 --crash-on crashing
+	start_platform_upstream $u $node one 20 --crash-on crashing \
+		--spare few
 done
 for n in a1 b1; do
 	wait_for 15 status_is 200 $n /r/0 -H "$(key key-1)" ||
@@ -75,6 +76,12 @@
 late=$(runs_of /r/crashing $((third + STABILITY_MS)))
 echo "upstreams ended: $(ends | wc -l); runs later than 3 s after the third:" \
 	"$late; other requests served: $(served_share) %"
+# The first line of each host that says that the request is refused.
+for n in a1 b1; do
+	at=$(grep -m 1 -E 'event=poison-(refused|learnt .*refused=1)' \
+		"$WORK/$n.log" | sed 's/^<[0-9]>\([^ ]*\) .*/\1/')
+	echo "$n refuses it $(($(date -d "$at" +%s%3N) - third)) ms after the third"
+done
 [ "$late" -le $LATE_RUNS_MAX ] ||
 	fail "the request ran $late times more, later than 3 s after the third"
 
@@ -87,4 +94,43 @@
 status_is 503 a1 /r/crashing -H "$(key key-1)" ||
 	fail "the request is not refused"
 grep -qi '^retry-after' "$WORK/head" || fail "no time to come back was told"
+status_is 200 a1 /r/crashing -H "$(key key-few)" ||
+	fail "the same path is refused to another account"
+echo "ok the same path is served to another account"
+
+# refused NODE PATH KEY: succeeds if the node refuses it as poison.
+refused() {
+	status_is 503 "$1" "$2" -H "$(key "$3")" &&
+		grep -q '"reason": *"poison"' "$WORK/body"
+}
+
+kill -KILL "$pid_b1"
+start_platform_node c1 b
+start=$(now_ms)
+wait_for 20 refused c1 /r/crashing key-1 || fail "a new host does not refuse it"
+echo "ok a new host refuses it after $(($(now_ms) - start)) ms"
+
+# Calls without a key, as services make them, are told apart by their sender.
+BEGIN=$(now_ms)
+for i in 1 2 3 4 5 6 7 8; do
+	request a1 /open/crashing >/dev/null
+	sleep 0.5
+done
+[ "$(ends | wc -l)" -le 4 ] ||
+	fail "$(ends | wc -l) upstreams ended under a call without a key"
+echo "ok upstreams that ended under a call without a key: $(ends | wc -l)"
+
+"$BIN" status --admin "$admin_a1" >"$WORK/status" ||
+	fail "no status: $(cat "$WORK/status")"
+grep -q "2 requests are refused" "$WORK/status" || fail "$(cat "$WORK/status")"
+id=$("$BIN" poison --admin "$admin_a1" | sed -n 's/^refused *\([0-9a-f]*\) .*/\1/p' |
+	head -n 1)
+"$BIN" poison --admin "$admin_a1" --lift "$id" >/dev/null || fail "not lifted"
+"$BIN" poison --admin "$admin_a1" | grep -q "^refused *$id" &&
+	fail "still refused after it was lifted"
+"$BIN" poison --admin "$admin_a1" --lift "$id" >/dev/null 2>&1 &&
+	fail "lifted twice"
+"$BIN" poison --admin "$admin_a1" --lift xyz >/dev/null 2>&1 &&
+	fail "a malformed fingerprint was taken"
+echo "ok operators see and lift refusals"
 echo "upstream crash passed"
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -46,6 +46,7 @@
 	char limit[32];	  /* requests a second named in answers, or empty */
 	const char *program;
 	const char *crash_on; /* part of a target; NULL: none */
+	const char *spare;    /* account whose requests crash nothing */
 	const char *down_ms;  /* before a crashed process is back */
 	const char *work_ms;
 } upstream = {
@@ -164,6 +165,8 @@
 			(char *)upstream.down_ms,
 			"--crash-on",
 			(char *)(upstream.crash_on ? upstream.crash_on : ""),
+			"--spare",
+			(char *)(upstream.spare ? upstream.spare : ""),
 			NULL};
 
 	snprintf(instance, sizeof(instance), "%.32s.%lld",
@@ -176,6 +179,15 @@
 	abort();
 }
 
+static bool crashes(const struct message *m)
+{
+	const char *account = message_header(m, "mulberryferry-tenant");
+
+	return upstream.crash_on && upstream.crash_on[0] &&
+	       strstr(m->target, upstream.crash_on) &&
+	       !(account && upstream.spare && !strcmp(account, upstream.spare));
+}
+
 static void on_request(void *ctx, uint64_t exchange, struct message *m,
 		       const char *peer, int64_t now)
 {
@@ -203,8 +215,7 @@
 		add_header(&answer, "mulberryferry-not-executed", "1");
 	} else {
 		print_run(m);
-		if (upstream.crash_on && upstream.crash_on[0] &&
-		    strstr(m->target, upstream.crash_on))
+		if (crashes(m))
 			crash();
 		fill_body(&answer.body, m->target);
 		if (!upstream.omit_signature)
@@ -303,6 +314,9 @@
 	case 'c':
 		upstream.crash_on = arg;
 		return 0;
+	case 'x':
+		upstream.spare = arg;
+		return 0;
 	case 'd':
 		upstream.down_ms = arg;
 		return 0;
@@ -325,6 +339,7 @@
 	{"instance", 'i', "ID", 0, "ID of this instance (i-1)", 0},
 	{"work-ms", 'w', "N", 0, "Answer after N milliseconds", 0},
 	{"crash-on", 'c', "TEXT", 0, "Crash on a target that contains TEXT", 0},
+	{"spare", 'x', "ACCOUNT", 0, "but not if ACCOUNT sent it", 0},
 	{"down-ms", 'd', "N", 0, "Be back N milliseconds after a crash", 0},
 	{"start-after-ms", 'a', "N", 0, "Wait N milliseconds first", 0},
 	{0}};
