Join at once, and keep the proof of a document that was held back

Cause: the hold of a new process's first document dropped the proof that came with its read, and hosts joined only at their ticks of 50 ms.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -42,6 +42,8 @@
 /* Replaces the announced upstreams of this host; gossips them at once. */
 void members_set_upstreams(struct members *m, const struct upstream_info *u,
 			   size_t n, int64_t now);
+/* Probes seeds at once if no other live member is known. */
+void members_join(struct members *m, int64_t now);
 /* Begins a planned stop: others send no new work to this host. */
 void members_leave(struct members *m, int64_t now);
 /* Announces after the drain that this node has left. */
--- a/src/control/members_join.c
+++ b/src/control/members_join.c
@@ -60,3 +60,12 @@
 	for (i = 0; i < (alone ? JOIN_PROBES : 1); i++)
 		try_seed(m, alone && i == 0, now);
 }
+
+/* Probes seeds at once if no other live member is known. */
+void members_join(struct members *m, int64_t now)
+{
+	if (m->local.n || m->remote.n)
+		return;
+	m->join_due_us = now;
+	members_join_tick(m, now);
+}
--- a/src/control/members_seed.c
+++ b/src/control/members_seed.c
@@ -88,8 +88,8 @@
 	if (!s->listed)
 		s->due_us = now + jittered(m, FIRST_TRY_US);
 	s->listed = true;
-	if (m->stored_seed_count && !m->local.n && !m->remote.n)
-		m->join_due_us = now;
+	if (m->stored_seed_count)
+		members_join(m, now);
 }
 
 /* Reads the seeds of all data centres from the store, when it is due. */
--- a/src/control/notes_document.c
+++ b/src/control/notes_document.c
@@ -32,7 +32,7 @@
  */
 #define ASK_PEERS_US (2 * USEC_PER_SEC)
 /* Enough for a peer that has a configuration, once others were heard. */
-#define ASK_STARTING_PEERS_US (300 * USEC_PER_MSEC)
+#define ASK_STARTING_PEERS_US (100 * USEC_PER_MSEC)
 
 static void log_passed_over(const struct notes *n, const struct store_entry *e)
 {
@@ -48,18 +48,16 @@
 /* Whether to hear peers before this node's first document is in force. */
 static bool must_ask_peers(const struct notes *n, uint64_t number, int64_t now)
 {
-	int64_t asked_us = now - n->started_us;
-
-	if (notes_number(n) || asked_us >= ASK_PEERS_US)
+	if (notes_number(n) || now - n->started_us >= ASK_PEERS_US)
 		return false;
 	if (number < n->newest_number)
 		return true;
 	return !n->heard_config &&
-	       !(n->heard_peer && asked_us >= ASK_STARTING_PEERS_US);
+	       !(n->heard_us && now - n->heard_us >= ASK_STARTING_PEERS_US);
 }
 
 /* Puts the document that is held back in force once peers were asked. */
-static void release_held(struct notes *n, int64_t now)
+void document_release(struct notes *n, int64_t now)
 {
 	struct config *c = n->held;
 
@@ -67,6 +65,8 @@
 		return;
 	n->held = NULL;
 	notes_set_config(n, c, ROAD_READ, now);
+	if (notes_number(n) == n->fetch.head)
+		notes_confirm(n, n->held_read_us);
 }
 
 static void hold(struct notes *n, struct config *c)
@@ -129,6 +129,7 @@
 	f->failures = 0;
 	f->answer_us = now - started_us;
 	f->next_us = f->started_us + POLL_US;
+	n->held_read_us = started_us;
 	if (notes_number(n) == f->head)
 		notes_confirm(n, started_us);
 	fetch_check_behind(n);
@@ -239,7 +240,7 @@
 {
 	bool catch_up = must_catch_up(n, now);
 
-	release_held(n, now);
+	document_release(n, now);
 	if (catch_up && !n->catching_up)
 		n->fetch.next_us = now;
 	n->catching_up = catch_up;
--- a/src/control/notes_impl.h
+++ b/src/control/notes_impl.h
@@ -148,8 +148,9 @@
 	int64_t announced_us; /* confirmed_us as last announced */
 	int64_t document_revision; /* mod_revision, or 0 */
 	struct config *held;	   /* not in force before peers were heard */
-	bool heard_peer;	   /* a message of one that runs */
-	bool heard_config;	   /* of one that has a configuration */
+	int64_t held_read_us;	   /* when the last read of it was sent */
+	int64_t heard_us;	   /* first message of a peer; 0: none */
+	bool heard_config;	   /* from one that has a configuration */
 	uint32_t pull_rounds;	   /* selects the peer */
 
 	struct buffer packed;
@@ -211,6 +212,7 @@
 void document_changed(struct notes *n, const struct store_entry *e,
 		      int64_t now);
 void document_await(struct notes *n, int64_t now);
+void document_release(struct notes *n, int64_t now);
 void document_tick(struct notes *n, int64_t now);
 
 void append_fetch_ended(struct notes *n, bool success, int64_t now);
--- a/src/control/notes_peer.c
+++ b/src/control/notes_peer.c
@@ -218,17 +218,18 @@
 void notes_number_received(struct notes *n, const struct addr *peer,
 			   uint64_t number, int64_t now)
 {
-	(void)now;
-	n->heard_peer = true;
+	if (!n->heard_us)
+		n->heard_us = now;
 	n->heard_config |= number != 0;
-	if (number <= n->newest_number && n->newest_number > notes_number(n))
-		return;
-	if (number <= notes_number(n))
-		return;
-	n->newest_number =
-		number > n->newest_number ? number : n->newest_number;
-	n->newest_from = *peer;
-	n->pull_rounds = 0;
+	if ((number > n->newest_number ||
+	     n->newest_number <= notes_number(n)) &&
+	    number > notes_number(n)) {
+		n->newest_number =
+			number > n->newest_number ? number : n->newest_number;
+		n->newest_from = *peer;
+		n->pull_rounds = 0;
+	}
+	document_release(n, now);
 }
 
 static void serve_pull(struct notes *n, const struct peer_msg *in, int64_t now)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -252,9 +252,9 @@
 {
 	struct node *n = ctx;
 
-	(void)now;
 	n->admit_key = XXH3_64bits(secret, SECRET_SIZE);
 	links_set_secret(n->links, secret);
+	members_join(n->members, now);
 }
 
 static int open_secret(struct node *n)
--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -3,10 +3,12 @@
 # and their upstreams as real processes. Injects signals and store faults, which
 # may overlap and are chosen by SEED, while callers send once-only requests. The
 # store also comes back from older copies, and upstreams name limits or say that
-# they leave. Then compares what callers and upstreams recorded with the
+# they leave; one request crashes each upstream that runs it, and comes again
+# all the time. Then compares what callers and upstreams recorded with the
 # promises: no request ran twice, each one answered with 200 ran, none answered
-# with 429, 503, 408 or 421 ran, no upstream got more than its limit allows, and
-# the newest configuration is in force. Prints a summary and keeps no files;
+# with 429, 503, 408 or 421 ran, no upstream got more than its limit allows, the
+# request that crashes was run three times more at most, later than 3 s after the
+# third end, and the newest configuration is in force. Prints a summary and keeps no files;
 # ends only the processes that it started.
 cd "$(dirname "$0")/../.."
 BIN=${BIN_OF_SOAK:-${BUILD:-build}/mulberryferry-san}
@@ -22,6 +24,8 @@
 LIMIT=20      # requests a second that an upstream names
 LIMIT_MAX=$((LIMIT * 6 + 5)) # most requests in 4 s
 LIMIT_AFTER_MS=3000 # from then on the limit holds
+STABILITY_MS=3000   # until every host refuses a request that crashes
+LATE_RUNS_MAX=3
 VERSION=3
 RECOVERY_S=20 # the users' bound of 15 s plus one start under the sanitizers
 
@@ -119,6 +123,33 @@
 	done
 }
 
+# send_crashing: sends the same request, which crashes upstreams, to the nodes in
+# turn until the file "stop" exists.
+send_crashing() {
+	local i=0 callers
+	while [ ! -e "$WORK/stop" ]; do
+		callers=callers_${NODES[i++ % ${#NODES[@]}]}
+		curl -s -o /dev/null -m 3 -X POST -d same -H "Host: $HOST" \
+			-H "Authorization: Bearer key-1" \
+			-H "Mulberryferry-Attempt-Id: $(printf 'eeee%012x' $i)" \
+			-H "Mulberryferry-Deadline-Ms: 2000" \
+			"http://${!callers}/once/crashing"
+		sleep 0.7
+	done
+}
+
+# late_runs: prints how often the request that crashes ran later than
+# STABILITY_MS after the third upstream had ended under it.
+late_runs() {
+	local third
+	third=$(cat "$WORK"/up_*.out | sed -n 's/^crash at_ms=//p' | sort -n |
+		sed -n 3p)
+	cat "$WORK"/up_*.out |
+		sed -n 's/^run .* at_ms=\([0-9]*\) .*=eeee.*/\1/p' |
+		awk -v from="${third:-0}" -v s=$STABILITY_MS '
+		from && $1 >= from + s {n++} END {print n + 0}'
+}
+
 # Suspends a process for MS milliseconds. Resumes it in the background, so that
 # faults may overlap.
 suspend_process() { # NAME MS
@@ -205,7 +236,8 @@
 	var="services_$n"
 	services=${!var}
 	run "up_$n" "$TOOLS/platform_upstream" --listen 127.0.0.1:0 \
-		--node "$services" --service one --instance "i-$n" --work-ms 30
+		--node "$services" --service one --instance "i-$n" --work-ms 30 \
+		--crash-on crashing --down-ms 1000
 	write_settings "$n" "$(eval echo "\$callers_$n")" "$services" \
 		"$(eval echo "\$ready_$n")" "$(eval echo "\$nodes_$n")" \
 		"$(eval echo "\$admin_$n")"
@@ -220,6 +252,8 @@
 	send_requests "$c" &
 	callers+=($!)
 done
+send_crashing &
+callers+=($!)
 end=$((SECONDS + SECONDS_OF_FAULTS))
 while [ "$SECONDS" -lt "$end" ]; do
 	inject_fault
@@ -278,8 +312,12 @@
 		fail "seed $SEED: up_$n named $LIMIT a second and got $most" \
 			"in 4 s; $(cat "$WORK/faults")"
 done
+[ "$(late_runs)" -le $LATE_RUNS_MAX ] ||
+	fail "seed $SEED: a request that crashes ran $(late_runs) times too" \
+		"late; $(cat "$WORK/faults" "$WORK"/*.log | grep "^fault\|poison")"
 [ -s "$WORK/status-200" ] || fail "seed $SEED: nothing was served"
 echo "seed=$SEED faults=$(wc -l <"$WORK/faults")" \
 	"requests=$(wc -l <"$WORK/seen") ran=$(wc -l <"$WORK/ran")" \
 	"served=$(wc -l <"$WORK/status-200")" \
+	"ended=$(cat "$WORK"/up_*.out | grep -c '^crash ') late=$(late_runs)" \
 	"not_run=$(cat "$WORK"/status-{429,503,408,421} | wc -l)"
--- a/test/test_config_late.c
+++ b/test/test_config_late.c
@@ -184,6 +184,25 @@
 	cluster_close(&c);
 }
 
+/*
+ * A process that had waited for its peers put its document in force without the
+ * proof that it had read, and refused requests with keys for a second.
+ */
+static void first_document_comes_with_its_proof(void **state)
+{
+	struct cluster c;
+
+	(void)state;
+	open_in_force(&c, NODES);
+	cluster_stop(&c, 0);
+	cluster_run(&c, USEC_PER_SEC);
+	cluster_start(&c, 0);
+	while (!c.nodes[0].number)
+		run_step(&c);
+	assert_true(notes_stale_us(c.nodes[0].notes, c.now) < USEC_PER_SEC);
+	cluster_close(&c);
+}
+
 /* Changes that come while another one is being spread, and one that is bad. */
 static void bad_document_between_two_good_ones_changes_nothing(void **state)
 {
@@ -248,6 +267,7 @@
 		cmocka_unit_test(delayed_messages_prove_nothing_too_young),
 		cmocka_unit_test(
 			new_process_asks_peers_before_it_believes_a_copy),
+		cmocka_unit_test(first_document_comes_with_its_proof),
 		cmocka_unit_test(
 			bad_document_between_two_good_ones_changes_nothing),
 		cmocka_unit_test(change_is_in_force_without_its_reader),
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -167,6 +167,8 @@
 			(char *)(upstream.crash_on ? upstream.crash_on : ""),
 			"--spare",
 			(char *)(upstream.spare ? upstream.spare : ""),
+			"--limit",
+			upstream.limit,
 			NULL};
 
 	snprintf(instance, sizeof(instance), "%.32s.%lld",
@@ -317,6 +319,9 @@
 	case 'x':
 		upstream.spare = arg;
 		return 0;
+	case 'm':
+		copy_name(upstream.limit, sizeof(upstream.limit), arg);
+		return 0;
 	case 'd':
 		upstream.down_ms = arg;
 		return 0;
@@ -339,6 +344,7 @@
 	{"instance", 'i', "ID", 0, "ID of this instance (i-1)", 0},
 	{"work-ms", 'w', "N", 0, "Answer after N milliseconds", 0},
 	{"crash-on", 'c', "TEXT", 0, "Crash on a target that contains TEXT", 0},
+	{"limit", 'm', "RATE", 0, "Name this limit in answers", 0},
 	{"spare", 'x', "ACCOUNT", 0, "but not if ACCOUNT sent it", 0},
 	{"down-ms", 'd', "N", 0, "Be back N milliseconds after a crash", 0},
 	{"start-after-ms", 'a', "N", 0, "Wait N milliseconds first", 0},
