Let only the gate decide whether an end is evidence

The entry counted each end that an answer told, also where the gate had passed it over as the request's runs were ending well; a good run cleared it again. The answer now says apart how many calls shared the end, for the retry, and which end counts. An upstream that does not answer the connection holds up its calls for 30 ms at most, not 100.

--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -256,7 +256,7 @@
 {
 	bool again = r->upstream_ended;
 
-	if (!head->ended_incarnation)
+	if (!head->ended_calls)
 		return !r->trial;
 	r->upstream_ended = true;
 	return !again && !r->trial && head->ended_calls > 1;
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -273,7 +273,7 @@
 		       : GATE_SERVED;
 }
 
-/* Answers a call whose connection was lost; incarnation 0: not by its end. */
+/* Answers a call whose connection was lost, as unknown. */
 void call_answer_lost(struct node *n, struct call *c, uint64_t incarnation,
 		      uint32_t calls, int64_t now)
 {
@@ -404,7 +404,7 @@
 	int64_t waited_us;
 	uint64_t id;
 
-	if (!u || upstream_end_is_open(u))
+	if (!u || upstream_end_pending(u))
 		return;
 	while (gate_next_drop(u->gate, now, &drop)) {
 		c = gates_call_get(n, drop.id);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -64,7 +64,7 @@
 	int64_t deadline_us;
 	uint64_t http_call;
 	bool lost; /* its connection; held until the upstream was probed */
-	uint64_t ended_incarnation; /* of the upstream that ended; or 0 */
+	uint64_t ended_incarnation; /* see struct answer_head */
 	uint32_t ended_calls;
 	char token[TOKEN_SIZE];
 	uint8_t allowance; /* left for sub-calls */
--- a/src/node/upstream_end.c
+++ b/src/node/upstream_end.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 /* The upstream is on this host: if it listens, it says so at once. */
-#define PROBE_TIMEOUT_US (100 * USEC_PER_MSEC)
+#define PROBE_TIMEOUT_US (30 * USEC_PER_MSEC)
 
 /* Identifies the process behind an upstream; each start has another. */
 static uint64_t incarnation_of(struct node *n, const struct local_upstream *u)
@@ -66,18 +66,25 @@
 	log_emit(&line);
 }
 
-/* Counts the end of its upstream as evidence against a call. */
-static void add_evidence(struct node *n, const struct call *c,
-			 uint64_t incarnation, uint32_t calls, int64_t now)
+/*
+ * Counts the end of its upstream as evidence against a call, unless its runs
+ * were ending well, and answers the call.
+ */
+static void answer_ended(struct node *n, struct call *c, uint64_t incarnation,
+			 uint32_t calls, int64_t now)
 {
 	struct fingerprint id;
+	bool counts;
 
 	fingerprint_of(n, &c->message, c->head.account, &id);
-	if (poison_add_end(n->poison, &id, c->head.service, incarnation, now))
+	counts = poison_add_end(n->poison, &id, c->head.service, incarnation,
+				now);
+	if (counts)
 		log_evidence(c, &id, poison_find(n->poison, &id), calls);
+	call_answer_lost(n, c, counts ? incarnation : 0, calls, now);
 }
 
-/* Answers the calls that are held; incarnation is 0 if the process runs. */
+/* Answers the calls that are held; calls is 0 if the process runs on. */
 static void release_calls(struct node *n, uint64_t upstream,
 			  uint64_t incarnation, uint32_t calls, int64_t now)
 {
@@ -89,9 +96,10 @@
 		c = item;
 		if (c->upstream != upstream || !c->lost)
 			continue;
-		if (incarnation)
-			add_evidence(n, c, incarnation, calls, now);
-		call_answer_lost(n, c, incarnation, calls, now);
+		if (calls)
+			answer_ended(n, c, incarnation, calls, now);
+		else
+			call_answer_lost(n, c, 0, 0, now);
 	}
 }
 
@@ -143,9 +151,7 @@
 	if (end_is_planned(n, u, now))
 		return -1;
 	if (u->ended_incarnation) {
-		add_evidence(n, c, u->ended_incarnation, u->ended_calls, now);
-		call_answer_lost(n, c, u->ended_incarnation, u->ended_calls,
-				 now);
+		answer_ended(n, c, u->ended_incarnation, u->ended_calls, now);
 		return 0;
 	}
 	if (!u->end_probed && !start_probe(n, u, now))
@@ -155,7 +161,7 @@
 	return 0;
 }
 
-bool upstream_end_is_open(const struct local_upstream *u)
+bool upstream_end_pending(const struct local_upstream *u)
 {
 	return u->end_probed;
 }
--- a/src/node/upstream_end.h
+++ b/src/node/upstream_end.h
@@ -14,10 +14,13 @@
  */
 int upstream_end_hold(struct node *n, struct local_upstream *u, struct call *c,
 		      int64_t now);
-/* Whether the upstream gets no calls while it is found out if it has ended. */
-bool upstream_end_is_open(const struct local_upstream *u);
+/* Whether that is being found out; the upstream gets no calls meanwhile. */
+bool upstream_end_pending(const struct local_upstream *u);
 
-/* calls.c: answers a held call; ended is 0 if the process runs on. */
+/*
+ * calls.c: answers a held call. calls is 0 if the process runs on; incarnation
+ * is 0 too if its end is no evidence against the call.
+ */
 void call_answer_lost(struct node *n, struct call *c, uint64_t incarnation,
 		      uint32_t calls, int64_t now);
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -126,9 +126,9 @@
 	uint32_t retry_after_ms;
 	bool leaving;
 	uint32_t rate_milli; /* calls in 1000 s that it takes; 0: no limit */
-	/* The upstream ended while it ran the call. */
-	uint64_t ended_incarnation; /* 0: it did not */
-	uint32_t ended_calls;	    /* that it ran then, this one included */
+	/* Running when the upstream ended, this one included; 0: it did not. */
+	uint32_t ended_calls;
+	uint64_t ended_incarnation; /* 0: no evidence against the call */
 };
 
 enum frame_kind {
