--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -51,8 +51,11 @@
 	const char *down_ms;   /* before a crashed process is back */
 	const char *linger_ms; /* a crash loses connections first */
 	const char *work_ms;
-} upstream = {
-	.service = "s", .instance = "i-1", .down_ms = "2000", .work_ms = "0"};
+} upstream = {.service = "s",
+	      .instance = "i-1",
+	      .down_ms = "2000",
+	      .linger_ms = "0",
+	      .work_ms = "0"};
 
 static volatile sig_atomic_t stopped;
 
