Move the controllers into a folder for each matter

src/control/ held 45 files of six matters side by side. Each matter now has a folder: claims, notes, members, quota, explain, poison. Files keep their names, includes and the build's wildcards follow; no code changes.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 LDLIBS = $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lmsgpackc -lhttp_parser -lev -lm
 
-SRC = $(filter-out src/main.c,$(sort $(wildcard src/*/*.c platform/*.c)))
+SRC = $(filter-out src/main.c,$(sort $(wildcard src/*/*.c src/*/*/*.c platform/*.c)))
 TESTS = $(sort $(wildcard test/test_*.c))
 TESTLIB = $(sort $(filter-out $(TESTS),$(wildcard test/*.c)))
 TOOLS = $(sort $(wildcard tools/*.c))
@@ -34,7 +34,7 @@
 TESTBIN = $(TESTS:test/%.c=$(BUILD)/test/%)
 TOOLBIN = $(TOOLS:tools/%.c=$(BUILD)/tools/%)
 TOOLPARTS = $(sort $(wildcard tools/*/*.c))
-FORMATTED = $(wildcard src/*.c src/*/*.[ch] platform/*.[ch] test/*.[ch] tools/*.[ch] \
+FORMATTED = $(wildcard src/*.c src/*/*.[ch] src/*/*/*.[ch] platform/*.[ch] test/*.[ch] tools/*.[ch] \
 	tools/*/*.[ch])
 
 all: $(BUILD)/mulberryferry $(TOOLBIN)
--- a/src/control/claims_lease.c
+++ b/src/control/claims/claims_lease.c
@@ -1,4 +1,4 @@
-#include "control/claims_impl.h"
+#include "control/claims/claims_impl.h"
 
 /*
  * Records of done claims expire with their lease. One lease is used for all
--- a/src/control/claims_list.c
+++ b/src/control/claims/claims_list.c
@@ -1,4 +1,4 @@
-#include "control/claims_impl.h"
+#include "control/claims/claims_impl.h"
 
 #include <json-c/json.h>
 #include <stdlib.h>
--- a/src/control/claims_restore.c
+++ b/src/control/claims/claims_restore.c
@@ -4,7 +4,7 @@
  * request again. So each node remembers the records that it wrote of late, and
  * writes those that are missing again before any key is claimed.
  */
-#include "control/claims_impl.h"
+#include "control/claims/claims_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/explain_counts.c
+++ b/src/control/explain/explain_counts.c
@@ -4,7 +4,7 @@
  * COUNT_NAMES, and rows beyond COUNT_ROWS_PER_MINUTE in one minute, are counted
  * under one common name.
  */
-#include "control/explain_impl.h"
+#include "control/explain/explain_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/explain_spans.c
+++ b/src/control/explain/explain_spans.c
@@ -1,5 +1,5 @@
 /* Spans of counts: equal decisions in minutes that are close together. */
-#include "control/explain_impl.h"
+#include "control/explain/explain_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/explain_text.c
+++ b/src/control/explain/explain_text.c
@@ -1,4 +1,4 @@
-#include "control/explain_impl.h"
+#include "control/explain/explain_impl.h"
 
 #include <string.h>
 
--- a/src/control/members_probe.c
+++ b/src/control/members/members_probe.c
@@ -1,4 +1,4 @@
-#include "control/members_impl.h"
+#include "control/members/members_impl.h"
 
 #define INDIRECT_AFTER_US (300 * USEC_PER_MSEC)
 #define INDIRECT_COUNT 3
--- a/src/control/members_seed.c
+++ b/src/control/members/members_seed.c
@@ -1,4 +1,4 @@
-#include "control/members_impl.h"
+#include "control/members/members_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/control/notes.c
+++ b/src/control/notes/notes.c
@@ -2,7 +2,7 @@
  * Configuration distribution: keeps the newest configuration in force, reads
  * it from the store or from peers, and passes it on.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/notes_append.c
+++ b/src/control/notes/notes_append.c
@@ -5,7 +5,7 @@
  * effect. A write still in flight is harmless, as every attempt compares the
  * same revision of notes/head and so at most one of them succeeds.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/src/control/notes_cache.c
+++ b/src/control/notes/notes_cache.c
@@ -2,7 +2,7 @@
  * Cache of recent notes: applied ones to serve to peers, and those that
  * arrived ahead of the next one. A ring indexed by number.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/notes_document.c
+++ b/src/control/notes/notes_document.c
@@ -4,7 +4,7 @@
  */
 #include <string.h>
 
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 /* Limits the delay when a watch misses a change. */
 #define POLL_US (1 * USEC_PER_SEC)
--- a/src/control/notes_fetch.c
+++ b/src/control/notes/notes_fetch.c
@@ -3,7 +3,7 @@
  * it for changes; the other nodes rely on their peers. notes_document.c reads
  * the document in place of notes.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/notes_format.c
+++ b/src/control/notes/notes_format.c
@@ -8,7 +8,7 @@
  *	snapshot/head        numbers and parts of the newest two snapshots
  *	snapshot/NUMBER/PART part of the msgpack written by config_pack
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <inttypes.h>
 #include <json-c/json.h>
--- a/src/control/notes_history.c
+++ b/src/control/notes/notes_history.c
@@ -1,4 +1,4 @@
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/control/notes_peer.c
+++ b/src/control/notes/notes_peer.c
@@ -3,7 +3,7 @@
  * few random members; a node that learns of a higher number than its own pulls
  * the missing notes.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <string.h>
 
--- a/src/control/notes_snapshot_writer.c
+++ b/src/control/notes/notes_snapshot_writer.c
@@ -4,7 +4,7 @@
  * the same number write the same bytes; between different numbers, the
  * compare-and-swap of snapshot/head decides.
  */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <string.h>
 
--- a/src/control/notes_transfer.c
+++ b/src/control/notes/notes_transfer.c
@@ -1,5 +1,5 @@
 /* Transfer of snapshots between nodes, in parts over a link. */
-#include "control/notes_impl.h"
+#include "control/notes/notes_impl.h"
 
 #include <string.h>
 
--- a/src/control/quota_ledger.c
+++ b/src/control/quota/quota_ledger.c
@@ -1,4 +1,4 @@
-#include "control/quota_impl.h"
+#include "control/quota/quota_impl.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
--- a/src/control/quota_reclaim.c
+++ b/src/control/quota/quota_reclaim.c
@@ -1,4 +1,4 @@
-#include "control/quota_impl.h"
+#include "control/quota/quota_impl.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/src/control/quota_renew.c
+++ b/src/control/quota/quota_renew.c
@@ -1,4 +1,4 @@
-#include "control/quota_impl.h"
+#include "control/quota/quota_impl.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/test/test_claims_record.c
+++ b/test/test_claims_record.c
@@ -1,6 +1,6 @@
 #include "claims_fixture.h"
 
-#include "control/claims_impl.h"
+#include "control/claims/claims_impl.h"
 
 #include <gsl/gsl_rng.h>
 
--- a/test/test_explain.c
+++ b/test/test_explain.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "control/explain_impl.h"
+#include "control/explain/explain_impl.h"
 
 #define MINUTE (60 * USEC_PER_SEC)
 #define T0 (INT64_C(1700000000) / 60 * 60 * USEC_PER_SEC)
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -9,7 +9,7 @@
 #include <sodium.h>
 #include <utlist.h>
 
-#include "control/members_impl.h"
+#include "control/members/members_impl.h"
 
 #define NODES_MAX 64
 #define STEP_US (10 * USEC_PER_MSEC)
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -6,7 +6,7 @@
 #include <string.h>
 #include <cmocka.h>
 
-#include "control/quota_impl.h"
+#include "control/quota/quota_impl.h"
 #include "quota_fleet.h"
 
 /* Accumulated rounding error of a run, in tokens. */
