Choose candidates in a file of their own, and let a filter permit them

Cold upstreams, evacuations and home regions each add a condition on where a request may go. The candidates of an attempt are now collected in filter/candidates.c; the directory takes a predicate, so that the subset of upstreams in other data centres is drawn from those that are permitted, and it knows data centre and region of each upstream.

--- /dev/null
+++ b/src/filter/candidates.c
@@ -0,0 +1,64 @@
+/* The upstreams that a request may be sent to, and the choice among them. */
+#include "filter/filter.h"
+
+#include "node/node.h"
+
+#define CANDIDATES_MAX 64
+/*
+ * A call goes to another data centre only if that saves at least the route's
+ * target time, within which an answer is worth most, divided by this.
+ */
+#define DETOUR_DIVISOR 6
+/*
+ * With the platform interface, most upstreams that are new to a node are warm
+ * already and only their gate has restarted. Twenty answers show how much load
+ * they can take, so the warm-up is shorter than by default.
+ */
+#define PLATFORM_WARM_UP_US USEC_PER_SEC
+
+static bool was_tried(const struct request *r, uint64_t upstream)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(r->tried) / sizeof(*r->tried); i++)
+		if (r->tried[i] == upstream)
+			return true;
+	return false;
+}
+
+/* Whether the request may be sent to the upstream at all. */
+static bool is_permitted(const struct known_upstream *u, void *ctx)
+{
+	(void)u;
+	(void)ctx;
+	return true;
+}
+
+/* Picks one of the permitted upstreams at random, preferring faster ones. */
+uint64_t candidates_pick(struct node *n, struct request *r, int64_t now)
+{
+	struct balance_candidate c[CANDIDATES_MAX];
+	uint64_t handles[CANDIDATES_MAX];
+	struct known_upstream *u;
+	size_t count, i;
+	int picked;
+
+	count = directory_list(n->directory, r->service, is_permitted, r,
+			       handles, CANDIDATES_MAX);
+	for (i = 0; i < count; i++) {
+		u = directory_get(n->directory, handles[i]);
+		c[i] = (struct balance_candidate){
+			.load = &u->load,
+			.slots = u->info.slots,
+			.same_data_centre = u->same_data_centre,
+			.detour_us = r->route->target_us / DETOUR_DIVISOR,
+			.failure_us = r->route->target_us,
+			.tried = was_tried(r, handles[i]) ||
+				 links_is_suspect(n->links, &u->member),
+		};
+		if (n->settings.interface == INTERFACE_PLATFORM)
+			c[i].warm_up_us = PLATFORM_WARM_UP_US;
+	}
+	picked = balance_pick(c, count, node_random(n), now);
+	return picked < 0 ? 0 : handles[picked];
+}
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -176,6 +176,8 @@
 void limit_retry(struct node *n, const char *account, int64_t now);
 enum filter_result filter_claim(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now);
+/* Picks an upstream for the next attempt; returns 0 if there is none. */
+uint64_t candidates_pick(struct node *n, struct request *r, int64_t now);
 /* Cancels the attempt in flight, if any. */
 void place_cancel(struct node *n, struct request *r, int64_t now);
 /*
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -5,58 +5,8 @@
 
 #include "node/node.h"
 
-#define CANDIDATES_MAX 64
-/*
- * A call goes to another data centre only if that saves at least the route's
- * target time, within which an answer is worth most, divided by this.
- */
-#define DETOUR_DIVISOR 6
-/*
- * With the platform interface, most upstreams that are new to a node are warm
- * already and only their gate has restarted. Twenty answers show how much load
- * they can take, so the warm-up is shorter than by default.
- */
-#define PLATFORM_WARM_UP_US USEC_PER_SEC
 #define OVERLOAD_OFF_RETRIES 3 /* limit per request, without overload control */
 
-static bool was_tried(const struct request *r, uint64_t upstream)
-{
-	size_t i;
-
-	for (i = 0; i < sizeof(r->tried) / sizeof(*r->tried); i++)
-		if (r->tried[i] == upstream)
-			return true;
-	return false;
-}
-
-static uint64_t pick_upstream(struct node *n, struct request *r, int64_t now)
-{
-	struct balance_candidate c[CANDIDATES_MAX];
-	uint64_t handles[CANDIDATES_MAX];
-	struct known_upstream *u;
-	size_t count, i;
-	int picked;
-
-	count = directory_list(n->directory, r->service, handles,
-			       CANDIDATES_MAX);
-	for (i = 0; i < count; i++) {
-		u = directory_get(n->directory, handles[i]);
-		c[i] = (struct balance_candidate){
-			.load = &u->load,
-			.slots = u->info.slots,
-			.same_data_centre = u->same_data_centre,
-			.detour_us = r->route->target_us / DETOUR_DIVISOR,
-			.failure_us = r->route->target_us,
-			.tried = was_tried(r, handles[i]) ||
-				 links_is_suspect(n->links, &u->member),
-		};
-		if (n->settings.interface == INTERFACE_PLATFORM)
-			c[i].warm_up_us = PLATFORM_WARM_UP_US;
-	}
-	picked = balance_pick(c, count, node_random(n), now);
-	return picked < 0 ? 0 : handles[picked];
-}
-
 static void fill_head(struct call_head *h, struct request *r,
 		      const struct known_upstream *u, bool lend, int64_t now)
 {
@@ -168,7 +118,7 @@
 	struct call_head head;
 	struct error err;
 
-	r->upstream = pick_upstream(n, r, now);
+	r->upstream = candidates_pick(n, r, now);
 	u = directory_get(n->directory, r->upstream);
 	if (!u)
 		return -1;
--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -230,6 +230,8 @@
 	u->info = *info;
 	if (m->state == MEMBER_LEAVING)
 		u->info.state = UPSTREAM_LEAVING;
+	u->data_centre = name_hash(m->data_centre);
+	u->region = name_hash(m->region);
 	u->same_data_centre =
 		!strcmp(m->data_centre, d->node->settings.data_centre);
 	if (service_insert(d, handle) < 0) {
@@ -265,12 +267,14 @@
 }
 
 /*
- * Lists upstreams of a service that accept new calls, those of the own data
- * centre first. Each node uses a stable subset, also of the other data
+ * Lists upstreams of a service that accept new calls and are permitted, those
+ * of the own data centre first. Each node uses a stable subset, also of the other data
  * centres, to limit its number of links.
  */
 size_t directory_list(struct directory *d, const char *service,
-		      uint64_t *handles, size_t max)
+		      bool (*permitted)(const struct known_upstream *u,
+					void *ctx),
+		      void *ctx, uint64_t *handles, size_t max)
 {
 	size_t own = 0, other = 0, n = 0, i;
 	const struct known_upstream *u;
@@ -279,7 +283,8 @@
 	HASH_FIND_STR(d->services, service, s);
 	for (i = 0; s && i < s->count && n < max; i++) {
 		u = directory_get(d, s->handles[i]);
-		if (u->info.state != UPSTREAM_READY)
+		if (u->info.state != UPSTREAM_READY ||
+		    (permitted && !permitted(u, ctx)))
 			continue;
 		if (u->same_data_centre ? own++ >= LOCAL_SUBSET_MAX
 					: other++ >= REMOTE_SUBSET_MAX)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -100,6 +100,8 @@
 struct known_upstream {
 	struct addr member;
 	struct upstream_info info;
+	uint64_t data_centre; /* hash of its name */
+	uint64_t region;      /* hash of its name */
 	bool same_data_centre;
 	struct upstream_load load;
 };
@@ -240,9 +242,14 @@
 void directory_free(struct directory *d);
 /* Updates the upstreams of a member to those that it announces. */
 void directory_update(struct directory *d, const struct member_info *m);
-/* Lists up to max upstreams that accept new calls; returns their number. */
+/*
+ * Lists up to max upstreams that accept new calls and that permitted, if set,
+ * permits; returns their number.
+ */
 size_t directory_list(struct directory *d, const char *service,
-		      uint64_t *handles, size_t max);
+		      bool (*permitted)(const struct known_upstream *u,
+					void *ctx),
+		      void *ctx, uint64_t *handles, size_t max);
 /* Returns the upstream with this handle, or NULL if it was removed. */
 struct known_upstream *directory_get(struct directory *d, uint64_t handle);
 
