Limit the starts at the gate of a cold upstream

An upstream that has just started crashes at about twice its cold rate. The gate paced only by a limit named in an answer, of which a new upstream has given none, so it got 17 to 20 requests in a second where 16.1 are allowed.

gate_set_cold limits the starts to a rate with a burst of a quarter of a second, from an empty bucket. The starts of the last second are counted also while the upstream is warm, so that one that becomes cold under load gets nothing more until the bound allows it; queued calls that cannot start in time are dropped with REASON_COLD, for which other upstreams may be tried. The count leaves room for what a killed process of the node may have started. The lower of this limit and the named one gives capacity, cutoffs and the reported rate. struct upstream_info has room for the state; messages of older builds without it are read as warm.

--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -26,6 +26,8 @@
 				   "Upstreams that ended under their calls"},
 	[COUNTER_POISON_REFUSED] = {"poison_refused",
 				    "Requests refused that crash upstreams"},
+	[COUNTER_COLD_REFUSED] = {"cold_refused",
+				  "Calls refused as the upstream was cold"},
 	[COUNTER_LINKS_OPENED] = {"links_opened", "Links between nodes opened"},
 	[COUNTER_LINK_FRAMES] = {"link_frames", "Frames sent on links"},
 	[COUNTER_LINK_BYTES] = {"link_bytes", "Bytes sent on links"},
--- a/src/control/members/members.c
+++ b/src/control/members/members.c
@@ -154,7 +154,7 @@
 		    !addr_equal(&u[i].addr, &v->addr) ||
 		    u[i].slots != v->slots ||
 		    u[i].connections != v->connections ||
-		    u[i].state != v->state)
+		    u[i].state != v->state || u[i].cold_ms != v->cold_ms)
 			return false;
 	}
 	return true;
--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -87,10 +87,11 @@
  * more important classes, and behind either the queue of its class or, by
  * round robin, that of its account, whichever is shorter.
  */
-static int64_t expected_wait_us(const struct gate *g, const struct gate_call *c,
-				const struct gate_account *a)
+static int64_t expected_wait_us(struct gate *g, const struct gate_call *c,
+				const struct gate_account *a, int64_t now)
 {
-	bool rate_free = !g->starts.rate || g->starts.level >= 1;
+	int64_t cold_us = gate_cold_wait_us(g, now);
+	bool rate_free = !cold_us && (!g->starts.rate || g->starts.level >= 1);
 	const struct gate_flow *f;
 	double ahead = 0, own, weights = 0;
 	int cls;
@@ -109,15 +110,21 @@
 		if (weights < own)
 			own = weights;
 	}
-	return (int64_t)((ahead + own) * USEC_PER_SEC / gate_capacity(g));
+	return cold_us +
+	       (int64_t)((ahead + own) * USEC_PER_SEC / gate_capacity(g));
 }
 
-static int64_t queue_time_max_us(const struct gate *g)
+/* Returns the longest time that a call may wait. */
+int64_t gate_queue_max_us(const struct gate *g)
 {
-	return g->overload ? QUEUE_TIME_MAX_OVERLOAD_US : QUEUE_TIME_MAX_US;
+	int64_t max =
+		g->overload ? QUEUE_TIME_MAX_OVERLOAD_US : QUEUE_TIME_MAX_US;
+
+	return g->cold.rate ? gate_cold_queue_max_us(g, max) : max;
 }
 
-static void drop_item(struct gate *g, struct gate_item *it, enum reason why)
+/* Removes a queued call, which gate_next_drop then reports. */
+void gate_drop_item(struct gate *g, struct gate_item *it, enum reason why)
 {
 	queue_remove(g, it);
 	HASH_DEL(g->items, it);
@@ -131,8 +138,8 @@
 {
 	if (now > it->start_by_us)
 		return REASON_DEADLINE;
-	if (now - it->offered_us > queue_time_max_us(g))
-		return REASON_QUEUE_TIMEOUT;
+	if (now - it->offered_us > gate_queue_max_us(g))
+		return g->cold.rate ? REASON_COLD : REASON_QUEUE_TIMEOUT;
 	return REASON_NONE;
 }
 
@@ -143,13 +150,13 @@
 	int cls;
 
 	while ((it = queue_first_due(g)) && now > it->start_by_us)
-		drop_item(g, it, REASON_DEADLINE);
+		gate_drop_item(g, it, REASON_DEADLINE);
 	for (cls = 0; cls < SHED_CLASSES; cls++)
 		while ((it = g->class_items[cls])) {
 			why = expiry_reason(g, it, now);
 			if (why == REASON_NONE)
 				break;
-			drop_item(g, it, why);
+			gate_drop_item(g, it, why);
 		}
 }
 
@@ -160,7 +167,7 @@
 {
 	struct gate_item *victim;
 	int64_t half = (int64_t)g->service_us / 2;
-	int64_t wait = expected_wait_us(g, c, a);
+	int64_t wait = expected_wait_us(g, c, a, now);
 	/* With a free slot and no queue, admitting above the cutoff is free. */
 	bool idle =
 		g->running < g->limit && !g->queued && gate_rate_allows(g, now);
@@ -172,15 +179,15 @@
 	if (now + wait + half > c->deadline_us)
 		return REASON_DEADLINE;
 	/* It would be dropped from the queue before its turn. */
-	if (g->starts.rate && wait > queue_time_max_us(g))
-		return REASON_SHED;
+	if (gate_rate_limit(g) && wait > gate_queue_max_us(g))
+		return g->cold.rate ? REASON_COLD : REASON_SHED;
 	if (g->queued < g->o.queue_max)
 		return REASON_NONE;
 	victim = queue_victim(g, c->cls, a);
 	if (!victim)
 		return REASON_QUEUE_FULL;
 	if (enforce)
-		drop_item(g, victim, REASON_QUEUE_FULL);
+		gate_drop_item(g, victim, REASON_QUEUE_FULL);
 	return REASON_NONE;
 }
 
@@ -252,13 +259,13 @@
 		why = g->o.mode == OVERLOAD_ENFORCE ? expiry_reason(g, it, now)
 						    : REASON_NONE;
 		if (why != REASON_NONE) {
-			drop_item(g, it, why);
+			gate_drop_item(g, it, why);
 			continue;
 		}
 		queue_remove(g, it);
 		gate_count_busy(g, now);
 		g->running++;
-		gate_rate_count(g);
+		gate_rate_count(g, now);
 		it->running = true;
 		g->last_wait_us = now - it->offered_us;
 		*waited_us = g->last_wait_us;
@@ -393,7 +400,7 @@
 	r->running = g->running;
 	r->queued = g->queued;
 	r->queue_us = g->queued || g->running >= g->limit ? g->last_wait_us : 0;
-	r->rate = g->starts.rate;
+	r->rate = gate_rate_limit(g);
 	r->service_us = (int64_t)g->service_us;
 	r->admitted_rate = g->admitted_rate;
 	for (cls = 0; cls < SHED_CLASSES; cls++)
--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -67,7 +67,10 @@
 	uint32_t running;
 	uint32_t queued;
 	struct bucket starts; /* rate 0: the upstream names no limit */
-	bool unheard;	      /* no answer of the upstream has come yet */
+	struct bucket cold;   /* rate 0: the upstream is warm */
+	int64_t cold_until_us;
+	struct gate_window window;
+	bool unheard; /* no answer of the upstream has come yet */
 
 	int64_t started_us;
 	int64_t last_step_us;
@@ -93,9 +96,20 @@
 void gate_set_limit(struct gate *g, int64_t now);
 double gate_capacity(const struct gate *g);
 
+/* gate.c */
+void gate_drop_item(struct gate *g, struct gate_item *it, enum reason why);
+int64_t gate_queue_max_us(const struct gate *g);
+
+/* gate_cold.c */
+bool gate_cold_allows(struct gate *g, int64_t now);
+int64_t gate_cold_wait_us(struct gate *g, int64_t now);
+int64_t gate_cold_queue_max_us(const struct gate *g, int64_t queue_max_us);
+void gate_cold_count(struct gate *g, int64_t now);
+
 /* gate_rate.c */
 bool gate_rate_allows(struct gate *g, int64_t now);
-void gate_rate_count(struct gate *g);
+void gate_rate_count(struct gate *g, int64_t now);
+double gate_rate_limit(const struct gate *g);
 double gate_rate_capacity(const struct gate *g, double slots_capacity);
 
 /* gate_queue.c */
--- a/src/policy/gate_rate.c
+++ b/src/policy/gate_rate.c
@@ -35,6 +35,8 @@
 {
 	if (g->unheard && g->running >= GATE_UNHEARD_MAX)
 		return false;
+	if (!gate_cold_allows(g, now))
+		return false;
 	if (!g->starts.rate)
 		return true;
 	bucket_refill(&g->starts, now);
@@ -42,24 +44,34 @@
 }
 
 /* Counts a call that is started. */
-void gate_rate_count(struct gate *g)
+void gate_rate_count(struct gate *g, int64_t now)
 {
 	if (g->starts.rate)
 		g->starts.level -= 1;
+	gate_cold_count(g, now);
+}
+
+/* Returns the lower of the named and the cold limit; 0: neither holds. */
+double gate_rate_limit(const struct gate *g)
+{
+	double rate = g->starts.rate;
+
+	return g->cold.rate && (!rate || g->cold.rate < rate) ? g->cold.rate
+							      : rate;
 }
 
 /* Returns the wait in microseconds behind the queue; 0 without a limit. */
 int64_t gate_rate_wait_us(const struct gate *g)
 {
-	if (!g->starts.rate)
-		return 0;
-	return (int64_t)((g->queued + 1) / g->starts.rate * USEC_PER_SEC);
+	double rate = gate_rate_limit(g);
+
+	return rate ? (int64_t)((g->queued + 1) / rate * USEC_PER_SEC) : 0;
 }
 
-/* Returns the calls a second that both slots and the named limit allow. */
+/* Returns the calls a second that slots and limits allow. */
 double gate_rate_capacity(const struct gate *g, double slots_capacity)
 {
-	return g->starts.rate && g->starts.rate < slots_capacity
-		       ? g->starts.rate
-		       : slots_capacity;
+	double rate = gate_rate_limit(g);
+
+	return rate && rate < slots_capacity ? rate : slots_capacity;
 }
--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -145,7 +145,7 @@
 
 /*
  * Returns the calls a second that the limit can serve, by Little's law, or that
- * the upstream has named, if that is less.
+ * a limit on starts allows, if that is less.
  */
 double gate_capacity(const struct gate *g)
 {
@@ -169,10 +169,11 @@
 	return target > noise ? target : noise;
 }
 
-/* Returns the share of slot time left; none while the named limit binds. */
-static double gate_idle_share(const struct gate *g, double dt_s)
+/* Returns the share of slot time left; none while a limit on starts binds. */
+static double gate_idle_share(struct gate *g, double dt_s, int64_t now)
 {
-	if (!g->limit || (g->starts.rate && g->starts.level < 1))
+	if (!g->limit || (g->starts.rate && g->starts.level < 1) ||
+	    !gate_cold_allows(g, now))
 		return 0;
 	return 1 - g->busy_slot_us / (dt_s * USEC_PER_SEC * g->limit);
 }
@@ -189,9 +190,9 @@
 	demand_step(g, dt_s, now);
 	measure_service(g);
 	update_adaptive_limit(g);
+	idle = gate_idle_share(g, dt_s, now);
 	capacity = gate_capacity(g);
 	goal = backlog_goal(g, capacity, dt_s);
-	idle = gate_idle_share(g, dt_s);
 	update_overload(g, capacity, goal);
 	if (g->overload && g->o.mode != OVERLOAD_OFF) {
 		update_trim(g, idle, (g->queued - goal) / (capacity * DRAIN_S),
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -49,6 +49,9 @@
 	int64_t cold_start_us;	 /* ramp from a tenth of the slots */
 	double headroom;	 /* share of the slots that stays unused */
 	bool names_rate; /* the upstream may name a limit in its answers */
+	/* A cold upstream gets rate x overshoot + slack calls a second. */
+	double cold_overshoot; /* 0: starts are paced, but not counted */
+	double cold_slack;
 	enum overload_mode mode;
 };
 
@@ -82,6 +85,29 @@
  */
 #define GATE_UNHEARD_MAX 4
 void gate_set_rate(struct gate *g, double rate, int64_t now);
+/*
+ * The starts of the last second and a little more, so that the count is never
+ * too low: the oldest part counts as a whole.
+ */
+#define GATE_WINDOW_PARTS 64
+struct gate_window {
+	uint32_t counts[GATE_WINDOW_PARTS + 1];
+	uint32_t total;
+	int64_t newest; /* number of the newest part */
+};
+
+/* Replaces w by the starts of a gate if those are more recent. */
+void gate_read_starts(const struct gate *g, struct gate_window *w);
+/* Counts the starts of an earlier gate of the upstream as those of this one. */
+void gate_set_starts(struct gate *g, const struct gate_window *w);
+/*
+ * Limits the starts to rate a second until until_us, as the upstream is cold;
+ * the lower of this limit and that of gate_set_rate holds. Queued calls that
+ * cannot start in time are dropped with REASON_COLD. A rate of 0 ends the limit.
+ */
+void gate_set_cold(struct gate *g, double rate, int64_t until_us, int64_t now);
+/* Returns the time for which that limit still holds; 0: warm. */
+int64_t gate_cold_left_us(const struct gate *g, int64_t now);
 /*
  * Returns the microseconds until the limit has let the queue pass and takes one
  * more call; 0 without a limit.
@@ -125,7 +151,7 @@
 	int64_t queue_us;     /* latest measured queueing time */
 	int64_t service_us;   /* smoothed time at the upstream */
 	double admitted_rate; /* admitted calls a second; 0 unlimited */
-	double rate;	      /* named by the upstream, a second; 0: none */
+	double rate; /* lower of named and cold limit, a second; 0: none */
 	uint16_t admitted[SHED_CLASSES];
 };
 void gate_report(const struct gate *g, struct gate_report *r);
--- a/src/wire/peer_members.c
+++ b/src/wire/peer_members.c
@@ -5,11 +5,12 @@
 
 #define MEMBER_FIELDS 9
 #define UPSTREAM_FIELDS 5
-#define MEMBERS_MAX 1024 /* in one message */
+#define UPSTREAM_COLD_FIELDS 1 /* absent in older versions */
+#define MEMBERS_MAX 1024       /* in one message */
 
 #define TEXT_HEADER_SIZE 2 /* of a text shorter than NAME_SIZE or an address */
 #define MEMBER_FIXED_SIZE 20   /* heads, incarnation, version, state */
-#define UPSTREAM_FIXED_SIZE 12 /* head, slots, connections, state */
+#define UPSTREAM_FIXED_SIZE 17 /* head, slots, connections, state, cold */
 
 /* Returns an upper bound of the bytes that write_member writes. */
 size_t member_info_wire_size(const struct member_info *m)
@@ -27,12 +28,13 @@
 
 static void write_upstream(struct writer *w, const struct upstream_info *u)
 {
-	write_array(w, UPSTREAM_FIELDS);
+	write_array(w, UPSTREAM_FIELDS + UPSTREAM_COLD_FIELDS);
 	write_text(w, u->service);
 	write_addr(w, &u->addr);
 	write_uint(w, u->slots);
 	write_uint(w, u->connections);
 	write_uint(w, u->state);
+	write_uint(w, u->cold_ms);
 }
 
 static void write_member(struct writer *w, const struct member_info *m)
@@ -77,6 +79,8 @@
 	u->slots = (uint32_t)read_uint(&sub, UINT32_MAX);
 	u->connections = (uint32_t)read_uint(&sub, UINT32_MAX);
 	u->state = (enum upstream_state)read_uint(&sub, UPSTREAM_GONE);
+	if (!sub.failed && sub.n >= UPSTREAM_FIELDS + UPSTREAM_COLD_FIELDS)
+		u->cold_ms = (uint32_t)read_uint(&sub, UINT32_MAX);
 	r->failed |= sub.failed;
 }
 
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -104,6 +104,9 @@
 	[REASON_POISON] = {"poison", 503,
 			   "Several upstreams crashed while they ran this "
 			   "request, so it is not run again for now."},
+	[REASON_COLD] = {"cold", 503,
+			 "The upstream has just started and takes few "
+			 "requests for now."},
 };
 
 static const struct reason_row *row(enum reason r)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -78,6 +78,7 @@
 	REASON_OVERLOADED,	 /* too many requests or bytes held */
 	REASON_UPSTREAM_REFUSED, /* upstream reported: not run */
 	REASON_POISON,		 /* upstreams ended that ran it */
+	REASON_COLD,		 /* the upstream is cold; others may not be */
 	REASON_COUNT
 };
 
@@ -193,6 +194,7 @@
 	uint32_t slots;
 	uint32_t connections;
 	enum upstream_state state;
+	uint32_t cold_ms; /* left when the gate published it; 0: warm */
 };
 
 #define UPSTREAMS_PER_HOST_MAX 8
