Apply the cold state from documents, heartbeats and observed ends

The node read cold_remaining_s and ignored it. The state is published on each change.

An upstream that ended while it was cold is no evidence against the requests that it ran. Refusals carry a Retry-After of the rest of the cold period plus up to a second. Events upstream-cold and upstream-warm, counter cold_refused.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -52,6 +52,9 @@
 	double retry_ratio;	 /* retries per request of a service */
 	double retry_slack;	 /* retries beyond the ratio, over all hosts */
 	int64_t retry_window_us; /* window in which they are counted */
+	/* A cold upstream gets its rate x overshoot + slack requests a second. */
+	double cold_overshoot;
+	double cold_slack;
 };
 
 /* Settings of one node, read once at start. */
@@ -102,6 +105,8 @@
 	char team[NAME_SIZE];
 	uint32_t retry_percent; /* retries allowed per hundred calls */
 	uint32_t connections;	/* per upstream, all callers; 0: announced */
+	int64_t cold_start_us; /* an upstream is cold after its start; 0: never */
+	double cold_per_s;     /* requests a second that a cold one takes */
 };
 
 /* A service that gets a share of a route's requests, by weight. */
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -83,6 +83,8 @@
 	addr_format(&c->head.upstream, d.peer);
 	if (kind == DECISION_DROPPED)
 		format_gate_state(n, c, d.inputs);
+	if (kind == DECISION_DROPPED && reason == REASON_COLD)
+		counter_add(COUNTER_COLD_REFUSED, 1);
 	explain_add(n->explain, &d);
 }
 
@@ -126,13 +128,16 @@
  * Tells a call refused by a gate with a named limit when there will be room,
  * spread so that the callers do not return together.
  */
-static uint32_t limit_retry_after_ms(struct node *n, const struct call *c)
+static uint32_t limit_retry_after_ms(struct node *n, const struct call *c,
+				     int64_t now)
 {
 	const struct local_upstream *u = gates_upstream(n, c->upstream);
 	int64_t wait_ms;
 
 	if (!u)
 		return 0;
+	if (gate_cold_left_us(u->gate, now))
+		return upstream_cold_retry_after_ms(n, u, now);
 	wait_ms = gate_rate_wait_us(u->gate) / USEC_PER_MSEC;
 	if (!wait_ms)
 		return 0;
@@ -150,7 +155,7 @@
 
 	fill_answer_head(n, c, &head, now);
 	if (outcome == OUTCOME_NOT_RUN && reason != REASON_UPSTREAM_REFUSED)
-		head.retry_after_ms = limit_retry_after_ms(n, c);
+		head.retry_after_ms = limit_retry_after_ms(n, c, now);
 	if (c->reply_kind == REPLY_LINK)
 		links_answer(n->links, c->reply.stream, &head, m);
 	else
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -103,6 +103,8 @@
 		.queue_max = u->info.slots * QUEUE_PER_SLOT + QUEUE_MIN,
 		.cold_start_us = ramp_up_us(n),
 		.names_rate = n->headers->rate_limit != NULL,
+		.cold_overshoot = n->settings.promises.cold_overshoot,
+		.cold_slack = n->settings.promises.cold_slack,
 		.headroom = n->settings.interface == INTERFACE_PLATFORM
 				    ? PLATFORM_HEADROOM
 				    : 0,
@@ -145,8 +147,10 @@
 	log_emit(&line);
 }
 
-static struct local_upstream *
-add_upstream(struct node *n, const struct upstream_info *info, int64_t now)
+static struct local_upstream *add_upstream(struct node *n,
+					   const struct upstream_info *info,
+					   const struct gate_window *starts,
+					   int64_t now)
 {
 	struct local_upstream *u;
 	struct error err;
@@ -168,6 +172,10 @@
 		return NULL;
 	}
 	log_upstream("upstream-ready", info);
+	if (starts)
+		gate_set_starts(u->gate, starts);
+	u->info.cold_ms = 0;
+	upstream_cold_heard(n, u, info->cold_ms * USEC_PER_MSEC, now);
 	gates_publish_upstreams(n, now);
 	return u;
 }
@@ -245,17 +253,25 @@
 			     int64_t now)
 {
 	struct upstream_info info = announcement->info;
+	struct gate_window starts = {0};
 	struct local_upstream *u;
 	uint64_t h = 0;
 	void *item;
 
-	while ((h = table_next(&n->local_upstreams, h, &item)))
-		if (addr_equal(&((struct local_upstream *)item)->info.addr,
-			       &info.addr))
-			mark_gone(n, item, now);
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		u = item;
+		if (!addr_equal(&u->info.addr, &info.addr))
+			continue;
+		/* It may have restarted long before this announcement. */
+		gate_read_starts(u->gate, &starts);
+		mark_gone(n, u, now);
+	}
 	gates_remove_gone(n, now);
 	info.connections = connection_limit(n, info.service);
-	u = add_upstream(n, &info, now);
+	info.cold_ms = (uint32_t)((announcement->cold_remaining_us +
+				   USEC_PER_MSEC - 1) /
+				  USEC_PER_MSEC);
+	u = add_upstream(n, &info, &starts, now);
 	if (!u)
 		return;
 	memcpy(u->instance, announcement->instance, sizeof(u->instance));
@@ -283,6 +299,7 @@
 	u->last_update_us = now;
 	u->sequence = announcement->sequence;
 	u->ended_incarnation = 0;
+	upstream_cold_heard(n, u, announcement->cold_remaining_us, now);
 	if (u->unreachable) {
 		u->unreachable = false;
 		gates_publish_upstreams(n, now);
@@ -366,6 +383,7 @@
 		return;
 	u->unreachable = true;
 	log_upstream("upstream-unreachable", &u->info);
+	upstream_cold_end_seen(n, u, now);
 	gates_publish_upstreams(n, now);
 	gates_drop_queued(n, upstream, now);
 }
@@ -413,7 +431,7 @@
 	bool changed;
 
 	if (!u) {
-		add_upstream(n, info, now);
+		add_upstream(n, info, NULL, now);
 		return;
 	}
 	u->last_update_us = now;
@@ -467,6 +485,7 @@
 	void *item;
 
 	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		upstream_cold_update(n, item, now);
 		gates_dispatch(n, h, now);
 		u = gates_upstream(n, h);
 		if (u && u->leaving_us && !gates_accepts(n, u, now))
@@ -540,15 +559,16 @@
 	}
 }
 
-/* Applies the overload mode of the configuration in force. */
-void gates_apply_config(struct node *n)
+void gates_apply_config(struct node *n, int64_t now)
 {
 	uint64_t h = 0;
 	void *item;
 
-	while ((h = table_next(&n->local_upstreams, h, &item)))
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
 		gate_set_mode(((struct local_upstream *)item)->gate,
 			      config_overload_mode(n->config));
+		upstream_cold_update(n, item, now);
+	}
 }
 
 bool gates_any_ready(const struct node *n)
--- a/src/node/gates.h
+++ b/src/node/gates.h
@@ -21,6 +21,24 @@
 /* upstream_limit.c: the limit that an answer names in a header. */
 void upstream_limit_heard(struct local_upstream *u, const struct message *m,
 			  const char *header, int64_t now);
+/*
+ * Treats an upstream of this host as cold until its next heartbeat, if its
+ * service has a cold rate.
+ */
+void gates_presume_cold(struct node *n, struct local_upstream *u, int64_t now);
+/* upstream_cold.c: applies the announced rest of a cold period; 0: warm. */
+void upstream_cold_heard(struct node *n, struct local_upstream *u,
+			 int64_t left_us, int64_t now);
+/* Presumes an upstream cold that could not be connected to. */
+void upstream_cold_end_seen(struct node *n, struct local_upstream *u,
+			    int64_t now);
+/* Applies the cold rate in force, and the end of a cold period. */
+void upstream_cold_update(struct node *n, struct local_upstream *u,
+			  int64_t now);
+/* Spread time after which a call refused by a cold gate may be sent again. */
+uint32_t upstream_cold_retry_after_ms(struct node *n,
+				      const struct local_upstream *u,
+				      int64_t now);
 /* Marks an upstream as gone when another process answers at its address. */
 void gates_mark_gone(struct node *n, uint64_t upstream, int64_t now);
 /* Answers every queued call of the upstream as not run. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -136,7 +136,7 @@
 	n->config = config_get(c);
 	if (n->quota)
 		quota_config(n->quota, c, now);
-	gates_apply_config(n);
+	gates_apply_config(n, now);
 	limit_callers(n);
 	log_start(&line, LOG_NOTICE, "config-in-force");
 	log_int(&line, "number", (int64_t)config_number(c));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,6 +43,13 @@
 	enum end_probe end_probe;
 	uint64_t ended_incarnation; /* its process has ended; 0: it runs */
 	uint32_t ended_calls;	    /* that it was running then */
+	bool ended_cold;	    /* it was cold then */
+	int64_t cold_until_us;	    /* 0: warm */
+	bool cold;		    /* as published */
+	int64_t cold_published_us;  /* end of the cold period as published */
+	uint32_t cold_last_ms;	    /* published last; 0: never */
+	/* When it was seen to end and presumed cold; 0: it was not. */
+	int64_t cold_end_seen_us;
 	struct http_pool *pool;
 	struct gate *gate;
 	int64_t last_update_us;
@@ -202,8 +209,8 @@
 void gates_tick(struct node *n, int64_t now);
 /* Adjusts the limits and cutoffs of all gates; every GATE_STEP_US. */
 void gates_step(struct node *n, int64_t now);
-/* Applies the overload mode of the configuration in force. */
-void gates_apply_config(struct node *n);
+/* Applies overload mode and cold rates of the configuration in force. */
+void gates_apply_config(struct node *n, int64_t now);
 /*
  * Whether an upstream of this host is ready and reachable. The host is then
  * expected to stay when the node stops.
--- a/src/node/upstream_end.c
+++ b/src/node/upstream_end.c
@@ -70,14 +70,21 @@
 
 /*
  * Counts the end of its upstream as evidence against a call, unless its runs
- * were ending well, and answers the call.
+ * were ending well, and answers the call. A cold upstream is taken to have
+ * ended by its load.
  */
-static void answer_ended(struct node *n, struct call *c, uint64_t incarnation,
-			 uint32_t calls, int64_t now)
+static void answer_ended(struct node *n, struct call *c,
+			 const struct local_upstream *u, int64_t now)
 {
+	uint64_t incarnation = u->ended_incarnation;
+	uint32_t calls = u->ended_calls;
 	struct fingerprint id;
 	bool counts;
 
+	if (u->ended_cold) {
+		call_answer_lost(n, c, 0, 0, now);
+		return;
+	}
 	fingerprint_of(n, &c->message, c->head.account, &id);
 	counts = poison_add_end(n->poison, &id, c->head.service, incarnation,
 				now);
@@ -90,8 +97,7 @@
 static void release_ended(struct node *n, const struct local_upstream *u,
 			  int64_t now)
 {
-	uint64_t upstream = u->handle, incarnation = u->ended_incarnation;
-	uint32_t calls = u->ended_calls;
+	uint64_t upstream = u->handle;
 	struct call *c;
 	uint64_t h = 0;
 	void *item;
@@ -99,7 +105,7 @@
 	while ((h = table_next(&n->calls, h, &item))) {
 		c = item;
 		if (c->upstream == upstream && c->lost_us)
-			answer_ended(n, c, incarnation, calls, now);
+			answer_ended(n, c, u, now);
 	}
 }
 
@@ -135,6 +141,7 @@
 	u->end_probe = END_NOT_PROBED;
 	u->ended_incarnation = incarnation_of(n, u);
 	u->ended_calls = running_calls(n, upstream);
+	u->ended_cold = gate_cold_left_us(u->gate, now) > 0;
 	log_ended(u, u->ended_calls);
 	gates_mark_unreachable(n, upstream, now);
 	release_ended(n, u, now);
@@ -227,7 +234,7 @@
 	if (end_is_planned(n, u, now))
 		return -1;
 	if (u->ended_incarnation) {
-		answer_ended(n, c, u->ended_incarnation, u->ended_calls, now);
+		answer_ended(n, c, u, now);
 		return 0;
 	}
 	if (u->end_probe == END_NOT_PROBED) {
