Send cold upstreams their share, and all of the load once they are warm

Entries learned of a cold upstream from its refusals only, each for itself: a service of 59 entries sent one returning upstream a tenth of its load. Hosts now publish the time that an upstream stays cold, and entries keep it by their own clock. While a warm upstream has room, an entry uses a cold one for its part of the cold rate only, and never for a retry. A call that a cold gate refused is rerouted up to three times without a retry of the budget; if all upstreams are cold only calls with work behind them are, and roots are shed. The cutoffs of a cold gate are ignored while others are warm. When a cold period ends, what the upstream reported in it is forgotten and the cutoffs of its service open by the share of its cold upstreams. Roots that are shed are told to come back when the upstreams are warm.

The replay model has cold upstreams that crash above twice their rate.

--- a/src/filter/candidates.c
+++ b/src/filter/candidates.c
@@ -1,6 +1,7 @@
 /* The upstreams that a request may be sent to, and the choice among them. */
 #include "filter/filter.h"
 
+#include "node/known_cold.h"
 #include "node/node.h"
 
 #define CANDIDATES_MAX 64
@@ -58,7 +59,15 @@
 		};
 		if (n->settings.interface == INTERFACE_PLATFORM)
 			c[i].warm_up_us = PLATFORM_WARM_UP_US;
+		known_cold_candidate(n, r, u, &c[i], now);
 	}
+	count = cold_select(c, handles, count, now);
 	picked = balance_pick(c, count, node_random(n), now);
-	return picked < 0 ? 0 : handles[picked];
+	if (picked < 0)
+		return 0;
+	if (c[picked].cold_rate > 0) {
+		u = directory_get(n->directory, handles[picked]);
+		cold_share_take(&u->cold_share);
+	}
+	return handles[picked];
 }
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/known_cold.h"
 #include "node/node.h"
 
 #define OVERLOAD_OFF_RETRIES 3 /* limit per request, without overload control */
@@ -219,7 +220,7 @@
  * off.
  */
 static bool may_retry(struct node *n, struct request *r, enum outcome outcome,
-		      enum reason reason)
+		      enum reason reason, int64_t now)
 {
 	if (request_runs_once(r) && outcome != OUTCOME_NOT_RUN)
 		return false;
@@ -227,6 +228,9 @@
 		return r->attempt < OVERLOAD_OFF_RETRIES;
 	if (!retry_allowed(outcome, reason, request_runs_once(r)))
 		return false;
+	if (reason == REASON_COLD)
+		return known_cold_may_reroute(n, r, now) &&
+		       may_reroute(r, outcome, reason);
 	if (n->headers->status_implies_outcome &&
 	    may_reroute(r, outcome, reason))
 		return true;
@@ -245,7 +249,7 @@
 	struct pending_retry *p;
 	int64_t at;
 
-	if (!may_retry(n, r, outcome, reason))
+	if (!may_retry(n, r, outcome, reason, now))
 		return false;
 	at = now + retry_backoff_us(r->attempt + 1U, node_random(n));
 	if (at + USEC_PER_MSEC >= r->deadline_us)
@@ -286,7 +290,10 @@
 	if (u && head->leaving)
 		u->info.state = UPSTREAM_LEAVING;
 	retries_heard(n, r, head);
-	if (head->bottleneck) {
+	if (u && head->reason == REASON_COLD)
+		known_cold_refused(n, u, now);
+	if (head->bottleneck &&
+	    !(u && known_cold_hides_cutoff(n, u, head, now))) {
 		cutoffs_merge(n->cutoffs, head->bottleneck, account,
 			      &head->admission, now);
 		bottlenecks_learn(n, name_hash(r->route->name),
--- a/src/filter/shed.c
+++ b/src/filter/shed.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 
+#include "node/known_cold.h"
 #include "node/node.h"
 
 /* Returns the service whose cutoff refuses the request, or 0. */
@@ -45,7 +46,9 @@
 	}
 	admitted =
 		cutoffs_get(n->cutoffs, service, account, now).admitted[r->cls];
-	r->retry_after_ms = retry_after_ms(admitted, node_random(n));
+	r->retry_after_ms = known_cold_retry_after_ms(n, service, now);
+	if (!r->retry_after_ms)
+		r->retry_after_ms = retry_after_ms(admitted, node_random(n));
 	snprintf(r->inputs, sizeof(r->inputs),
 		 "class=%d lot=%.2f open=%.2f heard_ms=%lld", (int)r->cls,
 		 (double)r->admit_hash / ADMIT_ALL,
--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/known_cold.h"
+
 #define UPSTREAMS_MAX 65536
 
 /*
@@ -176,7 +178,7 @@
  * those that it no longer lists.
  */
 static void update_announced(struct directory *d, struct member_entry *e,
-			     const struct member_info *m)
+			     const struct member_info *m, int64_t now)
 {
 	const struct upstream_info *info;
 	struct known_upstream *u;
@@ -186,6 +188,7 @@
 		u = directory_get(d, e->handles[i]);
 		info = find_announced(m, u);
 		if (info && info->state != UPSTREAM_GONE) {
+			known_cold_heard(d->node, u, info->cold_ms, now);
 			u->info = *info;
 			if (m->state == MEMBER_LEAVING)
 				u->info.state = UPSTREAM_LEAVING;
@@ -214,7 +217,7 @@
 
 static void add_upstream(struct directory *d, struct member_entry *e,
 			 const struct member_info *m,
-			 const struct upstream_info *info)
+			 const struct upstream_info *info, int64_t now)
 {
 	struct known_upstream *u;
 	uint64_t handle;
@@ -228,6 +231,8 @@
 	u = item;
 	u->member = m->node_addr;
 	u->info = *info;
+	u->info.cold_ms = 0;
+	known_cold_heard(d->node, u, info->cold_ms, now);
 	if (m->state == MEMBER_LEAVING)
 		u->info.state = UPSTREAM_LEAVING;
 	u->data_centre = name_hash(m->data_centre);
@@ -242,7 +247,8 @@
 }
 
 /* Updates the upstreams of a member to those that it announces. */
-void directory_update(struct directory *d, const struct member_info *m)
+void directory_update(struct directory *d, const struct member_info *m,
+		      int64_t now)
 {
 	struct member_entry *e;
 	size_t i;
@@ -255,11 +261,11 @@
 		e->member = m->node_addr;
 		HASH_ADD(hh, d->members, member, sizeof(e->member), e);
 	}
-	update_announced(d, e, m);
+	update_announced(d, e, m, now);
 	for (i = 0; member_serves(m) && i < m->upstream_count; i++)
 		if (m->upstreams[i].state != UPSTREAM_GONE &&
 		    !is_known(d, e, &m->upstreams[i]))
-			add_upstream(d, e, m, &m->upstreams[i]);
+			add_upstream(d, e, m, &m->upstreams[i], now);
 	if (!e->count) {
 		HASH_DEL(d->members, e);
 		free(e);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "admin/admin.h"
+#include "node/known_cold.h"
 #include "node/listeners.h"
 #include "platform/platform.h"
 
@@ -104,9 +105,8 @@
 {
 	struct node *n = ctx;
 
-	(void)now;
 	if (n->directory)
-		directory_update(n->directory, m);
+		directory_update(n->directory, m, now);
 }
 
 /* Applies the limits on callers if the configuration sets all of them. */
@@ -525,6 +525,7 @@
 	service_retries_free(n);
 	route_stats_free(n);
 	bottlenecks_free(n);
+	known_cold_free(n);
 	if (n->admin_state)
 		admin_free(n->admin_state);
 	buffer_free(&n->limit_waiting);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -110,10 +110,13 @@
 	uint64_t data_centre; /* hash of its name */
 	uint64_t region;      /* hash of its name */
 	bool same_data_centre;
+	int64_t cold_until_us; /* by the clock of this node; 0: warm */
+	struct cold_share cold_share;
 	struct upstream_load load;
 };
 
 struct admin;
+struct cold_service;
 struct directory;
 struct identities;
 
@@ -146,6 +149,7 @@
 	struct service_retries *retries;
 	struct route_stats *route_stats;
 	struct bottlenecks *bottlenecks;
+	struct cold_service *cold_services;
 	struct call_index *by_token;
 	struct call_index *by_stream;
 	struct call_index *by_request;
@@ -248,7 +252,8 @@
 struct directory *directory_new(struct node *n);
 void directory_free(struct directory *d);
 /* Updates the upstreams of a member to those that it announces. */
-void directory_update(struct directory *d, const struct member_info *m);
+void directory_update(struct directory *d, const struct member_info *m,
+		      int64_t now);
 /*
  * Lists up to max upstreams that accept new calls and that permitted, if set,
  * permits; returns their number.
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -155,10 +155,13 @@
 {
 	const struct upstream_load *l = c->load;
 	double slots = c->slots ? c->slots : 1;
-	double at_rate = l->rate * latency_us / USEC_PER_SEC;
+	double rate = now - l->last_update_us < REPORTED_FADE_US ? l->rate : 0;
+	double at_rate;
 
-	if (l->rate <= 0 || at_rate >= slots ||
-	    now - l->last_update_us >= REPORTED_FADE_US)
+	if (c->cold_rate > 0 && (rate <= 0 || c->cold_rate < rate))
+		rate = c->cold_rate;
+	at_rate = rate * latency_us / USEC_PER_SEC;
+	if (rate <= 0 || at_rate >= slots)
 		return slots;
 	return at_rate < RATE_SLOTS_MIN ? RATE_SLOTS_MIN : at_rate;
 }
@@ -292,8 +295,7 @@
 	return better(c, b, a, sel, now) ? b : a;
 }
 
-/* Whether an upstream is expected to start a call at once. */
-static bool has_room(const struct balance_candidate *c, int64_t now)
+bool balance_has_room(const struct balance_candidate *c, int64_t now)
 {
 	const struct upstream_load *l = c->load;
 	double reported = age_weight(now - l->last_update_us, REPORTED_FADE_US);
@@ -355,7 +357,7 @@
 		return remote;
 	if (remote < 0)
 		return local;
-	if (has_room(&c[local], now) &&
+	if (balance_has_room(&c[local], now) &&
 	    !remote_saves_enough(c, remote, local, &sel, now))
 		return local;
 	if (c[remote].detour_us &&
--- a/src/policy/cutoffs.c
+++ b/src/policy/cutoffs.c
@@ -170,6 +170,25 @@
 	return a;
 }
 
+/* Each later answer corrects what was raised. */
+void cutoffs_reopen(struct cutoffs *c, uint64_t service, double share,
+		    int64_t now)
+{
+	struct cutoff *cut;
+	double old;
+	int cls;
+
+	for (cut = c->lru; cut; cut = cut->next) {
+		if (cut->key.service != service || !cut->updated)
+			continue;
+		for (cls = 0; cls < SHED_CLASSES; cls++) {
+			old = exact_admitted(cut, cls, now);
+			cut->admitted[cls] = old + (ADMIT_ALL - old) * share;
+		}
+		cut->last_update_us = now;
+	}
+}
+
 int64_t cutoffs_age_us(struct cutoffs *c, uint64_t service, uint64_t account,
 		       int64_t now)
 {
--- a/src/policy/gate_cold.c
+++ b/src/policy/gate_cold.c
@@ -9,7 +9,7 @@
 
 #define BURST_S 0.25 /* of the rate, saved up while no call waits */
 #define SLOT_US (USEC_PER_SEC / GATE_WINDOW_PARTS)
-/* Calls a cold gate lets wait in an overload: arrivals are not evenly spaced.*/
+/* Calls a cold gate lets wait in an overload: arrivals are not evenly spaced. */
 #define QUEUED_MIN 3
 
 /* Forgets the starts that ended more than a second before now. */
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -169,6 +169,9 @@
 		   const struct admission *a, int64_t now);
 struct admission cutoffs_get(struct cutoffs *c, uint64_t service,
 			     uint64_t account, int64_t now);
+/* Raises the cutoffs of a service by a share of what they refuse. */
+void cutoffs_reopen(struct cutoffs *c, uint64_t service, double share,
+		    int64_t now);
 /* Microseconds since the last update of a cutoff; 0 if there was none. */
 int64_t cutoffs_age_us(struct cutoffs *c, uint64_t service, uint64_t account,
 		       int64_t now);
@@ -247,6 +250,8 @@
 	int64_t failure_us; /* time that a failed call is counted as */
 	/* Time until a new upstream gets its full share; 0: five seconds. */
 	int64_t warm_up_us;
+	double cold_rate; /* calls a second that it takes; 0: it is warm */
+	bool cold_due;	  /* this node's share of that has earned a call */
 };
 
 /*
@@ -258,8 +263,21 @@
 		   int64_t latency_us, int64_t now);
 void load_failed(struct upstream_load *l, int64_t now);
 void load_cancelled(struct upstream_load *l);
+/* Whether an upstream is expected to start a call at once. */
+bool balance_has_room(const struct balance_candidate *c, int64_t now);
 /* Returns an index, or -1 if there is no candidate. */
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now);
 
+/* Cold upstreams: the calls that one entry sends while others are warm. */
+struct cold_share {
+	struct bucket calls;
+};
+
+void cold_share_init(struct cold_share *s, uint64_t random, int64_t now);
+bool cold_share_due(struct cold_share *s, double rate, int64_t now);
+void cold_share_take(struct cold_share *s);
+size_t cold_select(struct balance_candidate *c, uint64_t *handles, size_t n,
+		   int64_t now);
+
 #endif
--- a/test/replay_calls.c
+++ b/test/replay_calls.c
@@ -3,6 +3,7 @@
 #include <gsl/gsl_randist.h>
 
 #define OFF_RETRIES 3 /* per call, with OVERLOAD_OFF */
+#define REROUTES_MAX 3
 
 static int64_t link_delay_us(const struct model *m, uint32_t a, uint32_t b)
 {
@@ -94,6 +95,8 @@
 	a->head.allowance_left = a->hop_call.allowance;
 	a->head.queue_us = (uint32_t)report.queue_us;
 	a->head.in_flight = report.running + report.queued;
+	a->head.rate_milli = (uint32_t)(report.rate * 1000);
+	m->r->cold_refused_by_hop[a->hop] += reason == REASON_COLD;
 	a->head.admission = admission_min(
 		gate_admission(m->nodes[at].gate, model_account(root->account)),
 		a->lowest_admission);
@@ -105,19 +108,30 @@
 			 uint32_t caller, uint32_t hop)
 {
 	struct balance_candidate c[UPSTREAMS_MAX];
+	uint64_t index[UPSTREAMS_MAX];
 	uint32_t n = m->t->hops[hop].upstreams, i;
+	const struct node *u;
+	int picked;
 
 	for (i = 0; i < n; i++) {
+		u = model_upstream(m, hop, i);
+		index[i] = i;
 		c[i] = (struct balance_candidate){
 			.load = &m->nodes[caller].loads[i],
 			.slots = m->t->hops[hop].slots,
 			.same_data_centre =
-				model_upstream(m, hop, i)->data_centre ==
-				m->nodes[caller].data_centre,
-			.tried = hop_call->tried >> i & 1,
+				u->data_centre == m->nodes[caller].data_centre,
+			.tried = (hop_call->tried >> i & 1) ||
+				 cold_is_down(m, u),
 		};
+		if (m->t->cold_us)
+			c[i].warm_up_us = USEC_PER_SEC;
+		if (cold_now(m, u) && !m->t->cold_unlimited)
+			c[i].cold_rate = m->t->cold_per_s;
 	}
-	return balance_pick(c, n, ++m->next_seed, m->now);
+	n = (uint32_t)cold_select(c, index, n, m->now);
+	picked = balance_pick(c, n, ++m->next_seed, m->now);
+	return picked < 0 ? picked : (int)index[picked];
 }
 
 static void hop_call_failed(struct model *m, uint64_t root, uint64_t parent,
@@ -197,11 +211,17 @@
 }
 
 static bool may_retry(struct model *m, struct node *n,
-		      struct hop_call *hop_call, enum outcome outcome,
-		      enum reason reason)
+		      struct hop_call *hop_call, bool depth,
+		      enum outcome outcome, enum reason reason)
 {
 	if (m->mode == OVERLOAD_OFF)
 		return hop_call->tries <= OFF_RETRIES;
+	/* A root is shed if all are cold; one that did not run is rerouted. */
+	if (reason == REASON_COLD)
+		return depth && hop_call->reroutes++ < REROUTES_MAX;
+	if (m->t->cold_us && outcome == OUTCOME_NOT_RUN &&
+	    reason == REASON_NO_UPSTREAM)
+		return hop_call->reroutes++ < REROUTES_MAX;
 	if (!hop_call->allowance || !retry_allowed(outcome, reason, false) ||
 	    !retry_ratio_take(&n->ratio))
 		return false;
@@ -221,7 +241,7 @@
 	struct node *n = &m->nodes[caller];
 
 	hop_call->current = 0;
-	if (may_retry(m, n, hop_call, outcome, reason)) {
+	if (may_retry(m, n, hop_call, p != NULL, outcome, reason)) {
 		root->retries++;
 		model_add_event(
 			m,
@@ -251,6 +271,10 @@
 	const struct replay_trace *t = m->t;
 	double mean = t->hops[a->hop].service_us, own;
 
+	a->started = true;
+	if (t->speed_spread)
+		mean *= 1 + (t->speed_spread - 1) * a->upstream /
+				    t->hops[a->hop].upstreams;
 	root->runs++;
 	if (root->ended && root_measured(m, root)) {
 		m->r->runs++;
@@ -281,8 +305,10 @@
 
 	while (gate_next_drop(g, m->now, &d))
 		send_answer(m, d.id, OUTCOME_NOT_RUN, d.reason);
-	while ((id = gate_next(g, m->now, &waited)))
+	while ((id = gate_next(g, m->now, &waited))) {
 		start_execution(m, id);
+		cold_count_start(m, hop, upstream);
+	}
 }
 
 void attempt_offer(struct model *m, uint64_t handle)
@@ -301,6 +327,10 @@
 	};
 	enum reason why;
 
+	if (cold_is_down(m, model_upstream(m, hop, upstream))) {
+		send_answer(m, handle, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM);
+		return;
+	}
 	cutoffs_take_unreported(m->nodes[a->caller].cutoffs,
 				model_service(m, hop), c.account,
 				c.shed_unreported);
--- a/test/replay_events.h
+++ b/test/replay_events.h
@@ -12,6 +12,7 @@
 	EVENT_OFFER,	/* an attempt reaches its gate */
 	EVENT_SUB_CALL, /* half of a service's own time has passed */
 	EVENT_FINISH,	/* the other half, or a failure */
+	EVENT_LOST,	/* its upstream crashed */
 	EVENT_ANSWER,	/* an attempt's answer reaches its caller */
 	EVENT_RETRY,	/* a back-off has passed */
 	EVENT_STEP,	/* of every gate */
--- a/test/replay_impl.h
+++ b/test/replay_impl.h
@@ -9,6 +9,7 @@
 
 #define UPSTREAMS_MAX 64
 #define NODES_MAX 128
+#define STARTS_MAX 64
 
 /* The caller's state of one call: its current attempt and retry budget. */
 struct hop_call {
@@ -16,7 +17,8 @@
 	uint8_t tries;
 	uint8_t allowance; /* retries left */
 	uint8_t lent;	   /* retries lent to the current attempt */
-	uint32_t tried;	   /* bit per upstream */
+	uint8_t reroutes;
+	uint32_t tried; /* bit per upstream */
 	int64_t deadline_us;
 };
 
@@ -42,6 +44,7 @@
 	uint32_t upstream; /* of the hop */
 	bool abandoned;	   /* its caller has given up */
 	bool ok;
+	bool started;
 	enum outcome outcome;
 	enum reason reason;
 	double half_service_us;
@@ -58,6 +61,10 @@
 	struct upstream_load loads[UPSTREAMS_MAX];
 	struct gate *gate; /* NULL at an entry */
 	uint32_t data_centre;
+	int64_t down_until_us, cold_until_us;
+	bool cold_known; /* the others know that it is cold */
+	int64_t starts[STARTS_MAX];
+	size_t start_count;
 };
 
 struct model {
@@ -95,6 +102,13 @@
 void attempt_answered(struct model *m, uint64_t handle);
 void attempt_timed_out(struct model *m, uint64_t handle);
 
+/* replay_cold.c */
+bool cold_now(const struct model *m, const struct node *n);
+bool cold_is_down(const struct model *m, const struct node *n);
+void cold_begin(struct model *m, struct node *n, int64_t up_us);
+void cold_end(struct model *m, uint32_t hop, uint32_t upstream);
+void cold_count_start(struct model *m, uint32_t hop, uint32_t upstream);
+
 /* replay_roots.c */
 bool root_measured(const struct model *m, const struct root *root);
 void root_drop(struct model *m, uint64_t handle);
--- a/test/replay_model.c
+++ b/test/replay_model.c
@@ -42,6 +42,7 @@
 	for (hop = 0; hop + 1 < m->t->hop_count; hop++)
 		if (node < m->first_node[hop + 1])
 			break;
+	cold_end(m, hop, node - m->first_node[hop]);
 	model_run_gate(m, hop, node - m->first_node[hop]);
 	if (m->now < m->t->length_us + m->t->deadline_us)
 		model_add_event(m, m->now + GATE_STEP_US, EVENT_STEP, 0, node);
@@ -53,7 +54,8 @@
 	struct root *root;
 
 	if (ev->kind == EVENT_OFFER || ev->kind == EVENT_SUB_CALL ||
-	    ev->kind == EVENT_FINISH || ev->kind == EVENT_ANSWER) {
+	    ev->kind == EVENT_FINISH || ev->kind == EVENT_LOST ||
+	    ev->kind == EVENT_ANSWER) {
 		a = table_get(&m->attempts, ev->handle);
 		if (!a)
 			return;
@@ -83,9 +85,13 @@
 		attempt_offer(m, ev->handle);
 		break;
 	case EVENT_SUB_CALL:
-		attempt_sub_call(m, ev->handle);
+		if (a->started)
+			attempt_sub_call(m, ev->handle);
 		break;
 	case EVENT_FINISH:
+		if (!a->started)
+			break;
+		a->started = false;
 		if (a->ok)
 			attempt_finish(m, ev->handle, OUTCOME_DONE, REASON_NONE,
 				       true);
@@ -93,6 +99,11 @@
 			attempt_finish(m, ev->handle, OUTCOME_UNKNOWN,
 				       REASON_UPSTREAM_FAILED, false);
 		break;
+	case EVENT_LOST:
+		hop_call_give_up(m, &a->hop_call);
+		attempt_finish(m, ev->handle, OUTCOME_UNKNOWN,
+			       REASON_UPSTREAM_FAILED, false);
+		break;
 	case EVENT_ANSWER:
 		attempt_answered(m, ev->handle);
 		break;
@@ -123,6 +134,8 @@
 	const struct replay_trace *t = m->t;
 	struct gate_options o = {.queue_target_us = QUEUE_TARGET_US,
 				 .queue_max = QUEUE_MAX,
+				 .cold_overshoot = 1.5,
+				 .cold_slack = 8,
 				 .mode = m->mode};
 	uint32_t i;
 	size_t hop;
@@ -134,6 +147,9 @@
 			if (m->node_count == NODES_MAX || i == UPSTREAMS_MAX ||
 			    add_node(m, &o, i) < 0)
 				return -1;
+			if (t->cold_us)
+				cold_begin(m, &m->nodes[m->node_count - 1],
+					   i * t->cold_stagger_us);
 			model_add_event(m, GATE_STEP_US + 997 * m->node_count,
 					EVENT_STEP, 0,
 					(uint32_t)m->node_count - 1);
--- a/test/replay_model.h
+++ b/test/replay_model.h
@@ -57,6 +57,13 @@
 	double slow_factor;
 	double fail_share; /* of executions that fail at once */
 	uint8_t allowance;
+	/* All upstreams start cold at time 0, for cold_us; 0: they are warm. */
+	int64_t cold_us;
+	double cold_per_s;
+	int64_t cold_stagger_us; /* between two upstreams of a service */
+	int64_t restart_us;	 /* of an upstream that crashed */
+	bool cold_unlimited;	 /* gates and callers know nothing of it */
+	double speed_spread;	 /* of the upstreams of a service; 0: none */
 	uint64_t seed;
 };
 
@@ -78,6 +85,9 @@
 	uint64_t refusals[REASON_COUNT]; /* by the last service's gates */
 	uint64_t refused_by_hop[REPLAY_HOPS_MAX + 1]; /* entry first */
 	uint64_t shed_by_caller[REPLAY_HOPS_MAX];
+	uint32_t crashes;
+	size_t cold_most; /* starts in a second of one cold upstream */
+	uint64_t cold_refused_by_hop[REPLAY_HOPS_MAX];
 	double measured_s;
 	double recovery_s;		/* 0 without a slow-down; -1 never */
 	uint32_t bins[REPLAY_BINS_MAX]; /* good roots per bin */
--- a/test/test_policy_cold.c
+++ b/test/test_policy_cold.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "policy/policy.h"
+#include "replay_model.h"
 
 #define MS USEC_PER_MSEC
 #define RATE 5.4
@@ -239,6 +240,172 @@
 	gate_free(g);
 }
 
+#define ENTRIES 59
+#define UPSTREAMS 10
+
+/*
+ * One of ten upstreams returns cold while 59 entries send it a tenth of their
+ * calls: it gets its cold rate in all, not from each of them, and no retries.
+ */
+static void entries_share_the_cold_rate(void **state)
+{
+	static struct upstream_load loads[UPSTREAMS];
+	static struct cold_share shares[ENTRIES];
+	struct balance_candidate c[UPSTREAMS];
+	uint64_t handles[UPSTREAMS], seed = 0;
+	uint32_t picks = 0, retries = 0;
+	size_t n, i, e;
+	int64_t now;
+	int picked;
+
+	(void)state;
+	for (e = 0; e < ENTRIES; e++)
+		cold_share_init(&shares[e], pair_hash(e, 7), 0);
+	for (now = 0; now < 12 * USEC_PER_SEC; now += 10 * MS) {
+		for (e = 0; e < ENTRIES; e++) {
+			for (i = 0; i < UPSTREAMS; i++) {
+				loads[i].first_sent_us = 1 - 10 * USEC_PER_SEC;
+				loads[i].latency_us = 5000;
+				loads[i].last_update_us = now;
+				handles[i] = i;
+				c[i] = (struct balance_candidate){
+					.load = &loads[i],
+					.slots = 50,
+					.same_data_centre = true};
+			}
+			c[3].cold_rate = RATE;
+			/* Every other call is a retry. */
+			c[3].cold_due =
+				!(++seed % 2) &&
+				cold_share_due(&shares[e], RATE / ENTRIES, now);
+			n = cold_select(c, handles, UPSTREAMS, now);
+			picked = balance_pick(c, n, pair_hash(seed, 3), now);
+			if (handles[picked] != 3)
+				continue;
+			cold_share_take(&shares[e]);
+			picks++;
+			retries += seed % 2;
+		}
+	}
+	assert_int_equal(retries, 0);
+	assert_in_range(picks, RATE * 12 / 2, RATE * 12 + ENTRIES / 2);
+}
+
+/* If all warm upstreams are full, or none is left, cold ones may be used. */
+static void cold_upstreams_serve_without_warm_ones(void **state)
+{
+	struct upstream_load loads[2] = {
+		{.queue_us = 500000, .latency_us = 5000, .last_update_us = 1}};
+	struct balance_candidate c[2] = {
+		{.load = &loads[0], .slots = 4},
+		{.load = &loads[1], .slots = 4, .cold_rate = RATE}};
+	uint64_t handles[2] = {1, 2};
+
+	(void)state;
+	assert_int_equal(cold_select(c, handles, 2, 1), 2);
+	loads[0].queue_us = 0;
+	assert_int_equal(cold_select(c, handles, 2, 1), 1);
+	assert_int_equal(handles[0], 1);
+	c[0].tried = true;
+	c[1] = (struct balance_candidate){
+		.load = &loads[1], .slots = 4, .cold_rate = RATE};
+	assert_int_equal(cold_select(c, handles, 2, 1), 2);
+}
+
+#define SERVED_SHARE 0.9
+
+/*
+ * Returns the seconds until a second begins in which 90 % of the roots are
+ * answered; -1: never.
+ */
+static double served_again_s(const struct replay_trace *t,
+			     const struct replay_result *r, double demand_s)
+{
+	size_t bins = (size_t)(USEC_PER_SEC / REPLAY_BIN_US), at, i;
+	double sum;
+
+	for (at = 0; at + bins < (size_t)(t->length_us / REPLAY_BIN_US); at++) {
+		for (i = 0, sum = 0; i < bins; i++)
+			sum += r->bins[at + i];
+		if (sum >= SERVED_SHARE * demand_s)
+			return (double)at / (double)bins;
+	}
+	return -1;
+}
+
+/*
+ * Four services of twelve upstreams, of which the slowest take three times as
+ * long; in normal operation the load is 70 % of what they can serve.
+ */
+static const struct replay_trace power_loss = {
+	.hops = {{"front", 12, 16, 15000},
+		 {"orders", 12, 16, 15000},
+		 {"stock", 12, 16, 15000},
+		 {"ledger", 12, 16, 15000}},
+	.hop_count = 4,
+	.accounts = {{1, 1, 1}, {1, 1, 1}, {1, 1, 1}},
+	.account_count = 3,
+	.phases = {{0, 0.1}},
+	.phase_count = 1,
+	.classes = {0.5, 0.46, 0.04},
+	.data_centres = 4,
+	.entries = 40,
+	.client_delay_us = 3 * MS,
+	.local_delay_us = 100,
+	.remote_delay_us = 1400,
+	.deadline_us = 2 * USEC_PER_SEC,
+	.length_us = 12 * USEC_PER_SEC,
+	.allowance = 3,
+	.cold_us = 3 * USEC_PER_SEC,
+	.cold_per_s = RATE,
+	.restart_us = USEC_PER_SEC,
+	.speed_spread = 3,
+	.seed = 1,
+};
+
+/*
+ * A loss of power of all hosts: every upstream starts cold and crashes at twice
+ * its cold rate. The full load knocked them over again and again, and less than
+ * 5 % was served. The upstreams start together, or one after the other.
+ */
+static void power_loss_is_recovered_from(void **state)
+{
+	static const int64_t staggers[] = {0, 150 * MS};
+	struct replay_trace t = power_loss;
+	struct replay_result r;
+	double demand_s, cold_s, bound_s, again_s;
+	size_t i;
+
+	(void)state;
+	demand_s = t.phases[0].demand * replay_capacity(&t);
+	cold_s = t.hops[0].upstreams * RATE;
+	/* Until they are warm, the upstreams of a service take cold_s. */
+	assert_true(cold_s < SERVED_SHARE * demand_s);
+	for (i = 0; i < 2; i++) {
+		t.cold_stagger_us = staggers[i];
+		t.cold_unlimited = false;
+		bound_s = (double)(t.cold_us +
+				   (t.hops[0].upstreams - 1) * staggers[i]) /
+			  USEC_PER_SEC;
+		assert_int_equal(replay_run(&t, OVERLOAD_ENFORCE, 1, &r), 0);
+		again_s = served_again_s(&t, &r, demand_s);
+		print_message("%.0f/s, cold %.0f/s, all warm after %.2f s: "
+			      "90 %% served again after %.1f s\n",
+			      demand_s, cold_s, bound_s, again_s);
+		assert_true(again_s >= 0 && again_s <= bound_s + 0.5);
+		assert_int_equal(r.crashes, 0);
+		assert_true(r.cold_most <= 7);
+		/* Shed at the root, the important class last. */
+		assert_true((double)r.wasted <= 0.01 * (double)r.runs);
+		assert_true((double)r.class_good[SHED_LAST] >=
+			    0.85 * (double)r.class_offered[SHED_LAST]);
+		t.cold_unlimited = true;
+		assert_int_equal(replay_run(&t, OVERLOAD_ENFORCE, 1, &r), 0);
+		assert_true(served_again_s(&t, &r, demand_s) < 0);
+		assert_true(r.good < r.offered / 20);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -248,6 +415,9 @@
 		cmocka_unit_test(limit_expires_by_itself),
 		cmocka_unit_test(lower_limit_holds),
 		cmocka_unit_test(cold_gate_serves_by_priority),
+		cmocka_unit_test(entries_share_the_cold_rate),
+		cmocka_unit_test(cold_upstreams_serve_without_warm_ones),
+		cmocka_unit_test(power_loss_is_recovered_from),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
