--- a/test/platform.bash
+++ b/test/platform.bash
@@ -75,7 +75,8 @@
 	local name=$1 dc=$2 l
 	cat >"$WORK/$name.json" <<-END
 	{
-		"host": "$name", "data_centre": "$dc", "region": "test",
+		"host": "$name", "data_centre": "$dc",
+		"region": "${REGION:-test}",
 		"interface": "platform",
 		"listen": {"callers": "127.0.0.1:0", "services": "127.0.0.1:0",
 			"ready": "127.0.0.1:0", "nodes": "127.0.0.1:0",
