Give routes and accounts home regions

Change: struct route and struct account have a struct region_set, read from the member allowed_regions of notes and from the column of that name in the platform's document. More than 8 names, an empty list or a name that is no string is refused, with the path in the note or the name of the route or account. `config show` lists allowed_regions of items that have them.

--- a/src/conf/build.c
+++ b/src/conf/build.c
@@ -42,6 +42,7 @@
 {
 	if (a->rank > c->lowest_rank)
 		c->lowest_rank = a->rank;
+	c->account_homes |= a->home.count != 0;
 	return put_copy(c, SECTION_ACCOUNTS, a, sizeof(*a));
 }
 
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -97,6 +97,30 @@
 int settings_parse(struct settings *s, const char *text, const char *name,
 		   struct error *err);
 
+#define REGIONS_MAX 8 /* home regions of a route or account */
+
+/* Names of regions, each once. Unused names are zero. */
+struct region_set {
+	char names[REGIONS_MAX][NAME_SIZE];
+	size_t count; /* 0: any region */
+};
+
+bool region_set_has(const struct region_set *s, const char *name);
+/* Returns -1 if the name is empty or too long, or the set is full. */
+int region_set_add(struct region_set *s, const char *name);
+/* Whether some region is in both sets; an empty set has every region. */
+bool region_sets_meet(const struct region_set *a, const struct region_set *b);
+
+/*
+ * Where a request may go: the intersection of the home regions that apply to
+ * it, as hashes of their names. See policy/home.h.
+ */
+struct home {
+	uint64_t regions[REGIONS_MAX];
+	uint8_t count;
+	bool bounded; /* false: anywhere; true with count 0: nowhere */
+};
+
 struct service {
 	char name[NAME_SIZE];
 	char team[NAME_SIZE];
@@ -137,6 +161,7 @@
 	size_t weighted_count;
 	enum route_effect effect;
 	int64_t target_us; /* target latency of a response; 0: unknown */
+	struct region_set home;
 };
 
 struct account {
@@ -148,6 +173,7 @@
 	int64_t refuse_stale_us; /* refuse if configuration is older; 0: off */
 	bool unlimited;		 /* has no rate limit */
 	uint32_t rank;		 /* 0 is the highest; see config_shed_class */
+	struct region_set home;
 };
 
 /* Limits on what callers may send; 0: not set. */
@@ -216,6 +242,8 @@
 const struct route *config_match_host_prefix(const struct config *c,
 					     const char *host,
 					     const char *path);
+/* Whether an account of a configuration that is not from notes has a home. */
+bool config_has_account_homes(const struct config *c);
 const struct caller_limits *config_limits(const struct config *c);
 /* The document the configuration was read from; empty if built from notes. */
 const struct buffer *config_source(const struct config *c);
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -73,6 +73,7 @@
 	struct section routes_by_host_prefix;
 	struct caller_limits limits;
 	uint32_t lowest_rank; /* of all accounts; the largest number */
+	bool account_homes;   /* see config_has_account_homes */
 	struct buffer source;
 	struct trie *trie;
 	struct release releases[RELEASES_KEPT]; /* ring, indexed by number */
@@ -112,6 +113,7 @@
 	FIELD_CHOICE,  /* int */
 	FIELD_HASH,    /* uint8_t[32] */
 	FIELD_ADDR,    /* struct addr */
+	FIELD_REGIONS, /* struct region_set */
 	FIELD_OBJECT,
 	FIELD_OTHER, /* known here, but read elsewhere */
 };
@@ -134,6 +136,9 @@
 		 const struct field *fields, size_t n, void *out, bool partial);
 int field_name(struct reader *r, struct json_object *v, char name[NAME_SIZE]);
 int field_addr(struct reader *r, struct json_object *v, struct addr *a);
+void field_regions(struct reader *r, struct json_object *v,
+		   struct region_set *out);
+struct json_object *regions_json(const struct region_set *s);
 
 struct json_object *json_read(const char *text, size_t len, unsigned *line,
 			      struct error *err);
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -164,6 +164,11 @@
 		       XXH3_64bits(text, len);
 }
 
+bool config_has_account_homes(const struct config *c)
+{
+	return c->account_homes;
+}
+
 enum overload_mode config_overload_mode(const struct config *c)
 {
 	return c->mode;
--- a/src/conf/fields.c
+++ b/src/conf/fields.c
@@ -247,6 +247,9 @@
 	case FIELD_TIME:
 		read_numeric(r, v, f, at);
 		break;
+	case FIELD_REGIONS:
+		field_regions(r, v, at);
+		break;
 	case FIELD_OBJECT:
 		fields_read(r, v, f->fields, f->field_count, at, false);
 		break;
--- a/src/conf/kinds.c
+++ b/src/conf/kinds.c
@@ -35,6 +35,7 @@
 	{"deadline_ms", .kind = FIELD_TIME, .offset = AT(deadline_us), .min = 1,
 	 .max = DEADLINE_MAX_MS, .unit_us = USEC_PER_MSEC},
 	{"retries", .kind = FIELD_COUNT, .offset = AT(retries), .max = 100},
+	{"allowed_regions", .kind = FIELD_REGIONS, .offset = AT(home)},
 };
 #undef AT
 
@@ -50,6 +51,7 @@
 	 .max = 1000},
 	{"refuse_stale_s", .kind = FIELD_TIME, .offset = AT(refuse_stale_us),
 	 .max = STALE_MAX_S, .unit_us = USEC_PER_SEC},
+	{"allowed_regions", .kind = FIELD_REGIONS, .offset = AT(home)},
 };
 #undef AT
 
--- a/src/conf/pack.c
+++ b/src/conf/pack.c
@@ -11,7 +11,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/*
+ * Version 2 has the home regions. It is written only if there are any, so that
+ * nodes of earlier builds read all other snapshots and refuse these.
+ */
 #define SNAPSHOT_VERSION 1
+#define SNAPSHOT_VERSION_HOMES 2
 #define SNAPSHOT_SIZE_MAX (32 * 1024 * 1024) /* bytes */
 #define ITEMS_MAX 1000000		     /* of one kind */
 
@@ -25,6 +30,16 @@
 	return msgpack_pack_str_with_body(pk, text, strlen(text));
 }
 
+static int pack_regions(msgpack_packer *pk, const struct region_set *set)
+{
+	int rc = msgpack_pack_uint64(pk, set->count);
+	size_t i;
+
+	for (i = 0; !rc && i < set->count; i++)
+		rc = pack_text(pk, set->names[i]);
+	return rc;
+}
+
 static int pack_field(msgpack_packer *pk, const struct field *f, const void *at)
 {
 	switch (f->kind) {
@@ -44,6 +59,8 @@
 		return msgpack_pack_uint32(pk, *(const uint32_t *)at);
 	case FIELD_HASH:
 		return msgpack_pack_bin_with_body(pk, at, KEY_HASH_SIZE);
+	case FIELD_REGIONS:
+		return pack_regions(pk, at);
 	case FIELD_BYTES:
 	case FIELD_ADDR:
 	case FIELD_OBJECT:
@@ -53,7 +70,27 @@
 	return -1;
 }
 
-static int pack_kind(msgpack_packer *pk, const struct config *c, int kind)
+static bool in_version(const struct field *f, uint64_t version)
+{
+	return f->kind != FIELD_REGIONS || version >= SNAPSHOT_VERSION_HOMES;
+}
+
+static uint8_t version_of(const struct config *c)
+{
+	const struct account *a = NULL;
+	const struct route *r = NULL;
+
+	while ((r = config_next_route(c, r)))
+		if (r->home.count)
+			return SNAPSHOT_VERSION_HOMES;
+	while ((a = config_next_account(c, a)))
+		if (a->home.count)
+			return SNAPSHOT_VERSION_HOMES;
+	return SNAPSHOT_VERSION;
+}
+
+static int pack_kind(msgpack_packer *pk, const struct config *c, int kind,
+		     uint64_t version)
 {
 	const struct kind_info *info = &kinds[kind];
 	const char *item = NULL;
@@ -62,8 +99,9 @@
 
 	while (!rc && (item = section_next(&c->by_name[kind], item)))
 		for (i = 0; !rc && i < info->field_count; i++)
-			rc = pack_field(pk, &info->fields[i],
-					item + info->fields[i].offset);
+			if (in_version(&info->fields[i], version))
+				rc = pack_field(pk, &info->fields[i],
+						item + info->fields[i].offset);
 	return rc;
 }
 
@@ -84,16 +122,17 @@
 /* Appends the configuration as msgpack; returns -1 on error. */
 int config_pack(const struct config *c, struct buffer *out)
 {
+	uint8_t version = version_of(c);
 	msgpack_packer pk;
 	int rc, kind;
 
 	msgpack_packer_init(&pk, out, append);
-	rc = msgpack_pack_uint8(&pk, SNAPSHOT_VERSION) ||
+	rc = msgpack_pack_uint8(&pk, version) ||
 	     msgpack_pack_uint64(&pk, c->number) ||
 	     pack_text(&pk, c->release) || msgpack_pack_uint32(&pk, c->mode) ||
 	     pack_releases(&pk, c);
 	for (kind = 0; !rc && kind < SECTIONS; kind++)
-		rc = pack_kind(&pk, c, kind);
+		rc = pack_kind(&pk, c, kind, version);
 	return rc ? -1 : 0;
 }
 
@@ -101,6 +140,7 @@
 	const char *data;
 	size_t len;
 	size_t offset;
+	uint64_t version;
 };
 
 /* Reads one scalar; rejects containers before memory is allocated for them. */
@@ -184,6 +224,20 @@
 	return 0;
 }
 
+static int unpack_regions(struct unpacker *s, struct region_set *set)
+{
+	char name[NAME_SIZE];
+	uint64_t n, i;
+
+	if (unpack_uint(s, REGIONS_MAX, &n) < 0)
+		return -1;
+	for (i = 0; i < n; i++)
+		if (unpack_text(s, name, sizeof(name)) < 0 ||
+		    region_set_add(set, name) < 0)
+			return -1;
+	return set->count == n ? 0 : -1;
+}
+
 static int unpack_field(struct unpacker *s, const struct field *f, void *at)
 {
 	uint64_t n;
@@ -218,6 +272,8 @@
 		return unpack_choice(s, f->choices, at);
 	case FIELD_HASH:
 		return unpack_hash(s, at);
+	case FIELD_REGIONS:
+		return unpack_regions(s, at);
 	case FIELD_BYTES:
 	case FIELD_ADDR:
 	case FIELD_OBJECT:
@@ -237,7 +293,8 @@
 
 	memset(&from, 0, sizeof(from));
 	for (i = 0; i < info->field_count; i++)
-		if (unpack_field(s, &info->fields[i],
+		if (in_version(&info->fields[i], s->version) &&
+		    unpack_field(s, &info->fields[i],
 				 (char *)&from + info->fields[i].offset) < 0)
 			return -1;
 	if (!from.name[0])
@@ -279,11 +336,10 @@
 
 static int unpack_snapshot(struct unpacker *s, struct config *c)
 {
-	uint64_t version;
 	int kind, mode;
 
-	if (unpack_uint(s, SNAPSHOT_VERSION, &version) < 0 ||
-	    version != SNAPSHOT_VERSION ||
+	if (unpack_uint(s, SNAPSHOT_VERSION_HOMES, &s->version) < 0 ||
+	    s->version < SNAPSHOT_VERSION ||
 	    unpack_uint(s, INT64_MAX, &c->number) < 0 ||
 	    unpack_text(s, c->release, sizeof(c->release)) < 0 ||
 	    unpack_choice(s, overload_modes, &mode) < 0 ||
--- a/src/conf/show.c
+++ b/src/conf/show.c
@@ -19,6 +19,8 @@
 		return json_object_new_int64(*(const int64_t *)at / f->unit_us);
 	case FIELD_CHOICE:
 		return json_object_new_string(f->choices[*(const int *)at]);
+	case FIELD_REGIONS:
+		return regions_json((const void *)at);
 	case FIELD_HASH: /* not shown to operators */
 	case FIELD_BYTES:
 	case FIELD_ADDR:
@@ -29,6 +31,14 @@
 	return NULL;
 }
 
+/* Hashes are not shown, nor home regions of items that have none. */
+static bool is_shown(const struct field *f, const char *at)
+{
+	if (f->kind == FIELD_REGIONS)
+		return ((const struct region_set *)(const void *)at)->count;
+	return f->kind != FIELD_HASH;
+}
+
 static struct json_object *section_json(const struct config *c, int kind)
 {
 	const struct kind_info *info = &kinds[kind];
@@ -40,7 +50,7 @@
 		obj = json_object_new_object();
 		for (f = info->fields; f < info->fields + info->field_count;
 		     f++)
-			if (f->kind != FIELD_HASH)
+			if (is_shown(f, item + f->offset))
 				json_object_object_add(
 					obj, f->name,
 					field_json(f, item + f->offset));
