Send requests to upstreams in their home regions only

Change: an entry places every attempt, first, rerouted or retried, among upstreams in the regions that both allow; without any it rejects the request as not run, with the new reason no-home-upstream. While a newer configuration is in force than the request began with, both apply; a request whose call still waits for its link is placed again. The call head carries the regions of the root's account, so sub-calls keep them even if the account is withdrawn meanwhile; it is unchanged for accounts without home regions. A gate rejects calls that its own configuration does not permit in its region, also when they are queued.

--- a/src/filter/candidates.c
+++ b/src/filter/candidates.c
@@ -2,6 +2,7 @@
 #include "filter/filter.h"
 
 #include "node/node.h"
+#include "policy/home.h"
 
 #define CANDIDATES_MAX 64
 /*
@@ -29,9 +30,9 @@
 /* Whether the request may be sent to the upstream at all. */
 static bool is_permitted(const struct known_upstream *u, void *ctx)
 {
-	(void)u;
-	(void)ctx;
-	return true;
+	const struct request *r = ctx;
+
+	return home_permits(&r->home, u->region);
 }
 
 /* Picks one of the permitted upstreams at random, preferring faster ones. */
@@ -43,6 +44,7 @@
 	size_t count, i;
 	int picked;
 
+	home_find(n, r);
 	count = directory_list(n->directory, r->service, is_permitted, r,
 			       handles, CANDIDATES_MAX);
 	for (i = 0; i < count; i++) {
--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -44,6 +44,7 @@
 	r->cls = parent->head.cls;
 	r->admit_hash = parent->head.admit_hash;
 	r->deadline_us = parent->deadline_us;
+	r->account_home = parent->head.account_home;
 	/* Each root with an unreported shed would have made this call too. */
 	memcpy(r->shed_unreported, parent->head.shed_unreported,
 	       sizeof(r->shed_unreported));
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -76,6 +76,8 @@
 	uint64_t claim;
 	bool claim_pending; /* waits for the result of claims_begin */
 	uint32_t shed_unreported[SHED_CLASSES];
+	struct home account_home; /* regions that the root's account allows */
+	struct home home;  /* those that its route allows too; see home.c */
 	uint64_t upstream; /* directory handle, current attempt */
 	uint64_t tried[TRIED_MAX];
 	uint64_t link_call;
@@ -176,6 +178,14 @@
 void limit_retry(struct node *n, const char *account, int64_t now);
 enum filter_result filter_claim(struct node *n, struct request *r, int64_t now);
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now);
+/* Finds where the next attempt may be sent. */
+void home_find(struct node *n, struct request *r);
+/* Returns the reason to refuse a request for which there is no upstream. */
+enum reason home_refusal(struct request *r);
+/* Applies changed home regions to requests that have not been sent yet. */
+void home_config_changed(struct node *n, int64_t now);
+/* Returns the route of a request in a configuration, or NULL. */
+const struct route *route_find(const struct config *c, const struct message *m);
 /* Picks an upstream for the next attempt; returns 0 if there is none. */
 uint64_t candidates_pick(struct node *n, struct request *r, int64_t now);
 /* Cancels the attempt in flight, if any. */
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -28,6 +28,7 @@
 	h->attempt = r->attempt;
 	h->once = request_runs_once(r);
 	h->trial = r->trial;
+	h->account_home = r->account_home;
 	memcpy(h->shed_unreported, r->shed_unreported,
 	       sizeof(h->shed_unreported));
 	memset(r->shed_unreported, 0, sizeof(r->shed_unreported));
@@ -150,7 +151,9 @@
 				      now);
 	while (place_attempt(n, r, now) < 0)
 		if (!r->upstream || r->reroutes++ >= TRIED_MAX - 1)
-			return request_refuse(n, r, REASON_NO_UPSTREAM,
+			return request_refuse(n, r,
+					      r->upstream ? REASON_NO_UPSTREAM
+							  : home_refusal(r),
 					      OUTCOME_NOT_RUN, now);
 	return FILTER_WAIT;
 }
--- a/src/filter/route.c
+++ b/src/filter/route.c
@@ -18,17 +18,14 @@
 	return route->weighted_services[i].service;
 }
 
-static const struct route *find_route(const struct request *r)
+const struct route *route_find(const struct config *c, const struct message *m)
 {
-	const char *host = message_header(&r->message, "host");
+	const char *host = message_header(m, "host");
 	const struct route *route = NULL;
 
 	if (host)
-		route = config_match_host_prefix(r->config, host,
-						 r->message.target);
-	return route ? route
-		     : config_match(r->config, r->message.method,
-				    r->message.target);
+		route = config_match_host_prefix(c, host, m->target);
+	return route ? route : config_match(c, m->method, m->target);
 }
 
 /*
@@ -37,7 +34,7 @@
  */
 enum filter_result filter_route(struct node *n, struct request *r, int64_t now)
 {
-	r->route = find_route(r);
+	r->route = route_find(r->config, &r->message);
 	if (!r->route)
 		return request_refuse(n, r, REASON_NO_ROUTE, OUTCOME_NOT_RUN,
 				      now);
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -201,6 +201,13 @@
 	stream_free(s);
 }
 
+bool links_is_unsent(const struct links *l, uint64_t call)
+{
+	const struct stream *s = stream_find(l, call);
+
+	return s && s->outgoing && !s->head_sent;
+}
+
 static int answer_overloaded(struct stream *s, struct frame *f)
 {
 	static const struct buffer none;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -245,6 +245,8 @@
 /* Returns 0 with err set on failure; done is not called before it returns. */
 uint64_t links_call(struct links *l, const struct link_call *c, int64_t now,
 		    struct error *err);
+/* Whether nothing of a call has been sent yet. */
+bool links_is_unsent(const struct links *l, uint64_t call);
 /* Sends a cancellation to the peer; done is not called. */
 void links_cancel(struct links *l, uint64_t call);
 int links_answer(struct links *l, uint64_t stream,
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -423,23 +423,30 @@
 	}
 }
 
+/* Answers a queued call as not run. */
+void gates_drop_call(struct node *n, struct call *c, enum reason reason,
+		     int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, c->upstream);
+
+	if (!u)
+		return;
+	gate_cancel(u->gate, c->handle, now);
+	record_call(n, c, DECISION_DROPPED, reason, now - c->arrived_us);
+	end_call(n, c, OUTCOME_NOT_RUN, reason, NULL, now);
+}
+
 /* Answers every queued call of the upstream as not run. */
 void gates_drop_queued(struct node *n, uint64_t upstream, int64_t now)
 {
-	struct local_upstream *u;
 	struct call *c;
 	uint64_t h = 0;
 	void *item;
 
 	while ((h = table_next(&n->calls, h, &item))) {
 		c = item;
-		u = gates_upstream(n, upstream);
-		if (c->upstream != upstream || c->started_us || !u)
-			continue;
-		gate_cancel(u->gate, h, now);
-		record_call(n, c, DECISION_DROPPED, REASON_NO_UPSTREAM,
-			    now - c->arrived_us);
-		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
+		if (c->upstream == upstream && !c->started_us)
+			gates_drop_call(n, c, REASON_NO_UPSTREAM, now);
 	}
 }
 
@@ -520,6 +527,12 @@
 		return handle;
 	}
 	c->upstream = u->handle;
+	if (!gates_is_home(n, &c->head)) {
+		record_call(n, c, DECISION_DROPPED, REASON_NO_HOME_UPSTREAM, 0);
+		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_HOME_UPSTREAM, NULL,
+			 now);
+		return handle;
+	}
 	if (is_refused_poison(n, c, now)) {
 		record_call(n, c, DECISION_DROPPED, REASON_POISON, 0);
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_POISON, NULL, now);
--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -187,6 +187,7 @@
 		info = find_announced(m, u);
 		if (info && info->state != UPSTREAM_GONE) {
 			u->info = *info;
+			u->region = name_hash(m->region);
 			if (m->state == MEMBER_LEAVING)
 				u->info.state = UPSTREAM_LEAVING;
 			i++;
--- a/src/node/gates.h
+++ b/src/node/gates.h
@@ -25,6 +25,11 @@
 void gates_mark_gone(struct node *n, uint64_t upstream, int64_t now);
 /* Answers every queued call of the upstream as not run. */
 void gates_drop_queued(struct node *n, uint64_t upstream, int64_t now);
+/* Answers a queued call as not run. */
+void gates_drop_call(struct node *n, struct call *c, enum reason reason,
+		     int64_t now);
+/* Whether the home regions of a call permit that it runs in this region. */
+bool gates_is_home(const struct node *n, const struct call_head *head);
 /* Removes upstreams that are gone and have no calls left. */
 void gates_remove_gone(struct node *n, int64_t now);
 /* Runs and drops calls of one upstream as its gate decides. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -137,6 +137,8 @@
 	if (n->quota)
 		quota_config(n->quota, c, now);
 	gates_apply_config(n);
+	gates_drop_away(n, now);
+	home_config_changed(n, now);
 	limit_callers(n);
 	log_start(&line, LOG_NOTICE, "config-in-force");
 	log_int(&line, "number", (int64_t)config_number(c));
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -204,6 +204,8 @@
 void gates_step(struct node *n, int64_t now);
 /* Applies the overload mode of the configuration in force. */
 void gates_apply_config(struct node *n);
+/* Rejects queued calls whose home regions this region no longer is among. */
+void gates_drop_away(struct node *n, int64_t now);
 /*
  * Whether an upstream of this host is ready and reachable. The host is then
  * expected to stay when the node stops.
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -103,6 +103,7 @@
 	switch (reason) {
 	case REASON_QUEUE_FULL:
 	case REASON_NO_UPSTREAM: /* of that gate; others may have one */
+	case REASON_NO_HOME_UPSTREAM:
 	case REASON_UPSTREAM_FAILED:
 	case REASON_UPSTREAM_MALFORMED:
 	case REASON_LINK_LOST:
--- a/src/wire/call_head.c
+++ b/src/wire/call_head.c
@@ -2,13 +2,38 @@
 
 #define CALL_HEAD_FIELDS 14
 #define CALL_HEAD_TRIAL_FIELDS 1 /* absent in older versions */
+#define CALL_HEAD_HOME_FIELDS 1	 /* absent if the account has no home */
+
+/* Writes the home regions of the root's account as a list of hashes. */
+static void write_home(struct writer *w, const struct home *h)
+{
+	uint8_t i;
+
+	write_array(w, h->count);
+	for (i = 0; i < h->count; i++)
+		write_uint(w, h->regions[i]);
+}
+
+static void read_home(struct reader *r, struct home *h)
+{
+	struct reader list;
+	size_t i;
+
+	h->count = (uint8_t)reader_list(r, &list, REGIONS_MAX);
+	h->bounded = true;
+	for (i = 0; i < h->count; i++)
+		h->regions[i] = read_uint(&list, UINT64_MAX);
+	r->failed |= list.failed;
+}
 
 /* Writes the head of a call as one array. */
 void write_call_head(struct writer *w, const struct call_head *h)
 {
 	int i;
 
-	write_array(w, CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS);
+	write_array(w, CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS +
+			       (h->account_home.bounded ? CALL_HEAD_HOME_FIELDS
+							: 0));
 	write_text(w, h->request);
 	write_text(w, h->root);
 	write_text(w, h->service);
@@ -26,6 +51,8 @@
 	for (i = 0; i < SHED_CLASSES; i++)
 		write_uint(w, h->shed_unreported[i]);
 	write_bool(w, h->trial);
+	if (h->account_home.bounded)
+		write_home(w, &h->account_home);
 }
 
 /* Decodes the output of write_call_head. */
@@ -54,5 +81,8 @@
 			(uint32_t)read_uint(&unreported, UINT32_MAX);
 	if (!sub.failed && sub.n >= CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS)
 		h->trial = read_bool(&sub);
+	if (!sub.failed && sub.n >= CALL_HEAD_FIELDS + CALL_HEAD_TRIAL_FIELDS +
+					    CALL_HEAD_HOME_FIELDS)
+		read_home(&sub, &h->account_home);
 	r->failed |= sub.failed || unreported.failed;
 }
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -104,6 +104,11 @@
 	[REASON_POISON] = {"poison", 503,
 			   "Several upstreams crashed while they ran this "
 			   "request, so it is not run again for now."},
+	[REASON_NO_HOME_UPSTREAM] =
+		{"no-home-upstream", 503,
+		 "No upstream of the service in the home regions of the "
+		 "route and the client account can be reached and takes new "
+		 "work."},
 };
 
 static const struct reason_row *row(enum reason r)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -78,6 +78,7 @@
 	REASON_OVERLOADED,	 /* too many requests or bytes held */
 	REASON_UPSTREAM_REFUSED, /* upstream reported: not run */
 	REASON_POISON,		 /* upstreams ended that ran it */
+	REASON_NO_HOME_UPSTREAM, /* none in its home regions */
 	REASON_COUNT
 };
 
@@ -107,6 +108,8 @@
 	uint8_t attempt;
 	bool once;
 	bool trial; /* run it although it is refused: see poison.h */
+	/* Regions that the root's account allows; not sent if unbounded. */
+	struct home account_home;
 	/* Calls of this account shed before they reached this gate. */
 	uint32_t shed_unreported[SHED_CLASSES];
 };
