--- a/test/test_config.c
+++ b/test/test_config.c
@@ -195,6 +195,57 @@
 	buffer_free(&y);
 }
 
+static struct config *config_with_homes(void)
+{
+	struct config *c = config_with_accounts(0, 1, 3);
+
+	return apply(c, "{\"release\": \"h\", \"added\": {\"services\": "
+			"[{\"name\": \"s\"}], \"routes\": [{\"name\": \"r\", "
+			"\"method\": \"GET\", \"path\": \"/\", \"service\": "
+			"\"s\", \"allowed_regions\": [\"north\"]}]}, "
+			"\"changed\": {\"accounts\": [{\"name\": \"a1\", "
+			"\"allowed_regions\": [\"west\", \"east\"]}]}}");
+}
+
+/*
+ * Guards against a snapshot that loses home regions, and against one without
+ * any that a node of an earlier build cannot read.
+ */
+static void snapshots_keep_home_regions(void **state)
+{
+	struct config *a = config_with_homes(), *b;
+	struct config *plain = config_with_accounts(0, 1, 3);
+	struct buffer x = {0}, y = {0};
+	struct error err;
+	size_t i;
+
+	(void)state;
+	assert_int_equal(config_pack(plain, &x), 0);
+	assert_int_equal(x.data[0], 1);
+	x.len = 0;
+	assert_int_equal(config_pack(a, &x), 0);
+	assert_int_equal(x.data[0], 2);
+	b = config_unpack(x.data, x.len, &err);
+	assert_non_null(b);
+	assert_equal_accounts(a, b);
+	assert_true(region_set_has(&config_route(b, "r")->home, "north"));
+	assert_int_equal(config_account(b, "a0")->home.count, 0);
+	assert_int_equal(config_pack(b, &y), 0);
+	assert_int_equal(x.len, y.len);
+	assert_memory_equal(x.data, y.data, x.len);
+	config_put(b);
+	for (i = 0; i < x.len; i++)
+		assert_null(config_unpack(x.data, i, &err));
+	y.len = 0;
+	assert_int_equal(config_show(a, "accounts", &y), 0);
+	assert_non_null(strstr((char *)y.data, "\"allowed_regions\":"
+					       "[\"west\",\"east\"]"));
+	config_put(a);
+	config_put(plain);
+	buffer_free(&x);
+	buffer_free(&y);
+}
+
 static void malformed_snapshots_are_rejected(void **state)
 {
 	struct config *a = config_with_accounts(0, 1, 3), *b;
@@ -339,6 +390,7 @@
 		cmocka_unit_test(a_very_long_segment_matches_a_parameter),
 		cmocka_unit_test(item_order_is_independent_of_history),
 		cmocka_unit_test(snapshots_round_trip),
+		cmocka_unit_test(snapshots_keep_home_regions),
 		cmocka_unit_test(malformed_snapshots_are_rejected),
 		cmocka_unit_test(oldest_releases_are_forgotten),
 		cmocka_unit_test(sections_are_shown_without_hashes),
--- a/test/test_note.c
+++ b/test/test_note.c
@@ -62,6 +62,9 @@
 	"{\"name\": \"" name "\", \"method\": \"GET\", \"path\": \"" path \
 	"\", \"service\": \"" service "\"}"
 
+#define REGIONS(name, list) \
+	"{\"name\": \"" name "\", \"allowed_regions\": " list "}"
+
 static const struct invalid_note invalid_notes[] = {
 	{NULL, "\"adds\": {}", "adds", "not a known member"},
 	{NULL, "\"after\": -1", "after", "number of a note"},
@@ -105,6 +108,16 @@
 	 "changed.accounts[0].rate", "must be from"},
 	{NULL, CHANGE("accounts", "{\"rate\": 1}"), "changed.accounts[0]",
 	 "with name"},
+	{NULL, CHANGE("routes", REGIONS("read", "[]")),
+	 "changed.routes[0].allowed_regions", "1 to 8 regions"},
+	{NULL,
+	 CHANGE("accounts", REGIONS("agents", "[\"a\",\"b\",\"c\",\"d\",\"e\","
+					      "\"f\",\"g\",\"h\",\"i\"]")),
+	 "changed.accounts[0].allowed_regions", "1 to 8 regions"},
+	{NULL, CHANGE("routes", REGIONS("read", "\"east\"")),
+	 "changed.routes[0].allowed_regions", "a list of regions"},
+	{NULL, CHANGE("routes", REGIONS("read", "[\"east\", 3]")),
+	 "changed.routes[0].allowed_regions[1]", "a string"},
 	{NULL, CHANGE("keys", "{\"id\": \"k1\", \"account\": \"x\"}"),
 	 "changed.keys[0].account", "there is no account x"},
 	{NULL,
@@ -245,6 +258,36 @@
 	config_put(c);
 }
 
+/* Guards against home regions that a later note widens unasked. */
+static void home_regions_last_until_a_note_changes_them(void **state)
+{
+	struct config *c = base(), *n, *lifted;
+	struct note_faults f;
+
+	(void)state;
+	n = apply(c,
+		  "{\"release\": \"r2\", " CHANGE(
+			  "accounts", REGIONS("agents", "[\"e\", \"w\"]")) "}",
+		  NULL, &f);
+	assert_non_null(n);
+	assert_int_equal(config_account(c, "agents")->home.count, 0);
+	config_put(c);
+	c = apply(n,
+		  "{\"release\": \"r3\", \"changed\": {\"accounts\": ["
+		  "{\"name\": \"agents\", \"rate\": 7}]}}",
+		  NULL, &f);
+	assert_int_equal(config_account(c, "agents")->home.count, 2);
+	assert_true(region_set_has(&config_account(c, "agents")->home, "w"));
+	lifted = apply(c,
+		       "{\"release\": \"r4\", " CHANGE(
+			       "accounts", REGIONS("agents", "null")) "}",
+		       NULL, &f);
+	assert_int_equal(config_account(lifted, "agents")->home.count, 0);
+	config_put(lifted);
+	config_put(n);
+	config_put(c);
+}
+
 static void team_may_change_its_own_items(void **state)
 {
 	struct config *c = base(), *n;
@@ -269,6 +312,7 @@
 		cmocka_unit_test(invalid_notes_are_rejected),
 		cmocka_unit_test(all_faults_are_reported),
 		cmocka_unit_test(changes_keep_unnamed_members),
+		cmocka_unit_test(home_regions_last_until_a_note_changes_them),
 		cmocka_unit_test(team_may_change_its_own_items),
 	};
 
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -164,6 +164,55 @@
 	assert_non_null(strstr(err.text, "upload"));
 }
 
+static void read_regions(const char *regions, struct config **c,
+			 struct error *err)
+{
+	char text[512];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":1,\"routes\":{\"columns\":[\"name\",\"host\","
+		 "\"prefix\",\"route_kind\",\"service\",\"allowed_regions\"],"
+		 "\"rows\":[[\"manual\",\"h\",\"/a/\",\"safe\",\"s\",%s]]},"
+		 "\"tenants\":{\"columns\":[\"name\",\"allowed_regions\"],"
+		 "\"rows\":[[\"free\",null],[\"acc\",[\"east\"]]]}}",
+		 regions);
+	*c = platform_config(text, strlen(text), err);
+}
+
+/* Guards against lists that would permit every region, or none, unnoticed. */
+static void home_regions_are_decoded(void **state)
+{
+	static const char *const bad[] = {
+		"[]",
+		"\"east\"",
+		"[3]",
+		"[\"\"]",
+		"[null]",
+		"{}",
+		"[\"1\",\"2\",\"3\",\"4\",\"5\",\"6\",\"7\",\"8\",\"9\"]"};
+	struct config *c;
+	struct error err;
+	size_t i;
+
+	(void)state;
+	read_regions("[\"east\",\"north\"]", &c, &err);
+	assert_non_null(c);
+	assert_int_equal(config_route(c, "manual")->home.count, 2);
+	assert_true(region_set_has(&config_route(c, "manual")->home, "north"));
+	assert_int_equal(config_account(c, "free")->home.count, 0);
+	assert_true(region_set_has(&config_account(c, "acc")->home, "east"));
+	assert_true(config_has_account_homes(c));
+	config_put(c);
+	read_regions("null", &c, &err);
+	assert_int_equal(config_route(c, "manual")->home.count, 0);
+	config_put(c);
+	for (i = 0; i < sizeof(bad) / sizeof(*bad); i++) {
+		read_regions(bad[i], &c, &err);
+		if (c || !strstr(err.text, "manual"))
+			fail_msg("%s: %s", bad[i], c ? "taken" : err.text);
+	}
+}
+
 #define HEARTBEAT_PATH "/mulberryferry/instances/i-7/heartbeat"
 #define DEREGISTER_PATH "/mulberryferry/instances/i-7/deregister"
 #define COMMON_MEMBERS                                                         \
@@ -401,6 +450,7 @@
 		cmocka_unit_test(account_priority_raises_shed_class),
 		cmocka_unit_test(malformed_documents_are_refused),
 		cmocka_unit_test(unknown_route_kind_is_named),
+		cmocka_unit_test(home_regions_are_decoded),
 		cmocka_unit_test(announcements_are_decoded),
 		cmocka_unit_test(malformed_announcements_are_refused),
 		cmocka_unit_test(store_responses_are_decoded),
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -38,6 +38,8 @@
 	h->admit_hash = UINT16_MAX;
 	h->once = true;
 	h->shed_unreported[SHED_MIDDLE] = 3;
+	h->account_home = (struct home){
+		.regions = {UINT64_MAX, 7}, .count = 2, .bounded = true};
 	copy_name(f->call.message.method, METHOD_SIZE, "POST");
 	f->call.message.target = strdup("/rafts/7?full=1");
 	message_add_header(&f->call.message, "accept", "*/*");
@@ -137,6 +139,10 @@
 	assert_int_equal(f.call.head.cls, SHED_LAST);
 	assert_true(f.call.head.once);
 	assert_int_equal(f.call.head.shed_unreported[SHED_MIDDLE], 3);
+	assert_true(f.call.head.account_home.bounded);
+	assert_int_equal(f.call.head.account_home.count, 2);
+	assert_true(f.call.head.account_home.regions[0] == UINT64_MAX);
+	assert_int_equal(f.call.head.account_home.regions[1], 7);
 	assert_string_equal(f.call.message.target, "/rafts/7?full=1");
 	assert_string_equal(message_header(&f.call.message, "accept"), "*/*");
 	assert_int_equal(f.call.body_len, 70000);
