Check which regions a request permits, not only which are picked

The balancer prefers the local region, which was the one allowed.

Change: the tests also compare the permitted regions, and a call that arrives at a gate outside its home regions must end at once.

--- a/test/test_home.c
+++ b/test/test_home.c
@@ -174,7 +174,10 @@
 	request_refuse(n, r, REASON_CANCELLED, OUTCOME_NOT_RUN, 0);
 }
 
-/* Fails unless picks reach exactly these regions; "" means no upstream. */
+/*
+ * Fails if picks reach another region than these; "" means no upstream. The
+ * balancer prefers local upstreams, so picks need not reach all of them.
+ */
 static void assert_picked(struct node *n, struct request *r, const char *names)
 {
 	struct region_set expected = set_of(names);
@@ -201,6 +204,19 @@
 			fail_msg("%s: sent to %s", names, regions[k]);
 }
 
+/* As assert_picked; fails also unless exactly these regions are permitted. */
+static void assert_home(struct node *n, struct request *r, const char *names)
+{
+	struct region_set expected = set_of(names);
+	size_t k;
+
+	assert_picked(n, r, names);
+	for (k = 0; k < REGIONS; k++)
+		if (home_permits(&r->home, name_hash(regions[k])) !=
+		    region_set_has(&expected, regions[k]))
+			fail_msg("%s: wrong for %s", names, regions[k]);
+}
+
 /*
  * Load: a route at home in a remote region while this data centre has spare
  * upstreams. Guards against local ones that fill the subset, or are faster.
@@ -221,7 +237,7 @@
 	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
 		set_config(n, i + 1, cases[i].route, cases[i].account);
 		r = add_request(n);
-		assert_picked(n, r, cases[i].allowed);
+		assert_home(n, r, cases[i].allowed);
 		assert_int_equal(home_refusal(r), REASON_NO_HOME_UPSTREAM);
 		end_request(n, r);
 	}
@@ -309,15 +325,15 @@
 	r = add_sub_call(n, c);
 	assert_int_equal(r->parent, c->handle);
 	assert_null(r->account);
-	assert_picked(n, r, "east north");
+	assert_home(n, r, "east north");
 	end_request(n, r);
 
 	r = add_sub_call(n, NULL);
-	assert_picked(n, r, "east north west");
+	assert_home(n, r, "east north west");
 	end_request(n, r);
 	set_config(n, 2, "", "east");
 	r = add_sub_call(n, NULL);
-	assert_picked(n, r, "east");
+	assert_home(n, r, "east");
 	assert_true(home_permits(&r->account_home, name_hash(east.names[0])));
 	end_request(n, r);
 	call_free(n, c);
@@ -390,6 +406,10 @@
 	set_config(n, 2, "west", "");
 	gates_drop_away(n, now);
 	assert_int_equal(n->calls.count, 1); /* the one that runs */
+	copy_name(head.request, sizeof(head.request), "late");
+	none.target = strdup("/a/b");
+	gates_submit(n, REPLY_LINK, 2000, &head, &none, now);
+	assert_int_equal(n->calls.count, 1); /* rejected on arrival */
 	node_close(n);
 }
 
