--- a/src/node/directory.c
+++ b/src/node/directory.c
@@ -190,6 +190,7 @@
 		if (info && info->state != UPSTREAM_GONE) {
 			known_cold_heard(d->node, u, info->cold_ms, now);
 			u->info = *info;
+			u->region = name_hash(m->region);
 			if (m->state == MEMBER_LEAVING)
 				u->info.state = UPSTREAM_LEAVING;
 			i++;
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -107,6 +107,11 @@
 	[REASON_COLD] = {"cold", 503,
 			 "The upstream has just started and takes few "
 			 "requests for now."},
+	[REASON_NO_HOME_UPSTREAM] =
+		{"no-home-upstream", 503,
+		 "No upstream of the service in the home regions of the "
+		 "route and the client account can be reached and takes new "
+		 "work."},
 };
 
 static const struct reason_row *row(enum reason r)
