Read, watch and pass on the orders to evacuate a data centre

Operators take a data centre out of service with the key op/evacuate/DATA_CENTRE, which nothing read. With the promise evacuation_s a node reads the document and the orders in one list of op/ in place of the GET of op/config, with further pages where the store cuts the list off, and its watch covers op/. The state carries era and revision of the store; of two states the newer one takes precedence. PEER_NOTE messages carry it as a fifth field, which older builds skip, and a node takes over the proof of freshness only of a message whose state it has merged. An order learnt by a node whose own proof is older than 2 s counts from that proof, as it may have missed it since. Without the promise the same calls are made and the same bytes sent.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -52,6 +52,8 @@
 	double retry_ratio;	 /* retries per request of a service */
 	double retry_slack;	 /* retries beyond the ratio, over all hosts */
 	int64_t retry_window_us; /* window in which they are counted */
+	/* Until no request reaches an evacuated data centre; 0: not used. */
+	int64_t evacuation_us;
 };
 
 /* Settings of one node, read once at start. */
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -64,6 +64,9 @@
 /* Whether self is the first of all live members for a topic. */
 bool members_first(const struct members *m, uint64_t topic);
 
+/* Evacuations: see control/evacuations/evacuations.h. */
+struct evacuations;
+
 /* Notes: keeps the newest configuration and distributes it to the peers. */
 struct notes;
 
@@ -77,12 +80,15 @@
 	enum notes_source source;
 	struct {
 		const char *key; /* in the store */
+		/* Of the keys that operators write; used with evacuations. */
+		const char *prefix;
 		struct config *(*read)(const void *data, size_t len,
 				       struct error *err);
 	} document;
 	struct control_io io;
 	struct store *store;
 	struct members *members;
+	struct evacuations *evacuations; /* NULL: not used */
 	uint64_t seed;
 	void *ctx;
 	void (*in_force)(void *ctx, struct config *c, int64_t now);
--- a/src/control/notes/notes_document.c
+++ b/src/control/notes/notes_document.c
@@ -16,7 +16,6 @@
  */
 #define UNANSWERED_US (500 * USEC_PER_MSEC)
 #define UNANSWERED_FACTOR 2
-#define OPEN_READS_MAX 3
 /*
  * A node that was told of a newer number reads the store when no peer has
  * delivered it in this time, spread over the members so that the store gets
@@ -108,6 +107,13 @@
 		notes_set_config(n, c, road, now);
 }
 
+/* Applies the document that a read returned. */
+void document_read_entry(struct notes *n, const struct store_entry *e,
+			 int64_t now)
+{
+	apply_document(n, e, ROAD_READ, now);
+}
+
 /* Handles a watch event of the document's key. */
 void document_changed(struct notes *n, const struct store_entry *e, int64_t now)
 {
@@ -155,6 +161,15 @@
 	append_fetch_ended(n, success, now);
 }
 
+/* Ends a read that covered the evacuations too. */
+void document_read_ended(struct notes *n, int64_t started_us, bool success,
+			 int64_t now)
+{
+	n->fetch.open_reads--;
+	read_ended(n, started_us, success, now);
+	append_fetch_ended(n, success, now);
+}
+
 /*
  * Reads the document, unless enough reads are in progress; a response confirms
  * which one is the newest.
@@ -169,7 +184,10 @@
 		return;
 	n->fetch.open_reads++;
 	n->fetch.started_us = now;
-	fetch_submit(n, &op, &done, now);
+	if (n->o.evacuations)
+		range_fetch(n, now);
+	else
+		fetch_submit(n, &op, &done, now);
 }
 
 /* Returns the earliest time of the next read. */
--- a/src/control/notes/notes_fetch.c
+++ b/src/control/notes/notes_fetch.c
@@ -52,6 +52,7 @@
 	struct envelope env;
 
 	if (n->o.source == SOURCE_DOCUMENT) {
+		note_evacuations_changed(n, e, now);
 		document_changed(n, e, now);
 		return;
 	}
@@ -82,7 +83,8 @@
 				.ended = watch_ended};
 
 	if (n->o.source == SOURCE_DOCUMENT)
-		w.prefix = n->o.document.key;
+		w.prefix = n->o.evacuations ? n->o.document.prefix
+					    : n->o.document.key;
 	if (n->is_reader && !n->watch)
 		n->watch = store_watch_start(n->o.store, &w, now);
 }
--- a/src/control/notes/notes_impl.h
+++ b/src/control/notes/notes_impl.h
@@ -3,6 +3,7 @@
 #define CONTROL_NOTES_IMPL_H
 
 #include "control/control.h"
+#include "control/evacuations/evacuations.h"
 
 #define NOTE_CACHE_SLOTS 1024 /* a power of two */
 #define NOTES_AHEAD_MAX 24    /* cached before their predecessor arrives */
@@ -22,6 +23,18 @@
 	char *text;
 };
 
+#define OPEN_READS_MAX 3 /* of the document */
+
+/* One read of the document and the evacuations. */
+struct range_read {
+	bool open;
+	int64_t started_us;
+	uint32_t history; /* see store_replacements */
+	uint32_t pages;
+	char after[STORE_KEY_SIZE]; /* last key of the page before, or "" */
+	struct evacuation_set set;
+};
+
 /* Reading from the store; one fetch runs at a time. */
 enum fetch_step {
 	FETCH_IDLE,
@@ -36,7 +49,8 @@
 	int64_t started_us;
 	int64_t next_us;     /* earliest start of the next fetch */
 	uint32_t open_reads; /* of the document */
-	int64_t answer_us;   /* time that the last answer to one took */
+	struct range_read ranges[OPEN_READS_MAX];
+	int64_t answer_us; /* time that the last answer to one took */
 	uint32_t failures;
 	uint32_t store_behind;	   /* consecutive fetches */
 	uint64_t head;		   /* newest number in the store */
@@ -211,6 +225,19 @@
 void document_fetch(struct notes *n, int64_t now);
 void document_changed(struct notes *n, const struct store_entry *e,
 		      int64_t now);
+void document_read_entry(struct notes *n, const struct store_entry *e,
+			 int64_t now);
+void document_read_ended(struct notes *n, int64_t started_us, bool success,
+			 int64_t now);
+void range_fetch(struct notes *n, int64_t now);
+int64_t note_evacuations_learnt_us(const struct notes *n, int64_t now);
+bool note_evacuations_missing(const struct notes *n);
+void note_evacuations_write(const struct notes *n, struct peer_msg *msg,
+			    int64_t now);
+bool note_evacuations_receive(struct notes *n, const struct peer_msg *msg,
+			      int64_t now);
+void note_evacuations_changed(struct notes *n, const struct store_entry *e,
+			      int64_t now);
 void document_await(struct notes *n, int64_t now);
 void document_release(struct notes *n, int64_t now);
 void document_tick(struct notes *n, int64_t now);
--- a/src/control/notes/notes_peer.c
+++ b/src/control/notes/notes_peer.c
@@ -44,10 +44,11 @@
 	msg.note.question = question;
 	msg.note.number = notes_number(n);
 	msg.note.age_ms = age_ms(n, now);
-	if (on_link)
+	note_evacuations_write(n, &msg, now);
+	/* The names of many evacuated data centres may not fit a datagram. */
+	if (on_link || (n->o.io.datagram(n->o.io.ctx, to, &msg) < 0 &&
+			msg.note.evacuations.n))
 		n->o.io.send(n->o.io.ctx, to, &msg, now);
-	else
-		n->o.io.datagram(n->o.io.ctx, to, &msg);
 }
 
 static void fill_note(struct notes *n, struct peer_msg *msg,
@@ -57,6 +58,7 @@
 	msg->kind = PEER_NOTE;
 	msg->note.number = note->number;
 	msg->note.age_ms = age_ms(n, now);
+	note_evacuations_write(n, msg, now);
 	msg->note.text.data = (uint8_t *)note->text;
 	msg->note.text.len = note->len;
 }
@@ -205,7 +207,7 @@
 		return;
 	if (behind && n->pull_rounds++ % 3 == 0 && addr_is_set(&n->newest_from))
 		pull_from(n, &n->newest_from, now);
-	else if (behind || !notes_number(n))
+	else if (behind || !notes_number(n) || note_evacuations_missing(n))
 		pull_random(n, n->pull_rounds % 3 == 2, now);
 	else if (now >= n->next_confirm_us)
 		request_confirmation(n, now);
@@ -284,6 +286,7 @@
 static void receive_note(struct notes *n, const struct peer_msg *msg,
 			 int64_t now)
 {
+	bool complete = note_evacuations_receive(n, msg, now);
 	int64_t age = msg->note.age_ms;
 
 	if (msg->note.text.len)
@@ -294,7 +297,7 @@
 	/* End of a batch that made progress: pull the next one at once. */
 	if (!msg->note.text.len && notes_number(n) != n->pulled_after)
 		n->next_pull_us = now;
-	if (age >= 0 && age < AGE_MAX_MS &&
+	if (complete && age >= 0 && age < AGE_MAX_MS &&
 	    msg->config_number == notes_number(n))
 		receive_proof(n, msg, now);
 }
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -25,6 +25,16 @@
 /* Returns whether an admission hash is below the admitted share. */
 bool admit_hash_passes(uint16_t admit_hash, uint16_t admitted);
 
+/*
+ * Evacuation of a data centre. Returns the share of calls that may still be
+ * sent there: 1 when the order is learnt, then falling evenly to 0.
+ */
+double evacuation_share(int64_t learnt_us, int64_t bound_us, int64_t now);
+/* Whether a root is among the share that may still be sent there. */
+bool evacuation_admits(uint16_t admit_hash, uint64_t data_centre, double share);
+/* Whether the gates of the data centre reject every call. */
+bool evacuation_gates_closed(int64_t learnt_us, int64_t bound_us, int64_t now);
+
 /* Token bucket of one account on one node. */
 struct bucket {
 	double rate;  /* tokens per second */
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -109,6 +109,7 @@
 	case REASON_STOPPING:
 	case REASON_OVERLOADED:
 	case REASON_UPSTREAM_REFUSED:
+	case REASON_EVACUATED: /* other data centres may have upstreams */
 		return true;
 	default:
 		return false;
--- a/src/store/etcd_response.c
+++ b/src/store/etcd_response.c
@@ -108,6 +108,7 @@
 	switch (kind) {
 	case STORE_GET:
 	case STORE_LIST:
+		r->more = json_object_get_boolean(json_member(o, "more"));
 		return add_kvs(o, r);
 	case STORE_TXN:
 		return parse_txn(o, r);
--- a/src/store/memory.c
+++ b/src/store/memory.c
@@ -169,11 +169,17 @@
 			  record->mod_revision);
 }
 
-static int run_list(struct kv *kv, const struct store_op *op,
+static uint32_t lower_limit(uint32_t a, uint32_t b)
+{
+	return !a || (b && b < a) ? b : a;
+}
+
+static int run_list(struct kv *kv, const struct store_op *op, uint32_t list_max,
 		    struct store_result *r)
 {
 	size_t prefix_len = strlen(op->list.prefix);
 	const char *from = op->list.prefix;
+	uint32_t limit = lower_limit(op->list.limit, list_max);
 	const struct kv_record *record;
 	size_t i;
 
@@ -184,8 +190,10 @@
 			break;
 		if (op->list.after && !strcmp(record->key, op->list.after))
 			continue;
-		if (op->list.limit && r->n == op->list.limit)
+		if (limit && r->n == limit) {
+			r->more = true;
 			break;
+		}
 		if (add_record(r, record) < 0)
 			return -1;
 	}
@@ -215,7 +223,7 @@
 	return 0;
 }
 
-static int run_op(struct kv *kv, const struct store_op *op,
+static int run_op(struct kv *kv, const struct store_op *op, uint32_t list_max,
 		  struct store_result *r, int64_t now)
 {
 	r->outcome = STORE_DONE;
@@ -223,7 +231,7 @@
 	case STORE_GET:
 		return add_record(r, kv_get(kv, op->key));
 	case STORE_LIST:
-		return run_list(kv, op, r);
+		return run_list(kv, op, list_max, r);
 	case STORE_TXN:
 		return run_txn(kv, op, r, now);
 	case STORE_LEASE_GRANT:
@@ -258,7 +266,8 @@
 	if (m->faults.down)
 		result_fail(&p->result, STORE_NOT_DONE, ERROR_IO, "memory",
 			    "store is down");
-	else if (run_op(kv, op, &p->result, now) < 0 && !p->result.err.code)
+	else if (run_op(kv, op, m->faults.list_max, &p->result, now) < 0 &&
+		 !p->result.err.code)
 		result_fail(&p->result, STORE_UNKNOWN, ERROR_MEMORY, "memory",
 			    "no memory");
 	else if (m->faults.lose_response)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -103,6 +103,7 @@
 	int64_t lease;	  /* GRANT, RENEW; 0 after RENEW: expired */
 	struct store_entry *entries;
 	size_t n;
+	bool more; /* LIST: the rest follows after the last entry */
 	struct error err;
 };
 
@@ -175,6 +176,7 @@
 	bool down;	    /* calls end as STORE_NOT_DONE, watches end */
 	bool lose_response; /* calls take effect and end as STORE_UNKNOWN */
 	int64_t latency_us; /* delay of responses and events */
+	uint32_t list_max;  /* entries in one response to a list; 0: all */
 };
 
 /* A memory store may be shared by several clients in one process. */
--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -9,6 +9,8 @@
 /* A question follows; it is absent in messages of older versions. */
 #define PULL_FIELDS 1
 #define NOTE_FIELDS 3
+/* The question and the evacuations, in that order. */
+#define NOTE_EVACUATIONS_FIELDS (NOTE_FIELDS + 2)
 
 static void write_digests(struct writer *w, const uint64_t *digests)
 {
@@ -44,11 +46,15 @@
 		write_uint(w, m->notes_pull.question);
 		break;
 	case PEER_NOTE:
-		write_array(w, NOTE_FIELDS + 1);
+		write_array(w, m->note.evacuations.known
+				       ? NOTE_EVACUATIONS_FIELDS
+				       : NOTE_FIELDS + 1);
 		write_uint(w, m->note.number);
 		write_uint(w, m->note.age_ms < 0 ? 0 : m->note.age_ms);
 		write_bytes(w, m->note.text.data, m->note.text.len);
 		write_uint(w, m->note.question);
+		if (m->note.evacuations.known)
+			write_evacuations(w, &m->note.evacuations);
 		break;
 	case PEER_SNAPSHOT:
 		write_array(w, 4);
@@ -133,6 +139,8 @@
 	read_buffer(&sub, &m->note.text, PEER_BYTES_MAX);
 	if (sub.n > NOTE_FIELDS)
 		m->note.question = read_uint(&sub, UINT64_MAX);
+	if (sub.n >= NOTE_EVACUATIONS_FIELDS)
+		read_evacuations(&sub, &m->note.evacuations);
 	r->failed |= sub.failed;
 }
 
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -104,6 +104,9 @@
 	[REASON_POISON] = {"poison", 503,
 			   "Several upstreams crashed while they ran this "
 			   "request, so it is not run again for now."},
+	[REASON_EVACUATED] = {"evacuated", 503,
+			      "Every data centre with upstreams of the service "
+			      "is being taken out of service by operators."},
 };
 
 static const struct reason_row *row(enum reason r)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -78,6 +78,7 @@
 	REASON_OVERLOADED,	 /* too many requests or bytes held */
 	REASON_UPSTREAM_REFUSED, /* upstream reported: not run */
 	REASON_POISON,		 /* upstreams ended that ran it */
+	REASON_EVACUATED,	 /* its data centre is out of service */
 	REASON_COUNT
 };
 
@@ -280,6 +281,20 @@
 
 #define POISON_FACTS_MAX 6 /* in one message */
 
+#define EVACUATIONS_MAX 16
+
+/* The data centres that are out of service, as the sender knows. */
+struct evacuations_info {
+	bool known; /* false: it does not know, or is of an older build */
+	int64_t era;
+	int64_t revision; /* of the store */
+	size_t n;
+	struct {
+		char data_centre[NAME_SIZE];
+		int64_t age_ms; /* since the sender learnt of it */
+	} items[EVACUATIONS_MAX];
+};
+
 /*
  * A control message between nodes. Each carries the sender's address,
  * incarnation and configuration number; probes also carry membership changes.
@@ -316,6 +331,7 @@
 			int64_t age_ms; /* since it was accepted */
 			struct buffer text;
 			uint64_t question; /* that it answers; 0: none */
+			struct evacuations_info evacuations;
 		} note;
 		struct {
 			uint64_t number;
--- a/src/wire/wire_impl.h
+++ b/src/wire/wire_impl.h
@@ -61,6 +61,9 @@
 size_t read_poison_facts(struct reader *r,
 			 struct poison_facts f[POISON_FACTS_MAX]);
 
+void write_evacuations(struct writer *w, const struct evacuations_info *info);
+void read_evacuations(struct reader *r, struct evacuations_info *info);
+
 void write_members(struct writer *w, const struct member_info *m, size_t n);
 size_t read_members(struct reader *r, struct member_info **m);
 void write_peer_msg(struct writer *w, const struct peer_msg *m);
--- a/test/notes_cluster.h
+++ b/test/notes_cluster.h
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "control/control.h"
+#include "control/evacuations/evacuations.h"
 
 #define NODES_MAX 64
 #define POISON_MAX 64
@@ -28,6 +29,7 @@
 	struct cluster *cluster;
 	struct members *members;
 	struct notes *notes;
+	struct evacuations *evacuations; /* NULL: not used */
 	struct poison *poison;
 	struct poison_gossip *gossip;
 	struct store *store;
@@ -61,6 +63,7 @@
 	bool partitioned;  /* no messages between data centres */
 	bool links_silent; /* no messages on links; datagrams arrive */
 	bool document;	   /* the configuration is one document */
+	bool evacuations;  /* nodes started from now on follow orders */
 	struct store *operator_store;
 };
 
@@ -180,6 +183,9 @@
 }
 
 #define DOCUMENT_KEY "operator/document"
+#define OPERATOR_PREFIX "operator/"
+#define EVACUATION_PREFIX "operator/evacuate/"
+#define EVACUATION_US (5 * USEC_PER_SEC)
 #define INVALID_DOCUMENT "invalid"
 
 /* Reads a document that is only the number of a configuration. */
@@ -210,6 +216,16 @@
 	notes_store_replaced(node->notes, now);
 }
 
+static void start_evacuations(struct node *node, struct notes_options *o)
+{
+	struct evacuations_options e = {.prefix = EVACUATION_PREFIX,
+					.bound_us = EVACUATION_US};
+
+	node->evacuations = evacuations_new(&e);
+	o->document.prefix = OPERATOR_PREFIX;
+	o->evacuations = node->evacuations;
+}
+
 /* Starts or restarts a node with empty state. */
 static void cluster_start(struct cluster *c, int i)
 {
@@ -228,6 +244,9 @@
 		o.document.key = DOCUMENT_KEY;
 		o.document.read = read_number_document;
 	}
+	node->evacuations = NULL;
+	if (c->evacuations)
+		start_evacuations(node, &o);
 	node->store = store_open_memory(c->shared);
 	node->number = 0;
 	node->up = true;
@@ -253,6 +272,7 @@
 	node->paused = false;
 	store_close(node->store);
 	notes_free(node->notes);
+	evacuations_free(node->evacuations);
 	poison_gossip_free(node->gossip);
 	poison_free(node->poison);
 	members_free(node->members);
@@ -283,6 +303,16 @@
 	cluster_open_store(c, nodes, data_centres);
 }
 
+/* As cluster_open_document, of nodes that follow evacuation orders. */
+static inline void cluster_open_evacuations(struct cluster *c, int nodes,
+					    int data_centres)
+{
+	memset(c, 0, sizeof(*c));
+	c->document = true;
+	c->evacuations = true;
+	cluster_open_store(c, nodes, data_centres);
+}
+
 /* Opens a cluster whose configuration is one document in the store. */
 static inline void cluster_open_document(struct cluster *c, int nodes,
 					 int data_centres)
@@ -315,6 +345,18 @@
 	store_submit(c->operator_store, &op, &done, c->now);
 }
 
+/* Removes a key as an operator does, at once. */
+static inline void cluster_remove(struct cluster *c, const char *key)
+{
+	struct store_write w = {.key = key, .remove = true};
+	struct store_op op = {.kind = STORE_TXN};
+	struct store_done done = {.fn = ignore_result};
+
+	op.txn.writes = &w;
+	op.txn.write_count = 1;
+	store_submit(c->operator_store, &op, &done, c->now);
+}
+
 static void free_packet(struct packet *p)
 {
 	buffer_free(&p->bytes);
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -256,6 +256,40 @@
 	buffer_free(&b);
 }
 
+/* A note of a build without evacuations has four fields or three. */
+static void notes_carry_evacuations(void **state)
+{
+	struct peer_msg m = {.kind = PEER_NOTE}, back;
+	struct buffer b = {0};
+	size_t without;
+	int i;
+
+	(void)state;
+	m.note.question = 7;
+	assert_int_equal(peer_msg_encode(&m, &b), 0);
+	assert_int_equal(peer_msg_decode(&back, b.data, b.len, NULL), 0);
+	assert_false(back.note.evacuations.known);
+	assert_int_equal(back.note.question, 7);
+	peer_msg_free(&back);
+	without = b.len;
+	m.note.evacuations.known = true;
+	m.note.evacuations.era = 3;
+	m.note.evacuations.revision = 99;
+	m.note.evacuations.n = EVACUATIONS_MAX;
+	for (i = 0; i < EVACUATIONS_MAX; i++) {
+		m.note.evacuations.items[i].data_centre[0] = (char)('a' + i);
+		m.note.evacuations.items[i].age_ms = 1000 * i;
+	}
+	b.len = 0;
+	assert_int_equal(peer_msg_encode(&m, &b), 0);
+	assert_true(b.len > without);
+	assert_int_equal(peer_msg_decode(&back, b.data, b.len, NULL), 0);
+	assert_memory_equal(&back.note.evacuations, &m.note.evacuations,
+			    sizeof(m.note.evacuations));
+	peer_msg_free(&back);
+	buffer_free(&b);
+}
+
 static void peer_messages_round_trip(void **state)
 {
 	enum peer_msg_kind kind;
@@ -370,6 +404,7 @@
 		cmocka_unit_test(malformed_bytes_are_refused),
 		cmocka_unit_test(fields_of_newer_versions_are_ignored),
 		cmocka_unit_test(oversized_fields_are_refused),
+		cmocka_unit_test(notes_carry_evacuations),
 		cmocka_unit_test(peer_messages_round_trip),
 		cmocka_unit_test(poison_facts_keep_every_field),
 		cmocka_unit_test(datagrams_need_the_secret),
