Send nothing to an evacuated data centre, and reject at its gates

Requests went on to reach upstreams of a data centre that operators had evacuated: with the promise unset, test/evacuation.sh counts 31 requests in the two seconds after the bound of 5 s.

Entries choose candidates only from data centres that the order permits: the share of roots that may still be sent there falls evenly to 0 in 0.3 of evacuation_s. Gates of the data centre reject every call, queued ones included, from 0.5 of it on, as not run and with the reason `evacuated`; the entry sends the request elsewhere without using its retry budget, and not to that data centre again. A node that has no state yet serves nothing, and its gates reject calls. ended() in node/evacuation.c is the place where upstreams that come back will be presumed cold.

--- a/src/admin/health.c
+++ b/src/admin/health.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "node/evacuation.h"
+
 /* /readyz reports a configuration that went unconfirmed for this long. */
 #define STALE_REPORT_US (60 * USEC_PER_SEC)
 
@@ -24,7 +26,7 @@
 	struct buffer b = {0};
 	int64_t stale;
 
-	if (!n->config) {
+	if (!node_is_configured(n)) {
 		answer_text(c, 503, "no configuration yet\n");
 		return;
 	}
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -26,6 +26,8 @@
 				   "Upstreams that ended under their calls"},
 	[COUNTER_POISON_REFUSED] = {"poison_refused",
 				    "Requests refused that crash upstreams"},
+	[COUNTER_EVACUATED] = {"evacuated",
+			       "Calls that gates rejected in an evacuation"},
 	[COUNTER_LINKS_OPENED] = {"links_opened", "Links between nodes opened"},
 	[COUNTER_LINK_FRAMES] = {"link_frames", "Frames sent on links"},
 	[COUNTER_LINK_BYTES] = {"link_bytes", "Bytes sent on links"},
--- a/src/filter/candidates.c
+++ b/src/filter/candidates.c
@@ -1,7 +1,7 @@
 /* The upstreams that a request may be sent to, and the choice among them. */
 #include "filter/filter.h"
 
-#include "node/node.h"
+#include "node/evacuation.h"
 
 #define CANDIDATES_MAX 64
 /*
@@ -26,12 +26,18 @@
 	return false;
 }
 
+struct placement {
+	const struct node *node;
+	const struct request *request;
+	int64_t now;
+};
+
 /* Whether the request may be sent to the upstream at all. */
 static bool is_permitted(const struct known_upstream *u, void *ctx)
 {
-	(void)u;
-	(void)ctx;
-	return true;
+	const struct placement *p = ctx;
+
+	return evacuation_permits(p->node, p->request, u->data_centre, p->now);
 }
 
 /* Picks one of the permitted upstreams at random, preferring faster ones. */
@@ -39,12 +45,13 @@
 {
 	struct balance_candidate c[CANDIDATES_MAX];
 	uint64_t handles[CANDIDATES_MAX];
+	struct placement placement = {n, r, now};
 	struct known_upstream *u;
 	size_t count, i;
 	int picked;
 
-	count = directory_list(n->directory, r->service, is_permitted, r,
-			       handles, CANDIDATES_MAX);
+	count = directory_list(n->directory, r->service, is_permitted,
+			       &placement, handles, CANDIDATES_MAX);
 	for (i = 0; i < count; i++) {
 		u = directory_get(n->directory, handles[i]);
 		c[i] = (struct balance_candidate){
--- a/src/filter/chain.c
+++ b/src/filter/chain.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node/node.h"
+#include "node/evacuation.h"
 
 /* Maps an exchange to its request, to cancel it when the caller is lost. */
 struct exchange_index {
@@ -126,7 +126,7 @@
 	counter_add(origin == ORIGIN_CALLER ? COUNTER_REQUESTS
 					    : COUNTER_SUB_CALLS,
 		    1);
-	if (!n->config) {
+	if (!node_is_configured(n)) {
 		refuse_exchange(n->headers, server, exchange,
 				REASON_NOT_CONFIGURED);
 		return;
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -78,6 +78,7 @@
 	uint32_t shed_unreported[SHED_CLASSES];
 	uint64_t upstream; /* directory handle, current attempt */
 	uint64_t tried[TRIED_MAX];
+	uint64_t evacuated; /* data centre whose gate rejected it; 0: none */
 	uint64_t link_call;
 	uint64_t local_call;
 	int64_t sent_us;
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "node/node.h"
+#include "node/evacuation.h"
 
 #define OVERLOAD_OFF_RETRIES 3 /* limit per request, without overload control */
 
@@ -142,6 +142,13 @@
 	return 0;
 }
 
+static enum reason no_upstream_reason(struct node *n, struct request *r,
+				      int64_t now)
+{
+	return evacuation_leaves_none(n, r, now) ? REASON_EVACUATED
+						 : REASON_NO_UPSTREAM;
+}
+
 /* Sends the call, to another upstream's gate if a gate is unreachable. */
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
 {
@@ -150,7 +157,8 @@
 				      now);
 	while (place_attempt(n, r, now) < 0)
 		if (!r->upstream || r->reroutes++ >= TRIED_MAX - 1)
-			return request_refuse(n, r, REASON_NO_UPSTREAM,
+			return request_refuse(n, r,
+					      no_upstream_reason(n, r, now),
 					      OUTCOME_NOT_RUN, now);
 	return FILTER_WAIT;
 }
@@ -227,7 +235,8 @@
 		return r->attempt < OVERLOAD_OFF_RETRIES;
 	if (!retry_allowed(outcome, reason, request_runs_once(r)))
 		return false;
-	if (n->headers->status_implies_outcome &&
+	if ((n->headers->status_implies_outcome ||
+	     reason == REASON_EVACUATED) &&
 	    may_reroute(r, outcome, reason))
 		return true;
 	if (!r->allowance)
@@ -285,6 +294,8 @@
 		load_failed(&u->load, now);
 	if (u && head->leaving)
 		u->info.state = UPSTREAM_LEAVING;
+	if (u && head->reason == REASON_EVACUATED)
+		r->evacuated = u->data_centre;
 	retries_heard(n, r, head);
 	if (head->bottleneck) {
 		cutoffs_merge(n->cutoffs, head->bottleneck, account,
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/evacuation.h"
 #include "node/gates.h"
 #include "node/upstream_end.h"
 
@@ -148,6 +149,8 @@
 {
 	struct answer_head head = {.outcome = outcome, .reason = reason};
 
+	if (reason == REASON_EVACUATED && outcome == OUTCOME_NOT_RUN)
+		counter_add(COUNTER_EVACUATED, 1);
 	fill_answer_head(n, c, &head, now);
 	if (outcome == OUTCOME_NOT_RUN && reason != REASON_UPSTREAM_REFUSED)
 		head.retry_after_ms = limit_retry_after_ms(n, c);
@@ -395,10 +398,42 @@
 	end_call(n, c, OUTCOME_NOT_RUN, REASON_UPSTREAM_FAILED, NULL, now);
 }
 
+static void drop_queued(struct node *n, uint64_t upstream, enum reason reason,
+			int64_t now)
+{
+	struct local_upstream *u;
+	struct call *c;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item))) {
+		c = item;
+		u = gates_upstream(n, upstream);
+		if (c->upstream != upstream || c->started_us || !u)
+			continue;
+		gate_cancel(u->gate, h, now);
+		record_call(n, c, DECISION_DROPPED, reason,
+			    now - c->arrived_us);
+		end_call(n, c, OUTCOME_NOT_RUN, reason, NULL, now);
+	}
+}
+
+/* Rejects the queued calls of an upstream whose gate is closed. */
+static void reject_queued(struct node *n, struct local_upstream *u,
+			  enum reason reason, int64_t now)
+{
+	struct gate_report report;
+
+	gate_report(u->gate, &report);
+	if (report.queued)
+		drop_queued(n, u->handle, reason, now);
+}
+
 /* Drops the calls that the gate rejects, then runs those that it admits. */
 void gates_dispatch(struct node *n, uint64_t upstream, int64_t now)
 {
 	struct local_upstream *u = gates_upstream(n, upstream);
+	enum reason closed = evacuation_gate_reason(n, now);
 	struct gate_drop drop;
 	struct call *c;
 	int64_t waited_us;
@@ -414,6 +449,10 @@
 			    now - c->arrived_us);
 		end_call(n, c, OUTCOME_NOT_RUN, drop.reason, NULL, now);
 	}
+	if (closed) {
+		reject_queued(n, u, closed, now);
+		return;
+	}
 	while ((id = gate_next(u->gate, now, &waited_us))) {
 		c = gates_call_get(n, id);
 		if (c)
@@ -426,21 +465,7 @@
 /* Answers every queued call of the upstream as not run. */
 void gates_drop_queued(struct node *n, uint64_t upstream, int64_t now)
 {
-	struct local_upstream *u;
-	struct call *c;
-	uint64_t h = 0;
-	void *item;
-
-	while ((h = table_next(&n->calls, h, &item))) {
-		c = item;
-		u = gates_upstream(n, upstream);
-		if (c->upstream != upstream || c->started_us || !u)
-			continue;
-		gate_cancel(u->gate, h, now);
-		record_call(n, c, DECISION_DROPPED, REASON_NO_UPSTREAM,
-			    now - c->arrived_us);
-		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
-	}
+	drop_queued(n, upstream, REASON_NO_UPSTREAM, now);
 }
 
 static uint32_t account_weight(struct node *n, const char *account)
@@ -520,6 +545,12 @@
 		return handle;
 	}
 	c->upstream = u->handle;
+	why = evacuation_gate_reason(n, now);
+	if (why) {
+		record_call(n, c, DECISION_DROPPED, why, 0);
+		end_call(n, c, OUTCOME_NOT_RUN, why, NULL, now);
+		return handle;
+	}
 	if (is_refused_poison(n, c, now)) {
 		record_call(n, c, DECISION_DROPPED, REASON_POISON, 0);
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_POISON, NULL, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,6 +7,8 @@
 #include <xxhash.h>
 
 #include "admin/admin.h"
+#include "control/evacuations/evacuations.h"
+#include "node/evacuation.h"
 #include "node/listeners.h"
 #include "platform/platform.h"
 
@@ -187,6 +189,8 @@
 		secret_tick(n->secret, now);
 	members_tick(n->members, now);
 	notes_tick(n->notes, now);
+	if (n->evacuations)
+		evacuations_tick(n->evacuations, now);
 	requests_expire(n, now);
 	admin_tick(n, now);
 	if (n->stopping)
@@ -306,11 +310,13 @@
 		notes.source = SOURCE_DOCUMENT;
 		notes.document.key = platform_config_key;
 		notes.document.read = platform_config;
+		notes.document.prefix = platform_operator_prefix;
 	}
-	if (open_secret(n) < 0)
+	if (open_secret(n) < 0 || evacuation_open(n) < 0)
 		return error_set(err, ERROR_MEMORY, "start", NULL,
 				 "out of memory");
 	notes.members = n->members;
+	notes.evacuations = n->evacuations;
 	quota.members = n->members;
 	claims.members = n->members;
 	n->quota = quota_new(&quota, now);
@@ -396,7 +402,7 @@
 {
 	int64_t revoke = n->settings.promises.revoke_us;
 
-	if (!n->config || n->stopping)
+	if (!node_is_configured(n) || n->stopping)
 		return false;
 	return !revoke ||
 	       notes_stale_us(n->notes, now) < revoke - REVOKE_MARGIN_US;
@@ -498,6 +504,7 @@
 {
 	if (n->notes)
 		notes_free(n->notes);
+	evacuations_free(n->evacuations);
 	if (n->quota)
 		quota_free(n->quota);
 	if (n->claims)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -124,7 +124,8 @@
 	struct store *store;
 	struct members *members;
 	struct notes *notes;
-	struct secret *secret; /* NULL if the settings contain it */
+	struct evacuations *evacuations; /* NULL: not used */
+	struct secret *secret;		 /* NULL if the settings contain it */
 	struct quota *quota;
 	struct claims *claims;
 	struct explain *explain;
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -85,7 +85,7 @@
 			"calls_per_second": 100},
 		${HOST_LIMITS:-}
 		"promises": ["revoke_s=${REVOKE_S:-2}", "drain_s=2", "grace_s=6",
-			"budget_ratio=0.2", "not_known=1"]
+			"budget_ratio=0.2", ${PROMISES:-}"not_known=1"]
 	}
 	END
 	run_node "$name" "$BIN" node --settings "$WORK/$name.json"
@@ -165,3 +165,14 @@
 	awk '{n++; ok += $1 == 200} END {print int(100 * ok / n)}' \
 		"$WORK/statuses"
 }
+
+# evacuate DATA_CENTRE, evacuate_end DATA_CENTRE: writes and removes the order
+# in the store.
+evacuate() {
+	curl -sf -o /dev/null -X PUT "http://$STORE/standin/evacuate/$1" ||
+		fail "evacuate $1"
+}
+evacuate_end() {
+	curl -sf -o /dev/null -X DELETE "http://$STORE/standin/evacuate/$1" ||
+		fail "end the evacuation of $1"
+}
--- a/tools/platform_store.c
+++ b/tools/platform_store.c
@@ -22,6 +22,8 @@
 #define ITEMS_MAX 500 /* per answer to a range request */
 
 #define KV_PATH "/mulberryferry/kv-"
+#define EVACUATE_PATH "/standin/evacuate/"
+#define OPERATOR_PREFIX "op/" /* only operators write these keys */
 
 /* A long-polling watch that waits for its first event. */
 struct watch {
@@ -40,11 +42,13 @@
 	uint32_t refuse_status; /* status returned for every call, or 0 */
 	uint32_t unresponsive;	/* leave calls unanswered */
 	uint32_t lose_next;	/* number of write answers to drop */
+	uint32_t forget_next;	/* number of watches to answer with 410 */
+	uint32_t items_max;	/* per answer to a range request */
 	uint64_t calls;
 	struct kv *saved; /* copy that a restore goes back to */
 	int64_t era;	  /* raised by each restore */
 	char listen[ADDR_TEXT_SIZE];
-} platform = {.era = 1, .listen = "127.0.0.1:0"};
+} platform = {.items_max = ITEMS_MAX, .era = 1, .listen = "127.0.0.1:0"};
 
 static volatile sig_atomic_t stopped;
 
@@ -142,7 +146,7 @@
 	query_parameter(target, "prefix", prefix);
 	query_parameter(target, "after", after);
 	at = kv_lower_bound(platform.kv, *after ? after : prefix);
-	for (; (r = kv_at(platform.kv, at)) && n < ITEMS_MAX; at++) {
+	for (; (r = kv_at(platform.kv, at)) && n < platform.items_max; at++) {
 		if (strncmp(r->key, prefix, strlen(prefix)) != 0)
 			break;
 		if (!strcmp(r->key, after))
@@ -153,8 +157,9 @@
 		n++;
 	}
 	json_object_object_add(o, "items", items);
-	json_object_object_add(o, "truncated",
-			       json_object_new_boolean(n == ITEMS_MAX));
+	json_object_object_add(
+		o, "truncated",
+		json_object_new_boolean(n == platform.items_max));
 	answer_json(exchange, 200, o);
 }
 
@@ -202,6 +207,10 @@
 	query_parameter(target, "wait_ms", wait);
 	w.next_event = kv_event_from(platform.kv, atoll(after) + 1);
 	w.until_us = now + atoll(wait) * USEC_PER_MSEC;
+	if (platform.forget_next) {
+		platform.forget_next--;
+		w.next_event = 0;
+	}
 	if (!w.next_event || atoll(after) > kv_revision(platform.kv) ||
 	    platform.watch_count == WATCHES_MAX)
 		answer_json(exchange, 410, new_answer());
@@ -264,6 +273,18 @@
 	return 0;
 }
 
+static bool is_operators(const struct txn *t)
+{
+	size_t i;
+
+	for (i = 0; i < t->write_count; i++)
+		if (t->writes[i].key &&
+		    !strncmp(t->writes[i].key, OPERATOR_PREFIX,
+			     strlen(OPERATOR_PREFIX)))
+			return true;
+	return false;
+}
+
 static struct json_object *compared_items(const struct txn *t)
 {
 	struct json_object *o = new_answer(), *items = json_object_new_array(),
@@ -307,6 +328,12 @@
 		answer_json(exchange, 400, o);
 		return;
 	}
+	if (is_operators(&t)) {
+		for (i = 0; i < t.write_count; i++)
+			free((void *)t.writes[i].value);
+		answer_json(exchange, 403, o);
+		return;
+	}
 	status = kv_txn(platform.kv, t.compares, t.compare_count, t.writes,
 			t.write_count, now);
 	for (i = 0; i < t.write_count; i++)
@@ -354,6 +381,21 @@
 	answer_json(exchange, 200, new_answer());
 }
 
+/* PUT or DELETE /standin/evacuate/DATA_CENTRE: orders or ends an evacuation. */
+static void on_evacuate(uint64_t exchange, const struct message *m, int64_t now)
+{
+	char key[STORE_KEY_SIZE];
+	struct store_write w = {.key = key,
+				.value = "{}",
+				.len = 2,
+				.remove = !strcmp(m->method, "DELETE")};
+
+	snprintf(key, sizeof(key), OPERATOR_PREFIX "evacuate/%s",
+		 m->target + strlen(EVACUATE_PATH));
+	kv_txn(platform.kv, NULL, 0, &w, 1, now);
+	answer_json(exchange, 200, new_answer());
+}
+
 /* GET /standin/save: takes the copy that a later restore goes back to. */
 static void on_save(uint64_t exchange)
 {
@@ -400,6 +442,10 @@
 		on_document(exchange, m, now);
 		return;
 	}
+	if (!strncmp(m->target, EVACUATE_PATH, strlen(EVACUATE_PATH))) {
+		on_evacuate(exchange, m, now);
+		return;
+	}
 	if (!strcmp(m->target, "/standin/save")) {
 		on_save(exchange);
 		return;
@@ -411,6 +457,8 @@
 	set_fault(m->target, "refuse", &platform.refuse_status);
 	set_fault(m->target, "silent", &platform.unresponsive);
 	set_fault(m->target, "lose_next", &platform.lose_next);
+	set_fault(m->target, "forget_next", &platform.forget_next);
+	set_fault(m->target, "items_max", &platform.items_max);
 	o = new_answer();
 	add_int(o, "calls", (int64_t)platform.calls);
 	answer_json(exchange, 200, o);
@@ -500,10 +548,13 @@
 	.parser = parse_option,
 	.doc = "Stand-in for the users' platform.\v"
 	       "PUT /standin/document writes the configuration; "
+	       "PUT and DELETE /standin/evacuate/DATA_CENTRE order and end an "
+	       "evacuation; "
 	       "GET /standin/save takes a copy of the store, GET "
 	       "/standin/restore goes back to it and raises the era; "
-	       "GET /standin/faults?refuse=STATUS&silent=0|1&lose_next=N sets "
-	       "faults and returns the number of calls."};
+	       "GET /standin/faults?refuse=STATUS&silent=0|1&lose_next=N&"
+	       "forget_next=N&items_max=N sets faults and returns the number "
+	       "of calls."};
 
 static void on_signal(int number)
 {
