Let a gate that was paused reject calls until it is up to date

A process that is stopped for seconds finds calls of other hosts in its sockets, sent before these moved their load, and ran them although the data centre had been evacuated for longer than the bound: two of two runs of test/evacuation.sh, two calls each.

A node that follows evacuations notices that its event loop did not run for 500 ms, and rejects calls of other hosts as not run until it has a proof of freshness from after the pause, for 2 s at most. Calls of its own entry are not affected.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -540,7 +540,8 @@
 		return 0;
 	}
 	handle = c->handle;
-	if (!u || !gates_accepts(n, u, now)) {
+	if (!u || !gates_accepts(n, u, now) ||
+	    (kind == REPLY_LINK && evacuation_resumes(n, now))) {
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
 		return handle;
 	}
--- a/src/node/evacuation.c
+++ b/src/node/evacuation.c
@@ -7,6 +7,13 @@
 #include "platform/platform.h"
 
 #define UPSTREAMS_LISTED 32
+/*
+ * An event loop that did not run for this long may have missed an order by
+ * enough for calls in its sockets to pass the bound.
+ */
+#define PAUSE_US (500 * USEC_PER_MSEC)
+/* A host that is connected has read the store or asked a peer by then. */
+#define RESUME_US (2 * USEC_PER_SEC)
 
 /* Called when a data centre is back in service. */
 static void ended(void *ctx, const char *data_centre, int64_t now)
@@ -83,6 +90,23 @@
 	return count > 0;
 }
 
+void evacuation_ticked(struct node *n, int64_t now)
+{
+	if (n->ticked_us && now - n->ticked_us > PAUSE_US)
+		n->resumed_us = now;
+	n->ticked_us = now;
+}
+
+bool evacuation_resumes(const struct node *n, int64_t now)
+{
+	if (!n->evacuations)
+		return false;
+	if (n->ticked_us && now - n->ticked_us > PAUSE_US)
+		return true;
+	return n->resumed_us && now - n->resumed_us < RESUME_US &&
+	       notes_stale_us(n->notes, now) > now - n->resumed_us;
+}
+
 enum reason evacuation_gate_reason(const struct node *n, int64_t now)
 {
 	const struct evacuation *e;
--- a/src/node/evacuation.h
+++ b/src/node/evacuation.h
@@ -13,6 +13,13 @@
 			uint64_t data_centre, int64_t now);
 /* Whether the service has upstreams, and the request is kept from all. */
 bool evacuation_leaves_none(struct node *n, struct request *r, int64_t now);
+/* Records that the event loop runs; to be called every few milliseconds. */
+void evacuation_ticked(struct node *n, int64_t now);
+/*
+ * Whether the process was paused, and does not yet know again what is in
+ * force. Calls that waited in its sockets meanwhile may be of hosts that know.
+ */
+bool evacuation_resumes(const struct node *n, int64_t now);
 /* Why the gates of this node reject every call; REASON_NONE: they don't. */
 enum reason evacuation_gate_reason(const struct node *n, int64_t now);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -168,6 +168,7 @@
 {
 	struct node *n = ctx;
 
+	evacuation_ticked(n, now);
 	quota_tick(n->quota, now);
 	claims_tick(n->claims, now);
 	poison_gossip_tick(n->poison_gossip, now);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -153,6 +153,8 @@
 	uint64_t admit_key;	     /* derived from the cluster secret */
 	struct buffer limit_waiting; /* handles of parked requests */
 	size_t body_bytes;	     /* total of the requests held */
+	int64_t ticked_us;	     /* when the event loop last ran */
+	int64_t resumed_us;	     /* after its last pause; 0: none */
 	bool stopping;		     /* callers are sent to other hosts */
 	bool gates_closing; /* later in a stop: nodes send calls elsewhere */
 	int64_t stop_at_us; /* end of the grace time of a planned stop */
