--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -55,6 +55,8 @@
 	/* A cold upstream gets its rate x overshoot + slack requests a second. */
 	double cold_overshoot;
 	double cold_slack;
+	/* Until no request reaches an evacuated data centre; 0: not used. */
+	int64_t evacuation_us;
 };
 
 /* Settings of one node, read once at start. */
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -80,6 +80,7 @@
 	struct home home;  /* those that its route allows too; see home.c */
 	uint64_t upstream; /* directory handle, current attempt */
 	uint64_t tried[TRIED_MAX];
+	uint64_t evacuated; /* data centre whose gate rejected it; 0: none */
 	uint64_t link_call;
 	uint64_t local_call;
 	int64_t sent_us;
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/evacuation.h"
 #include "node/known_cold.h"
 #include "node/node.h"
 
@@ -144,6 +145,14 @@
 	return 0;
 }
 
+static enum reason no_upstream_reason(struct node *n, struct request *r,
+				      int64_t now)
+{
+	if (evacuation_leaves_none(n, r, now))
+		return REASON_EVACUATED;
+	return r->upstream ? REASON_NO_UPSTREAM : home_refusal(r);
+}
+
 /* Sends the call, to another upstream's gate if a gate is unreachable. */
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
 {
@@ -153,8 +162,7 @@
 	while (place_attempt(n, r, now) < 0)
 		if (!r->upstream || r->reroutes++ >= TRIED_MAX - 1)
 			return request_refuse(n, r,
-					      r->upstream ? REASON_NO_UPSTREAM
-							  : home_refusal(r),
+					      no_upstream_reason(n, r, now),
 					      OUTCOME_NOT_RUN, now);
 	return FILTER_WAIT;
 }
@@ -234,7 +242,8 @@
 	if (reason == REASON_COLD)
 		return known_cold_may_reroute(n, r, now) &&
 		       may_reroute(r, outcome, reason);
-	if (n->headers->status_implies_outcome &&
+	if ((n->headers->status_implies_outcome ||
+	     reason == REASON_EVACUATED) &&
 	    may_reroute(r, outcome, reason))
 		return true;
 	if (!r->allowance)
@@ -292,6 +301,8 @@
 		load_failed(&u->load, now);
 	if (u && head->leaving)
 		u->info.state = UPSTREAM_LEAVING;
+	if (u && head->reason == REASON_EVACUATED)
+		r->evacuated = u->data_centre;
 	retries_heard(n, r, head);
 	if (u && head->reason == REASON_COLD)
 		known_cold_refused(n, u, now);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "node/evacuation.h"
 #include "node/gates.h"
 #include "node/upstream_end.h"
 
@@ -153,6 +154,8 @@
 {
 	struct answer_head head = {.outcome = outcome, .reason = reason};
 
+	if (reason == REASON_EVACUATED && outcome == OUTCOME_NOT_RUN)
+		counter_add(COUNTER_EVACUATED, 1);
 	fill_answer_head(n, c, &head, now);
 	if (outcome == OUTCOME_NOT_RUN && reason != REASON_UPSTREAM_REFUSED)
 		head.retry_after_ms = limit_retry_after_ms(n, c, now);
@@ -400,10 +403,49 @@
 	end_call(n, c, OUTCOME_NOT_RUN, REASON_UPSTREAM_FAILED, NULL, now);
 }
 
+/* Answers a queued call as not run. */
+void gates_drop_call(struct node *n, struct call *c, enum reason reason,
+		     int64_t now)
+{
+	struct local_upstream *u = gates_upstream(n, c->upstream);
+
+	if (!u)
+		return;
+	gate_cancel(u->gate, c->handle, now);
+	record_call(n, c, DECISION_DROPPED, reason, now - c->arrived_us);
+	end_call(n, c, OUTCOME_NOT_RUN, reason, NULL, now);
+}
+
+static void drop_queued(struct node *n, uint64_t upstream, enum reason reason,
+			int64_t now)
+{
+	struct call *c;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->calls, h, &item))) {
+		c = item;
+		if (c->upstream == upstream && !c->started_us)
+			gates_drop_call(n, c, reason, now);
+	}
+}
+
+/* Rejects the queued calls of an upstream whose gate is closed. */
+static void reject_queued(struct node *n, struct local_upstream *u,
+			  enum reason reason, int64_t now)
+{
+	struct gate_report report;
+
+	gate_report(u->gate, &report);
+	if (report.queued)
+		drop_queued(n, u->handle, reason, now);
+}
+
 /* Drops the calls that the gate rejects, then runs those that it admits. */
 void gates_dispatch(struct node *n, uint64_t upstream, int64_t now)
 {
 	struct local_upstream *u = gates_upstream(n, upstream);
+	enum reason closed = evacuation_gate_reason(n, now);
 	struct gate_drop drop;
 	struct call *c;
 	int64_t waited_us;
@@ -419,6 +461,10 @@
 			    now - c->arrived_us);
 		end_call(n, c, OUTCOME_NOT_RUN, drop.reason, NULL, now);
 	}
+	if (closed) {
+		reject_queued(n, u, closed, now);
+		return;
+	}
 	while ((id = gate_next(u->gate, now, &waited_us))) {
 		c = gates_call_get(n, id);
 		if (c)
@@ -428,31 +474,10 @@
 	}
 }
 
-/* Answers a queued call as not run. */
-void gates_drop_call(struct node *n, struct call *c, enum reason reason,
-		     int64_t now)
-{
-	struct local_upstream *u = gates_upstream(n, c->upstream);
-
-	if (!u)
-		return;
-	gate_cancel(u->gate, c->handle, now);
-	record_call(n, c, DECISION_DROPPED, reason, now - c->arrived_us);
-	end_call(n, c, OUTCOME_NOT_RUN, reason, NULL, now);
-}
-
 /* Answers every queued call of the upstream as not run. */
 void gates_drop_queued(struct node *n, uint64_t upstream, int64_t now)
 {
-	struct call *c;
-	uint64_t h = 0;
-	void *item;
-
-	while ((h = table_next(&n->calls, h, &item))) {
-		c = item;
-		if (c->upstream == upstream && !c->started_us)
-			gates_drop_call(n, c, REASON_NO_UPSTREAM, now);
-	}
+	drop_queued(n, upstream, REASON_NO_UPSTREAM, now);
 }
 
 static uint32_t account_weight(struct node *n, const char *account)
@@ -527,15 +552,19 @@
 		return 0;
 	}
 	handle = c->handle;
-	if (!u || !gates_accepts(n, u, now)) {
+	if (!u || !gates_accepts(n, u, now) ||
+	    (kind == REPLY_LINK && evacuation_resumes(n, now))) {
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_UPSTREAM, NULL, now);
 		return handle;
 	}
 	c->upstream = u->handle;
-	if (!gates_is_home(n, &c->head)) {
-		record_call(n, c, DECISION_DROPPED, REASON_NO_HOME_UPSTREAM, 0);
-		end_call(n, c, OUTCOME_NOT_RUN, REASON_NO_HOME_UPSTREAM, NULL,
-			 now);
+	if (!gates_is_home(n, &c->head))
+		why = REASON_NO_HOME_UPSTREAM;
+	else
+		why = evacuation_gate_reason(n, now);
+	if (why) {
+		record_call(n, c, DECISION_DROPPED, why, 0);
+		end_call(n, c, OUTCOME_NOT_RUN, why, NULL, now);
 		return handle;
 	}
 	if (is_refused_poison(n, c, now)) {
--- a/src/wire/reason.c
+++ b/src/wire/reason.c
@@ -112,6 +112,9 @@
 		 "No upstream of the service in the home regions of the "
 		 "route and the client account can be reached and takes new "
 		 "work."},
+	[REASON_EVACUATED] = {"evacuated", 503,
+			      "Every data centre with upstreams of the service "
+			      "is being taken out of service by operators."},
 };
 
 static const struct reason_row *row(enum reason r)
