--- a/test/platform.bash
+++ b/test/platform.bash
@@ -16,8 +16,8 @@
 	"max_attempts", "allow_anonymous"], "rows": [
 	["r", "$HOST", "/r/", $route], ["once", "$HOST", "/once/", $once],
 	["open", "$HOST", "/open/", $open]${EXTRA_ROUTES:-}]},
-	"services": {"columns": ["name", "max_connections"],
-	"rows": [["one", 64], ["two", 64]]},
+	"services": {"columns": ["name", "max_connections"${COLD_COLUMNS:-}],
+	"rows": [["one", 64${COLD_VALUES:-}], ["two", 64${COLD_VALUES:-}]]},
 	"limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
 	"header_timeout_s": 3, "idle_timeout_s": 15},
 	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
@@ -85,7 +85,7 @@
 			"calls_per_second": 100},
 		${HOST_LIMITS:-}
 		"promises": ["revoke_s=${REVOKE_S:-2}", "drain_s=2", "grace_s=6",
-			"budget_ratio=0.2", "not_known=1"]
+			"budget_ratio=0.2", "not_known=1"${MORE_PROMISES:-}]
 	}
 	END
 	run_node "$name" "$BIN" node --settings "$WORK/$name.json"
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -360,6 +360,42 @@
 	assert_int_equal(reason_status(REASON_DEADLINE), 504);
 }
 
+/*
+ * During an upgrade members of the build before do not send whether upstreams
+ * are cold: their messages must be read, and mean that they are warm.
+ */
+static void upstreams_of_older_builds_are_warm(void **state)
+{
+	static const uint8_t tail[] = {UPSTREAM_READY, 99};
+	struct member_info m = member("h1");
+	struct peer_msg msg = {.kind = PEER_MEMBERS}, read = {0};
+	struct buffer b = {0};
+	uint8_t *head, *cold;
+
+	(void)state;
+	addr_parse(&msg.from, "10.0.0.2:7000");
+	m.upstreams[0].cold_ms = tail[1];
+	msg.members.items = &m;
+	msg.members.n = 1;
+	assert_int_equal(peer_msg_encode(&msg, &b), 0);
+	assert_int_equal(peer_msg_decode(&read, b.data, b.len, NULL), 0);
+	assert_int_equal(read.members.items[0].upstreams[0].cold_ms, tail[1]);
+	peer_msg_free(&read);
+	/* A list of six fields becomes one of five, without the last. */
+	head = memmem(b.data, b.len, "\x96\xa7history", 9);
+	assert_non_null(head);
+	cold = memmem(head, (size_t)(b.data + b.len - head), tail, 2);
+	assert_non_null(cold);
+	*head = 0x95;
+	memmove(cold + 1, cold + 2, (size_t)(b.data + b.len - cold - 2));
+	b.len--;
+	assert_int_equal(peer_msg_decode(&read, b.data, b.len, NULL), 0);
+	assert_int_equal(read.members.items[0].upstreams[0].slots, 90);
+	assert_int_equal(read.members.items[0].upstreams[0].cold_ms, 0);
+	peer_msg_free(&read);
+	buffer_free(&b);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -371,6 +407,7 @@
 		cmocka_unit_test(fields_of_newer_versions_are_ignored),
 		cmocka_unit_test(oversized_fields_are_refused),
 		cmocka_unit_test(peer_messages_round_trip),
+		cmocka_unit_test(upstreams_of_older_builds_are_warm),
 		cmocka_unit_test(poison_facts_keep_every_field),
 		cmocka_unit_test(datagrams_need_the_secret),
 		cmocka_unit_test(every_reason_has_a_code_status_and_sentence),
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -12,11 +12,15 @@
 
 #include "net/net.h"
 
+#define HEALTH_PATH "/health"
 #define BODY_MAX (16 * 1024 * 1024)
 #define CONNECTIONS_MAX 1024
 #define HEARTBEAT_INTERVAL_US (300 * USEC_PER_MSEC)
 #define TICK_US (5 * USEC_PER_MSEC)
 #define RUNS_MAX 4096
+#define ARRIVALS_MAX 256
+/* A cold upstream crashes above this many times its rate in a second. */
+#define COLD_CRASH_FACTOR 2
 
 /* A request that is being executed. */
 struct run {
@@ -51,13 +55,21 @@
 	const char *down_ms;   /* before a crashed process is back */
 	const char *linger_ms; /* a crash loses connections first */
 	const char *work_ms;
+	const char *cold_ms;	/* for which it is cold after its start */
+	const char *cold_per_s; /* that it takes then */
+	int64_t cold_until_us;
+	int64_t arrivals[ARRIVALS_MAX]; /* requests since it became cold */
+	size_t arrival_count;
 } upstream = {.service = "s",
 	      .instance = "i-1",
 	      .down_ms = "2000",
 	      .linger_ms = "0",
-	      .work_ms = "0"};
+	      .work_ms = "0",
+	      .cold_ms = "0",
+	      .cold_per_s = "0"};
 
 static volatile sig_atomic_t stopped;
+static volatile sig_atomic_t turns_cold;
 
 static void add_header(struct message *m, const char *name, const char *value)
 {
@@ -191,6 +203,10 @@
 			upstream.limit,
 			"--linger-ms",
 			(char *)upstream.linger_ms,
+			"--cold-ms",
+			(char *)upstream.cold_ms,
+			"--cold-per-s",
+			(char *)upstream.cold_per_s,
 			NULL};
 
 	snprintf(instance, sizeof(instance), "%.32s.%lld",
@@ -204,6 +220,36 @@
 	abort();
 }
 
+static int64_t cold_left_us(int64_t now)
+{
+	return now < upstream.cold_until_us ? upstream.cold_until_us - now : 0;
+}
+
+static void begin_cold(int64_t now)
+{
+	int64_t ms = strtol(upstream.cold_ms, NULL, 10);
+
+	if (!ms)
+		return;
+	upstream.cold_until_us = now + ms * USEC_PER_MSEC;
+	upstream.arrival_count = 0;
+	printf("cold at_ms=%lld\n",
+	       (long long)(clock_wall_us() / USEC_PER_MSEC));
+	fflush(stdout);
+}
+
+/* Counts a request; returns whether a cold process crashes by it. */
+static bool is_too_many(int64_t now)
+{
+	double most = strtod(upstream.cold_per_s, NULL) * COLD_CRASH_FACTOR;
+	size_t i, recent = 0;
+
+	upstream.arrivals[upstream.arrival_count++ % ARRIVALS_MAX] = now;
+	for (i = 0; i < ARRIVALS_MAX && i < upstream.arrival_count; i++)
+		recent += now - upstream.arrivals[i] < USEC_PER_SEC;
+	return cold_left_us(now) && most > 0 && (double)recent > most;
+}
+
 static bool crashes(const struct message *m)
 {
 	const char *account = message_header(m, "mulberryferry-tenant");
@@ -219,6 +265,7 @@
 	const char *expected =
 		message_header(m, "mulberryferry-expected-instance");
 	struct message answer = {.status = 200};
+	char text[24];
 
 	(void)ctx;
 	(void)peer;
@@ -231,6 +278,10 @@
 		set_fault(m->target, "leaving=", &upstream.leaving);
 		set_limit(m->target);
 		set_fault(m->target, "crash=", &upstream.crash);
+	} else if (!strcmp(m->target, HEALTH_PATH)) {
+		snprintf(text, sizeof(text), "%lld",
+			 (long long)(cold_left_us(now) / USEC_PER_MSEC));
+		add_header(&answer, "mulberryferry-cold-ms", text);
 	} else if (expected && strcmp(expected, upstream.instance) != 0) {
 		answer.status = 421;
 		add_header(&answer, "mulberryferry-instance-id",
@@ -240,7 +291,7 @@
 		add_header(&answer, "mulberryferry-not-executed", "1");
 	} else {
 		print_run(m);
-		if (crashes(m))
+		if (is_too_many(now) || crashes(m))
 			crash();
 		fill_body(&answer.body, m->target);
 		if (!upstream.omit_signature)
@@ -285,9 +336,11 @@
 	buffer_printf(&m.body,
 		      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
 		      "\"version\":\"v1\",\"slots\":16,\"state\":\"%s\","
-		      "\"cold_remaining_s\":0,\"sequence\":%llu,\"born\":%lld}",
+		      "\"cold_remaining_s\":%.3f,\"sequence\":%llu,"
+		      "\"born\":%lld}",
 		      upstream.service, upstream.addr,
 		      upstream.draining ? "draining" : "ready",
+		      (double)cold_left_us(now) / USEC_PER_SEC,
 		      (unsigned long long)++upstream.sequence,
 		      (long long)upstream.started_ms);
 	http_call_start(upstream.node, &call, now, NULL);
@@ -303,6 +356,10 @@
 		net_stop(upstream.net);
 	if (upstream.crash)
 		crash();
+	if (turns_cold) {
+		turns_cold = 0;
+		begin_cold(now);
+	}
 	if (now >= upstream.next_heartbeat_us) {
 		upstream.next_heartbeat_us = now + HEARTBEAT_INTERVAL_US;
 		send_heartbeat(now);
@@ -354,6 +411,12 @@
 	case 'a':
 		usleep((useconds_t)(strtol(arg, NULL, 10) * USEC_PER_MSEC));
 		return 0;
+	case 'o':
+		upstream.cold_ms = arg;
+		return 0;
+	case 'r':
+		upstream.cold_per_s = arg;
+		return 0;
 	case 'w':
 		upstream.work_ms = arg;
 		upstream.service_us = strtol(arg, NULL, 10) * USEC_PER_MSEC;
@@ -376,6 +439,10 @@
 	{"linger-ms", 'g', "N", 0,
 	 "When crashing, listen N milliseconds longer than connections last",
 	 0},
+	{"cold-ms", 'o', "N", 0,
+	 "Be cold N milliseconds after the start and on SIGUSR1", 0},
+	{"cold-per-s", 'r', "RATE", 0,
+	 "Crash above twice RATE requests in a second while cold", 0},
 	{"start-after-ms", 'a', "N", 0, "Wait N milliseconds first", 0},
 	{0}};
 
@@ -391,8 +458,10 @@
 
 static void on_signal(int number)
 {
-	(void)number;
-	stopped = 1;
+	if (number == SIGUSR1)
+		turns_cold = 1;
+	else
+		stopped = 1;
 }
 
 int main(int argc, char **argv)
@@ -426,7 +495,9 @@
 	addr_format(&o.listen, upstream.addr);
 	printf("listening=%s\n", upstream.addr);
 	fflush(stdout);
+	begin_cold(clock_monotonic_us());
 	signal(SIGTERM, on_signal);
+	signal(SIGUSR1, on_signal);
 	net_run(upstream.net);
 	net_close(upstream.net);
 	return EXIT_SUCCESS;
