--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -53,6 +53,7 @@
 	add_addr(o, "address", &u->addr);
 	json_add_int(o, "slots", u->slots);
 	json_add_text(o, "state", upstream_state_name(u->state));
+	json_add_int(o, "cold_ms", u->cold_ms);
 	return o;
 }
 
--- a/src/cmd/status_page.c
+++ b/src/cmd/status_page.c
@@ -103,8 +103,10 @@
 		       number(admitted, "middle") * PERCENT,
 		       number(admitted, "first") * PERCENT);
 		if (number(g, "named_limit_s") > 0)
-			printf("    it takes %g requests a second\n",
-			       number(g, "named_limit_s"));
+			printf("    it takes %g requests a second%s\n",
+			       number(g, "named_limit_s"),
+			       number(g, "cold_ms") > 0 ? ", as it is cold"
+							: "");
 	}
 	if (!i)
 		printf("  none\n");
