Spread the callers that cold upstreams refused over a cold period

They were told to come back within a second after the end of the cold period. If all upstreams are cold for 3 s, that is three seconds' requests on top of the usual load of that second. They now return over cold_start_s.

test_policy_cold: 10 tests pass.

--- a/src/node/known_cold.c
+++ b/src/node/known_cold.c
@@ -5,7 +5,6 @@
 
 /* A refusal tells that an upstream is cold, but not for how long. */
 #define REFUSED_COLD_US USEC_PER_SEC
-#define RETRY_SPREAD_MS 1000
 #define LIST_MAX 64
 
 /* The end of the longest cold period of a service's upstreams. */
@@ -161,11 +160,15 @@
 uint32_t known_cold_retry_after_ms(struct node *n, uint64_t service,
 				   int64_t now)
 {
+	const struct service *config = NULL;
 	const struct cold_service *s;
 
 	HASH_FIND(hh, n->cold_services, &service, sizeof(service), s);
 	if (!s || now >= s->until_us || known_cold_warm_exists(n, s->name, now))
 		return 0;
-	return (uint32_t)((s->until_us - now) / USEC_PER_MSEC +
-			  (int64_t)(node_random(n) % RETRY_SPREAD_MS));
+	if (n->config)
+		config = config_service(n->config, s->name);
+	return cold_retry_after_ms(s->until_us - now,
+				   config ? config->cold_start_us : 0,
+				   node_random(n));
 }
--- a/src/node/upstream_cold.c
+++ b/src/node/upstream_cold.c
@@ -14,7 +14,6 @@
 #define HEARTBEAT_LATE_US (3 * USEC_PER_SEC)
 /* Entries are not told of a change of the end of a cold period below this. */
 #define PUBLISHED_PRECISION_US (500 * USEC_PER_MSEC)
-#define RETRY_SPREAD_MS 1000
 /* The upstream is on this host: if it listens, it says so at once. */
 #define PROBE_TIMEOUT_US (30 * USEC_PER_MSEC)
 
@@ -156,6 +155,6 @@
 		left_us = s->cold_start_us;
 	if (left_us > PRESUMED_US)
 		left_us = PRESUMED_US;
-	return (uint32_t)(left_us / USEC_PER_MSEC +
-			  (int64_t)(node_random(n) % RETRY_SPREAD_MS));
+	return cold_retry_after_ms(left_us, s ? s->cold_start_us : 0,
+				   node_random(n));
 }
--- a/src/policy/cold_share.c
+++ b/src/policy/cold_share.c
@@ -1,6 +1,8 @@
 /* How entries use cold upstreams while others of the service are warm. */
 #include "policy/policy.h"
 
+#define RETRY_SPREAD_MIN_US USEC_PER_SEC
+
 /* Starts an entry's share; random spreads the first calls of the entries. */
 void cold_share_init(struct cold_share *s, uint64_t random, int64_t now)
 {
@@ -22,6 +24,21 @@
 	s->calls.level = s->calls.level > 1 ? s->calls.level - 1 : 0;
 }
 
+/*
+ * What was refused in a cold period returns over the same time after it: all at
+ * once, it would be several times the usual load.
+ */
+uint32_t cold_retry_after_ms(int64_t left_us, int64_t cold_start_us,
+			     uint64_t random)
+{
+	int64_t spread_us = cold_start_us > RETRY_SPREAD_MIN_US
+				    ? cold_start_us
+				    : RETRY_SPREAD_MIN_US;
+
+	left_us += (int64_t)(random % (uint64_t)spread_us);
+	return (uint32_t)(left_us / USEC_PER_MSEC);
+}
+
 /* Whether a warm upstream would start the call at once. */
 static bool warm_has_room(const struct balance_candidate *c, size_t n,
 			  int64_t now)
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -277,6 +277,9 @@
 void cold_share_init(struct cold_share *s, uint64_t random, int64_t now);
 bool cold_share_due(struct cold_share *s, double rate, int64_t now);
 void cold_share_take(struct cold_share *s);
+/* Retry-After of a call refused with left_us of a cold period to go. */
+uint32_t cold_retry_after_ms(int64_t left_us, int64_t cold_start_us,
+			     uint64_t random);
 size_t cold_select(struct balance_candidate *c, uint64_t *handles, size_t n,
 		   int64_t now);
 
--- a/test/test_policy_cold.c
+++ b/test/test_policy_cold.c
@@ -312,6 +312,24 @@
 	assert_int_equal(cold_select(c, handles, 2, 1), 2);
 }
 
+/* Callers that were refused together returned together when it was over. */
+static void refused_callers_return_spread_out(void **state)
+{
+	uint32_t ms, early = 0, late = 0;
+	uint64_t i;
+
+	(void)state;
+	for (i = 0; i < 1000; i++) {
+		ms = cold_retry_after_ms(2 * USEC_PER_SEC, 3 * USEC_PER_SEC,
+					 pair_hash(i, 1));
+		assert_in_range(ms, 2000, 5000);
+		early += ms < 3000;
+		late += ms > 4000;
+	}
+	assert_in_range(early, 250, 400);
+	assert_in_range(late, 250, 400);
+}
+
 #define SERVED_SHARE 0.9
 
 /*
@@ -417,6 +435,7 @@
 		cmocka_unit_test(cold_gate_serves_by_priority),
 		cmocka_unit_test(entries_share_the_cold_rate),
 		cmocka_unit_test(cold_upstreams_serve_without_warm_ones),
+		cmocka_unit_test(refused_callers_return_spread_out),
 		cmocka_unit_test(power_loss_is_recovered_from),
 	};
 
