--- a/src/node/known_cold.c
+++ b/src/node/known_cold.c
@@ -5,12 +5,12 @@
 
 /* A refusal tells that an upstream is cold, but not for how long. */
 #define REFUSED_COLD_US USEC_PER_SEC
-#define RETRY_SPREAD_MS 1000
 #define LIST_MAX 64
 
 /* The end of the longest cold period of a service's upstreams. */
 struct cold_service {
 	uint64_t service;
+	char name[NAME_SIZE];
 	int64_t until_us;
 	UT_hash_handle hh;
 };
@@ -26,6 +26,7 @@
 		if (!s)
 			return;
 		s->service = service;
+		copy_name(s->name, sizeof(s->name), u->info.service);
 		HASH_ADD(hh, n->cold_services, service, sizeof(service), s);
 	}
 	if (u->cold_until_us > s->until_us)
@@ -126,10 +127,13 @@
 			  struct known_upstream *u, struct balance_candidate *c,
 			  int64_t now)
 {
-	const struct service *s = config_service(r->config, r->service);
 	size_t members = members_count(n->members, MEMBER_ALIVE);
+	const struct service *s;
 
-	if (!s || !known_cold_is(n, u, now))
+	if (!known_cold_is(n, u, now))
+		return;
+	s = config_service(r->config, r->service);
+	if (!s)
 		return;
 	c->cold_rate = s->cold_per_s;
 	c->cold_due =
@@ -156,11 +160,15 @@
 uint32_t known_cold_retry_after_ms(struct node *n, uint64_t service,
 				   int64_t now)
 {
+	const struct service *config = NULL;
 	const struct cold_service *s;
 
 	HASH_FIND(hh, n->cold_services, &service, sizeof(service), s);
-	if (!s || now >= s->until_us)
+	if (!s || now >= s->until_us || known_cold_warm_exists(n, s->name, now))
 		return 0;
-	return (uint32_t)((s->until_us - now) / USEC_PER_MSEC +
-			  (int64_t)(node_random(n) % RETRY_SPREAD_MS));
+	if (n->config)
+		config = config_service(n->config, s->name);
+	return cold_retry_after_ms(s->until_us - now,
+				   config ? config->cold_start_us : 0,
+				   node_random(n));
 }
