Check configurations before they are used

Change: config_check and config_compare in src/conf find errors, warnings and the differences from another configuration; one table has the kinds. A configuration that is not built from notes records names and keys that were given twice, as the last item replaces the others.

--- a/src/admin/admin.h
+++ b/src/admin/admin.h
@@ -10,6 +10,12 @@
 
 struct admin *admin_new(struct node *n);
 void admin_free(struct admin *a);
+/*
+ * Checks a configuration in any form that config_file_read takes. Returns the
+ * findings as JSON, with the differences from in_force unless that is NULL.
+ */
+struct json_object *admin_check_config(const struct config *in_force,
+				       const void *data, size_t len);
 /* Serves one request on the admin listener. */
 void admin_request(struct node *n, uint64_t exchange, struct message *msg,
 		   int64_t now);
--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -143,6 +143,7 @@
 void admin_notes_history(struct admin_call *c);
 void admin_notes_show(struct admin_call *c);
 void admin_config(struct admin_call *c);
+void admin_config_check(struct admin_call *c);
 void admin_accounts(struct admin_call *c);
 void admin_keys(struct admin_call *c);
 void admin_routes_list(struct admin_call *c);
--- a/src/admin/route.c
+++ b/src/admin/route.c
@@ -12,6 +12,7 @@
 	{"POST", "/v1/notes/check", ACCESS_READ, admin_notes_check},
 	{"GET", "/v1/notes/{number}", ACCESS_READ, admin_notes_show},
 	{"GET", "/v1/config", ACCESS_READ, admin_config},
+	{"POST", "/v1/config/check", ACCESS_READ, admin_config_check},
 	{"GET", "/v1/accounts", ACCESS_READ, admin_accounts},
 	{"GET", "/v1/keys", ACCESS_READ, admin_keys},
 	{"GET", "/v1/routes", ACCESS_READ, admin_routes_list},
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -39,6 +39,8 @@
 int cmd_note_apply(int argc, char **argv);
 int cmd_note_show(int argc, char **argv);
 int cmd_note_history(int argc, char **argv);
+int cmd_config(int argc, char **argv);
+int cmd_config_check(int argc, char **argv);
 int cmd_key(int argc, char **argv);
 int cmd_key_new(int argc, char **argv);
 int cmd_explain(int argc, char **argv);
--- a/src/cmd/cmd_main.c
+++ b/src/cmd/cmd_main.c
@@ -7,6 +7,7 @@
 static const struct command commands[] = {
 	{"node", cmd_node, "run the node of this host"},
 	{"note", cmd_note, "check, apply and read release notes"},
+	{"config", cmd_config, "check configurations"},
 	{"key", cmd_key, "generate keys"},
 	{"explain", cmd_explain,
 	 "explain what happened to a request or an account"},
--- a/src/conf/build.c
+++ b/src/conf/build.c
@@ -3,12 +3,32 @@
 
 #include <string.h>
 
+/* Records that an item replaces another of its name, for config_check. */
+static void note_repeat(struct config *c, enum section_kind kind,
+			const void *new)
+{
+	const struct access_key *key = new;
+	const union item *old = section_find(&c->by_name[kind], new);
+	struct repeat *r;
+
+	if (!old || c->repeat_count == REPEATS_MAX)
+		return;
+	r = &c->repeats[c->repeat_count++];
+	r->kind = kind;
+	copy_name(r->name, sizeof(r->name), new);
+	if (kind != SECTION_KEYS)
+		return;
+	copy_name(r->first, sizeof(r->first), old->key.account);
+	copy_name(r->last, sizeof(r->last), key->account);
+}
+
 static int put_copy(struct config *c, enum section_kind kind, const void *from,
 		    size_t size)
 {
 	void *item = item_new(from, size);
 	int rc;
 
+	note_repeat(c, kind, from);
 	if (!item)
 		return -1;
 	rc = config_put_item(c, kind, item);
@@ -31,6 +51,7 @@
 	item = item_new(r, sizeof(*r));
 	if (!item)
 		return -1;
+	note_repeat(c, SECTION_ROUTES, r);
 	rc = config_put_item(c, SECTION_ROUTES, item);
 	if (!rc)
 		rc = section_put(&c->routes_by_host_prefix, item);
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -61,6 +61,16 @@
 	uint64_t text; /* hash */
 };
 
+#define REPEATS_MAX 64
+
+/* An item added under a name, or a key, that was there already. */
+struct repeat {
+	enum section_kind kind;
+	char name[NAME_SIZE];
+	char first[NAME_SIZE]; /* accounts of a key */
+	char last[NAME_SIZE];
+};
+
 struct config {
 	uint32_t refs;
 	uint64_t number;
@@ -76,6 +86,9 @@
 	bool account_homes;   /* see config_has_account_homes */
 	struct buffer source;
 	struct trie *trie;
+	/* Of a configuration that is not from notes; see config_check. */
+	struct repeat repeats[REPEATS_MAX];
+	size_t repeat_count;
 	struct release releases[RELEASES_KEPT]; /* ring, indexed by number */
 };
 
@@ -138,6 +151,7 @@
 int field_addr(struct reader *r, struct json_object *v, struct addr *a);
 void field_regions(struct reader *r, struct json_object *v,
 		   struct region_set *out);
+struct json_object *field_json(const struct field *f, const char *at);
 struct json_object *regions_json(const struct region_set *s);
 
 struct json_object *json_read(const char *text, size_t len, unsigned *line,
--- a/src/conf/show.c
+++ b/src/conf/show.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-static struct json_object *field_json(const struct field *f, const char *at)
+/* Returns a member as notes have it; NULL for those that are not shown. */
+struct json_object *field_json(const struct field *f, const char *at)
 {
 	switch (f->kind) {
 	case FIELD_NAME:
