Test that a host may come back in another region

Cause: the directory now takes the region of a known upstream from each member record; without a test, that line could be lost.

Change: test_home restarts a host in three regions in turn.

--- a/src/node/config_file.c
+++ b/src/node/config_file.c
@@ -1,8 +1,5 @@
 #include "node/config_file.h"
 
-#include <ctype.h>
-#include <string.h>
-
 #include "base/json.h"
 #include "platform/platform.h"
 
--- a/test/test_home.c
+++ b/test/test_home.c
@@ -268,6 +268,32 @@
 	node_close(n);
 }
 
+/*
+ * Guards against a host that is known by the region of its earlier process
+ * when it is started again with other settings.
+ */
+static void a_host_may_move_to_another_region(void **state)
+{
+	struct member_info m = {.state = MEMBER_ALIVE, .upstream_count = 1};
+	struct node *n = open_node("east");
+	struct request *r;
+	size_t i;
+
+	(void)state;
+	addr_parse(&m.node_addr, "10.9.0.1:7000");
+	addr_parse(&m.upstreams[0].addr, "10.9.0.1:80");
+	copy_name(m.upstreams[0].service, NAME_SIZE, "s");
+	set_config(n, 1, "west", "");
+	r = add_request(n);
+	for (i = 0; i < REGIONS; i++) {
+		copy_name(m.region, sizeof(m.region), regions[i]);
+		directory_update(n->directory, &m);
+		assert_picked(n, r, strcmp(regions[i], "west") ? "" : "west");
+	}
+	end_request(n, r);
+	node_close(n);
+}
+
 /* Load: requests under way when the home regions change. */
 static void old_and_new_home_regions_both_apply(void **state)
 {
@@ -467,6 +493,7 @@
 		cmocka_unit_test(homes_of_route_and_account_both_apply),
 		cmocka_unit_test(first_attempts_and_retries_stay_at_home),
 		cmocka_unit_test(a_region_cut_off_is_not_replaced),
+		cmocka_unit_test(a_host_may_move_to_another_region),
 		cmocka_unit_test(old_and_new_home_regions_both_apply),
 		cmocka_unit_test(sub_calls_keep_the_home_of_their_root),
 		cmocka_unit_test(gates_reject_calls_that_are_not_at_home),
