--- a/src/filter/home.c
+++ b/src/filter/home.c
@@ -64,7 +64,7 @@
 
 /*
  * Returns why there is no upstream for the request; if its home regions may be
- * the cause, names them for `explain`.
+ * the cause, puts their names into the inputs of the log line.
  */
 enum reason home_refusal(struct request *r)
 {
--- a/test/home_regions.sh
+++ b/test/home_regions.sh
@@ -82,11 +82,19 @@
 echo "ok requests stay in the home regions of route, of account and of both"
 
 for n in e1 w1; do
-	expect 503 $n /east/none -H "$(key key-west)"
+	expect 503 $n /east/none -H "$(key key-west)" \
+		-H "Mulberryferry-Attempt-Id: none-$n"
 	grep -q '"no-home-upstream"' "$WORK/body" ||
 		fail "reason: $(cat "$WORK/body")"
 	grep -q '"not-run"' "$WORK/body" || fail "outcome: $(cat "$WORK/body")"
 	grep -qi "^retry-after" "$WORK/head" || fail "no Retry-After header"
+	admin=admin_$n
+	"$BIN" explain --admin "${!admin}" "none-$n" >"$WORK/explained" ||
+		fail "explain: $(cat "$WORK/explained")"
+	grep -q "no-home-upstream" "$WORK/explained" ||
+		fail "explain names no reason: $(cat "$WORK/explained")"
+	grep -q "none-$n .*inputs=\"route=east account=west\"" \
+		"$WORK/$n.log" || fail "no regions in the log"
 done
 ran_only u-e u-w 0 "/east/none"
 ran_only u-w u-e 0 "/east/none"
