--- a/src/node/node.c
+++ b/src/node/node.c
@@ -505,7 +505,6 @@
 {
 	if (n->notes)
 		notes_free(n->notes);
-	evacuations_free(n->evacuations);
 	if (n->quota)
 		quota_free(n->quota);
 	if (n->claims)
@@ -518,6 +517,8 @@
 	listeners_close(n);
 	calls_free(n);
 	free_requests(n);
+	/* Gates ask for the evacuations when their pools close. */
+	evacuations_free(n->evacuations);
 	if (n->directory)
 		directory_free(n->directory);
 	if (n->identities)
