--- a/src/admin/admin_impl.h
+++ b/src/admin/admin_impl.h
@@ -53,6 +53,7 @@
 	QUERY_DECISIONS, /* the decisions about one request */
 	QUERY_COUNTS,	 /* the counts of accounts */
 	QUERY_ACCOUNT,	 /* counts, unresolved claims and a summary */
+	QUERY_EVACUATIONS,
 };
 
 /* A query whose result is merged from the responses of several nodes. */
@@ -153,6 +154,10 @@
 void admin_poison(struct admin_call *c);
 void admin_poison_lift(struct admin_call *c);
 struct json_object *admin_poison_json(struct node *n, int64_t now);
+void admin_evacuations(struct admin_call *c);
+void admin_evacuations_change(struct admin_call *c);
+struct json_object *admin_evacuations_json(struct node *n, int64_t now);
+void evacuations_answer(struct admin_query *q);
 void admin_decisions(struct admin_call *c);
 void admin_counts(struct admin_call *c);
 
--- a/src/admin/decisions.c
+++ b/src/admin/decisions.c
@@ -322,6 +322,9 @@
 	case QUERY_ACCOUNT:
 		answer_account(q, now);
 		break;
+	case QUERY_EVACUATIONS:
+		evacuations_answer(q);
+		break;
 	}
 }
 
--- a/src/admin/query.c
+++ b/src/admin/query.c
@@ -93,6 +93,21 @@
 	return list;
 }
 
+static struct json_object *local_items(struct node *n,
+				       const struct admin_query *q, int64_t now)
+{
+	switch (q->kind) {
+	case QUERY_DECISIONS:
+		return local_records(n, q->id);
+	case QUERY_EVACUATIONS:
+		return admin_evacuations_json(n, now);
+	case QUERY_COUNTS:
+	case QUERY_ACCOUNT:
+		break;
+	}
+	return local_spans(n, q->account, q->since_min);
+}
+
 static struct json_object *query_json(const struct admin_query *q)
 {
 	struct json_object *o = json_object_new_object();
@@ -101,6 +116,11 @@
 		json_add_text(o, "request", q->id);
 		return o;
 	}
+	if (q->kind == QUERY_EVACUATIONS) {
+		json_object_object_add(o, "evacuations",
+				       json_object_new_boolean(true));
+		return o;
+	}
 	json_add_text(o, "account", q->account);
 	json_add_int(o, "since_min", q->since_min);
 	return o;
@@ -275,9 +295,7 @@
 				   "ask again in a few seconds");
 		return;
 	}
-	local = q->kind == QUERY_DECISIONS
-			? local_records(n, q->id)
-			: local_spans(n, q->account, q->since_min);
+	local = local_items(n, q, now);
 	q->truncated = json_object_array_length(local) ==
 		       (q->kind == QUERY_DECISIONS ? RECORDS_MAX : SPANS_MAX);
 	add_items(q, local, now);
@@ -326,6 +344,8 @@
 
 	if (*id) {
 		response = response_json(local_records(n, id));
+	} else if (json_object_object_get_ex(o, "evacuations", NULL)) {
+		response = response_json(admin_evacuations_json(n, now));
 	} else if (json_object_object_get_ex(o, "since_min", &since)) {
 		response = response_json(
 			local_spans(n, account, json_object_get_int64(since)));
--- a/src/admin/route.c
+++ b/src/admin/route.c
@@ -21,6 +21,11 @@
 	{"GET", "/v1/claims", ACCESS_READ, admin_claims},
 	{"GET", "/v1/poison", ACCESS_READ, admin_poison},
 	{"POST", "/v1/poison/lift", ACCESS_CHANGE, admin_poison_lift},
+	{"GET", "/v1/evacuations", ACCESS_READ, admin_evacuations},
+	{"PUT", "/v1/evacuations/{data_centre}", ACCESS_CHANGE,
+	 admin_evacuations_change},
+	{"DELETE", "/v1/evacuations/{data_centre}", ACCESS_CHANGE,
+	 admin_evacuations_change},
 	{"GET", "/v1/decisions", ACCESS_READ, admin_decisions},
 	{"GET", "/v1/counts", ACCESS_READ, admin_counts},
 };
@@ -44,8 +49,11 @@
 
 	if (!pattern[fixed])
 		return !strcmp(pattern, path);
-	return !strncmp(pattern, path, fixed) &&
-	       read_number(path + fixed, number);
+	if (strncmp(pattern, path, fixed) != 0)
+		return false;
+	if (!strcmp(pattern + fixed, "{number}"))
+		return read_number(path + fixed, number);
+	return path[fixed] && !strchr(path + fixed, '/');
 }
 
 /*
--- a/src/admin/status.c
+++ b/src/admin/status.c
@@ -264,6 +264,8 @@
 	json_object_object_add(o, "limits", limits_json(n, c->now));
 	json_object_object_add(o, "cutoffs", cutoffs_json(n, c->now));
 	json_object_object_add(o, "poison", admin_poison_json(n, c->now));
+	json_object_object_add(o, "evacuations",
+			       admin_evacuations_json(n, c->now));
 	json_add_int(o, "records_bytes_max",
 		     (int64_t)explain_bytes(n->explain));
 	admin_answer_json(n, c->exchange, 200, o);
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -45,5 +45,6 @@
 int cmd_status(int argc, char **argv);
 int cmd_claims(int argc, char **argv);
 int cmd_poison(int argc, char **argv);
+int cmd_evacuate(int argc, char **argv);
 
 #endif
--- a/src/cmd/cmd_main.c
+++ b/src/cmd/cmd_main.c
@@ -12,6 +12,8 @@
 	 "explain what happened to a request or an account"},
 	{"status", cmd_status, "show hosts, upstreams, cutoffs and limits"},
 	{"claims", cmd_claims, "list once-only requests without an outcome"},
+	{"evacuate", cmd_evacuate,
+	 "take a data centre out of service, and put it back"},
 	{"poison", cmd_poison, "list and lift requests that crash upstreams"},
 };
 
--- a/src/cmd/cmd_status.c
+++ b/src/cmd/cmd_status.c
@@ -46,6 +46,30 @@
 	.children = children,
 };
 
+/* Prints on how many hosts evacuations are in force, if there are any. */
+static void print_evacuations(const struct client *c, struct json_object *page)
+{
+	struct client_response response;
+
+	if (!json_length(json_member(page, "evacuations")) ||
+	    client_get(c, "/v1/evacuations", &response) != EXIT_OK)
+		return;
+	printf("\n");
+	status_page_print_evacuations(response.body);
+	client_response_free(&response);
+}
+
+static void print_page(const struct client *c, struct json_object *page,
+		       bool terminal)
+{
+	if (c->json) {
+		client_print_json(page);
+		return;
+	}
+	status_page_print(page, terminal);
+	print_evacuations(c, page);
+}
+
 /* mulberryferry status: returns an exit_code. */
 int cmd_status(int argc, char **argv)
 {
@@ -63,10 +87,7 @@
 			break;
 		if (a.watch && terminal && !a.client.json)
 			printf(CLEAR_SCREEN);
-		if (a.client.json)
-			client_print_json(response.body);
-		else
-			status_page_print(response.body, terminal);
+		print_page(&a.client, response.body, terminal);
 		client_response_free(&response);
 		if (!a.watch)
 			break;
--- a/src/cmd/status_page.c
+++ b/src/cmd/status_page.c
@@ -172,6 +172,23 @@
 		       refused);
 }
 
+bool status_page_print_evacuations(struct json_object *answer)
+{
+	struct json_object *list = json_member(answer, "evacuations"), *e;
+	size_t i;
+
+	for (i = 0; i < json_length(list); i++) {
+		e = json_object_array_get_idx(list, i);
+		printf("data centre %s evacuated since %lld s, in force on "
+		       "%lld of %lld hosts that responded\n",
+		       json_text(e, "data_centre"),
+		       (long long)json_number(e, "since_s"),
+		       (long long)json_number(e, "in_force_on"),
+		       (long long)json_number(answer, "hosts_responding"));
+	}
+	return i > 0;
+}
+
 void status_page_print(struct json_object *s, bool terminal)
 {
 	print_summary(s);
--- a/src/cmd/status_page.h
+++ b/src/cmd/status_page.h
@@ -7,5 +7,7 @@
 
 /* Prints a response of /v1/status; on a terminal, headings are bold. */
 void status_page_print(struct json_object *status, bool terminal);
+/* Prints a response of /v1/evacuations; returns false if there are none. */
+bool status_page_print_evacuations(struct json_object *answer);
 
 #endif
