--- a/test/test_evacuations.c
+++ b/test/test_evacuations.c
@@ -75,6 +75,36 @@
 	cluster_close(&c);
 }
 
+/* Returns the store calls of ten quiet seconds. */
+static uint64_t quiet_reads(bool evacuations)
+{
+	struct cluster c;
+	uint64_t before;
+
+	memset(&c, 0, sizeof(c));
+	c.document = true;
+	c.evacuations = evacuations;
+	cluster_open_store(&c, NODES, DATA_CENTRES);
+	cluster_put(&c, DOCUMENT_KEY, "1");
+	cluster_run(&c, SETTLE_US);
+	before = counter_get(COUNTER_STORE_READS);
+	cluster_run(&c, 10 * USEC_PER_SEC);
+	before = counter_get(COUNTER_STORE_READS) - before;
+	cluster_close(&c);
+	return before;
+}
+
+/* The store charges for calls: orders must not cost any. */
+static void reads_cost_no_more_calls(void **state)
+{
+	uint64_t without = quiet_reads(false), with = quiet_reads(true);
+
+	(void)state;
+	printf("reads in 10 s: %llu without, %llu with evacuations\n",
+	       (unsigned long long)without, (unsigned long long)with);
+	assert_int_equal(without, with);
+}
+
 /* Nodes whose watches report nothing rely on the reads of each second. */
 static void orders_are_read_without_a_watch(void **state)
 {
@@ -276,6 +306,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(orders_reach_all_nodes),
+		cmocka_unit_test(reads_cost_no_more_calls),
 		cmocka_unit_test(orders_are_read_without_a_watch),
 		cmocka_unit_test(truncated_reads_continue),
 		cmocka_unit_test(nodes_without_the_store_learn_from_peers),
