Judge deadlines by how long calls take, not by slot time per ended call

Cause: a gate took slot time over ended calls for the time that a call needs. After a rise of the load many calls run and few have ended, so a call of 0.6 s counted as several seconds, and calls with all their time left were refused for their deadline while slots were free.

Change: the shorter of that estimate and of the mean time of served calls decides. Capacity still follows Little's law.

Test: surge_onto_idle_upstream_meets_deadlines failed before.

--- a/src/policy/gate.c
+++ b/src/policy/gate.c
@@ -159,7 +159,7 @@
 			      int64_t now)
 {
 	struct gate_item *victim;
-	int64_t half = (int64_t)g->service_us / 2;
+	int64_t half = gate_expected_run_us(g) / 2;
 	int64_t wait = expected_wait_us(g, c, a);
 	/* With a free slot and no queue, admitting above the cutoff is free. */
 	bool idle =
@@ -205,7 +205,7 @@
 		return -1;
 	it->call = *c;
 	it->offered_us = now;
-	it->start_by_us = c->deadline_us - (int64_t)g->service_us / 2;
+	it->start_by_us = c->deadline_us - gate_expected_run_us(g) / 2;
 	if (queue_add(g, it, a) < 0) {
 		free(it);
 		return -1;
@@ -260,6 +260,7 @@
 		g->running++;
 		gate_rate_count(g);
 		it->running = true;
+		it->started_us = now;
 		g->last_wait_us = now - it->offered_us;
 		*waited_us = g->last_wait_us;
 		return it->call.id;
@@ -321,6 +322,8 @@
 
 	if (!it || !it->running)
 		return;
+	if (end == GATE_SERVED)
+		gate_count_run(g, now - it->started_us);
 	end_running(g, it, now);
 	switch (end) {
 	case GATE_SERVED:
--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -13,6 +13,7 @@
 	struct gate_call call;
 	struct gate_account *account; /* while queued */
 	int64_t offered_us;
+	int64_t started_us;  /* while running */
 	int64_t start_by_us; /* latest time to start */
 	uint64_t seq;	     /* order of arrival */
 	size_t heap_index;
@@ -78,6 +79,7 @@
 	uint32_t queued_min;	 /* this step */
 	double busy_sum, ended_sum;
 	double service_us;
+	double run_sum_us, run_count; /* of served calls, decayed sums */
 	double adaptive_limit; /* bound of limit; lower while calls fail */
 	uint32_t limit;	       /* in force */
 	int64_t last_wait_us;
@@ -92,6 +94,8 @@
 void gate_count_busy(struct gate *g, int64_t now);
 void gate_set_limit(struct gate *g, int64_t now);
 double gate_capacity(const struct gate *g);
+void gate_count_run(struct gate *g, int64_t run_us);
+int64_t gate_expected_run_us(const struct gate *g);
 
 /* gate_rate.c */
 bool gate_rate_allows(struct gate *g, int64_t now);
--- a/src/policy/gate_step.c
+++ b/src/policy/gate_step.c
@@ -76,6 +76,29 @@
 		g->adaptive_limit = g->o.slots;
 }
 
+/* Counts the time that a served call took at the upstream. */
+void gate_count_run(struct gate *g, int64_t run_us)
+{
+	g->run_sum_us += (double)run_us;
+	g->run_count++;
+}
+
+/*
+ * Returns the time that a call is expected to take at the upstream, to judge
+ * its deadline; 0 if no call was served lately. Slot time per ended call is far
+ * too long after a rise of the load, when many calls run and few have ended:
+ * calls with a deadline well ahead were then refused although slots were free.
+ */
+int64_t gate_expected_run_us(const struct gate *g)
+{
+	double run_us;
+
+	if (g->run_count <= 0)
+		return 0;
+	run_us = g->run_sum_us / g->run_count;
+	return (int64_t)(run_us < g->service_us ? run_us : g->service_us);
+}
+
 /*
  * Smooths the slot time per ended call, from which Little's law gives the
  * capacity. If the number of ended calls deviates too far from that expected,
@@ -91,6 +114,8 @@
 		keep = CHANGE_KEEP;
 	g->busy_sum = g->busy_sum * keep + g->busy_slot_us;
 	g->ended_sum = g->ended_sum * keep + g->ended;
+	g->run_sum_us *= keep;
+	g->run_count *= keep;
 	if (g->ended_sum >= 1)
 		g->service_us = g->busy_sum / g->ended_sum;
 	else if (!g->running)
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -286,6 +286,39 @@
 	gate_free(g);
 }
 
+/*
+ * Load: a surge onto an idle upstream, before most of its calls have ended.
+ * Guards against refusals for the deadline while slots are free and a call
+ * takes less than its deadline allows.
+ */
+static void surge_onto_idle_upstream_meets_deadlines(void **state)
+{
+	struct gate *g = make_gate(90, OVERLOAD_ENFORCE);
+	int64_t now, run_us = 600 * MS, deadline_us = 800 * MS;
+	struct gate_call c;
+	uint64_t id = 0, ended = 0;
+	size_t refused = 0;
+
+	(void)state;
+	for (now = 0; now < 2 * USEC_PER_SEC; now += 10 * MS) {
+		c = make_call(++id, 1, SHED_MIDDLE);
+		c.deadline_us = now + deadline_us;
+		refused += offer(g, &c, now) != REASON_NONE;
+		start_all(g, now);
+		/* Calls of another kind end early, one in ten. */
+		if (id % 10 == 0 && now < run_us)
+			gate_done(g, id, GATE_SERVED, now + MS);
+		for (; now >= run_us && ended < id &&
+		       (int64_t)ended * 10 * MS + run_us <= now;
+		     ended++)
+			gate_done(g, ended + 1, GATE_SERVED, now);
+		if (now % GATE_STEP_US == 0)
+			gate_step(g, now);
+	}
+	assert_int_equal(refused, 0);
+	gate_free(g);
+}
+
 static void late_calls_never_run(void **state)
 {
 	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
@@ -626,6 +659,7 @@
 		cmocka_unit_test(important_classes_run_first),
 		cmocka_unit_test(accounts_share_by_weight),
 		cmocka_unit_test(unreachable_deadlines_are_refused_on_arrival),
+		cmocka_unit_test(surge_onto_idle_upstream_meets_deadlines),
 		cmocka_unit_test(late_calls_never_run),
 		cmocka_unit_test(full_queue_drops_the_least_important),
 		cmocka_unit_test(cancelled_calls_free_slot_and_queue),
