Start sub-calls before roots of their class, least time left first

Cause: an upstream that serves roots and the calls of chains served them in order of arrival within a class. A chain of eight calls waited eight times behind roots that have seconds left, and missed its deadline of 0.8 s: its runs were wasted, and the slots above it held meanwhile.

Change: within a class, calls of depth 1 and more start before roots, by the latest time at which they must start. Their roots were admitted by account before; classes still go strictly first.

--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -19,8 +19,9 @@
 	size_t heap_index;
 	bool running;
 	enum reason drop_reason;
-	struct gate_item *prev, *next;	 /* in its flow, or the drops */
-	struct gate_item *older, *newer; /* in its class */
+	struct gate_item *prev, *next;	  /* in its flow, or the drops */
+	struct gate_item *older, *newer;  /* in its class */
+	struct gate_item *sooner, *later; /* in sub_calls */
 	UT_hash_handle hh;
 };
 
@@ -60,6 +61,7 @@
 	struct gate_account *accounts;
 	struct gate_flow *flows[SHED_CLASSES]; /* round robin */
 	struct gate_item *class_items[SHED_CLASSES];
+	struct gate_item *sub_calls[SHED_CLASSES]; /* by start_by_us */
 	uint32_t class_n[SHED_CLASSES];
 	struct gate_item *drops;
 	struct gate_item **heap; /* queued calls by start_by_us */
--- a/src/policy/gate_queue.c
+++ b/src/policy/gate_queue.c
@@ -71,6 +71,20 @@
 	heap_down(g, last->heap_index);
 }
 
+/* Adds a sub-call in the order of start_by_us; most belong near the end. */
+static void add_sub_call(struct gate *g, struct gate_item *it)
+{
+	struct gate_item **list = &g->sub_calls[it->call.cls];
+	struct gate_item *at = *list ? (*list)->sooner : NULL;
+
+	while (at && at != *list && at->start_by_us > it->start_by_us)
+		at = at->sooner;
+	if (!at || at->start_by_us > it->start_by_us)
+		DL_PREPEND2(*list, it, sooner, later);
+	else
+		DL_APPEND_ELEM2(*list, at, it, sooner, later);
+}
+
 /* Queues an item in the flow of its account; -1 when out of memory. */
 int queue_add(struct gate *g, struct gate_item *it, struct gate_account *a)
 {
@@ -87,6 +101,8 @@
 	}
 	DL_APPEND(f->items, it);
 	DL_APPEND2(g->class_items[cls], it, older, newer);
+	if (it->call.depth)
+		add_sub_call(g, it);
 	g->class_n[cls]++;
 	g->queued++;
 	return 0;
@@ -103,6 +119,8 @@
 {
 	DL_DELETE(f->items, it);
 	DL_DELETE2(g->class_items[it->call.cls], it, older, newer);
+	if (it->call.depth)
+		DL_DELETE2(g->sub_calls[it->call.cls], it, sooner, later);
 }
 
 /* Removes a queued item at any position of its flow. */
@@ -123,8 +141,9 @@
 }
 
 /*
- * Returns the next item in order of importance, then by deficit round robin
- * between accounts, weight calls a round. NULL if none is queued.
+ * Returns the next item in order of importance: sub-calls by their
+ * deadlines, then roots by deficit round robin between accounts, weight calls a
+ * round. NULL if none is queued.
  */
 struct gate_item *queue_pick(struct gate *g)
 {
@@ -137,6 +156,9 @@
 			break;
 	if (cls < SHED_FIRST)
 		return NULL;
+	/* Their roots were admitted, and the runs above them hold slots. */
+	if (g->sub_calls[cls])
+		return g->sub_calls[cls];
 	f = g->flows[cls];
 	it = f->items;
 	if (!f->deficit)
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -236,6 +236,41 @@
 }
 
 /* Keeps every slot busy with calls of 10 ms, and runs the gate's steps. */
+/*
+ * Load: sub-calls share a full upstream with roots that have more time.
+ * Guards against chains that miss their deadlines in queues, each of which
+ * wastes the runs above it.
+ */
+static void sub_calls_go_first_by_deadline(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
+	struct gate_call c = make_call(1, 1, SHED_FIRST);
+
+	(void)state;
+	offer(g, &c, 0);
+	assert_int_equal(next(g, 0), 1);
+	offer_many(g, 2, 2, 1, SHED_FIRST);
+	c = make_call(4, 2, SHED_FIRST);
+	c.depth = 2;
+	c.deadline_us = 600 * MS;
+	offer(g, &c, 0);
+	c.id = 5;
+	c.deadline_us = 300 * MS;
+	offer(g, &c, 0);
+	/* A root of a more important class still goes before them. */
+	c = make_call(6, 1, SHED_LAST);
+	offer(g, &c, 0);
+	gate_done(g, 1, GATE_SERVED, MS);
+	assert_int_equal(next(g, MS), 6);
+	gate_done(g, 6, GATE_SERVED, 2 * MS);
+	assert_int_equal(next(g, 2 * MS), 5);
+	gate_done(g, 5, GATE_SERVED, 3 * MS);
+	assert_int_equal(next(g, 3 * MS), 4);
+	gate_done(g, 4, GATE_SERVED, 4 * MS);
+	assert_int_equal(next(g, 4 * MS), 2);
+	gate_free(g);
+}
+
 static int64_t run_steadily(struct gate *g, uint32_t slots, int64_t from,
 			    int64_t to, bool ok)
 {
@@ -658,6 +693,7 @@
 		cmocka_unit_test(off_is_first_in_first_out),
 		cmocka_unit_test(important_classes_run_first),
 		cmocka_unit_test(accounts_share_by_weight),
+		cmocka_unit_test(sub_calls_go_first_by_deadline),
 		cmocka_unit_test(unreachable_deadlines_are_refused_on_arrival),
 		cmocka_unit_test(surge_onto_idle_upstream_meets_deadlines),
 		cmocka_unit_test(late_calls_never_run),
