--- a/src/policy/gate_impl.h
+++ b/src/policy/gate_impl.h
@@ -13,13 +13,15 @@
 	struct gate_call call;
 	struct gate_account *account; /* while queued */
 	int64_t offered_us;
+	int64_t started_us;  /* while running */
 	int64_t start_by_us; /* latest time to start */
 	uint64_t seq;	     /* order of arrival */
 	size_t heap_index;
 	bool running;
 	enum reason drop_reason;
-	struct gate_item *prev, *next;	 /* in its flow, or the drops */
-	struct gate_item *older, *newer; /* in its class */
+	struct gate_item *prev, *next;	  /* in its flow, or the drops */
+	struct gate_item *older, *newer;  /* in its class */
+	struct gate_item *sooner, *later; /* in sub_calls */
 	UT_hash_handle hh;
 };
 
@@ -59,6 +61,7 @@
 	struct gate_account *accounts;
 	struct gate_flow *flows[SHED_CLASSES]; /* round robin */
 	struct gate_item *class_items[SHED_CLASSES];
+	struct gate_item *sub_calls[SHED_CLASSES]; /* by start_by_us */
 	uint32_t class_n[SHED_CLASSES];
 	struct gate_item *drops;
 	struct gate_item **heap; /* queued calls by start_by_us */
@@ -81,6 +84,7 @@
 	uint32_t queued_min;	 /* this step */
 	double busy_sum, ended_sum;
 	double service_us;
+	double run_sum_us, run_count; /* of served calls, decayed sums */
 	double adaptive_limit; /* bound of limit; lower while calls fail */
 	uint32_t limit;	       /* in force */
 	int64_t last_wait_us;
@@ -95,6 +99,8 @@
 void gate_count_busy(struct gate *g, int64_t now);
 void gate_set_limit(struct gate *g, int64_t now);
 double gate_capacity(const struct gate *g);
+void gate_count_run(struct gate *g, int64_t run_us);
+int64_t gate_expected_run_us(const struct gate *g);
 
 /* gate.c */
 void gate_drop_item(struct gate *g, struct gate_item *it, enum reason why);
--- a/test/test_policy_gate.c
+++ b/test/test_policy_gate.c
@@ -236,6 +236,41 @@
 }
 
 /* Keeps every slot busy with calls of 10 ms, and runs the gate's steps. */
+/*
+ * Load: sub-calls share a full upstream with roots that have more time.
+ * Guards against chains that miss their deadlines in queues, each of which
+ * wastes the runs above it.
+ */
+static void sub_calls_go_first_by_deadline(void **state)
+{
+	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
+	struct gate_call c = make_call(1, 1, SHED_FIRST);
+
+	(void)state;
+	offer(g, &c, 0);
+	assert_int_equal(next(g, 0), 1);
+	offer_many(g, 2, 2, 1, SHED_FIRST);
+	c = make_call(4, 2, SHED_FIRST);
+	c.depth = 2;
+	c.deadline_us = 600 * MS;
+	offer(g, &c, 0);
+	c.id = 5;
+	c.deadline_us = 300 * MS;
+	offer(g, &c, 0);
+	/* A root of a more important class still goes before them. */
+	c = make_call(6, 1, SHED_LAST);
+	offer(g, &c, 0);
+	gate_done(g, 1, GATE_SERVED, MS);
+	assert_int_equal(next(g, MS), 6);
+	gate_done(g, 6, GATE_SERVED, 2 * MS);
+	assert_int_equal(next(g, 2 * MS), 5);
+	gate_done(g, 5, GATE_SERVED, 3 * MS);
+	assert_int_equal(next(g, 3 * MS), 4);
+	gate_done(g, 4, GATE_SERVED, 4 * MS);
+	assert_int_equal(next(g, 4 * MS), 2);
+	gate_free(g);
+}
+
 static int64_t run_steadily(struct gate *g, uint32_t slots, int64_t from,
 			    int64_t to, bool ok)
 {
@@ -286,6 +321,39 @@
 	gate_free(g);
 }
 
+/*
+ * Load: a surge onto an idle upstream, before most of its calls have ended.
+ * Guards against refusals for the deadline while slots are free and a call
+ * takes less than its deadline allows.
+ */
+static void surge_onto_idle_upstream_meets_deadlines(void **state)
+{
+	struct gate *g = make_gate(90, OVERLOAD_ENFORCE);
+	int64_t now, run_us = 600 * MS, deadline_us = 800 * MS;
+	struct gate_call c;
+	uint64_t id = 0, ended = 0;
+	size_t refused = 0;
+
+	(void)state;
+	for (now = 0; now < 2 * USEC_PER_SEC; now += 10 * MS) {
+		c = make_call(++id, 1, SHED_MIDDLE);
+		c.deadline_us = now + deadline_us;
+		refused += offer(g, &c, now) != REASON_NONE;
+		start_all(g, now);
+		/* Calls of another kind end early, one in ten. */
+		if (id % 10 == 0 && now < run_us)
+			gate_done(g, id, GATE_SERVED, now + MS);
+		for (; now >= run_us && ended < id &&
+		       (int64_t)ended * 10 * MS + run_us <= now;
+		     ended++)
+			gate_done(g, ended + 1, GATE_SERVED, now);
+		if (now % GATE_STEP_US == 0)
+			gate_step(g, now);
+	}
+	assert_int_equal(refused, 0);
+	gate_free(g);
+}
+
 static void late_calls_never_run(void **state)
 {
 	struct gate *g = make_gate(1, OVERLOAD_ENFORCE);
@@ -625,7 +693,9 @@
 		cmocka_unit_test(off_is_first_in_first_out),
 		cmocka_unit_test(important_classes_run_first),
 		cmocka_unit_test(accounts_share_by_weight),
+		cmocka_unit_test(sub_calls_go_first_by_deadline),
 		cmocka_unit_test(unreachable_deadlines_are_refused_on_arrival),
+		cmocka_unit_test(surge_onto_idle_upstream_meets_deadlines),
 		cmocka_unit_test(late_calls_never_run),
 		cmocka_unit_test(full_queue_drops_the_least_important),
 		cmocka_unit_test(cancelled_calls_free_slot_and_queue),
