Compare account limits at 85 nodes with one central bucket per account

Cause: the simulated fleet had 24 nodes and one account, so it could not show how many requests end with 429 although their account is within its rate and burst.

Change: the fleet takes several accounts, a delay between data centres, and a time until a killed node is seen as dead. test_quota_central compares what 12 accounts are granted with one bucket per account, second by second, for 85 nodes in 3 data centres, 8 groups and a hold period of 60 s, with 1.15 ms added one way between data centres. Stubs of the member list move to the fleet and no longer walk the list for each next member; test_quota keeps its checks, and reads the account's rate where it read the fleet's.

--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -8,6 +8,7 @@
 
 #define MAX_WAIT_US (20 * USEC_PER_MSEC)
 #define ACCOUNT "aral"
+#define COUNT_PERIOD_US (50 * USEC_PER_MSEC) /* of visible members */
 
 struct fleet_datagram {
 	struct peer_msg msg;
@@ -18,6 +19,7 @@
 
 struct fleet_waiting {
 	size_t node;
+	struct fleet_account *account;
 	int64_t deadline_us;
 	struct fleet_waiting *prev, *next;
 };
@@ -40,15 +42,18 @@
 	return a_partitioned == b_partitioned;
 }
 
-static void enqueue_datagram(struct fleet *f, size_t to,
+static void enqueue_datagram(struct fleet *f, size_t from, size_t to,
 			     const struct peer_msg *msg)
 {
 	struct fleet_datagram *d = calloc(1, sizeof(*d));
+	size_t n = f->o.data_centres;
 
 	d->msg = *msg;
 	d->to = to;
 	d->at_us = f->now + f->o.delay_us +
 		   (int64_t)(gsl_rng_uniform(f->rng) * (double)f->o.delay_us);
+	if (from % n != to % n)
+		d->at_us += f->o.crossing_us;
 	LL_PREPEND(f->in_flight, d);
 }
 
@@ -59,40 +64,43 @@
 	size_t i;
 
 	msg->from = f->nodes[t->node].addr;
+	f->nodes[t->node].datagrams++;
 	for (i = 0; i < f->o.nodes; i++) {
 		if (!addr_equal(&f->nodes[i].addr, to) ||
 		    !fleet_reachable(f, t->node, i) ||
 		    gsl_rng_uniform(f->rng) < f->o.loss)
 			continue;
-		enqueue_datagram(f, i, msg);
+		enqueue_datagram(f, t->node, i, msg);
 		if (gsl_rng_uniform(f->rng) < f->o.duplicate)
-			enqueue_datagram(f, i, msg);
+			enqueue_datagram(f, t->node, i, msg);
 	}
 	return 0;
 }
 
-static void record_taken(struct fleet *f)
+static void record_taken(struct fleet *f, struct fleet_account *a)
 {
-	double passed = (double)(f->now - f->reference_us) / USEC_PER_SEC;
-
-	f->reference_level += f->reference_rate * passed;
-	if (f->reference_level > f->reference_burst)
-		f->reference_level = f->reference_burst;
-	f->reference_us = f->now;
-	f->reference_level -= 1;
-	if (f->reference_level < f->lowest_level)
-		f->lowest_level = f->reference_level;
+	double passed = (double)(f->now - a->reference_us) / USEC_PER_SEC;
+
+	a->reference_level += a->rate * passed;
+	if (a->reference_level > a->burst)
+		a->reference_level = a->burst;
+	a->reference_us = f->now;
+	a->reference_level -= 1;
+	if (a->reference_level < f->lowest_level)
+		f->lowest_level = a->reference_level;
+	a->taken++;
 	f->taken++;
 }
 
-static enum quota_verdict try_take(struct fleet *f, size_t node, bool first)
+static enum quota_verdict try_take(struct fleet *f, struct fleet_account *a,
+				   size_t node, bool first)
 {
 	int64_t retry;
-	enum quota_verdict v = quota_take(f->nodes[node].quota, ACCOUNT, first,
+	enum quota_verdict v = quota_take(f->nodes[node].quota, a->name, first,
 					  f->now, &retry);
 
 	if (v == QUOTA_TAKEN)
-		record_taken(f);
+		record_taken(f, a);
 	return v;
 }
 
@@ -104,7 +112,7 @@
 	{
 		if (w->node != node)
 			continue;
-		if (try_take(f, node, false) == QUOTA_WAIT &&
+		if (try_take(f, w->account, node, false) == QUOTA_WAIT &&
 		    f->now < w->deadline_us)
 			continue;
 		DL_DELETE(f->waiting, w);
@@ -155,26 +163,63 @@
 	n->dead = false;
 }
 
-static struct config *make_config(const struct config *from, uint64_t number,
-				  const char *section, double rate,
-				  double burst)
+static void write_accounts(const struct fleet *f, struct buffer *text)
+{
+	const struct fleet_account *a;
+	size_t i;
+
+	for (i = 0; i < f->account_count; i++) {
+		a = &f->accounts[i];
+		buffer_printf(text,
+			      "%s{\"name\":\"%s\",\"rate\":%g,\"burst\":%g}",
+			      i ? "," : "", a->name, a->rate, a->burst);
+	}
+}
+
+static struct config *make_config(const struct fleet *f,
+				  const struct config *from, uint64_t number,
+				  const char *section)
 {
 	struct note_faults faults = {0};
+	struct buffer text = {0};
 	struct config *c;
-	char text[256];
 
-	snprintf(text, sizeof(text),
-		 "{\"release\":\"r%u\",\"%s\":{\"accounts\":[{\"name\":"
-		 "\"" ACCOUNT "\",\"rate\":%g,\"burst\":%g}]}}",
-		 (unsigned)number, section, rate, burst);
-	c = config_apply(from, number, text, strlen(text), NULL, &faults);
+	buffer_printf(&text, "{\"release\":\"r%u\",\"%s\":{\"accounts\":[",
+		      (unsigned)number, section);
+	write_accounts(f, &text);
+	buffer_printf(&text, "]}}");
+	c = config_apply(from, number, (const char *)text.data, text.len, NULL,
+			 &faults);
 	if (!c && faults.n)
 		fprintf(stderr, "%s: %s\n", faults.items[0].path,
 			faults.items[0].text);
 	assert(c);
+	buffer_free(&text);
 	return c;
 }
 
+static void open_accounts(struct fleet *f)
+{
+	const struct fleet_account one = {.name = ACCOUNT,
+					  .rate = f->o.rate,
+					  .burst = f->o.burst,
+					  .demand_per_s = f->o.demand_per_s,
+					  .data_centre = FLEET_ALL};
+	struct fleet_account *a;
+	size_t i;
+
+	f->account_count = f->o.accounts ? f->o.account_count : 1;
+	memcpy(f->accounts, f->o.accounts ? f->o.accounts : &one,
+	       f->account_count * sizeof(one));
+	for (i = 0; i < f->account_count; i++) {
+		a = &f->accounts[i];
+		a->reference_level = a->burst;
+		a->reference_us = f->now;
+		bucket_init(&a->central_bucket, a->rate, a->burst, a->burst,
+			    f->now);
+	}
+}
+
 /* Opens the fleet and starts all nodes. */
 void fleet_open(struct fleet *f, const struct fleet_options *o)
 {
@@ -188,14 +233,9 @@
 	f->rng = gsl_rng_alloc(gsl_rng_taus2);
 	gsl_rng_set(f->rng, o->seed);
 	f->memory = memory_store_new();
-	f->config = make_config(empty, 1, "added", o->rate, o->burst);
+	open_accounts(f);
+	f->config = make_config(f, empty, 1, "added");
 	config_put(empty);
-	f->reference_rate = o->rate;
-	f->reference_burst = o->burst;
-	f->reference_level = o->burst;
-	f->reference_us = f->now;
-	bucket_init(&f->central_bucket, o->rate, o->burst, o->burst, f->now);
-	f->lowest_level = o->burst;
 	for (i = 0; i < o->nodes; i++) {
 		struct fleet_node *n = &f->nodes[i];
 		char text[ADDR_TEXT_SIZE];
@@ -204,11 +244,13 @@
 		wake_targets[i].node = i;
 		views[i].fleet = f;
 		views[i].node = i;
+		views[i].counted_us = 0;
 		n->index = i;
 		snprintf(text, sizeof(text), "10.0.%u.%u:7000",
 			 (unsigned)(i % o->data_centres), (unsigned)i);
 		addr_parse(&n->addr, text);
 		n->info.node_addr = n->addr;
+		snprintf(n->info.host, sizeof(n->info.host), "%u", (unsigned)i);
 		snprintf(n->info.data_centre, sizeof(n->info.data_centre),
 			 "dc%u", (unsigned)(i % o->data_centres));
 		n->store = store_open_memory(f->memory);
@@ -264,34 +306,52 @@
 	}
 }
 
-/* Counts what a single central bucket would have refused. */
-static void record_central(struct fleet *f)
+/* A request of the account arrives at the node. */
+void fleet_arrive(struct fleet *f, struct fleet_account *a, size_t node)
 {
-	if (!bucket_take(&f->central_bucket, 1, f->now))
+	struct fleet_waiting *w;
+
+	f->arrived++;
+	a->arrived++;
+	if (bucket_take(&a->central_bucket, 1, f->now))
+		a->central_taken++;
+	else
 		f->central_refused++;
+	if (try_take(f, a, node, true) != QUOTA_WAIT)
+		return;
+	w = calloc(1, sizeof(*w));
+	w->node = node;
+	w->account = a;
+	w->deadline_us = f->now + MAX_WAIT_US;
+	DL_APPEND(f->waiting, w);
 }
 
-static void generate_arrivals(struct fleet *f)
+/* Returns a node that runs, of the account's data centre if it has one. */
+static size_t choose_node(struct fleet *f, const struct fleet_account *a)
 {
-	double p = f->o.demand_per_s * (double)f->o.step_us / USEC_PER_SEC;
-	struct fleet_waiting *w;
 	size_t node;
 
+	do {
+		node = gsl_rng_uniform_int(f->rng, f->o.nodes);
+		if (a->data_centre != FLEET_ALL)
+			node += a->data_centre - node % f->o.data_centres;
+	} while (node >= f->o.nodes || f->nodes[node].dead ||
+		 f->nodes[node].paused);
+	return node;
+}
+
+static void generate_arrivals(struct fleet *f, struct fleet_account *a)
+{
+	double p = a->demand_per_s * (double)f->o.step_us / USEC_PER_SEC;
+
 	while (gsl_rng_uniform(f->rng) < p) {
 		p -= 1;
-		node = gsl_rng_uniform(f->rng) < f->o.skew
-			       ? 0
-			       : gsl_rng_uniform_int(f->rng, f->o.nodes);
-		if (f->nodes[node].dead || f->nodes[node].paused)
-			continue;
-		f->arrived++;
-		record_central(f);
-		if (try_take(f, node, true) != QUOTA_WAIT)
+		if (gsl_rng_uniform(f->rng) < f->o.skew) {
+			if (!f->nodes[0].dead && !f->nodes[0].paused)
+				fleet_arrive(f, a, 0);
 			continue;
-		w = calloc(1, sizeof(*w));
-		w->node = node;
-		w->deadline_us = f->now + MAX_WAIT_US;
-		DL_APPEND(f->waiting, w);
+		}
+		fleet_arrive(f, a, choose_node(f, a));
 	}
 }
 
@@ -301,7 +361,8 @@
 
 	f->now += f->o.step_us;
 	deliver(f);
-	generate_arrivals(f);
+	for (i = 0; i < f->account_count; i++)
+		generate_arrivals(f, &f->accounts[i]);
 	for (i = 0; i < f->o.nodes; i++) {
 		if (f->nodes[i].paused || f->nodes[i].dead)
 			continue;
@@ -326,13 +387,14 @@
 /* Applies another rate and burst to every node at once. */
 void fleet_set_rate(struct fleet *f, double rate, double burst)
 {
-	struct config *c = make_config(f->config, 2, "changed", rate, burst);
+	struct config *c;
 	size_t i;
 
+	f->accounts[0].rate = rate;
+	f->accounts[0].burst = burst;
+	c = make_config(f, f->config, 2, "changed");
 	config_put(f->config);
 	f->config = c;
-	f->reference_rate = rate;
-	f->reference_burst = burst;
 	for (i = 0; i < f->o.nodes; i++)
 		if (!f->nodes[i].dead)
 			quota_config(f->nodes[i].quota, c, f->now);
@@ -356,6 +418,7 @@
 		quota_free(n->quota);
 	n->quota = NULL;
 	n->dead = true;
+	n->killed_us = f->now;
 }
 
 /* Goes back to the saved store; the nodes learn of it over a second. */
@@ -389,3 +452,70 @@
 	f->refused = 0;
 	f->central_refused = 0;
 }
+
+/* Stubs of the members_* functions over the nodes of the fleet. */
+
+static bool is_visible(const struct members *m, size_t i)
+{
+	const struct fleet *f = m->fleet;
+	const struct fleet_node *n = &f->nodes[i];
+
+	if (i == m->node)
+		return true;
+	if (n->dead && f->now - n->killed_us >= f->o.detection_us)
+		return false;
+	return fleet_reachable(f, m->node, i);
+}
+
+const struct member_info *members_next(const struct members *m,
+				       const struct member_info *after)
+{
+	size_t i = 0;
+
+	if (after)
+		i = (size_t)atoi(after->host) + 1;
+	for (; i < m->fleet->o.nodes; i++)
+		if (is_visible(m, i))
+			return &m->fleet->nodes[i].info;
+	return NULL;
+}
+
+const struct member_info *members_self(const struct members *m)
+{
+	return &m->fleet->nodes[m->node].info;
+}
+
+const struct member_info *members_find(const struct members *m,
+				       const struct addr *node_addr)
+{
+	size_t i;
+
+	for (i = 0; i < m->fleet->o.nodes; i++)
+		if (is_visible(m, i) &&
+		    addr_equal(&m->fleet->nodes[i].addr, node_addr))
+			return &m->fleet->nodes[i].info;
+	return NULL;
+}
+
+/* All members of the fleet are alive. */
+size_t members_count(const struct members *m, enum member_state state)
+{
+	struct members *view = &views[m->node];
+	size_t i;
+
+	if (state != MEMBER_ALIVE)
+		return 0;
+	if (m->fleet->now - view->counted_us >= COUNT_PERIOD_US) {
+		view->counted_us = m->fleet->now;
+		view->count = 0;
+		for (i = 0; i < m->fleet->o.nodes; i++)
+			view->count += is_visible(m, i);
+	}
+	return view->count;
+}
+
+bool members_chosen(const struct members *m, uint64_t topic, size_t k)
+{
+	(void)topic;
+	return m->node < m->fleet->o.data_centres * k;
+}
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -38,61 +38,6 @@
 	assert_true(f->lowest_level >= -ROUNDING);
 }
 
-/* Stubs of the members_* functions over the nodes of the fleet. */
-
-static bool is_visible(const struct members *m, size_t i)
-{
-	return i == m->node || (!m->fleet->nodes[i].dead &&
-				fleet_reachable(m->fleet, m->node, i));
-}
-
-const struct member_info *members_next(const struct members *m,
-				       const struct member_info *after)
-{
-	size_t i = 0;
-
-	if (after)
-		while (&m->fleet->nodes[i++].info != after)
-			;
-	for (; i < m->fleet->o.nodes; i++)
-		if (is_visible(m, i))
-			return &m->fleet->nodes[i].info;
-	return NULL;
-}
-
-const struct member_info *members_self(const struct members *m)
-{
-	return &m->fleet->nodes[m->node].info;
-}
-
-const struct member_info *members_find(const struct members *m,
-				       const struct addr *node_addr)
-{
-	size_t i;
-
-	for (i = 0; i < m->fleet->o.nodes; i++)
-		if (is_visible(m, i) &&
-		    addr_equal(&m->fleet->nodes[i].addr, node_addr))
-			return &m->fleet->nodes[i].info;
-	return NULL;
-}
-
-size_t members_count(const struct members *m, enum member_state state)
-{
-	const struct member_info *i = NULL;
-	size_t n = 0;
-
-	while ((i = members_next(m, i)))
-		n += i->state == state;
-	return n;
-}
-
-bool members_chosen(const struct members *m, uint64_t topic, size_t k)
-{
-	(void)topic;
-	return m->node < m->fleet->o.data_centres * k;
-}
-
 static double percent(uint64_t part, uint64_t whole)
 {
 	return whole ? 100.0 * (double)part / (double)whole : 0;
@@ -215,7 +160,7 @@
 		fleet_restart(f, 7);
 		break;
 	case FAULT_RATE_LOWERED:
-		if (f->reference_rate > 60)
+		if (f->accounts[0].rate > 60)
 			fleet_set_rate(f, 60, 12);
 		break;
 	case FAULT_LEAVING:
@@ -548,7 +493,7 @@
 
 	(void)state;
 	o.groups = 4;
-	o.nodes = FLEET_MAX;
+	o.nodes = 24;
 	o.hold_us = 600 * USEC_PER_SEC;
 	fleet_open(&f, &o);
 	fleet_run(&f, 20 * USEC_PER_SEC);
