Require grants within 0.5 in 100 of the central bucket

Cause: the comparison printed the differences and checked only that rate and burst are kept.

Change: each load fails that differs by more than the target.

--- a/test/test_quota_central.c
+++ b/test/test_quota_central.c
@@ -255,7 +255,8 @@
 static void grants_follow_central_bucket(void **state)
 {
 	struct comparison r;
-	size_t i;
+	double difference;
+	size_t i, failed = 0;
 
 	(void)state;
 	print_message("%-20s %7s %8s %8s %7s %10s %7s %6s %11s\n", "load",
@@ -273,7 +274,10 @@
 			      r.worst_second, (unsigned long long)r.store_calls,
 			      r.datagrams_mean, r.datagrams_max);
 		assert_true(r.lowest_level >= -ROUNDING);
+		difference = 100 * ((double)r.taken / (double)r.central - 1);
+		failed += fabs(difference) > TARGET_PERCENT;
 	}
+	assert_int_equal(failed, 0);
 }
 
 int main(void)
