Carry fractions of tokens, and beats of holders, between nodes

Cause: loan messages carry thousandths, so thirds of a burst do not add up to a token; and no message tells a node that the holder of a slice is alive.

Change: loan messages get the billionths beyond the thousandths and whether the lender holds a slice; a message between the holder of a slice and its standby is new. Older builds ignore the fields, and refuse the new message as malformed, which is the same as no answer.

--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -150,6 +150,7 @@
 	case PEER_LOAN_REQUEST:
 	case PEER_LOAN_GRANT:
 	case PEER_LOAN_SPENT:
+	case PEER_STANDBY:
 		quota_receive(n->quota, msg, now);
 		break;
 	case PEER_QUERY:
--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -72,6 +72,9 @@
 		write_uint(w, m->query.id);
 		write_bytes(w, m->query.text.data, m->query.text.len);
 		break;
+	case PEER_STANDBY:
+		write_standby(w, &m->standby);
+		break;
 	case PEER_POISON:
 		write_poison_facts(w, m->poison.items, m->poison.n);
 		break;
@@ -205,6 +208,9 @@
 	case PEER_QUERY_RESPONSE:
 		read_query(r, m);
 		break;
+	case PEER_STANDBY:
+		read_standby(r, &m->standby);
+		break;
 	case PEER_POISON:
 		m->poison.n = read_poison_facts(r, m->poison.items);
 		break;
@@ -218,7 +224,7 @@
 	uint64_t kind;
 
 	reader_array(r, &sub, ENVELOPE_FIELDS);
-	kind = read_uint(&sub, PEER_POISON);
+	kind = read_uint(&sub, PEER_STANDBY);
 	read_addr(&sub, &m->from);
 	m->incarnation = read_uint(&sub, UINT64_MAX);
 	m->config_number = read_uint(&sub, UINT64_MAX);
@@ -307,6 +313,7 @@
 	case PEER_LOAN_GRANT:
 	case PEER_LOAN_SPENT:
 	case PEER_POISON:
+	case PEER_STANDBY:
 		break;
 	}
 }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -240,6 +240,7 @@
 	PEER_QUERY,
 	PEER_QUERY_RESPONSE,
 	PEER_POISON,
+	PEER_STANDBY,
 };
 
 #define MEMBERS_DIGESTS 256
@@ -250,6 +251,7 @@
 	uint64_t limits_hash; /* hash of rate and burst at the borrower */
 	uint32_t tokens;      /* thousandths requested, or spent */
 	uint32_t returned;    /* thousandths returned unspent */
+	uint32_t rest;	      /* billionths beyond the thousandths of either */
 };
 
 struct loan_grant {
@@ -258,6 +260,25 @@
 	uint64_t limits_hash;
 	uint32_t tokens;    /* thousandths; 0: none granted */
 	uint32_t remaining; /* thousandths left at the lender; a hint */
+	uint32_t rest;	    /* billionths beyond the thousandths of tokens */
+	bool no_share;	    /* the lender holds no slice of the account */
+};
+
+enum standby_step {
+	STANDBY_BEAT,	 /* of the holder of a slice, to its standby */
+	STANDBY_ACK,	 /* the beat, returned */
+	STANDBY_RELEASE, /* the standby will not take the slice */
+};
+
+#define STANDBY_GROUP_SIZE (NAME_SIZE + 8)
+
+struct standby_msg {
+	enum standby_step step;
+	char group[STANDBY_GROUP_SIZE];
+	uint64_t sent_us;  /* by the holder's clock */
+	uint64_t revision; /* of the slice in the ledger */
+	uint32_t share;
+	bool consent; /* the standby may take the slice once beats end */
 };
 
 /* Keyed hash of what makes a request the same one again. */
@@ -326,6 +347,7 @@
 		struct loan_request loan_request;
 		struct loan_grant loan_grant;
 		struct loan_request loan_spent;
+		struct standby_msg standby;
 		struct {
 			uint64_t id;
 			struct buffer text; /* JSON */
--- a/src/wire/wire_impl.h
+++ b/src/wire/wire_impl.h
@@ -69,5 +69,7 @@
 void read_loan_request(struct reader *r, struct loan_request *q);
 void write_loan_grant(struct writer *w, const struct loan_grant *g);
 void read_loan_grant(struct reader *r, struct loan_grant *g);
+void write_standby(struct writer *w, const struct standby_msg *s);
+void read_standby(struct reader *r, struct standby_msg *s);
 
 #endif
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -261,7 +261,7 @@
 	enum peer_msg_kind kind;
 
 	(void)state;
-	for (kind = PEER_PROBE; kind <= PEER_POISON; kind++) {
+	for (kind = PEER_PROBE; kind <= PEER_STANDBY; kind++) {
 		struct peer_msg m = {.kind = kind, .config_number = 3};
 		struct buffer once = {0}, twice = {0};
 
