Lend fractions, and let a standby take the slice of a silent holder

Change, with account groups only: a borrower that finds less than a token at each owner gathers the fractions from all of them at once, and returns what does not make a token. Each holder sends a beat to the node that ranks second in its data centre; after 0.62 s without one that node moves the slice to itself in one transaction, which compares the revision that the beats named. The holder spends only within 0.4 s of the last beat that was acknowledged, and otherwise writes the slice again first. A planned stop takes the right back, so restarts cost the store what they did.

--- a/src/control/quota/quota.c
+++ b/src/control/quota/quota.c
@@ -7,6 +7,8 @@
 #include <utlist.h>
 #include <xxhash.h>
 
+/* Thirds of a burst, rounded down in messages, must make a whole token. */
+#define SPEND_TOLERANCE 1e-8
 #define DEMAND_WINDOW_US (100 * USEC_PER_MSEC)
 #define DEMAND_SMOOTHING 0.3
 #define PREFETCH_US (50 * USEC_PER_MSEC)
@@ -198,6 +200,13 @@
 	double fraction = usable_fraction(a->group, now);
 	double cap = a->burst * fraction - a->lent;
 
+	if (standby_lease_lost(a->group, now)) {
+		a->suspended += a->level;
+		a->level = 0;
+		return;
+	}
+	a->level += a->suspended;
+	a->suspended = 0;
 	if (now > a->refilled_us)
 		a->level += a->rate * fraction *
 			    (double)(now - a->refilled_us) / USEC_PER_SEC;
@@ -240,7 +249,7 @@
 
 	loans_expire(q, a, now);
 	quota_refill(a, now);
-	if (a->level + borrowed_tokens(a) < 1 - 1e-9)
+	if (a->level + borrowed_tokens(a) < 1 - SPEND_TOLERANCE)
 		return false;
 	while (need > 0 && i < a->loans_in_count) {
 		loan = &a->loans_in[i];
@@ -254,9 +263,9 @@
 		loans_report_spent(q, a, loan);
 		*loan = a->loans_in[--a->loans_in_count];
 	}
+	/* What a token fell short of stays as a debt. */
 	a->level -= need;
-	if (a->level < 0)
-		a->level = 0;
+	loans_return_fractions(q, a);
 	return true;
 }
 
@@ -344,7 +353,10 @@
 /* Handles a loan request, a grant or a report of a spent loan. */
 void quota_receive(struct quota *q, const struct peer_msg *msg, int64_t now)
 {
-	loans_receive(q, msg, now);
+	if (msg->kind == PEER_STANDBY)
+		standby_receive(q, msg, now);
+	else
+		loans_receive(q, msg, now);
 }
 
 /* Advances ledger, loans and reclaims; to be called every 5 ms. */
@@ -353,6 +365,7 @@
 	struct quota_account *a, *next;
 
 	ledger_tick(q, now);
+	standby_tick(q, now);
 	DL_FOREACH_SAFE(q->loan_accounts, a, next)
 	{
 		loans_tick(q, a, now);
@@ -378,6 +391,7 @@
 		return;
 	q->leaving = true;
 	q->returns_slices = !host_stays || !q->o.groups;
+	standby_leave(q, now);
 	HASH_ITER(hh, q->account_groups, g, next)
 	{
 		quota_refill_all(g, now);
--- a/src/control/quota/quota_impl.h
+++ b/src/control/quota/quota_impl.h
@@ -32,7 +32,7 @@
 #define SHARE_ALL 720720000u
 
 /* Holds "#NUMBER@DATA_CENTRE" or the name of an account. */
-#define GROUP_NAME_SIZE (NAME_SIZE + 8)
+#define GROUP_NAME_SIZE STANDBY_GROUP_SIZE
 
 /*
  * The hold period: the usable share of a node halves for each half of it that
@@ -84,6 +84,43 @@
 struct owner {
 	struct addr node;
 	bool same_data_centre;
+	/* With account groups, the node that ranks second may hold the slice. */
+	struct addr second;
+	bool has_second;
+	bool asks_second;
+};
+
+/*
+ * The lease of a slice of a multi-account group, at its holder. The standby may
+ * take the slice, under the revision that the beats name, once it has received
+ * no beat for longer than the lease; the holder spends only until then.
+ */
+struct standby_lease {
+	bool guarded; /* the standby may have the right to take the slice */
+	bool lost;    /* being written again */
+	struct addr standby;
+	int64_t revision; /* under which the standby may take the slice */
+	int64_t until_us; /* if guarded */
+	int64_t consented_us;
+	struct addr probed; /* candidate that beats were last sent to */
+	int64_t candidate_heard_us;
+	int64_t next_beat_us;
+	int64_t next_probe_us;
+	int64_t unguarded_until_us;
+};
+
+/* The right to take the slice of a silent holder. */
+struct standby_guard {
+	bool active;
+	struct addr holder;
+	int64_t revision;
+	uint32_t share;
+	int64_t heard_us;
+	int64_t next_take_us;
+	/* The newest beat of any holder. */
+	struct addr last_from;
+	int64_t last_sent_us;
+	int64_t last_heard_us;
 };
 
 /* A pool or slice in the ledger, as last read or written. */
@@ -129,6 +166,14 @@
 	int64_t active_us; /* last demand or loan request; 0: never */
 	uint32_t owner_share;
 
+	/* The other node of this data centre that ranks highest. */
+	struct addr candidate;
+	bool has_candidate;
+	bool ranks_second; /* this node, in its data centre */
+	struct standby_lease lease;
+	struct standby_guard guard;
+	int64_t other_holder_until_us;
+
 	struct quota_account *accounts;
 	UT_hash_handle hh;
 };
@@ -145,6 +190,7 @@
 
 	/* Tokens. */
 	double level;
+	double suspended; /* tokens that a lost lease keeps from being spent */
 	int64_t refilled_us;
 	double lent;
 	struct loan_in loans_in[LOANS_IN_MAX];
@@ -167,6 +213,15 @@
 	int64_t backoff_until_us;
 	int64_t backoff_us;
 	double borrowed_in_round;
+	/*
+	 * What each owner had left when it answered in this round, and whether
+	 * the round asks the owners for fractions that make a whole token.
+	 */
+	double left_at_owner[OWNERS_MAX];
+	bool gathering;
+	bool turned; /* to the owner's second node, in this round */
+	int64_t gathered_us;
+	uint32_t gathers_pending;
 	bool had_tokens; /* from a slice or a loan since the process started */
 
 	UT_hash_handle hh;
@@ -226,6 +281,10 @@
 void ledger_slice_key(const struct quota *q, const char *group,
 		      char key[STORE_KEY_SIZE]);
 void ledger_pool_key(const char *group, char key[STORE_KEY_SIZE]);
+void ledger_holder_key(const char *node, const char *group,
+		       char key[STORE_KEY_SIZE]);
+void ledger_adopt_slice(struct quota *q, struct account_group *g,
+			const struct ledger_record *r, int64_t now);
 int ledger_parse(struct ledger_record *r, const struct store_entry *e);
 void ledger_format(const struct ledger_record *r, char text[96]);
 void ledger_renew(struct quota *q, int64_t now);
@@ -235,14 +294,25 @@
 void owners_update(struct quota *q, struct account_group *g, int64_t now);
 
 /* Loans. */
+const struct addr *loans_owner_node(const struct owner *o);
 void loans_expire(struct quota *q, struct quota_account *a, int64_t now);
 bool loans_start_round(struct quota *q, struct quota_account *a, int64_t now);
 void loans_list_add(struct quota *q, struct quota_account *a);
 void loans_tick(struct quota *q, struct quota_account *a, int64_t now);
 void loans_receive(struct quota *q, const struct peer_msg *msg, int64_t now);
+void loans_return_fractions(struct quota *q, struct quota_account *a);
 void loans_report_spent(struct quota *q, struct quota_account *a,
 			const struct loan_in *loan);
 
+/* Standbys: nodes that take the slice of a silent holder. */
+bool standby_lease_lost(const struct account_group *g, int64_t now);
+bool standby_other_holds(const struct account_group *g, int64_t now);
+void standby_slice_changed(struct account_group *g);
+void standby_receive(struct quota *q, const struct peer_msg *msg, int64_t now);
+void standby_leave(struct quota *q, int64_t now);
+void standby_tick(struct quota *q, int64_t now);
+void standby_store_replaced(struct quota *q);
+
 /* Reclaims slices of hosts that are no longer alive. */
 struct reclaim *reclaim_new(void);
 void reclaim_free(struct reclaim *r);
--- a/src/control/quota/quota_ledger.c
+++ b/src/control/quota/quota_ledger.c
@@ -27,7 +27,14 @@
 void ledger_slice_key(const struct quota *q, const char *group,
 		      char key[STORE_KEY_SIZE])
 {
-	snprintf(key, STORE_KEY_SIZE, SLICE_PREFIX "%s/%s", q->self, group);
+	ledger_holder_key(q->self, group, key);
+}
+
+/* Formats the key of another node's slice of a group. */
+void ledger_holder_key(const char *node, const char *group,
+		       char key[STORE_KEY_SIZE])
+{
+	snprintf(key, STORE_KEY_SIZE, SLICE_PREFIX "%s/%s", node, group);
 }
 
 /* Formats the key of the pool of a group. */
@@ -81,7 +88,8 @@
 	g->next_write_us = now + wait;
 }
 
-static void adopt_slice(struct quota *q, struct account_group *g,
+/* Uses the share of this node's slice as read, if this process wrote it. */
+void ledger_adopt_slice(struct quota *q, struct account_group *g,
 			const struct ledger_record *r, int64_t now)
 {
 	g->slice = *r;
@@ -90,6 +98,7 @@
 		g->share = 0;
 	else
 		g->share = r->share;
+	standby_slice_changed(g);
 	quota_refill_all(g, now);
 }
 
@@ -109,7 +118,7 @@
 		else if (!strcmp(r->entries[i].key, pool_key))
 			ledger_parse(&pool, &r->entries[i]);
 	g->pool = pool;
-	adopt_slice(q, g, &slice, now);
+	ledger_adopt_slice(q, g, &slice, now);
 	g->next_write_us = now;
 }
 
@@ -170,6 +179,7 @@
 	g->share = g->proposed_share;
 	g->confirmed_us = g->sent_us;
 	g->failures = 0;
+	standby_slice_changed(g);
 	quota_refill_all(g, now);
 	log_share(g);
 	for (a = g->accounts; a && g->share; a = a->sibling) {
@@ -214,6 +224,9 @@
 
 	if (want <= g->slice.share)
 		return want;
+	/* Growth would be refilled for the time of the lost lease as well. */
+	if (g->lease.lost)
+		return g->slice.share;
 	if (want - g->slice.share > free_share)
 		return g->slice.share + free_share;
 	return want;
@@ -272,6 +285,17 @@
 	submit_write(q, g, &pool, &slice, now);
 }
 
+/*
+ * Leaves the slice with the node that ranks second, once it has taken it: a
+ * return to the first would cost writes and tokens.
+ */
+static bool chooses_to_keep(const struct account_group *g, int64_t now)
+{
+	if (g->is_owner)
+		return standby_other_holds(g, now);
+	return g->ranks_second && g->share == SHARE_ALL;
+}
+
 static void choose_desired(struct quota *q, struct account_group *g,
 			   int64_t now)
 {
@@ -282,6 +306,12 @@
 		return;
 	}
 	owners_update(q, g, now);
+	if (g->multi_account && chooses_to_keep(g, now)) {
+		/* The ledger may lack a share in use after a restore. */
+		g->desired_share =
+			g->share > g->slice.share ? g->share : g->slice.share;
+		return;
+	}
 	/* The former owner may be restarting, and back within SETTLE_US. */
 	if (g->is_owner && g->multi_account &&
 	    now - g->owner_since_us < SETTLE_US)
@@ -344,6 +374,7 @@
 		g->slice = (struct ledger_record){0};
 	}
 	q->ledger_settled_us = store_settled_us(q->o.store);
+	standby_store_replaced(q);
 	q->own_slices_listed = false;
 	q->list_after[0] = 0;
 	q->next_list_us = q->ledger_settled_us;
--- a/src/control/quota/quota_owners.c
+++ b/src/control/quota/quota_owners.c
@@ -75,6 +75,7 @@
 		g->owner_share = share;
 	}
 	owner = &g->owners[g->owner_count++];
+	memset(owner, 0, sizeof(*owner));
 	owner->node = r->member->node_addr;
 	owner->same_data_centre =
 		!strcmp(r->member->data_centre, self->data_centre);
@@ -152,10 +153,54 @@
 static void choose_group_owners(struct quota *q, struct account_group *g,
 				const struct data_centre *c, size_t n)
 {
+	struct owner *owner;
 	size_t i;
 
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && i < OWNERS_MAX; i++) {
 		add_owner(q, g, &c[i].best[0], SHARE_ALL);
+		owner = &g->owners[i];
+		owner->has_second = c[i].best[1].member != NULL;
+		if (owner->has_second)
+			owner->second = c[i].best[1].member->node_addr;
+	}
+}
+
+/* Keeps, for each data centre, which of its two nodes loans come from. */
+static void keep_second(struct account_group *g, const struct owner *former,
+			size_t n)
+{
+	struct owner *owner;
+	size_t i, k;
+
+	for (i = 0; i < g->owner_count; i++) {
+		owner = &g->owners[i];
+		for (k = 0; k < n; k++) {
+			if (!former[k].has_second || !owner->has_second)
+				continue;
+			if (addr_equal(&owner->second,
+				       loans_owner_node(&former[k])))
+				owner->asks_second = true;
+		}
+	}
+}
+
+/* Finds this node's rank, and the standby of a slice that it holds. */
+static void choose_standby(struct quota *q, struct account_group *g,
+			   const struct data_centre *c)
+{
+	const struct member_info *self = members_self(q->o.members);
+	const struct member_info *other;
+	bool first;
+
+	if (strcmp(c->name, self->data_centre) != 0 || !c->best[0].member)
+		return;
+	first = addr_equal(&c->best[0].member->node_addr, &q->o.self);
+	other = first ? c->best[1].member : c->best[0].member;
+	g->ranks_second = c->best[1].member &&
+			  addr_equal(&c->best[1].member->node_addr, &q->o.self);
+	g->has_candidate = other != NULL;
+	if (other)
+		g->candidate = other->node_addr;
 }
 
 static void choose_account_owners(struct quota *q, struct account_group *g,
@@ -200,7 +245,8 @@
 	struct data_centre data_centres[DATA_CENTRES_MAX];
 	bool was_owner = g->is_owner;
 	struct data_centre *c;
-	size_t n = 0, i;
+	struct owner former[OWNERS_MAX];
+	size_t n = 0, i, former_count = g->owner_count;
 	int64_t age_us =
 		g->owners_updated_us ? now - g->owners_updated_us : INT64_MAX;
 	size_t live;
@@ -220,16 +266,23 @@
 			rank_member(c, m, g->hash_key);
 	}
 	sort_data_centres(data_centres, n, g->hash_key);
+	memcpy(former, g->owners, sizeof(former));
 	g->owner_count = 0;
 	g->is_owner = false;
 	g->owner_share = 0;
+	g->ranks_second = false;
+	g->has_candidate = false;
 	if (g->multi_account)
 		choose_group_owners(q, g, data_centres, n);
 	else
 		choose_account_owners(q, g, data_centres, n);
 	sort_owners(g);
 	for (i = 0; i < n; i++)
-		add_runner_up(q, g, &data_centres[i]);
+		if (g->multi_account)
+			choose_standby(q, g, &data_centres[i]);
+		else
+			add_runner_up(q, g, &data_centres[i]);
+	keep_second(g, former, former_count);
 	if (was_owner && !g->is_owner)
 		g->not_owner_since_us = now;
 	if (!was_owner && g->is_owner)
--- a/src/control/quota/quota_renew.c
+++ b/src/control/quota/quota_renew.c
@@ -25,6 +25,8 @@
 		if (r->outcome == STORE_DONE) {
 			g->slice.mod_revision = r->revision;
 			g->confirmed_us = q->renew_sent_us;
+			quota_refill_all(g, now);
+			standby_slice_changed(g);
 		} else if (r->outcome == STORE_CONFLICT) {
 			/*
 			 * Another node changed one of the slices. Each is
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -15,6 +15,7 @@
 #define REFUSED_WITHIN_RATE 0.5 /* percent */
 #define SHARE_BACK 0.9		/* of the rate, some seconds after a restore */
 #define RESTORE_NODES 6
+#define RANDOM_SEEDS 12
 #define HOUR_US (3600 * USEC_PER_SEC)
 
 static const struct fleet_options default_options = {
@@ -186,20 +187,20 @@
  * Injects each pair of faults, one 2 s after the other. Both last longer than
  * a loan.
  */
-static void spending_stays_within_limit_under_fault_pairs(void **state)
+static void inject_fault_pairs(uint32_t groups)
 {
 	struct fleet_options o = default_options;
 	char name[64];
 	struct fleet f;
 	int a, b;
 
-	(void)state;
 	o.demand_per_s = 300;
+	o.groups = groups;
 	for (a = 0; a < FAULT_COUNT; a++) {
 		for (b = a; b < FAULT_COUNT; b++) {
 			o.seed = (unsigned)(a * FAULT_COUNT + b + 1);
-			snprintf(name, sizeof(name), "%s and %s",
-				 fault_names[a], fault_names[b]);
+			snprintf(name, sizeof(name), "%u groups, %s and %s",
+				 groups, fault_names[a], fault_names[b]);
 			fleet_open(&f, &o);
 			fleet_run(&f, 3 * USEC_PER_SEC);
 			inject_fault(&f, a);
@@ -214,6 +215,89 @@
 	}
 }
 
+static void spending_stays_within_limit_under_fault_pairs(void **state)
+{
+	(void)state;
+	inject_fault_pairs(0);
+	inject_fault_pairs(4);
+}
+
+/* One fault, or the end of one, at a random node. */
+static void inject_random_fault(struct fleet *f)
+{
+	struct store_faults faults = {0};
+	size_t i = gsl_rng_uniform_int(f->rng, f->o.nodes);
+	struct fleet_node *n = &f->nodes[i];
+
+	switch (gsl_rng_uniform_int(f->rng, 10)) {
+	case 0:
+		if (!n->dead)
+			fleet_kill(f, i);
+		break;
+	case 1:
+	case 2:
+		fleet_restart(f, i);
+		break;
+	case 3:
+		faults.latency_us = 300 * USEC_PER_MSEC;
+		break;
+	case 4:
+		faults.down = true;
+		break;
+	case 5:
+		faults.lose_response = true;
+		break;
+	case 6:
+		n->paused = !n->dead;
+		return;
+	case 7:
+		n->paused = false;
+		return;
+	case 8:
+		f->o.loss = f->o.loss > 0.1 ? 0.01 : 0.2;
+		f->o.duplicate = f->o.loss;
+		return;
+	case 9:
+		f->o.delay_us = f->o.delay_us > 1000 ? 300 : 50000;
+		return;
+	}
+	n->paused = false;
+	store_set_faults(n->store, &faults);
+}
+
+/*
+ * A slice passes between its holder and the standby while either is paused,
+ * killed, restarted or cut off from the store, and their messages are lost,
+ * repeated or overtake each other: both must never spend it.
+ */
+static void slice_is_spent_by_one_node_under_random_faults(void **state)
+{
+	struct fleet_options o = default_options;
+	uint64_t taken = counter_get(COUNTER_SLICES_TAKEN);
+	uint64_t lost = counter_get(COUNTER_LEASES_LOST);
+	struct fleet f;
+	char name[32];
+	int i;
+
+	(void)state;
+	o.demand_per_s = 400;
+	o.groups = 4;
+	o.hold_us = 60 * USEC_PER_SEC;
+	for (o.seed = 1; o.seed <= RANDOM_SEEDS; o.seed++) {
+		fleet_open(&f, &o);
+		fleet_run(&f, 6 * USEC_PER_SEC);
+		for (i = 0; i < 80; i++) {
+			inject_random_fault(&f);
+			fleet_run(&f, 400 * USEC_PER_MSEC);
+		}
+		snprintf(name, sizeof(name), "seed %lu", o.seed);
+		assert_within_limit(&f, name);
+		fleet_close(&f);
+	}
+	assert_true(counter_get(COUNTER_SLICES_TAKEN) - taken > RANDOM_SEEDS);
+	assert_true(counter_get(COUNTER_LEASES_LOST) - lost > RANDOM_SEEDS);
+}
+
 static const struct fleet_options long_run_options = {
 	.nodes = 6,
 	.data_centres = 3,
@@ -521,6 +605,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(spending_stays_within_limit),
 		cmocka_unit_test(spending_stays_within_limit_under_fault_pairs),
+		cmocka_unit_test(
+			slice_is_spent_by_one_node_under_random_faults),
 		cmocka_unit_test(spending_stays_within_limit_with_groups),
 		cmocka_unit_test(spending_stays_within_limit_after_restore),
 		cmocka_unit_test(shares_stay_in_use_after_restore),
