Tell a 429 for a lost answer from one for lack of tokens

Cause: a request that found no token in 20 ms ended as over-rate whether the lenders had none, other nodes held what they had, or an answer was lost or late; neither log line nor counters told which.

Change: with account groups, inputs of the refusal has lenders=no-tokens, elsewhere or no-answer, from the node's latest round of loan requests; counters over_rate_elsewhere and over_rate_no_answer count the last two among over_rate.

Measured: in test_quota an empty account is refused for lack of tokens, and the same account for a missing answer once all datagrams are lost.

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -196,6 +196,15 @@
  */
 enum quota_verdict quota_take(struct quota *q, const char *account, bool first,
 			      int64_t now, int64_t *retry_after_us);
+/* Why the latest round of loan requests ended without a token. */
+enum quota_lack {
+	QUOTA_LACK_UNKNOWN,   /* not recorded without account groups */
+	QUOTA_LACK_TOKENS,    /* all lenders together had less than a token */
+	QUOTA_LACK_ELSEWHERE, /* they had one, but others took or held it */
+	QUOTA_LACK_ANSWER,    /* a lender did not answer in time */
+};
+
+enum quota_lack quota_lack(struct quota *q, const char *account);
 /* Refunds the token of a request that was refused later, without being run. */
 void quota_refund(struct quota *q, const char *account, int64_t now);
 /*
--- a/src/control/quota/quota.c
+++ b/src/control/quota/quota.c
@@ -338,6 +338,17 @@
 	return QUOTA_REFUSED;
 }
 
+/*
+ * Returns why a request was refused just now: of a later request the latest
+ * round may tell something else.
+ */
+enum quota_lack quota_lack(struct quota *q, const char *account)
+{
+	const struct quota_account *a = quota_find(q, account);
+
+	return a ? loans_lack(a) : QUOTA_LACK_UNKNOWN;
+}
+
 /* Refunds the token of a request that was refused later, without being run. */
 void quota_refund(struct quota *q, const char *account, int64_t now)
 {
--- a/src/control/quota/quota_impl.h
+++ b/src/control/quota/quota_impl.h
@@ -219,7 +219,8 @@
 	 */
 	double left_at_owner[OWNERS_MAX];
 	bool gathering;
-	bool turned; /* to the owner's second node, in this round */
+	bool unanswered; /* an owner did not answer in this round */
+	bool turned;	 /* to the owner's second node, in this round */
 	int64_t gathered_us;
 	uint32_t gathers_pending;
 	bool had_tokens; /* from a slice or a loan since the process started */
@@ -294,6 +295,7 @@
 void owners_update(struct quota *q, struct account_group *g, int64_t now);
 
 /* Loans. */
+enum quota_lack loans_lack(const struct quota_account *a);
 const struct addr *loans_owner_node(const struct owner *o);
 void loans_expire(struct quota *q, struct quota_account *a, int64_t now);
 bool loans_start_round(struct quota *q, struct quota_account *a, int64_t now);
--- a/src/control/quota/quota_loans.c
+++ b/src/control/quota/quota_loans.c
@@ -176,6 +176,19 @@
 	return sum >= 1;
 }
 
+/* Returns why the latest round of loan requests brought no token. */
+enum quota_lack loans_lack(const struct quota_account *a)
+{
+	const struct sent_request *last;
+
+	if (!a->group->multi_account || !a->requests_sent)
+		return QUOTA_LACK_UNKNOWN;
+	last = &a->requests[(a->requests_sent - 1) % LOAN_REQUESTS_KEPT];
+	if (a->unanswered || (a->requesting && !last->answered))
+		return QUOTA_LACK_ANSWER;
+	return token_elsewhere(a) ? QUOTA_LACK_ELSEWHERE : QUOTA_LACK_TOKENS;
+}
+
 static void end_round(struct quota *q, struct quota_account *a, int64_t now)
 {
 	a->requesting = false;
@@ -264,6 +277,7 @@
 	a->next_owner = 0;
 	a->borrowed_in_round = 0;
 	a->gathering = false;
+	a->unanswered = false;
 	a->turned = false;
 	memset(a->left_at_owner, 0, sizeof(a->left_at_owner));
 	return request_next(q, a, now);
@@ -335,6 +349,7 @@
 	    now - last->sent_us < request_timeout(a))
 		return;
 	counter_add(COUNTER_LOANS_NO_ANSWER, 1);
+	a->unanswered = true;
 	if (a->gathering) {
 		end_round(q, a, now);
 		return;
--- a/src/filter/limit.c
+++ b/src/filter/limit.c
@@ -41,6 +41,25 @@
 	buffer_free(&waiting);
 }
 
+/* Counts a refusal; returns the part of its log line that tells the cause. */
+static const char *count_lack(enum quota_lack lack)
+{
+	counter_add(COUNTER_OVER_RATE, 1);
+	switch (lack) {
+	case QUOTA_LACK_UNKNOWN:
+		break;
+	case QUOTA_LACK_TOKENS:
+		return " lenders=no-tokens";
+	case QUOTA_LACK_ELSEWHERE:
+		counter_add(COUNTER_OVER_RATE_ELSEWHERE, 1);
+		return " lenders=elsewhere";
+	case QUOTA_LACK_ANSWER:
+		counter_add(COUNTER_OVER_RATE_NO_ANSWER, 1);
+		return " lenders=no-answer";
+	}
+	return "";
+}
+
 /*
  * Spends one token of the account. Sub-calls are covered by the token of their
  * root. When other hosts hold the tokens, the request waits up to LIMIT_WAIT_US
@@ -70,11 +89,11 @@
 				      now);
 	}
 	snprintf(r->inputs, sizeof(r->inputs),
-		 "config=%llu next_token_ms=%lld waited_ms=%lld",
+		 "config=%llu next_token_ms=%lld waited_ms=%lld%s",
 		 (unsigned long long)config_number(r->config),
 		 (long long)retry_us / USEC_PER_MSEC,
-		 (long long)(now - r->arrived_us) / USEC_PER_MSEC);
-	counter_add(COUNTER_OVER_RATE, 1);
+		 (long long)(now - r->arrived_us) / USEC_PER_MSEC,
+		 count_lack(quota_lack(n->quota, r->account->name)));
 	r->retry_after_ms = (uint32_t)(retry_us / USEC_PER_MSEC);
 	return request_refuse(n, r, REASON_OVER_RATE, OUTCOME_NOT_RUN, now);
 }
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -487,6 +487,54 @@
 	}
 }
 
+static size_t node_without_slice(const struct fleet *f)
+{
+	size_t i = 0;
+
+	while (quota_find(f->nodes[i].quota, "aral")->group->share)
+		i++;
+	return i;
+}
+
+static enum quota_lack lack_after_wait(struct fleet *f)
+{
+	struct quota *q = f->nodes[node_without_slice(f)].quota;
+	int64_t retry;
+
+	while (quota_take(q, "aral", true, f->now, &retry) != QUOTA_REFUSED)
+		fleet_run(f, 5 * USEC_PER_MSEC);
+	return quota_lack(q, "aral");
+}
+
+/*
+ * An operator could not tell a 429 of an account over its limit from one that
+ * a lost answer caused.
+ */
+static void refusals_tell_lost_answers_from_missing_tokens(void **state)
+{
+	struct fleet_options o = default_options;
+	struct fleet f;
+
+	(void)state;
+	o.groups = 4;
+	o.rate = 0.01;
+	o.burst = 3;
+	o.demand_per_s = 0;
+	o.loss = 0;
+	fleet_open(&f, &o);
+	fleet_run(&f, 10 * USEC_PER_SEC);
+	assert_int_equal(lack_after_wait(&f), QUOTA_LACK_TOKENS);
+	fleet_run(&f, USEC_PER_SEC);
+	f.o.loss = 1;
+	assert_int_equal(lack_after_wait(&f), QUOTA_LACK_ANSWER);
+	fleet_close(&f);
+	o.groups = 0;
+	fleet_open(&f, &o);
+	fleet_run(&f, 10 * USEC_PER_SEC);
+	assert_int_equal(lack_after_wait(&f), QUOTA_LACK_UNKNOWN);
+	fleet_close(&f);
+}
+
 /*
  * One run: shares move after the copy is taken, and again after the restore.
  */
@@ -608,6 +656,8 @@
 		cmocka_unit_test(
 			slice_is_spent_by_one_node_under_random_faults),
 		cmocka_unit_test(spending_stays_within_limit_with_groups),
+		cmocka_unit_test(
+			refusals_tell_lost_answers_from_missing_tokens),
 		cmocka_unit_test(spending_stays_within_limit_after_restore),
 		cmocka_unit_test(shares_stay_in_use_after_restore),
 		cmocka_unit_test(rolling_restarts_cost_few_store_calls),
