Add a failing test of the settings for calls that cross

The settings of a deployment will say what a megabyte that crosses to another data centre costs and what a second of waiting is worth.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -91,6 +91,10 @@
 	uint32_t share_groups;	   /* see groups of quota_options; 0: none */
 	uint32_t data_centres;	   /* listed, including this one; 0: none */
 	int log_priority;
+	/* Calls to other data centres are decided by policy/spill.c. */
+	bool crossing;
+	double cost_per_mb;	 /* of a million bytes that cross */
+	double wait_worth_per_s; /* of a second less for one request */
 };
 
 int settings_load(struct settings *s, const char *path, struct error *err);
--- a/test/test_settings.c
+++ b/test/test_settings.c
@@ -68,6 +68,14 @@
 	{HEAD LISTEN STORE ",\n\"stop_grace_s\": -1}",
 	 "f:9: stop_grace_s: must be from 0 to 3600"},
 	{HEAD LISTEN STORE ",\n\"stop_grace_s\": NaN}", "must be from 0"},
+	{HEAD LISTEN STORE ",\n\"crossing\": {\"cost_per_mb\": -1}}",
+	 "f:9: crossing.cost_per_mb: must be from 0"},
+	{HEAD LISTEN STORE ",\n\"crossing\": {\"wait_worth_per_s\": 0}}",
+	 "f:9: crossing.wait_worth_per_s: must be from"},
+	{HEAD LISTEN STORE ",\n\"crossing\": {\"per_mb\": 1}}",
+	 "f:9: crossing.per_mb: is not a known member"},
+	{HEAD LISTEN STORE ",\n\"crossing\": true}",
+	 "f:9: crossing: must be an object"},
 	{HEAD LISTEN STORE ",\n\"log_level\": \"loud\"}",
 	 "must be one of emerg"},
 	{HEAD LISTEN STORE ",\n\"headers\": [\"x-a\",\n\"X-B\"]}",
@@ -127,12 +135,40 @@
 	assert_string_equal(err.peer, "/nonexistent");
 }
 
+static void parse(struct settings *s, const char *text)
+{
+	struct error err;
+
+	if (settings_parse(s, text, "f", &err) < 0)
+		fail_msg("%s", err.text);
+}
+
+/* Deployments without the member must keep the former placement. */
+static void crossing_is_off_unless_it_is_set(void **state)
+{
+	struct settings s;
+
+	(void)state;
+	parse(&s, HEAD LISTEN STORE "}");
+	assert_false(s.crossing);
+	parse(&s, HEAD LISTEN STORE ", \"crossing\": {}}");
+	assert_true(s.crossing);
+	assert_true(s.cost_per_mb == 0);
+	assert_true(s.wait_worth_per_s == 1);
+	parse(&s, HEAD LISTEN STORE ", \"crossing\": "
+				    "{\"cost_per_mb\": 0.02,"
+				    " \"wait_worth_per_s\": 0.5}}");
+	assert_true(s.cost_per_mb == 0.02);
+	assert_true(s.wait_worth_per_s == 0.5);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(complete_settings_are_read),
 		cmocka_unit_test(faults_report_line_and_member),
 		cmocka_unit_test(missing_file_is_reported),
+		cmocka_unit_test(crossing_is_off_unless_it_is_set),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
