--- a/src/conf/settings.c
+++ b/src/conf/settings.c
@@ -69,6 +69,13 @@
 	 .max = 1e6},
 };
 
+static const struct field crossing_fields[] = {
+	{"cost_per_mb", .kind = FIELD_NUMBER, .offset = AT(cost_per_mb),
+	 .max = 1e9},
+	{"wait_worth_per_s", .kind = FIELD_NUMBER,
+	 .offset = AT(wait_worth_per_s), .min = 1e-9, .max = 1e9},
+};
+
 static const struct field settings_fields[] = {
 	{"host", .kind = FIELD_NAME, .offset = AT(host), .required = true},
 	{"data_centre", .kind = FIELD_NAME, .offset = AT(data_centre),
@@ -99,6 +106,8 @@
 	{"share_groups", .kind = FIELD_COUNT, .offset = AT(share_groups),
 	 .max = 1024},
 	{"data_centres", .kind = FIELD_OTHER},
+	{"crossing", .kind = FIELD_OBJECT, .fields = crossing_fields,
+	 .field_count = COUNT(crossing_fields)},
 	{"log_level", .kind = FIELD_CHOICE, .offset = AT(log_priority),
 	 .choices = log_levels},
 };
@@ -114,6 +123,7 @@
 	.records_max = 32768,
 	.stop_grace_us = 30 * USEC_PER_SEC,
 	.log_priority = LOG_INFO,
+	.wait_worth_per_s = 1,
 };
 
 static void read_seeds(struct reader *r, struct json_object *obj,
@@ -318,6 +328,7 @@
 	read_data_centres(&r, obj, s);
 	read_headers(&r, obj, s);
 	read_promises(&r, obj, s);
+	s->crossing = json_object_object_get_ex(obj, "crossing", NULL);
 	apply_host_limits(s);
 	if (!faults.n)
 		check_combinations(&r, s);
