--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,9 @@
 $(BUILD)/tools/replay: $(patsubst %.c,$(BUILD)/opt/%.o,\
 	$(wildcard test/replay_*.c))
 
+$(BUILD)/tools/spill: $(BUILD)/opt/test/spill_model.o \
+	$(BUILD)/opt/test/replay_events.o
+
 # Shared parts of tests: an archive, so that each test takes what it names.
 $(BUILD)/libtest.a: $(TESTLIB:%.c=$(BUILD)/san/%.o)
 	@mkdir -p $(@D) && rm -f $@ && ar rcs $@ $^
--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -150,8 +150,8 @@
  * Returns the number of calls that the upstream may have at once: its slots, or
  * as many as its limit a second starts in the time that a call takes.
  */
-static double usable_slots(const struct balance_candidate *c, double latency_us,
-			   int64_t now)
+double usable_slots(const struct balance_candidate *c, double latency_us,
+		    int64_t now)
 {
 	const struct upstream_load *l = c->load;
 	double slots = c->slots ? c->slots : 1;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -215,7 +215,8 @@
 	struct upstream_load *load;
 	uint32_t slots;
 	bool same_data_centre;
-	bool tried; /* by an earlier attempt of this call */
+	uint64_t data_centre; /* hash of its name, for spill.c */
+	bool tried;	      /* by an earlier attempt of this call */
 	/* Time that another data centre must save while this one has room. */
 	int64_t detour_us;
 	int64_t failure_us; /* time that a failed call is counted as */
@@ -232,6 +233,12 @@
 		   int64_t latency_us, int64_t now);
 void load_failed(struct upstream_load *l, int64_t now);
 void load_cancelled(struct upstream_load *l);
+/*
+ * Returns the number of calls that the upstream may have at once: its slots, or
+ * as many as its limit a second starts in the time that a call takes.
+ */
+double usable_slots(const struct balance_candidate *c, double latency_us,
+		    int64_t now);
 /* Returns an index, or -1 if there is no candidate. */
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now);
