Decide by load which calls cross to other data centres

Two random upstreams tell an entry little of a data centre. spill.c adds up what gates report in answers: an entry moves a fraction of its calls when its own data centre was full in two steps, at most by its part of half the room of a destination, and back when there is room. A destination is filled to 0.8, which is less than what makes a data centre send calls away (0.9). Reports older than a second raise nothing; a few calls find out about destinations without reports.

upstream_load keeps the time at the upstream and the time of the last report, as latency holds past queueing and the last update may be a failure.

--- a/src/policy/balance.c
+++ b/src/policy/balance.c
@@ -93,6 +93,7 @@
 		(1 - admitted / SHED_CLASSES - l->shed_share) * SHED_GAIN;
 	l->queue_us = h->queue_us;
 	l->in_flight = h->in_flight;
+	l->reported_us = now;
 	if (h->outcome == OUTCOME_NOT_RUN) {
 		if (h->reason == REASON_UPSTREAM_REFUSED)
 			l->rejected_share +=
@@ -105,6 +106,9 @@
 	l->rate = h->rate_milli / 1000.0;
 	if (h->reason != REASON_NONE)
 		return;
+	if (l->service_us <= 0)
+		l->service_us = h->service_us;
+	l->service_us += (h->service_us - l->service_us) * LATENCY_GAIN;
 	if (l->latency_us <= 0)
 		l->latency_us = (double)latency_us;
 	else
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -198,10 +198,12 @@
 /* Balance: measurements by this node of one upstream. */
 struct upstream_load {
 	double latency_us;     /* smoothed */
+	double service_us;     /* of it, at the upstream; smoothed */
 	double error_share;    /* smoothed, 0 to 1 */
 	double shed_share;     /* from its cutoffs, smoothed, 0 to 1 */
 	double rejected_share; /* of the calls that reached it, smoothed */
 	int64_t last_update_us;
+	int64_t reported_us;   /* last answer of the gate; 0 never */
 	int64_t first_sent_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
 	uint32_t ejections;
--- a/src/policy/spill.c
+++ b/src/policy/spill.c
@@ -1,30 +1,679 @@
 #include "policy/spill.h"
 
+#include <math.h>
+#include <string.h>
+
+#define STEP_US (250 * USEC_PER_MSEC)
+/* A raise shows in the reports of the destination only after this time. */
+#define RAISE_US (400 * USEC_PER_MSEC)
+/* Largest change of a fraction in one step. */
+#define STEP_UP 0.15
+#define STEP_DOWN 0.15
+/* Part of the distance to the wanted fraction that a step down goes. */
+#define FALL_GAIN 0.5
+/* Of the room of a destination, for the callers of one data centre. */
+#define ROOM_PART 0.5
+#define FRACTION_MIN 0.005 /* smaller ones become 0 */
+/*
+ * Calls over slots. Gates of the platform use 15 of 16 slots, so a data centre
+ * at LOAD_HIGH is nearly full. A destination is filled to less than what ends
+ * spilling at its origin, so that two full ones exchange nothing.
+ */
+#define LOAD_HIGH 0.9
+#define LOAD_AIM 0.85
+#define LOAD_LOW 0.8
+#define DESTINATION_FULL 0.8
+#define DESTINATION_OVERFULL 0.85
+#define LOAD_GAIN 0.5  /* weight of a step in the load */
+#define SAVED_GAIN 0.3 /* weight of a step in the time saved */
+#define TARGET_GAIN 0.05
+#define TARGET_LOW_GAIN 0.002
+/* Steps in a row that find the own data centre full, before calls cross. */
+#define FULL_STEPS 2
+/* Older reports raise no fraction. */
+#define FRESH_US USEC_PER_SEC
+/* After a longer pause without calls the fractions start from 0. */
+#define IDLE_US (5 * USEC_PER_SEC)
+#define RATE_WINDOW_US USEC_PER_SEC
+/* Growth of the calls after which the fractions are scaled down. */
+#define RATE_GROWTH 1.3
+/* Time that crossing adds to a call, as in balance.c. */
+#define CROSSING_US (3 * USEC_PER_MSEC)
+/* Upstreams that fail more are no destinations; the same as a lost link. */
+#define FAILED_SHARE_MAX 0.3
+#define FAILED_FADE_US (5 * USEC_PER_SEC)
+/* A saving counts if it is at least the target latency divided by this. */
+#define DETOUR_DIVISOR 6
+#define TARGET_UNKNOWN_US USEC_PER_SEC
+#define PROBE_US (250 * USEC_PER_MSEC)
+/* Calls without a fresh report after which a fraction falls. */
+#define UNANSWERED_MAX 3
+#define PROBE_MAX_US (4 * USEC_PER_SEC)
+#define PROBE_CALM_US (10 * USEC_PER_SEC)
+
+/* A data centre as its upstreams report it. */
+struct view {
+	uint64_t data_centre; /* 0: the own */
+	double slots;	      /* of the upstreams with fresh reports */
+	double calls;
+	double queue_us;   /* this and the next two: means by slots */
+	double service_us; /* at the upstream */
+	double shed;	   /* share of the calls */
+	double failed;	   /* share of the calls */
+	bool usable;	   /* has an upstream that is not ejected */
+};
+
+struct views {
+	struct view own;
+	struct view other[SPILL_DATA_CENTRES_MAX];
+	size_t count;
+};
+
+static double clamp(double v, double low, double high)
+{
+	return v < low ? low : v > high ? high : v;
+}
+
+/* Failures of calls lose weight with time, as they do in balance.c. */
+static double failed_share(const struct upstream_load *l, int64_t now)
+{
+	double age = (double)(now - l->last_update_us) / FAILED_FADE_US;
+
+	return age < 1 ? l->error_share * (1 - age) : 0;
+}
+
+static bool is_usable(const struct balance_candidate *c, int64_t now)
+{
+	if (c->tried || c->load->ejected_until_us > now)
+		return false;
+	return c->same_data_centre ||
+	       failed_share(c->load, now) <= FAILED_SHARE_MAX;
+}
+
+static struct view *view_of(struct views *v, const struct balance_candidate *c)
+{
+	size_t i;
+
+	if (c->same_data_centre)
+		return &v->own;
+	for (i = 0; i < v->count; i++)
+		if (v->other[i].data_centre == c->data_centre)
+			return &v->other[i];
+	if (v->count == SPILL_DATA_CENTRES_MAX)
+		return NULL;
+	v->other[v->count].data_centre = c->data_centre;
+	return &v->other[v->count++];
+}
+
+static void add_to_view(struct view *v, const struct balance_candidate *c,
+			int64_t now)
+{
+	const struct upstream_load *l = c->load;
+	double slots = usable_slots(c, l->latency_us, now), total, calls;
+	double failed;
+
+	v->usable = true;
+	if (!l->reported_us || l->service_us <= 0 ||
+	    now - l->reported_us >= FRESH_US)
+		return;
+	total = v->slots + slots;
+	calls = l->in_flight > l->outstanding ? l->in_flight : l->outstanding;
+	/* A queue at one of several upstreams does not fill the others. */
+	v->calls += calls < slots ? calls : slots;
+	v->queue_us += (l->queue_us - v->queue_us) * slots / total;
+	v->service_us += (l->service_us - v->service_us) * slots / total;
+	v->shed += (l->shed_share - v->shed) * slots / total;
+	failed = 1 - (1 - failed_share(l, now)) * (1 - l->rejected_share);
+	v->failed += (failed - v->failed) * slots / total;
+	v->slots = total;
+}
+
+static void collect_views(struct views *v, const struct balance_candidate *c,
+			  size_t n, int64_t now)
+{
+	struct view *one;
+	size_t i;
+
+	memset(v, 0, sizeof(*v));
+	for (i = 0; i < n; i++) {
+		one = is_usable(&c[i], now) ? view_of(v, &c[i]) : NULL;
+		if (one)
+			add_to_view(one, &c[i], now);
+	}
+}
+
+static double view_load(const struct view *v)
+{
+	return v->slots > 0 ? v->calls / v->slots : 0;
+}
+
+/* Returns the time of a call there without waiting; a failed one costs more. */
+static double run_time_us(const struct view *v, double target_us)
+{
+	return v->service_us + v->failed * target_us +
+	       (v->data_centre ? CROSSING_US : 0);
+}
+
+/* Returns the expected time of a call there; a shed one costs the target. */
+static double view_time_us(const struct view *v, double target_us)
+{
+	return run_time_us(v, target_us) + v->queue_us + v->shed * target_us;
+}
+
+/* Returns the fraction of the calls that cross, over all destinations. */
+double spill_fraction(const struct spill *s)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < s->count; i++)
+		sum += s->to[i].fraction;
+	return sum < 1 ? sum : 1;
+}
+
+static double eligible_rate(const struct spill *s)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < SHED_CLASSES; i++)
+		sum += s->eligible_s[i];
+	return sum;
+}
+
+/* Returns the share of all calls that the fractions let cross. */
+static double crossing_share(const struct spill *s)
+{
+	double eligible = eligible_rate(s);
+
+	if (s->calls_s <= 0 || eligible <= 0)
+		return 0;
+	return clamp(spill_fraction(s) * eligible / s->calls_s, 0, 0.99);
+}
+
+static void update_rates(struct spill *s, int64_t dt)
+{
+	double gain = clamp((double)dt / RATE_WINDOW_US, 0, 1);
+	double per_s = (double)USEC_PER_SEC / (double)dt;
+	int i;
+
+	s->calls_s += (s->calls * per_s - s->calls_s) * gain;
+	s->calls = 0;
+	for (i = 0; i < SHED_CLASSES; i++) {
+		s->eligible_s[i] +=
+			(s->eligible[i] * per_s - s->eligible_s[i]) * gain;
+		s->eligible[i] = 0;
+	}
+}
+
+/*
+ * Scales the fractions down when many more calls may cross than before: the
+ * destinations have room for a number of calls, not for a fraction.
+ */
+static void bound_growth(struct spill *s)
+{
+	double rate = eligible_rate(s);
+	size_t i;
+
+	if (s->reference_s > 0 && rate > s->reference_s * RATE_GROWTH) {
+		for (i = 0; i < s->count; i++)
+			s->to[i].fraction *= s->reference_s / rate;
+		s->reference_s = rate;
+	}
+	if (rate < s->reference_s || s->reference_s <= 0)
+		s->reference_s = rate;
+}
+
+static struct spill_destination *destination(struct spill *s, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < s->count; i++)
+		if (s->to[i].data_centre == id)
+			return &s->to[i];
+	if (s->count == SPILL_DATA_CENTRES_MAX)
+		return NULL;
+	s->to[s->count] = (struct spill_destination){.data_centre = id,
+						     .probe_wait_us = PROBE_US};
+	return &s->to[s->count++];
+}
+
+/* Removes destinations that have no usable upstream left. */
+static void remove_unseen(struct spill *s)
+{
+	size_t i = 0;
+
+	while (i < s->count)
+		if (s->to[i].seen)
+			i++;
+		else
+			s->to[i] = s->to[--s->count];
+}
+
+/*
+ * Returns the time that a call saves by crossing, in microseconds. The wait in
+ * the own data centre is that of all its callers' calls if none crossed, so
+ * the saving does not vanish once enough of them do.
+ */
+static double saved_us(const struct spill *s, const struct view *own,
+		       const struct view *other)
+{
+	double load = s->load / (1 - crossing_share(s));
+	double wait = load > LOAD_AIM ? (load - LOAD_AIM) * own->service_us : 0;
+	double here = view_time_us(own, s->target_us) + wait;
+
+	if (other->slots <= 0)
+		return here - own->service_us - CROSSING_US;
+	return here - view_time_us(other, s->target_us);
+}
+
+/*
+ * Returns by how much the fraction to a destination may rise: this entry's
+ * part of the room there, by its share of the calls in the own data centre.
+ */
+static double room_for(const struct spill *s, const struct view *own,
+		       const struct view *other)
+{
+	double room = other->slots * DESTINATION_FULL - other->calls;
+	double mine = s->calls_s * (1 - crossing_share(s)) * own->service_us /
+		      USEC_PER_SEC;
+	double share = own->calls > 0 ? clamp(mine / own->calls, 0, 1) : 1;
+	double per_fraction =
+		eligible_rate(s) * other->service_us / USEC_PER_SEC;
+
+	if (room <= 0 || per_fraction <= 0)
+		return 0;
+	return room * ROOM_PART * share / per_fraction;
+}
+
+/* Returns the change of the fraction that brings the load to LOAD_AIM. */
+static double wanted_change(const struct spill *s)
+{
+	double share = crossing_share(s), eligible = eligible_rate(s);
+	double wanted;
+
+	if (s->load <= 0 || s->calls_s <= 0 || eligible <= 0)
+		return -1;
+	wanted = 1 - (1 - share) * LOAD_AIM / s->load;
+	return (wanted - share) * s->calls_s / eligible;
+}
+
+/* Returns the shortest time that is worth a detour for some of the calls. */
+static double detour_us(const struct spill *s)
+{
+	return s->target_low_us / DETOUR_DIVISOR;
+}
+
+/* Returns by how much a destination must fall in this step, or 0. */
+static double fall_of(const struct spill *s, const struct spill_destination *d,
+		      const struct view *other)
+{
+	double load = view_load(other);
+
+	if (!d->known)
+		return d->unanswered >= UNANSWERED_MAX ? STEP_DOWN : 0;
+	if (load > DESTINATION_OVERFULL)
+		return clamp(d->fraction * (1 - DESTINATION_FULL / load), 0,
+			     STEP_DOWN);
+	if (d->reason == SPILL_SAVES_TIME && d->saves_us >= detour_us(s) / 2)
+		return 0;
+	if (s->load < LOAD_LOW)
+		return clamp(-wanted_change(s) * FALL_GAIN, 0, STEP_DOWN);
+	return d->saved_us < -CROSSING_US ? STEP_DOWN : 0;
+}
+
+/* Raises the fraction of a destination; returns by how much. */
+static double raise(struct spill *s, struct spill_destination *d,
+		    const struct views *v, const struct view *other,
+		    double wanted, int64_t now)
+{
+	bool by_time = s->load < LOAD_HIGH &&
+		       (d->fraction <= 0 || d->reason == SPILL_SAVES_TIME) &&
+		       d->saves_us >= detour_us(s);
+	double up;
+
+	if (other->slots <= 0 || now - d->raised_us < RAISE_US ||
+	    d->saved_us <= 0 || !(by_time || s->wants_room))
+		return 0;
+	if (by_time)
+		wanted = STEP_UP;
+	up = fmin(clamp(wanted, 0, STEP_UP), room_for(s, &v->own, other));
+	up = fmin(up, 1 - spill_fraction(s));
+	if (up <= 0)
+		return 0;
+	d->fraction += up;
+	d->raised_us = now;
+	d->reason = by_time ? SPILL_SAVES_TIME : SPILL_NO_ROOM;
+	return up;
+}
+
+static void update_destinations(struct spill *s, const struct views *v)
+{
+	struct spill_destination *d;
+	double saved, saves;
+	size_t i;
+
+	for (i = 0; i < s->count; i++)
+		s->to[i].seen = false;
+	for (i = 0; i < v->count; i++) {
+		d = destination(s, v->other[i].data_centre);
+		if (!d)
+			continue;
+		d->seen = true;
+		d->known = v->other[i].slots > 0;
+		if (d->known) {
+			d->probe_wait_us = PROBE_US;
+			d->unanswered = 0;
+		}
+		saved = saved_us(s, &v->own, &v->other[i]);
+		d->saved_us += (saved - d->saved_us) * SAVED_GAIN;
+		saves = d->known ? run_time_us(&v->own, s->target_us) -
+					   view_time_us(&v->other[i],
+							s->target_us)
+				 : 0;
+		d->saves_us += (saves - d->saves_us) * SAVED_GAIN;
+	}
+	remove_unseen(s);
+}
+
+/* Lowers fractions; returns whether one was lowered. */
+static bool lower(struct spill *s, const struct views *v)
+{
+	struct spill_destination *d;
+	bool lowered = false;
+	double down;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		d = destination(s, v->other[i].data_centre);
+		if (!d || d->fraction <= 0)
+			continue;
+		down = fall_of(s, d, &v->other[i]);
+		d->fraction -= fmin(down, d->fraction);
+		lowered |= down > 0;
+		if (d->fraction < FRACTION_MIN && down > 0)
+			d->fraction = 0;
+	}
+	return lowered;
+}
+
+/* Raises fractions, that of the destination which saves most first. */
+static void raise_all(struct spill *s, const struct views *v, int64_t now)
+{
+	bool done[SPILL_DATA_CENTRES_MAX] = {false};
+	double wanted = wanted_change(s);
+	struct spill_destination *d, *best;
+	size_t round, i, at = 0;
+
+	for (round = 0; round < v->count; round++) {
+		best = NULL;
+		for (i = 0; i < v->count; i++) {
+			d = destination(s, v->other[i].data_centre);
+			if (done[i] || !d ||
+			    (best && d->saved_us <= best->saved_us))
+				continue;
+			best = d;
+			at = i;
+		}
+		if (!best)
+			return;
+		done[at] = true;
+		wanted -= raise(s, best, v, &v->other[at], wanted, now);
+	}
+}
+
+/*
+ * Smooths the load, unless several steps in a row found the data centre full:
+ * then calls are refused there already.
+ */
+static void update_load(struct spill *s, const struct views *v)
+{
+	double load = view_load(&v->own);
+
+	s->full_steps = load >= LOAD_HIGH ? s->full_steps + 1 : 0;
+	s->load += (load - s->load) * LOAD_GAIN;
+	if (s->full_steps >= FULL_STEPS && load > s->load)
+		s->load = load;
+	s->wants_room = s->full_steps >= FULL_STEPS;
+	s->local_us = view_time_us(&v->own, s->target_us);
+	if (s->load > LOAD_AIM)
+		s->local_us += (s->load - LOAD_AIM) * v->own.service_us;
+}
+
+static void step(struct spill *s, const struct views *v, int64_t now)
+{
+	int64_t dt = now - s->stepped_us;
+	size_t i;
+
+	s->stepped_us = now;
+	update_rates(s, dt);
+	if (dt > IDLE_US)
+		for (i = 0; i < s->count; i++)
+			s->to[i].fraction = 0;
+	update_load(s, v);
+	bound_growth(s);
+	update_destinations(s, v);
+	if (!lower(s, v))
+		raise_all(s, v, now);
+}
+
+/* Whether a saving is worth the bytes of the call. */
+static bool pays(const struct spill_cost *cost, double saved,
+		 const struct spill_call *call)
+{
+	return saved > 0 &&
+	       call->bytes * cost->per_mb <= saved * cost->wait_worth_per_s;
+}
+
+static double call_target_us(const struct spill_call *call)
+{
+	return call->target_us ? (double)call->target_us : TARGET_UNKNOWN_US;
+}
+
+/* Whether the call is worth crossing to the destination. */
+static bool is_worth(const struct spill *s, const struct spill_cost *cost,
+		     const struct spill_destination *d,
+		     const struct spill_call *call)
+{
+	bool no_room = s->wants_room ||
+		       (d->fraction > 0 && d->reason == SPILL_NO_ROOM);
+
+	if (no_room && pays(cost, d->saved_us, call))
+		return true;
+	return d->saves_us >= call_target_us(call) / DETOUR_DIVISOR &&
+	       pays(cost, d->saves_us, call);
+}
+
+static bool is_eligible(const struct spill *s, const struct spill_cost *cost,
+			const struct spill_call *call)
+{
+	size_t i;
+
+	for (i = 0; i < s->count; i++)
+		if (is_worth(s, cost, &s->to[i], call))
+			return true;
+	return false;
+}
+
+/*
+ * Returns the fraction of the calls of a class that cross. All classes have
+ * the same, unless the wait is longer than the target of the call leaves: then
+ * the more important class comes first.
+ */
+static double class_fraction(const struct spill *s,
+			     const struct spill_call *call)
+{
+	double left = spill_fraction(s) * eligible_rate(s), rate;
+	int cls;
+
+	if (!s->urgent_first)
+		return spill_fraction(s);
+	for (cls = SHED_CLASSES - 1; cls > (int)call->cls; cls--)
+		left -= s->eligible_s[cls];
+	rate = s->eligible_s[call->cls];
+	return rate > 0 ? clamp(left / rate, 0, 1) : 0;
+}
+
+static bool has_local(const struct balance_candidate *c, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (c[i].same_data_centre)
+			return true;
+	return false;
+}
+
+static bool has_untried(const struct balance_candidate *c, size_t n,
+			uint64_t data_centre, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (c[i].data_centre == data_centre && !c[i].same_data_centre &&
+		    is_usable(&c[i], now))
+			return true;
+	return false;
+}
+
+/* Draws a destination by the fractions; NULL: the call does not cross. */
+static struct spill_destination *
+draw(struct spill *s, const struct spill_call *call, uint64_t random)
+{
+	double sum = spill_fraction(s), fraction = class_fraction(s, call);
+	double at = (double)(random >> 32) / 4294967296.0;
+	size_t i;
+
+	if (sum <= 0 || at >= fraction)
+		return NULL;
+	at *= sum / fraction;
+	for (i = 0; i < s->count; i++) {
+		if (at < s->to[i].fraction)
+			return &s->to[i];
+		at -= s->to[i].fraction;
+	}
+	return NULL;
+}
+
+/*
+ * Returns a destination without fresh reports that this call may ask, or NULL.
+ * Reports come only in answers, so a few calls have to find out.
+ */
+static struct spill_destination *probe(struct spill *s,
+				       const struct spill_cost *cost,
+				       const struct spill_call *call,
+				       int64_t now)
+{
+	struct spill_destination *d;
+	int64_t wait;
+	size_t i;
+
+	if (call->repeat)
+		return NULL;
+	for (i = 0; i < s->count; i++) {
+		d = &s->to[i];
+		if (d->known)
+			continue;
+		if (s->wants_room && pays(cost, d->saved_us, call))
+			wait = d->probe_wait_us;
+		else if (pays(cost, s->local_us - detour_us(s), call))
+			wait = PROBE_CALM_US;
+		else
+			continue;
+		if (d->probed_us && now - d->probed_us < wait)
+			continue;
+		d->probed_us = now;
+		d->probe_wait_us = d->probe_wait_us * 2 < PROBE_MAX_US
+					   ? d->probe_wait_us * 2
+					   : PROBE_MAX_US;
+		return d;
+	}
+	return NULL;
+}
+
+static void count_call(struct spill *s, const struct spill_call *call,
+		       bool eligible)
+{
+	double target =
+		call->target_us ? (double)call->target_us : TARGET_UNKNOWN_US;
+
+	if (call->repeat)
+		return;
+	if (s->target_us <= 0)
+		s->target_us = target;
+	s->target_us += (target - s->target_us) * TARGET_GAIN;
+	if (s->target_low_us <= 0 || target < s->target_low_us)
+		s->target_low_us = target;
+	s->target_low_us += (target - s->target_low_us) * TARGET_LOW_GAIN;
+	s->calls++;
+	s->eligible[call->cls] += eligible;
+}
+
 struct spill_choice spill_choose(struct spill *s, const struct spill_cost *cost,
 				 const struct balance_candidate *c, size_t n,
 				 const struct spill_call *call, uint64_t random,
 				 int64_t now)
 {
-	(void)s, (void)cost, (void)c, (void)n, (void)call, (void)random;
-	(void)now;
-	return (struct spill_choice){.reason = SPILL_NONE};
+	struct spill_choice choice = {.reason = SPILL_NONE};
+	struct spill_destination *d;
+	struct views v;
+	bool eligible;
+
+	collect_views(&v, c, n, now);
+	if (!s->stepped_us)
+		s->stepped_us = now;
+	if (!call->repeat && now - s->stepped_us >= STEP_US)
+		step(s, &v, now);
+	if (!v.own.usable) {
+		if (v.count || !has_local(c, n))
+			choice.reason = SPILL_NO_UPSTREAM;
+		return choice;
+	}
+	eligible = is_eligible(s, cost, call);
+	count_call(s, call, eligible);
+	s->urgent_first = s->local_us > s->target_us;
+	d = probe(s, cost, call, now);
+	if (d) {
+		choice.reason =
+			s->wants_room ? SPILL_NO_ROOM : SPILL_SAVES_TIME;
+		choice.data_centre = d->data_centre;
+		return choice;
+	}
+	d = eligible ? draw(s, call, random) : NULL;
+	if (!d || !is_worth(s, cost, d, call) ||
+	    !has_untried(c, n, d->data_centre, now))
+		return choice;
+	d->unanswered += !d->known;
+	choice.reason = d->reason;
+	choice.data_centre = d->data_centre;
+	return choice;
 }
 
 bool spill_permits(const struct spill_choice *choice,
 		   const struct balance_candidate *c)
 {
-	(void)choice;
-	return c->same_data_centre;
-}
-
-double spill_fraction(const struct spill *s)
-{
-	(void)s;
-	return 0;
+	switch (choice->reason) {
+	case SPILL_NO_UPSTREAM:
+		return !c->same_data_centre;
+	case SPILL_NONE:
+		return c->same_data_centre;
+	default:
+		return !c->same_data_centre &&
+		       c->data_centre == choice->data_centre;
+	}
 }
 
 const char *spill_reason_name(enum spill_reason r)
 {
-	(void)r;
+	switch (r) {
+	case SPILL_NONE:
+		return "none";
+	case SPILL_NO_ROOM:
+		return "no-room";
+	case SPILL_SAVES_TIME:
+		return "saves-time";
+	case SPILL_NO_UPSTREAM:
+		return "no-upstream";
+	}
 	return "none";
 }
--- a/src/policy/spill.h
+++ b/src/policy/spill.h
@@ -38,11 +38,13 @@
 struct spill_destination {
 	uint64_t data_centre;
 	double fraction; /* of the calls that may cross */
-	double saved_us; /* by a call that crosses, smoothed */
+	double saved_us; /* by crossing, if all calls were here; smoothed */
+	double saves_us; /* of the run alone, without waiting here; smoothed */
 	enum spill_reason reason;
 	int64_t raised_us;
 	int64_t probed_us;
 	int64_t probe_wait_us; /* doubles with each probe without a report */
+	uint32_t unanswered;   /* calls since it was known */
 	bool known;	       /* has fresh reports */
 	bool seen;	       /* in the current step */
 };
@@ -52,16 +54,17 @@
 	struct spill_destination to[SPILL_DATA_CENTRES_MAX];
 	size_t count;
 	double load; /* calls over slots in the own data centre, smoothed */
-	double target_us; /* target latency of the calls, smoothed */
+	double target_us;     /* target latency of the calls, smoothed */
+	double target_low_us; /* of those with the shortest */
 	double eligible_s[SHED_CLASSES]; /* calls a second worth crossing */
 	double calls_s;			 /* all calls a second */
 	double reference_s; /* eligible calls a second behind the fractions */
 	uint32_t eligible[SHED_CLASSES]; /* in the current step */
 	uint32_t calls;
-	double local_us;   /* expected time of a call that does not cross */
-	bool wants_room;   /* the own data centre is nearly full */
-	bool urgent_first; /* the wait exceeds what the target leaves */
-	int64_t busy_us;   /* last time that the own data centre was full */
+	double local_us;     /* expected time of a call that does not cross */
+	bool wants_room;     /* the own data centre is nearly full */
+	bool urgent_first;   /* the wait exceeds what the target leaves */
+	uint32_t full_steps; /* in a row, up to now */
 	int64_t stepped_us;
 };
 
--- a/tools/spill.c
+++ b/tools/spill.c
@@ -37,8 +37,14 @@
 	 {.phases = {{0, {1.2, 1.2, 1.2}, ALL, {0}}}, .phase_count = 1},
 	 10,
 	 20},
-	{"light load",
-	 {.phases = {{0, {0.5, 0.5, 0.5}, ALL, {0}}}, .phase_count = 1},
+	{"burst ends at 10 s",
+	 {.phases = {{0, {1.5, 0.4, 0.4}, ALL, {0}},
+		     {10 * USEC_PER_SEC, {0.5, 0.4, 0.4}, ALL, {0}}},
+	  .phase_count = 2},
+	 13,
+	 20},
+	{"light load, 0.5, 0.6, 0.7",
+	 {.phases = {{0, {0.5, 0.6, 0.7}, ALL, {0}}}, .phase_count = 1},
 	 10,
 	 20},
 	{"speeds differ by 2.5",
@@ -61,15 +67,16 @@
 	  .phase_count = 2},
 	 4,
 	 16},
-	{"cut off while its calls cross",
+	{"cut off from 10 to 15 s while its calls cross",
 	 {.phases = {{0, {1.3, 0.4, 0.4}, ALL, {0}},
 		     {10 * USEC_PER_SEC,
 		      {1.3, 0.4, 0.4},
 		      ALL,
-		      {true, false, false}}},
-	  .phase_count = 2},
+		      {true, false, false}},
+		     {15 * USEC_PER_SEC, {1.3, 0.4, 0.4}, ALL, {0}}},
+	  .phase_count = 3},
 	 10,
-	 20},
+	 25},
 };
 
 static const char *const way_names[] = {"locality", "weighted", "spill"};
@@ -111,7 +118,8 @@
 	for (i = 0; i < seconds; i++) {
 		s = &r->seconds[i];
 		printf("second=%u crossed=%.3f,%.3f,%.3f in_time=%.3f,%.3f,"
-		       "%.3f queue_max_ms=%.0f,%.0f,%.0f\n",
+		       "%.3f queue_max_ms=%.0f,%.0f,%.0f no_room=%u "
+		       "saves_time=%u\n",
 		       i, ratio(s->crossed[0], s->calls[0]),
 		       ratio(s->crossed[1], s->calls[1]),
 		       ratio(s->crossed[2], s->calls[2]),
@@ -119,7 +127,8 @@
 		       ratio(s->in_time[1], s->calls[1]),
 		       ratio(s->in_time[2], s->calls[2]),
 		       s->queue_max_us[0] / 1e3, s->queue_max_us[1] / 1e3,
-		       s->queue_max_us[2] / 1e3);
+		       s->queue_max_us[2] / 1e3, s->by_reason[SPILL_NO_ROOM],
+		       s->by_reason[SPILL_SAVES_TIME]);
 	}
 }
 
@@ -139,7 +148,7 @@
 
 	m.cost = o->cost;
 	m.seed = o->seed;
-	m.seconds = l->to;
+	m.seconds = l->to + 1; /* for the calls under way */
 	for (way = MODEL_LOCALITY; way <= MODEL_SPILL; way++) {
 		m.way = (enum model_way)way;
 		if (spill_model_run(&m, &r) < 0)
