Place calls across data centres by the load, where a cost is set

With "crossing" in its settings an entry keeps the state of policy/spill.c for each service and reduces the candidates to the data centre chosen before balance_pick() chooses among them. Without it nothing changes: the candidates are passed on as they are. The size of an answer is learnt by route.

The metrics address has calls and bytes that crossed by service and reason, and the fraction; a line event=spill tells of a change, at most one a second and service. An upstream that failed four calls in a row counts as absent, here and there, and a destination is forgotten only after four steps without a usable upstream, as a ping under way makes a link suspect.

--- a/src/admin/health.c
+++ b/src/admin/health.c
@@ -49,7 +49,8 @@
 {
 	struct buffer b = {0};
 
-	if (counters_write(&b) < 0 || latencies_write(&b) < 0)
+	if (counters_write(&b) < 0 || latencies_write(&b) < 0 ||
+	    spills_write(c->node, &b) < 0)
 		answer_text(c, 503, "out of memory\n");
 	else
 		admin_answer(c->node, c->exchange, 200,
--- a/src/filter/candidates.c
+++ b/src/filter/candidates.c
@@ -51,6 +51,7 @@
 			.load = &u->load,
 			.slots = u->info.slots,
 			.same_data_centre = u->same_data_centre,
+			.data_centre = u->data_centre,
 			.detour_us = r->route->target_us / DETOUR_DIVISOR,
 			.failure_us = r->route->target_us,
 			.tried = was_tried(r, handles[i]) ||
@@ -59,6 +60,7 @@
 		if (n->settings.interface == INTERFACE_PLATFORM)
 			c[i].warm_up_us = PLATFORM_WARM_UP_US;
 	}
+	count = crossing_narrow(n, r, c, handles, count, now);
 	picked = balance_pick(c, count, node_random(n), now);
 	return picked < 0 ? 0 : handles[picked];
 }
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -82,6 +82,7 @@
 	uint64_t local_call;
 	int64_t sent_us;
 	bool in_flight;
+	uint8_t crossing; /* enum spill_reason of the current attempt */
 	enum reason refuse_reason; /* why it failed; REASON_NONE: it did not */
 	uint32_t retry_after_ms;
 	char inputs[DECISION_INPUTS_SIZE]; /* values behind a refusal */
@@ -178,6 +179,19 @@
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now);
 /* Picks an upstream for the next attempt; returns 0 if there is none. */
 uint64_t candidates_pick(struct node *n, struct request *r, int64_t now);
+struct balance_candidate;
+/*
+ * Where the settings give a cost for calls to other data centres, reduces the
+ * candidates to those of the data centre that the attempt goes to, and notes
+ * in the request why it crosses. Returns their number.
+ */
+size_t crossing_narrow(struct node *n, struct request *r,
+		       struct balance_candidate *c, uint64_t *handles,
+		       size_t count, int64_t now);
+void crossing_sent(struct node *n, const struct request *r);
+/* answer may be NULL. */
+void crossing_answered(struct node *n, const struct request *r,
+		       const struct message *answer);
 /* Cancels the attempt in flight, if any. */
 void place_cancel(struct node *n, struct request *r, int64_t now);
 /*
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -137,6 +137,7 @@
 		return -1;
 	}
 	r->in_flight = true;
+	crossing_sent(n, r);
 	if (!r->attempt)
 		retries_count_call(n, r, now);
 	return 0;
@@ -335,6 +336,7 @@
 	r->link_call = 0;
 	r->local_call = 0;
 	apply_answer_head(n, r, head, now);
+	crossing_answered(n, r, answer);
 	if (!r->exchange && !request_runs_once(r)) {
 		request_refuse(n, r, REASON_CANCELLED, head->outcome, now);
 		return;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -524,6 +524,7 @@
 		config_put(n->config);
 	service_retries_free(n);
 	route_stats_free(n);
+	spills_free(n);
 	bottlenecks_free(n);
 	if (n->admin_state)
 		admin_free(n->admin_state);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -15,6 +15,7 @@
 #include "filter/filter.h"
 #include "net/net.h"
 #include "policy/policy.h"
+#include "policy/spill.h"
 #include "store/store.h"
 
 #define TOKEN_SIZE 33 /* context token, including the NUL */
@@ -138,6 +139,7 @@
 	struct exchange_index *exchanges;
 	struct service_retries *retries;
 	struct route_stats *route_stats;
+	struct service_spill *spills;
 	struct bottlenecks *bottlenecks;
 	struct call_index *by_token;
 	struct call_index *by_stream;
@@ -275,9 +277,10 @@
 
 /* What is known of the requests of a route; see route_stats.c. */
 struct route_stats {
-	uint64_t route;	  /* hash of its name */
-	double runs;	  /* by one call, its sub-calls included; smoothed */
-	double sub_calls; /* that a run makes itself; smoothed */
+	uint64_t route;	     /* hash of its name */
+	double runs;	     /* by one call, its sub-calls included; smoothed */
+	double sub_calls;    /* that a run makes itself; smoothed */
+	double answer_bytes; /* of the body; smoothed, 0: unknown */
 	UT_hash_handle hh;
 };
 
@@ -288,6 +291,26 @@
 void route_stats_add_sub_calls(struct node *n, const char *route,
 			       uint32_t sub_calls);
 
+/* Counts the body of an answer; only where crossing costs are set. */
+void route_stats_add_answer(struct node *n, const char *route, size_t bytes);
+
+/* Calls of a service to other data centres; see spills.c. */
+struct service_spill {
+	char name[NAME_SIZE];
+	struct spill spill;
+	uint64_t calls[SPILL_REASONS]; /* attempts that crossed */
+	uint64_t bytes[SPILL_REASONS];
+	double logged_fraction;
+	int64_t logged_us;
+	UT_hash_handle hh;
+};
+
+/* Returns the entry of a service, or NULL when out of memory. */
+struct service_spill *service_spill(struct node *n, const char *service);
+void service_spill_log(struct service_spill *s, int64_t now);
+void spills_free(struct node *n);
+int spills_write(const struct node *n, struct buffer *out);
+
 struct identities *identities_new(void);
 void identities_free(struct identities *ids);
 
--- a/src/node/route_stats.c
+++ b/src/node/route_stats.c
@@ -46,6 +46,18 @@
 	s->runs += (runs - s->runs) * GAIN;
 }
 
+/* Counts the body of an answer of the route. */
+void route_stats_add_answer(struct node *n, const char *route, size_t bytes)
+{
+	struct route_stats *s = route_stats(n, route);
+
+	if (!s)
+		return;
+	if (s->answer_bytes <= 0)
+		s->answer_bytes = (double)bytes;
+	s->answer_bytes += ((double)bytes - s->answer_bytes) * GAIN;
+}
+
 /* Counts a run that ended well, as the node beside its upstream sees it. */
 void route_stats_add_sub_calls(struct node *n, const char *route,
 			       uint32_t sub_calls)
--- a/src/policy/spill.c
+++ b/src/policy/spill.c
@@ -30,6 +30,10 @@
 #define TARGET_LOW_GAIN 0.002
 /* Steps in a row that find the own data centre full, before calls cross. */
 #define FULL_STEPS 2
+/* Upstreams with fresh reports that tell the load, if less than half. */
+#define REPORTED_MIN 3
+/* Steps without a usable upstream after which a destination is removed. */
+#define UNSEEN_STEPS 3
 /* Older reports raise no fraction. */
 #define FRESH_US USEC_PER_SEC
 /* After a longer pause without calls the fractions start from 0. */
@@ -39,7 +43,7 @@
 #define RATE_GROWTH 1.3
 /* Time that crossing adds to a call, as in balance.c. */
 #define CROSSING_US (3 * USEC_PER_MSEC)
-/* Upstreams that fail more are no destinations; the same as a lost link. */
+/* Upstreams that fail more count as absent: four calls in a row. */
 #define FAILED_SHARE_MAX 0.3
 #define FAILED_FADE_US (5 * USEC_PER_SEC)
 /* A saving counts if it is at least the target latency divided by this. */
@@ -60,7 +64,8 @@
 	double service_us; /* at the upstream */
 	double shed;	   /* share of the calls */
 	double failed;	   /* share of the calls */
-	bool usable;	   /* has an upstream that is not ejected */
+	size_t usable;	   /* upstreams that are not ejected */
+	size_t reported;   /* of these, with fresh reports */
 };
 
 struct views {
@@ -84,9 +89,7 @@
 
 static bool is_usable(const struct balance_candidate *c, int64_t now)
 {
-	if (c->tried || c->load->ejected_until_us > now)
-		return false;
-	return c->same_data_centre ||
+	return !c->tried && c->load->ejected_until_us <= now &&
 	       failed_share(c->load, now) <= FAILED_SHARE_MAX;
 }
 
@@ -112,7 +115,7 @@
 	double slots = usable_slots(c, l->latency_us, now), total, calls;
 	double failed;
 
-	v->usable = true;
+	v->usable++;
 	if (!l->reported_us || l->service_us <= 0 ||
 	    now - l->reported_us >= FRESH_US)
 		return;
@@ -126,6 +129,7 @@
 	failed = 1 - (1 - failed_share(l, now)) * (1 - l->rejected_share);
 	v->failed += (failed - v->failed) * slots / total;
 	v->slots = total;
+	v->reported++;
 }
 
 static void collect_views(struct views *v, const struct balance_candidate *c,
@@ -238,13 +242,17 @@
 	return &s->to[s->count++];
 }
 
-/* Removes destinations that have no usable upstream left. */
+/*
+ * Removes destinations without a usable upstream. A link counts as suspect for
+ * as long as a ping is under way, so a destination of one host may be without
+ * one for a moment.
+ */
 static void remove_unseen(struct spill *s)
 {
 	size_t i = 0;
 
 	while (i < s->count)
-		if (s->to[i].seen)
+		if (s->to[i].unseen <= UNSEEN_STEPS)
 			i++;
 		else
 			s->to[i] = s->to[--s->count];
@@ -353,13 +361,15 @@
 	double saved, saves;
 	size_t i;
 
-	for (i = 0; i < s->count; i++)
-		s->to[i].seen = false;
+	for (i = 0; i < s->count; i++) {
+		s->to[i].unseen++;
+		s->to[i].known = false;
+	}
 	for (i = 0; i < v->count; i++) {
 		d = destination(s, v->other[i].data_centre);
 		if (!d)
 			continue;
-		d->seen = true;
+		d->unseen = 0;
 		d->known = v->other[i].slots > 0;
 		if (d->known) {
 			d->probe_wait_us = PROBE_US;
@@ -422,6 +432,12 @@
 	}
 }
 
+/* Whether the reports are of more than one of several upstreams. */
+static bool is_known_enough(const struct view *v)
+{
+	return v->reported * 2 >= v->usable || v->reported >= REPORTED_MIN;
+}
+
 /*
  * Smooths the load, unless several steps in a row found the data centre full:
  * then calls are refused there already.
@@ -430,7 +446,9 @@
 {
 	double load = view_load(&v->own);
 
-	s->full_steps = load >= LOAD_HIGH ? s->full_steps + 1 : 0;
+	s->full_steps = load >= LOAD_HIGH && is_known_enough(&v->own)
+				? s->full_steps + 1
+				: 0;
 	s->load += (load - s->load) * LOAD_GAIN;
 	if (s->full_steps >= FULL_STEPS && load > s->load)
 		s->load = load;
@@ -572,7 +590,7 @@
 		return NULL;
 	for (i = 0; i < s->count; i++) {
 		d = &s->to[i];
-		if (d->known)
+		if (d->known || d->unseen)
 			continue;
 		if (s->wants_room && pays(cost, d->saved_us, call))
 			wait = d->probe_wait_us;
@@ -663,6 +681,20 @@
 	}
 }
 
+enum spill_reason spill_main_reason(const struct spill *s)
+{
+	enum spill_reason reason = SPILL_NONE;
+	double largest = 0;
+	size_t i;
+
+	for (i = 0; i < s->count; i++)
+		if (s->to[i].fraction > largest) {
+			largest = s->to[i].fraction;
+			reason = s->to[i].reason;
+		}
+	return reason;
+}
+
 const char *spill_reason_name(enum spill_reason r)
 {
 	switch (r) {
--- a/src/policy/spill.h
+++ b/src/policy/spill.h
@@ -46,7 +46,7 @@
 	int64_t probe_wait_us; /* doubles with each probe without a report */
 	uint32_t unanswered;   /* calls since it was known */
 	bool known;	       /* has fresh reports */
-	bool seen;	       /* in the current step */
+	uint32_t unseen;       /* steps without a usable upstream */
 };
 
 /* State of one service at one entry; zero: nothing crosses. */
@@ -90,6 +90,8 @@
 		   const struct balance_candidate *c);
 /* Returns the fraction of the calls that cross, over all destinations. */
 double spill_fraction(const struct spill *s);
+/* Returns the reason of the destination with the largest fraction. */
+enum spill_reason spill_main_reason(const struct spill *s);
 const char *spill_reason_name(enum spill_reason r);
 
 #endif
