Let refused calls cross before the fraction has risen

A burst took two seconds until the fraction had risen, in which a fifth of the calls were refused. A call that a gate here refused may now cross at once, as long as the entry's part of the room of the destination lasts in each step, and may be the probe of a destination without reports.

--- a/src/filter/crossing.c
+++ b/src/filter/crossing.c
@@ -31,7 +31,8 @@
 						n->settings.wait_worth_per_s};
 	struct spill_call call = {.cls = r->cls,
 				  .target_us = r->route->target_us,
-				  .repeat = r->attempt || r->reroutes};
+				  .repeat = r->attempt || r->reroutes,
+				  .refused = r->reroutes > 0};
 	struct spill_choice choice;
 	struct service_spill *s;
 	size_t i, kept = 0;
--- a/src/policy/spill.c
+++ b/src/policy/spill.c
@@ -13,6 +13,8 @@
 #define FALL_GAIN 0.5
 /* Of the room of a destination, for the callers of one data centre. */
 #define ROOM_PART 0.5
+/* Of that part, for calls that a gate refused, until the fraction has risen. */
+#define REFUSED_PART 0.5
 #define FRACTION_MIN 0.005 /* smaller ones become 0 */
 /*
  * Calls over slots. Gates of the platform use 15 of 16 slots, so a data centre
@@ -276,22 +278,28 @@
 }
 
 /*
- * Returns by how much the fraction to a destination may rise: this entry's
- * part of the room there, by its share of the calls in the own data centre.
+ * Returns this entry's part of the room of a destination, in slots, by its
+ * share of the calls in the own data centre.
  */
-static double room_for(const struct spill *s, const struct view *own,
-		       const struct view *other)
+static double room_part(const struct spill *s, const struct view *own,
+			const struct view *other)
 {
 	double room = other->slots * DESTINATION_FULL - other->calls;
 	double mine = s->calls_s * (1 - crossing_share(s)) * own->service_us /
 		      USEC_PER_SEC;
 	double share = own->calls > 0 ? clamp(mine / own->calls, 0, 1) : 1;
+
+	return room > 0 ? room * ROOM_PART * share : 0;
+}
+
+/* Returns by how much the fraction to a destination may rise. */
+static double room_for(const struct spill *s, const struct view *own,
+		       const struct view *other)
+{
 	double per_fraction =
 		eligible_rate(s) * other->service_us / USEC_PER_SEC;
 
-	if (room <= 0 || per_fraction <= 0)
-		return 0;
-	return room * ROOM_PART * share / per_fraction;
+	return per_fraction > 0 ? room_part(s, own, other) / per_fraction : 0;
 }
 
 /* Returns the change of the fraction that brings the load to LOAD_AIM. */
@@ -458,6 +466,23 @@
 		s->local_us += (s->load - LOAD_AIM) * v->own.service_us;
 }
 
+/* Sets how many refused calls may cross until the next step. */
+static void allow_refused(struct spill *s, const struct views *v)
+{
+	struct spill_destination *d;
+	double slots;
+	size_t i;
+
+	for (i = 0; i < v->count; i++) {
+		d = destination(s, v->other[i].data_centre);
+		if (!d)
+			continue;
+		slots = room_part(s, &v->own, &v->other[i]) * REFUSED_PART;
+		d->refused_left =
+			d->known ? slots * STEP_US / v->other[i].service_us : 0;
+	}
+}
+
 static void step(struct spill *s, const struct views *v, int64_t now)
 {
 	int64_t dt = now - s->stepped_us;
@@ -473,6 +498,7 @@
 	update_destinations(s, v);
 	if (!lower(s, v))
 		raise_all(s, v, now);
+	allow_refused(s, v);
 }
 
 /* Whether a saving is worth the bytes of the call. */
@@ -586,13 +612,15 @@
 	int64_t wait;
 	size_t i;
 
-	if (call->repeat)
+	if (call->repeat && !call->refused)
 		return NULL;
 	for (i = 0; i < s->count; i++) {
 		d = &s->to[i];
 		if (d->known || d->unseen)
 			continue;
-		if (s->wants_room && pays(cost, d->saved_us, call))
+		if (call->refused
+			    ? pays(cost, call_target_us(call), call)
+			    : s->wants_room && pays(cost, d->saved_us, call))
 			wait = d->probe_wait_us;
 		else if (pays(cost, s->local_us - detour_us(s), call))
 			wait = PROBE_CALM_US;
@@ -609,6 +637,28 @@
 	return NULL;
 }
 
+/*
+ * Returns a destination for a call that a gate here refused, or NULL: such
+ * calls need not wait until the fraction has risen.
+ */
+static struct spill_destination *take_refused(struct spill *s,
+					      const struct spill_cost *cost,
+					      const struct spill_call *call)
+{
+	struct spill_destination *best = NULL;
+	size_t i;
+
+	if (!call->refused || !pays(cost, call_target_us(call), call))
+		return NULL;
+	for (i = 0; i < s->count; i++)
+		if (s->to[i].known && s->to[i].refused_left >= 1 &&
+		    (!best || s->to[i].refused_left > best->refused_left))
+			best = &s->to[i];
+	if (best)
+		best->refused_left--;
+	return best;
+}
+
 static void count_call(struct spill *s, const struct spill_call *call,
 		       bool eligible)
 {
@@ -652,8 +702,15 @@
 	s->urgent_first = s->local_us > s->target_us;
 	d = probe(s, cost, call, now);
 	if (d) {
-		choice.reason =
-			s->wants_room ? SPILL_NO_ROOM : SPILL_SAVES_TIME;
+		choice.reason = s->wants_room || call->refused
+					? SPILL_NO_ROOM
+					: SPILL_SAVES_TIME;
+		choice.data_centre = d->data_centre;
+		return choice;
+	}
+	d = take_refused(s, cost, call);
+	if (d && has_untried(c, n, d->data_centre, now)) {
+		choice.reason = SPILL_NO_ROOM;
 		choice.data_centre = d->data_centre;
 		return choice;
 	}
--- a/src/policy/spill.h
+++ b/src/policy/spill.h
@@ -32,6 +32,7 @@
 	int64_t target_us; /* target latency; 0: unknown */
 	double bytes;	   /* request and expected answer */
 	bool repeat;	   /* an earlier attempt was counted */
+	bool refused;	   /* a gate refused an earlier attempt */
 };
 
 /* Another data centre as a destination. */
@@ -44,6 +45,7 @@
 	int64_t raised_us;
 	int64_t probed_us;
 	int64_t probe_wait_us; /* doubles with each probe without a report */
+	double refused_left;   /* refused calls that may cross in this step */
 	uint32_t unanswered;   /* calls since it was known */
 	bool known;	       /* has fresh reports */
 	uint32_t unseen;       /* steps without a usable upstream */
