--- a/src/filter/candidates.c
+++ b/src/filter/candidates.c
@@ -63,6 +63,7 @@
 			.load = &u->load,
 			.slots = u->info.slots,
 			.same_data_centre = u->same_data_centre,
+			.data_centre = u->data_centre,
 			.detour_us = r->route->target_us / DETOUR_DIVISOR,
 			.failure_us = r->route->target_us,
 			.tried = was_tried(r, handles[i]) ||
@@ -73,6 +74,7 @@
 		known_cold_candidate(n, r, u, &c[i], now);
 	}
 	count = cold_select(c, handles, count, now);
+	count = crossing_narrow(n, r, c, handles, count, now);
 	picked = balance_pick(c, count, node_random(n), now);
 	if (picked < 0)
 		return 0;
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -237,10 +237,12 @@
 /* Balance: measurements by this node of one upstream. */
 struct upstream_load {
 	double latency_us;     /* smoothed */
+	double service_us;     /* of it, at the upstream; smoothed */
 	double error_share;    /* smoothed, 0 to 1 */
 	double shed_share;     /* from its cutoffs, smoothed, 0 to 1 */
 	double rejected_share; /* of the calls that reached it, smoothed */
 	int64_t last_update_us;
+	int64_t reported_us;   /* last answer of the gate; 0 never */
 	int64_t first_sent_us; /* first call sent; 0 never */
 	int64_t ejected_until_us;
 	uint32_t ejections;
@@ -254,7 +256,8 @@
 	struct upstream_load *load;
 	uint32_t slots;
 	bool same_data_centre;
-	bool tried; /* by an earlier attempt of this call */
+	uint64_t data_centre; /* hash of its name, for spill.c */
+	bool tried;	      /* by an earlier attempt of this call */
 	/* Time that another data centre must save while this one has room. */
 	int64_t detour_us;
 	int64_t failure_us; /* time that a failed call is counted as */
@@ -275,6 +278,12 @@
 void load_cancelled(struct upstream_load *l);
 /* Whether an upstream is expected to start a call at once. */
 bool balance_has_room(const struct balance_candidate *c, int64_t now);
+/*
+ * Returns the number of calls that the upstream may have at once: its slots, or
+ * as many as its limit a second starts in the time that a call takes.
+ */
+double usable_slots(const struct balance_candidate *c, double latency_us,
+		    int64_t now);
 /* Returns an index, or -1 if there is no candidate. */
 int balance_pick(const struct balance_candidate *c, size_t n, uint64_t seed,
 		 int64_t now);
