Take a document whose cold fields are zero, and keep stubs out of other tests

A cold rate of zero means a service that is never cold; refusing the whole document for it would leave the former one in force. Fields that contradict each other are findings of the configuration check now. Numbers below zero and values of other types are refused as before.

The member list of the simulated quota fleet moves to a header: in the archive of shared parts it replaced the real one in test_gates_cold.

--- a/src/conf/config_check.c
+++ b/src/conf/config_check.c
@@ -168,6 +168,24 @@
 				     a->name);
 }
 
+static void check_cold(const struct config *c, struct findings *f)
+{
+	const struct service *s = NULL;
+	char item[NAME_SIZE + 16];
+
+	while ((s = config_next_service(c, s))) {
+		if ((s->cold_start_us > 0) == (s->cold_per_s > 0))
+			continue;
+		snprintf(item, sizeof(item), "service %s", s->name);
+		findings_add(f, FINDING_COLD_INCOMPLETE, item,
+			     "its upstreams are cold for %g s and take %g "
+			     "requests a second then: both must be set, or "
+			     "neither",
+			     (double)s->cold_start_us / USEC_PER_SEC,
+			     s->cold_per_s);
+	}
+}
+
 static void check_accounts(const struct config *c, struct findings *f)
 {
 	const struct account *a = NULL;
@@ -208,5 +226,6 @@
 		check_times(r, f);
 		check_homes(c, r, f);
 	}
+	check_cold(c, f);
 	check_accounts(c, f);
 }
--- a/src/conf/findings.c
+++ b/src/conf/findings.c
@@ -25,6 +25,7 @@
 	[FINDING_ACCOUNT_WITHOUT_KEY] = {"account-without-key",
 					 SEVERITY_WARNING},
 	[FINDING_HOMES_DISJOINT] = {"homes-disjoint", SEVERITY_WARNING},
+	[FINDING_COLD_INCOMPLETE] = {"cold-incomplete", SEVERITY_WARNING},
 	[FINDING_ADDED] = {"added", SEVERITY_DIFFERENCE},
 	[FINDING_CHANGED] = {"changed", SEVERITY_DIFFERENCE},
 	[FINDING_WITHDRAWN] = {"withdrawn", SEVERITY_DIFFERENCE},
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -110,7 +110,7 @@
 	case REASON_STOPPING:
 	case REASON_OVERLOADED:
 	case REASON_UPSTREAM_REFUSED:
-	case REASON_COLD: /* another upstream may be warm */
+	case REASON_COLD:      /* another upstream may be warm */
 	case REASON_EVACUATED: /* other data centres may have upstreams */
 		return true;
 	default:
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -90,6 +90,8 @@
 	size_t count;
 };
 
+extern struct members fleet_views[FLEET_MAX];
+
 /* A request of the account arrives at the node. */
 void fleet_arrive(struct fleet *f, struct fleet_account *a, size_t node);
 bool fleet_reachable(const struct fleet *f, size_t a, size_t b);
--- a/test/test_config_check.c
+++ b/test/test_config_check.c
@@ -30,6 +30,9 @@
 #define SPLIT(weights) "2,1,null,[" weights "],false,null"
 #define PART(name, weight) "{\"service\":\"" name "\",\"weight\":" weight "}"
 #define H1 "1111111111111111111111111111111111111111111111111111111111111111"
+#define COLD(values)                                                           \
+	"{\"version\":3,\"services\":{\"columns\":[\"name\",\"cold_start_s\"," \
+	"\"cold_per_s\"],\"rows\":[[\"s\"," values "]]}}"
 #define NOTE(members) "{\"release\":\"r1\",\"added\":{" members "}}"
 
 struct check_case {
@@ -100,6 +103,11 @@
 	      "\"s\"},{\"name\":\"q\",\"method\":\"GET\",\"path\":\"/a/b/b\","
 	      "\"service\":\"s\"}]"),
 	 "", NULL},
+	{COLD("3,5.4"), "", NULL},
+	{COLD("0,0"), "", NULL},
+	{COLD("3,0"), "cold-incomplete service s", "cold for 3 s"},
+	{COLD("null,5.4"), "cold-incomplete service s", "take 5.4"},
+	{COLD("3,-1"), "malformed file", "cold_per_s"},
 	{NOTE("\"accounts\":[{\"name\":\"a\",\"rate\":1,\"burst\":2}]"),
 	 "account-without-key account a", NULL},
 	{NOTE("\"accounts\":[{\"name\":\"a\",\"rate\":1,\"burst\":0}]"),
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -8,6 +8,7 @@
 
 #include "control/quota/quota_impl.h"
 #include "quota_fleet.h"
+#include "quota_members.h"
 
 /* Accumulated rounding error of a run, in tokens. */
 #define ROUNDING 1e-6
--- a/test/test_quota_central.c
+++ b/test/test_quota_central.c
@@ -16,6 +16,7 @@
 
 #include "control/quota/quota_impl.h"
 #include "quota_fleet.h"
+#include "quota_members.h"
 
 #define ROUNDING 1e-6 /* accumulated, in tokens */
 #define ACCOUNTS 12
