Soak: upstreams become cold again between the other faults

With SOAK_COLD=1 the document has a cold rate, upstreams start cold and return to that state at random, beside kills and suspensions of nodes, faults of the store, limits and leaving. None may get more than its bound in a second from 3 s after it became cold, and none may end by its load more often than it returned.

--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -10,6 +10,10 @@
 # request that crashes was run three times more at most, later than 3 s after the
 # third end, and the newest configuration is in force. Prints a summary and keeps no files;
 # ends only the processes that it started.
+# With SOAK_COLD=1, upstreams also become cold again, which crashes them if many
+# requests arrive before their heartbeat, and none may get more than its cold rate
+# allows. No request crashes upstreams then, and no upstream is suspended, as it
+# would see the requests of seconds at once.
 cd "$(dirname "$0")/../.."
 BIN=${BIN_OF_SOAK:-${BUILD:-build}/mulberryferry-san}
 . test/harness.bash
@@ -27,6 +31,20 @@
 STABILITY_MS=3000   # until every host refuses a request that crashes
 LATE_RUNS_MAX=3
 VERSION=3
+COLD=${SOAK_COLD:-}
+COLD_MS=8000
+COLD_PER_S=5.4
+COLD_MAX=16         # most requests in a second: 1.5 x 5.4 + 8
+COLD_AFTER_MS=3000  # until a node that was suspended has read a heartbeat
+FAULTS=14
+COLD_COLUMNS= COLD_VALUES= COLD_PROMISES= UPSTREAM_OPTIONS="--crash-on crashing"
+if [ -n "$COLD" ]; then
+	FAULTS=16
+	COLD_COLUMNS=', "cold_start_s", "cold_per_s"'
+	COLD_VALUES=", 8, $COLD_PER_S"
+	COLD_PROMISES=', "cold_overshoot=1.5", "cold_slack=8"'
+	UPSTREAM_OPTIONS="--cold-ms $COLD_MS --cold-per-s $COLD_PER_S"
+fi
 RECOVERY_S=20 # the users' bound of 15 s plus one start under the sanitizers
 
 # draw N: sets DRAWN to a random number from 0 to N-1. It is not printed, as
@@ -49,7 +67,7 @@
 	"calls_per_second": 100},
 	"share_groups": 4, "share_hold_s": 60, "data_centres": ["a", "b"],
 	"promises": ["revoke_s=5", "drain_s=2", "grace_s=6",
-	"budget_ratio=0.2"]}
+	"budget_ratio=0.2"$COLD_PROMISES]}
 	END
 }
 
@@ -92,8 +110,8 @@
 	"route_kind", "timeout_s", "target_latency_s", "priority", "service",
 	"max_attempts", "allow_anonymous"], "rows": [
 	["once", "$HOST", "/once/", "unsafe", 2, 0.5, 0, "one", 2, false]]},
-	"services": {"columns": ["name", "max_connections"],
-	"rows": [["one", 64]]},
+	"services": {"columns": ["name", "max_connections"$COLD_COLUMNS],
+	"rows": [["one", 64$COLD_VALUES]]},
 	"limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
 	"header_timeout_s": 3, "idle_timeout_s": 15},
 	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
@@ -188,6 +206,18 @@
 		if (n - first > most) most = n - first} END {print most + 0}'
 }
 
+# most_cold NODE: prints the most runs of its upstream in a second while cold.
+most_cold() {
+	sed -n 's/^\(cold\) at_ms=\([0-9]*\)$/\1 \2/p
+		s/^\(run\) .* at_ms=\([0-9]*\) .*/\1 \2/p' "$WORK/up_$1.out" |
+		awk -v a=$COLD_AFTER_MS -v c=$COLD_MS '
+		$1 == "cold" {if ($2 > to) from = $2 + a
+			to = $2 + c; first = n; next}
+		$2 < from || $2 > to {first = n; next}
+		{t[++n] = $2; while ($2 - t[first + 1] > 1000) first++
+		if (n - first > most) most = n - first} END {print most + 0}'
+}
+
 # Injects one random fault.
 inject_fault() {
 	local node up ms
@@ -196,13 +226,13 @@
 	up=up_$node
 	draw 2000
 	ms=$((200 + DRAWN))
-	draw 14
+	draw $FAULTS
 	echo "fault $DRAWN $node $ms" >>"$WORK/faults"
 	case $DRAWN in
 	0 | 1) suspend_process "$node" "$ms" ;;
 	2) stop_node "$node" KILL ;;
 	3 | 4) stop_node "$node" TERM ;;
-	5) suspend_process "$up" "$ms" ;;
+	5) [ -n "$COLD" ] || suspend_process "$up" "$ms" ;;
 	6) suspend_process store "$ms" ;;
 	7) curl -sf -m 2 -o /dev/null \
 		"http://$STORE/standin/faults?lose_next=3" ;;
@@ -212,6 +242,7 @@
 	12) limit_upstream "$node" ;;
 	13) upstream_says "$node" leaving=1
 		(pause_ms "$ms"; upstream_says "$node" leaving=0) & ;;
+	14 | 15) kill -USR1 "$(pid_of "$up")" ;;
 	esac
 }
 
@@ -237,7 +268,7 @@
 	services=${!var}
 	run "up_$n" "$TOOLS/platform_upstream" --listen 127.0.0.1:0 \
 		--node "$services" --service one --instance "i-$n" --work-ms 30 \
-		--crash-on crashing --down-ms 1000
+		--down-ms 1000 $UPSTREAM_OPTIONS
 	write_settings "$n" "$(eval echo "\$callers_$n")" "$services" \
 		"$(eval echo "\$ready_$n")" "$(eval echo "\$nodes_$n")" \
 		"$(eval echo "\$admin_$n")"
@@ -252,8 +283,10 @@
 	send_requests "$c" &
 	callers+=($!)
 done
-send_crashing &
-callers+=($!)
+if [ -z "$COLD" ]; then
+	send_crashing &
+	callers+=($!)
+fi
 end=$((SECONDS + SECONDS_OF_FAULTS))
 while [ "$SECONDS" -lt "$end" ]; do
 	inject_fault
@@ -312,6 +345,21 @@
 		fail "seed $SEED: up_$n named $LIMIT a second and got $most" \
 			"in 4 s; $(cat "$WORK/faults")"
 done
+for n in "${NODES[@]}"; do
+	[ -n "$COLD" ] || continue
+	most=$(most_cold "$n")
+	[ "$most" -le "$COLD_MAX" ] ||
+		fail "seed $SEED: up_$n got $most in a second while cold;" \
+			"$(cat "$WORK/faults")"
+done
+# Each return to the cold state may end one, before its heartbeat is read.
+if [ -n "$COLD" ]; then
+	returns=$(grep -c "^fault 1[45] " "$WORK/faults")
+	ends=$(cat "$WORK"/up_*.out | grep -c '^crash ')
+	[ "$ends" -le "$returns" ] ||
+		fail "seed $SEED: $ends upstreams ended by their load, after" \
+			"$returns returns to the cold state"
+fi
 [ "$(late_runs)" -le $LATE_RUNS_MAX ] ||
 	fail "seed $SEED: a request that crashes ran $(late_runs) times too" \
 		"late; $(cat "$WORK/faults" "$WORK"/*.log | grep "^fault\|poison")"
