Keep the standby's right over renewals, and ticks short

And each tick went through up to 64 groups even if there were 8, which was most of the simulation's time.

Change: a renewal names the standby in the slice; after a conflict the standby goes on if the slice names it. A process takes over the slice of an earlier one at its address after 0.6 s, and not while it receives beats of a holder. A tick processes each group once.

--- a/src/control/quota/quota_impl.h
+++ b/src/control/quota/quota_impl.h
@@ -128,8 +128,13 @@
 	uint32_t share;
 	uint64_t incarnation;
 	int64_t mod_revision; /* 0: the key does not exist */
+	/* A slice only: the node that may take it under this revision. */
+	bool has_standby;
+	struct addr standby;
 };
 
+#define LEDGER_TEXT_SIZE 192
+
 /* One account, or one data centre's part of several accounts. */
 struct account_group {
 	char name[GROUP_NAME_SIZE];
@@ -171,6 +176,9 @@
 	bool has_candidate;
 	bool ranks_second; /* this node, in its data centre */
 	struct standby_lease lease;
+	/* The standby that the renewal under way names. */
+	bool renews_guarded;
+	struct addr renewed_standby;
 	struct standby_guard guard;
 	int64_t other_holder_until_us;
 
@@ -287,7 +295,7 @@
 void ledger_adopt_slice(struct quota *q, struct account_group *g,
 			const struct ledger_record *r, int64_t now);
 int ledger_parse(struct ledger_record *r, const struct store_entry *e);
-void ledger_format(const struct ledger_record *r, char text[96]);
+void ledger_format(const struct ledger_record *r, char text[LEDGER_TEXT_SIZE]);
 void ledger_renew(struct quota *q, int64_t now);
 void ledger_tick(struct quota *q, int64_t now);
 
--- a/src/control/quota/quota_ledger.c
+++ b/src/control/quota/quota_ledger.c
@@ -20,6 +20,9 @@
 /* Time in which a starting node learns of the other members. */
 #define SETTLE_US (4 * USEC_PER_SEC)
 
+/* Three beats of a holder to a node that it does not know to answer. */
+#define TAKEOVER_WAIT_US (600 * USEC_PER_MSEC)
+
 /* A former owner keeps its slice this long after other nodes rank first. */
 #define OWNER_LINGER_US (5 * USEC_PER_SEC)
 
@@ -47,7 +50,7 @@
 int ledger_parse(struct ledger_record *r, const struct store_entry *e)
 {
 	struct json_tokener *tok = json_tokener_new();
-	struct json_object *o = NULL, *share, *incarnation;
+	struct json_object *o = NULL, *share, *incarnation, *standby;
 	int rc = -1;
 
 	if (!tok)
@@ -63,6 +66,11 @@
 		if (json_object_object_get_ex(o, "incarnation", &incarnation))
 			r->incarnation = json_object_get_uint64(incarnation);
 		r->mod_revision = e->mod_revision;
+		r->has_standby =
+			json_object_object_get_ex(o, "standby", &standby) &&
+			json_object_is_type(standby, json_type_string) &&
+			addr_parse(&r->standby,
+				   json_object_get_string(standby)) == 0;
 		rc = 0;
 	}
 	json_object_put(o);
@@ -71,10 +79,20 @@
 }
 
 /* Formats a pool or slice as it is stored. */
-void ledger_format(const struct ledger_record *r, char text[96])
+void ledger_format(const struct ledger_record *r, char text[LEDGER_TEXT_SIZE])
 {
-	snprintf(text, 96, "{\"share\":%u,\"incarnation\":%llu}", r->share,
-		 (unsigned long long)r->incarnation);
+	char standby[ADDR_TEXT_SIZE];
+	int n = snprintf(text, LEDGER_TEXT_SIZE,
+			 "{\"share\":%u,\"incarnation\":%llu", r->share,
+			 (unsigned long long)r->incarnation);
+
+	if (!r->has_standby) {
+		snprintf(text + n, LEDGER_TEXT_SIZE - (size_t)n, "}");
+		return;
+	}
+	addr_format(&r->standby, standby);
+	snprintf(text + n, LEDGER_TEXT_SIZE - (size_t)n, ",\"standby\":\"%s\"}",
+		 standby);
 }
 
 static void back_off(struct quota *q, struct account_group *g, int64_t now)
@@ -176,6 +194,7 @@
 	g->slice.share = g->proposed_share;
 	g->slice.incarnation = q->o.incarnation;
 	g->slice.mod_revision = g->proposed_share ? revision : 0;
+	g->slice.has_standby = false;
 	g->share = g->proposed_share;
 	g->confirmed_us = g->sent_us;
 	g->failures = 0;
@@ -237,7 +256,7 @@
 			 const struct ledger_record *slice, int64_t now)
 {
 	char slice_key[STORE_KEY_SIZE], pool_key[STORE_KEY_SIZE];
-	char pool_text[96], slice_text[96];
+	char pool_text[LEDGER_TEXT_SIZE], slice_text[LEDGER_TEXT_SIZE];
 	/* Taking over a slice leaves the pool unchanged. */
 	size_t with_pool = !is_takeover(q, g);
 	const char *const reads[] = {pool_key, slice_key};
@@ -330,10 +349,26 @@
 	return g->desired_share != g->slice.share;
 }
 
+/*
+ * Returns true while the slice of an earlier process at this address must not
+ * be taken over. If the store came back from an older copy, the standby may
+ * still use the share, and says so in its beats.
+ */
+static bool waits_for_holder(const struct quota *q,
+			     const struct account_group *g, int64_t now)
+{
+	if (!g->multi_account || !g->slice.share || !g->slice.incarnation ||
+	    g->slice.incarnation == q->o.incarnation)
+		return false;
+	return now - q->started_us < TAKEOVER_WAIT_US ||
+	       standby_other_holds(g, now);
+}
+
 static void update_group(struct quota *q, struct account_group *g, int64_t now)
 {
 	if (g->writing || now < g->next_write_us ||
-	    now < q->ledger_settled_us || (!g->active_us && !g->slice.share))
+	    now < q->ledger_settled_us || (!g->active_us && !g->slice.share) ||
+	    waits_for_holder(q, g, now))
 		return;
 	choose_desired(q, g, now);
 	if (!needs_write(q, g))
@@ -456,7 +491,7 @@
  */
 void ledger_tick(struct quota *q, int64_t now)
 {
-	size_t i;
+	size_t i, n = HASH_COUNT(q->account_groups);
 
 	if (!q->config)
 		return;
@@ -468,8 +503,9 @@
 	if (!q->renew_pending && now >= q->next_renew_us && !q->leaving)
 		ledger_renew(q, now);
 	preacquire_slices(q, now);
-	for (i = 0; i < GROUPS_PER_TICK && q->writes_pending < WRITES_MAX;
-	     i++) {
+	if (n > GROUPS_PER_TICK)
+		n = GROUPS_PER_TICK;
+	for (i = 0; i < n && q->writes_pending < WRITES_MAX; i++) {
 		if (!q->cursor)
 			q->cursor = q->account_groups;
 		if (!q->cursor)
--- a/src/control/quota/quota_reclaim.c
+++ b/src/control/quota/quota_reclaim.c
@@ -217,7 +217,8 @@
  */
 static void take_half(struct quota *q, struct orphaned_slice *s, int64_t now)
 {
-	char pool_key[STORE_KEY_SIZE], pool_text[96], slice_text[96];
+	char pool_key[STORE_KEY_SIZE], pool_text[LEDGER_TEXT_SIZE],
+		slice_text[LEDGER_TEXT_SIZE];
 	const char *const reads[] = {pool_key, s->key};
 	struct ledger_record pool = s->pool, slice = s->slice;
 	struct store_compare compares[] = {
--- a/src/control/quota/quota_renew.c
+++ b/src/control/quota/quota_renew.c
@@ -26,6 +26,8 @@
 			g->slice.mod_revision = r->revision;
 			g->confirmed_us = q->renew_sent_us;
 			quota_refill_all(g, now);
+			g->slice.has_standby = g->renews_guarded;
+			g->slice.standby = g->renewed_standby;
 			standby_slice_changed(g);
 		} else if (r->outcome == STORE_CONFLICT) {
 			/*
@@ -42,17 +44,23 @@
 	struct store_compare compares[STORE_TXN_OPS_MAX];
 	struct store_write writes[STORE_TXN_OPS_MAX];
 	char keys[STORE_TXN_OPS_MAX][STORE_KEY_SIZE];
-	char texts[STORE_TXN_OPS_MAX][96];
+	char texts[STORE_TXN_OPS_MAX][LEDGER_TEXT_SIZE];
 	size_t n;
 };
 
 static void batch_add(struct quota *q, struct renew_batch *b,
 		      struct account_group *g)
 {
+	struct ledger_record slice = g->slice;
 	size_t i = b->n++;
 
+	/* The standby keeps its right, should this node die in the meantime. */
+	g->renews_guarded = g->lease.guarded;
+	g->renewed_standby = g->lease.standby;
+	slice.has_standby = g->renews_guarded;
+	slice.standby = g->renewed_standby;
 	ledger_slice_key(q, g->name, b->keys[i]);
-	ledger_format(&g->slice, b->texts[i]);
+	ledger_format(&slice, b->texts[i]);
 	b->compares[i].key = b->keys[i];
 	b->compares[i].mod_revision = g->slice.mod_revision;
 	b->writes[i].key = b->keys[i];
--- a/src/control/quota/quota_standby.c
+++ b/src/control/quota/quota_standby.c
@@ -18,7 +18,7 @@
 /* A candidate that acknowledged within this time may become the standby. */
 #define RESPONSIVE_US (3 * BEAT_PERIOD_US)
 /* Period of beats to a candidate that does not answer. */
-#define PROBE_PERIOD_US (500 * USEC_PER_MSEC)
+#define PROBE_PERIOD_US (200 * USEC_PER_MSEC)
 /* Bounds the writes of a holder whose standby is lost again and again. */
 #define UNGUARDED_US (5 * USEC_PER_SEC)
 /* Another node of the data centre holds the group this long after a beat. */
@@ -58,19 +58,24 @@
 }
 
 /*
- * Ends the guard if the slice was written or read under another revision: the
- * standby knows it under its former revision only, and can no longer take it.
+ * Ends the guard if the slice was written or read under another revision that
+ * does not name the standby, which therefore can no longer take it.
  */
 void standby_slice_changed(struct account_group *g)
 {
-	if (g->lease.guarded && g->lease.revision == g->slice.mod_revision) {
-		if (g->lease.lost)
+	struct standby_lease *l = &g->lease;
+	bool named = g->slice.has_standby &&
+		     addr_equal(&g->slice.standby, &l->standby);
+
+	if (l->guarded && (named || l->revision == g->slice.mod_revision)) {
+		l->revision = g->slice.mod_revision;
+		if (l->lost)
 			g->slice.incarnation = 0;
 		return;
 	}
-	g->lease.guarded = false;
-	g->lease.lost = false;
-	g->lease.next_beat_us = 0;
+	l->guarded = false;
+	l->lost = false;
+	l->next_beat_us = 0;
 }
 
 /* Returns true while another node of the data centre says it holds a slice. */
@@ -281,6 +286,7 @@
 	g->slice.share += g->guard.share;
 	g->slice.incarnation = q->o.incarnation;
 	g->slice.mod_revision = revision;
+	g->slice.has_standby = false;
 	g->share = g->slice.share;
 	g->desired_share = g->share;
 	g->confirmed_us = g->sent_us;
@@ -296,11 +302,15 @@
 	log_standby("account-share-taken", g, &g->guard.holder);
 }
 
-/* Learns the outcome of an earlier attempt whose answer was lost. */
-static void read_own_slice(struct quota *q, struct account_group *g,
-			   const struct store_result *r, int64_t now)
+/*
+ * After a conflict: goes on if the holder renewed the slice and named this node
+ * as its standby. Otherwise the right has ended, or an earlier attempt whose
+ * answer was lost has taken the slice.
+ */
+static void read_slices(struct quota *q, struct account_group *g,
+			const struct store_result *r, int64_t now)
 {
-	struct ledger_record slice = {0};
+	struct ledger_record slice = {0}, theirs = {0};
 	char key[STORE_KEY_SIZE];
 	size_t i;
 
@@ -308,6 +318,17 @@
 	for (i = 0; i < r->n; i++)
 		if (!strcmp(r->entries[i].key, key))
 			ledger_parse(&slice, &r->entries[i]);
+		else
+			ledger_parse(&theirs, &r->entries[i]);
+	if (theirs.has_standby && addr_equal(&theirs.standby, &q->o.self) &&
+	    theirs.mod_revision != g->guard.revision &&
+	    slice.mod_revision == g->slice.mod_revision) {
+		g->guard.revision = theirs.mod_revision;
+		g->guard.share = theirs.share;
+		g->guard.next_take_us = now;
+		return;
+	}
+	g->guard.active = false;
 	ledger_adopt_slice(q, g, &slice, now);
 	g->desired_share = g->share;
 	if (g->share)
@@ -329,8 +350,7 @@
 		g->guard.active = false;
 		break;
 	case STORE_CONFLICT:
-		read_own_slice(q, g, r, now);
-		g->guard.active = false;
+		read_slices(q, g, r, now);
 		break;
 	case STORE_NOT_DONE:
 	case STORE_UNKNOWN:
@@ -342,9 +362,10 @@
 static void take(struct quota *q, struct account_group *g, int64_t now)
 {
 	struct ledger_record slice = {.incarnation = q->o.incarnation};
-	char theirs[STORE_KEY_SIZE], ours[STORE_KEY_SIZE], text[96];
+	char theirs[STORE_KEY_SIZE], ours[STORE_KEY_SIZE],
+		text[LEDGER_TEXT_SIZE];
 	char holder[ADDR_TEXT_SIZE];
-	const char *const reads[] = {ours};
+	const char *const reads[] = {theirs, ours};
 	struct store_compare compares[] = {
 		{.key = theirs, .mod_revision = g->guard.revision},
 		{.key = ours, .mod_revision = g->slice.mod_revision}};
@@ -367,7 +388,7 @@
 	op.txn.writes = writes;
 	op.txn.write_count = 2;
 	op.txn.reads = reads;
-	op.txn.read_count = 1;
+	op.txn.read_count = 2;
 	g->writing = true;
 	g->sent_us = now;
 	q->writes_pending++;
