--- a/src/policy/spill.c
+++ b/src/policy/spill.c
@@ -73,13 +73,27 @@
 	return false;
 }
 
-static bool has_untried(const struct balance_candidate *c, size_t n,
-			uint64_t data_centre, int64_t now)
+/* Whether the own data centre, or another one, has a usable upstream. */
+static bool has_usable(const struct balance_candidate *c, size_t n, bool own,
+		       int64_t now)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (c[i].data_centre == data_centre && !c[i].same_data_centre &&
+		if (c[i].same_data_centre == own && spill_is_usable(&c[i], now))
+			return true;
+	return false;
+}
+
+static bool is_reachable(const struct spill_destination *d,
+			 const struct balance_candidate *c, size_t n,
+			 int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!c[i].same_data_centre &&
+		    c[i].data_centre == d->data_centre &&
 		    spill_is_usable(&c[i], now))
 			return true;
 	return false;
@@ -182,50 +196,56 @@
 	s->eligible[call->cls] += eligible;
 }
 
+/* Chooses among the destinations; the reason is SPILL_NONE if none is. */
+static struct spill_choice choose(struct spill *s,
+				  const struct spill_cost *cost,
+				  const struct spill_call *call,
+				  uint64_t random, int64_t now)
+{
+	struct spill_choice choice = {.reason = SPILL_NO_ROOM};
+	bool eligible = is_eligible(s, cost, call);
+
+	count_call(s, call, eligible);
+	s->urgent_first = s->local_us > s->target_us;
+	choice.to = probe(s, cost, call, now);
+	if (choice.to) {
+		if (!s->wants_room && !call->refused)
+			choice.reason = SPILL_SAVES_TIME;
+		return choice;
+	}
+	choice.to = take_refused(s, cost, call);
+	if (choice.to)
+		return choice;
+	choice.to = eligible ? draw(s, call, random) : NULL;
+	if (!choice.to || !is_worth(s, cost, choice.to, call))
+		return (struct spill_choice){.reason = SPILL_NONE};
+	choice.to->unanswered += !choice.to->known;
+	choice.reason = choice.to->reason;
+	return choice;
+}
+
 struct spill_choice spill_choose(struct spill *s, const struct spill_cost *cost,
 				 const struct balance_candidate *c, size_t n,
 				 const struct spill_call *call, uint64_t random,
 				 int64_t now)
 {
 	struct spill_choice choice = {.reason = SPILL_NONE};
-	struct spill_destination *d;
 	struct views v;
-	bool eligible;
 
-	spill_collect_views(&v, c, n, now);
 	if (!s->stepped_us)
 		s->stepped_us = now;
-	if (!call->repeat && now - s->stepped_us >= STEP_US)
+	if (!call->repeat && now - s->stepped_us >= STEP_US) {
+		spill_collect_views(&v, c, n, now);
 		spill_step(s, &v, now);
-	if (!v.own.usable) {
-		if (v.count || !has_local(c, n))
-			choice.reason = SPILL_NO_UPSTREAM;
-		return choice;
 	}
-	eligible = is_eligible(s, cost, call);
-	count_call(s, call, eligible);
-	s->urgent_first = s->local_us > s->target_us;
-	d = probe(s, cost, call, now);
-	if (d) {
-		choice.reason = s->wants_room || call->refused
-					? SPILL_NO_ROOM
-					: SPILL_SAVES_TIME;
-		choice.data_centre = d->data_centre;
-		return choice;
-	}
-	d = take_refused(s, cost, call);
-	if (d && has_untried(c, n, d->data_centre, now)) {
-		choice.reason = SPILL_NO_ROOM;
-		choice.data_centre = d->data_centre;
+	if (!has_usable(c, n, true, now)) {
+		if (has_usable(c, n, false, now) || !has_local(c, n))
+			choice.reason = SPILL_NO_UPSTREAM;
 		return choice;
 	}
-	d = eligible ? draw(s, call, random) : NULL;
-	if (!d || !is_worth(s, cost, d, call) ||
-	    !has_untried(c, n, d->data_centre, now))
-		return choice;
-	d->unanswered += !d->known;
-	choice.reason = d->reason;
-	choice.data_centre = d->data_centre;
+	choice = choose(s, cost, call, random, now);
+	if (choice.to && !is_reachable(choice.to, c, n, now))
+		return (struct spill_choice){.reason = SPILL_NONE};
 	return choice;
 }
 
@@ -239,7 +259,7 @@
 		return c->same_data_centre;
 	default:
 		return !c->same_data_centre &&
-		       c->data_centre == choice->data_centre;
+		       c->data_centre == choice->to->data_centre;
 	}
 }
 
--- a/src/policy/spill.h
+++ b/src/policy/spill.h
@@ -70,10 +70,11 @@
 	int64_t stepped_us;
 };
 
-/* Where a call goes; data_centre is 0 unless it is another, known one. */
+/* Where a call goes. */
 struct spill_choice {
 	enum spill_reason reason;
-	uint64_t data_centre;
+	/* For the first two reasons; valid until the next call. */
+	struct spill_destination *to;
 };
 
 /*
