Keep the stubs of the member list out of the library of shared tests

Cause: the stubs had moved to quota_fleet.c, whose archive is searched before the code under test, so tests of the members did not link.

--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -8,7 +8,6 @@
 
 #define MAX_WAIT_US (20 * USEC_PER_MSEC)
 #define ACCOUNT "aral"
-#define COUNT_PERIOD_US (50 * USEC_PER_MSEC) /* of visible members */
 
 struct fleet_datagram {
 	struct peer_msg msg;
@@ -129,8 +128,6 @@
 	retry_waiting(t->fleet, t->node);
 }
 
-static struct members views[FLEET_MAX];
-
 static void store_replaced(void *ctx, int64_t now)
 {
 	struct fleet_node *n = ctx;
@@ -142,7 +139,7 @@
 {
 	struct fleet_node *n = &f->nodes[i];
 	struct quota_options o = {.store = n->store,
-				  .members = &views[i],
+				  .members = &f->views[i],
 				  .self = n->addr,
 				  .seed = f->o.seed + i,
 				  .hold_us = f->o.hold_us,
@@ -242,9 +239,9 @@
 
 		wake_targets[i].fleet = f;
 		wake_targets[i].node = i;
-		views[i].fleet = f;
-		views[i].node = i;
-		views[i].counted_us = 0;
+		f->views[i].fleet = f;
+		f->views[i].node = i;
+		f->views[i].counted_us = 0;
 		n->index = i;
 		snprintf(text, sizeof(text), "10.0.%u.%u:7000",
 			 (unsigned)(i % o->data_centres), (unsigned)i);
@@ -452,70 +449,3 @@
 	f->refused = 0;
 	f->central_refused = 0;
 }
-
-/* Stubs of the members_* functions over the nodes of the fleet. */
-
-static bool is_visible(const struct members *m, size_t i)
-{
-	const struct fleet *f = m->fleet;
-	const struct fleet_node *n = &f->nodes[i];
-
-	if (i == m->node)
-		return true;
-	if (n->dead && f->now - n->killed_us >= f->o.detection_us)
-		return false;
-	return fleet_reachable(f, m->node, i);
-}
-
-const struct member_info *members_next(const struct members *m,
-				       const struct member_info *after)
-{
-	size_t i = 0;
-
-	if (after)
-		i = (size_t)atoi(after->host) + 1;
-	for (; i < m->fleet->o.nodes; i++)
-		if (is_visible(m, i))
-			return &m->fleet->nodes[i].info;
-	return NULL;
-}
-
-const struct member_info *members_self(const struct members *m)
-{
-	return &m->fleet->nodes[m->node].info;
-}
-
-const struct member_info *members_find(const struct members *m,
-				       const struct addr *node_addr)
-{
-	size_t i;
-
-	for (i = 0; i < m->fleet->o.nodes; i++)
-		if (is_visible(m, i) &&
-		    addr_equal(&m->fleet->nodes[i].addr, node_addr))
-			return &m->fleet->nodes[i].info;
-	return NULL;
-}
-
-/* All members of the fleet are alive. */
-size_t members_count(const struct members *m, enum member_state state)
-{
-	struct members *view = &views[m->node];
-	size_t i;
-
-	if (state != MEMBER_ALIVE)
-		return 0;
-	if (m->fleet->now - view->counted_us >= COUNT_PERIOD_US) {
-		view->counted_us = m->fleet->now;
-		view->count = 0;
-		for (i = 0; i < m->fleet->o.nodes; i++)
-			view->count += is_visible(m, i);
-	}
-	return view->count;
-}
-
-bool members_chosen(const struct members *m, uint64_t topic, size_t k)
-{
-	(void)topic;
-	return m->node < m->fleet->o.data_centres * k;
-}
--- a/test/quota_fleet.h
+++ b/test/quota_fleet.h
@@ -66,9 +66,20 @@
 struct fleet_waiting;
 struct fleet_datagram;
 
+struct fleet;
+
+/* One node's view of the others; see fleet_members.h. */
+struct members {
+	struct fleet *fleet;
+	size_t node;
+	int64_t counted_us;
+	size_t count;
+};
+
 struct fleet {
 	struct fleet_options o;
 	struct fleet_node nodes[FLEET_MAX];
+	struct members views[FLEET_MAX];
 	struct memory_store *memory;
 	struct config *config;
 	gsl_rng *rng;
@@ -82,14 +93,6 @@
 	double lowest_level; /* of any account's reference bucket */
 };
 
-/* Stub of the member list: one node's view of the others. */
-struct members {
-	struct fleet *fleet;
-	size_t node;
-	int64_t counted_us;
-	size_t count;
-};
-
 /* A request of the account arrives at the node. */
 void fleet_arrive(struct fleet *f, struct fleet_account *a, size_t node);
 bool fleet_reachable(const struct fleet *f, size_t a, size_t b);
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -7,6 +7,7 @@
 #include <cmocka.h>
 
 #include "control/quota/quota_impl.h"
+#include "fleet_members.h"
 #include "quota_fleet.h"
 
 /* Accumulated rounding error of a run, in tokens. */
--- a/test/test_quota_central.c
+++ b/test/test_quota_central.c
@@ -15,6 +15,7 @@
 #include <cmocka.h>
 
 #include "control/quota/quota_impl.h"
+#include "fleet_members.h"
 #include "quota_fleet.h"
 
 #define ROUNDING 1e-6 /* accumulated, in tokens */
