--- a/test/quota_members.h
+++ b/test/fleet_members.h
@@ -1,10 +1,10 @@
 /*
- * Member lists of a simulated fleet, in place of the members controller. To be
- * included by one file of each test: in the archive of shared parts they would
- * replace the real functions in other tests.
+ * Stubs of the members_* functions over the nodes of the fleet, to be included
+ * by one file of a test. In the library of shared parts they would replace the
+ * functions themselves in other tests.
  */
-#ifndef TEST_QUOTA_MEMBERS_H
-#define TEST_QUOTA_MEMBERS_H
+#ifndef TEST_FLEET_MEMBERS_H
+#define TEST_FLEET_MEMBERS_H
 
 #include <stdlib.h>
 
@@ -57,7 +57,7 @@
 /* All members of the fleet are alive. */
 size_t members_count(const struct members *m, enum member_state state)
 {
-	struct members *view = &fleet_views[m->node];
+	struct members *view = &m->fleet->views[m->node];
 	size_t i;
 
 	if (state != MEMBER_ALIVE)
--- a/test/quota_fleet.c
+++ b/test/quota_fleet.c
@@ -128,8 +128,6 @@
 	retry_waiting(t->fleet, t->node);
 }
 
-struct members fleet_views[FLEET_MAX];
-
 static void store_replaced(void *ctx, int64_t now)
 {
 	struct fleet_node *n = ctx;
@@ -141,7 +139,7 @@
 {
 	struct fleet_node *n = &f->nodes[i];
 	struct quota_options o = {.store = n->store,
-				  .members = &fleet_views[i],
+				  .members = &f->views[i],
 				  .self = n->addr,
 				  .seed = f->o.seed + i,
 				  .hold_us = f->o.hold_us,
@@ -241,9 +239,9 @@
 
 		wake_targets[i].fleet = f;
 		wake_targets[i].node = i;
-		fleet_views[i].fleet = f;
-		fleet_views[i].node = i;
-		fleet_views[i].counted_us = 0;
+		f->views[i].fleet = f;
+		f->views[i].node = i;
+		f->views[i].counted_us = 0;
 		n->index = i;
 		snprintf(text, sizeof(text), "10.0.%u.%u:7000",
 			 (unsigned)(i % o->data_centres), (unsigned)i);
--- a/test/test_quota_central.c
+++ b/test/test_quota_central.c
@@ -15,8 +15,8 @@
 #include <cmocka.h>
 
 #include "control/quota/quota_impl.h"
+#include "fleet_members.h"
 #include "quota_fleet.h"
-#include "quota_members.h"
 
 #define ROUNDING 1e-6 /* accumulated, in tokens */
 #define ACCOUNTS 12
