--- a/src/wire/peer_msg.c
+++ b/src/wire/peer_msg.c
@@ -21,6 +21,18 @@
 		write_uint(w, digests[i]);
 }
 
+static void write_note(struct writer *w, const struct peer_msg *m)
+{
+	write_array(w, m->note.evacuations.known ? NOTE_EVACUATIONS_FIELDS
+						 : NOTE_FIELDS + 1);
+	write_uint(w, m->note.number);
+	write_uint(w, m->note.age_ms < 0 ? 0 : m->note.age_ms);
+	write_bytes(w, m->note.text.data, m->note.text.len);
+	write_uint(w, m->note.question);
+	if (m->note.evacuations.known)
+		write_evacuations(w, &m->note.evacuations);
+}
+
 static void write_content(struct writer *w, const struct peer_msg *m)
 {
 	switch (m->kind) {
@@ -46,15 +58,7 @@
 		write_uint(w, m->notes_pull.question);
 		break;
 	case PEER_NOTE:
-		write_array(w, m->note.evacuations.known
-				       ? NOTE_EVACUATIONS_FIELDS
-				       : NOTE_FIELDS + 1);
-		write_uint(w, m->note.number);
-		write_uint(w, m->note.age_ms < 0 ? 0 : m->note.age_ms);
-		write_bytes(w, m->note.text.data, m->note.text.len);
-		write_uint(w, m->note.question);
-		if (m->note.evacuations.known)
-			write_evacuations(w, &m->note.evacuations);
+		write_note(w, m);
 		break;
 	case PEER_SNAPSHOT:
 		write_array(w, 4);
--- a/test/admin.sh
+++ b/test/admin.sh
@@ -332,6 +332,8 @@
 # A call whose upstream is killed while it runs is retried at another upstream.
 start_upstream deep2 a1 deep --slots 4 --service-us 200000 --fixed
 wait_for 20 lists_ready b1 "$addr_deep2" || fail "b1 does not list deep2"
+# Both stand still until one is killed: the call must not end before that.
+kill -STOP "$pid_deep" "$pid_deep2"
 call retry-1 caller GET /deep >"$WORK/code" &
 caller=$!
 expect_forwarded() {
@@ -343,6 +345,7 @@
 grep -q "gave it to the upstream at $addr_deep2" "$WORK/out" && victim=deep2
 pid=pid_$victim
 kill -KILL "${!pid}"
+kill -CONT "$pid_deep" "$pid_deep2" 2>/dev/null
 wait $caller
 expect 0 "$BIN" explain retry-1
 says "decided on retry 1"
--- a/test/test_evacuation_node.c
+++ b/test/test_evacuation_node.c
@@ -136,7 +136,7 @@
 	copy_name(m.upstreams[0].service, NAME_SIZE, "s");
 	addr_parse(&m.upstreams[0].addr, UPSTREAM_ADDR);
 	addr_parse(&m.node_addr, "127.0.0.1:7");
-	directory_update(n->directory, &m);
+	directory_update(n->directory, &m, 1);
 	learn(n, 1, "b", now, now);
 	at = now + 750 * USEC_PER_MSEC;
 	for (hash = 0; hash < 1000; hash++) {
--- a/test/test_home.c
+++ b/test/test_home.c
@@ -135,7 +135,7 @@
 			  region ? regions[region] : "z");
 		copy_name(m.upstreams[0].service, NAME_SIZE, "s");
 		m.upstreams[0].slots = 10;
-		directory_update(n->directory, &m);
+		directory_update(n->directory, &m, 1);
 	}
 }
 
@@ -287,7 +287,7 @@
 	r = add_request(n);
 	for (i = 0; i < REGIONS; i++) {
 		copy_name(m.region, sizeof(m.region), regions[i]);
-		directory_update(n->directory, &m);
+		directory_update(n->directory, &m, 1);
 		assert_picked(n, r, strcmp(regions[i], "west") ? "" : "west");
 	}
 	end_request(n, r);
@@ -463,7 +463,7 @@
 	addr_parse(&m.upstreams[0].addr, "127.0.0.1:9");
 	copy_name(m.region, sizeof(m.region), "west");
 	copy_name(m.upstreams[0].service, NAME_SIZE, "s");
-	directory_update(n->directory, &m);
+	directory_update(n->directory, &m, 1);
 	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
 		set_config(n, 2 * i + 1, cases[i].route, "");
 		r = add_request(n);
