--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -151,7 +151,7 @@
 {
 	if (evacuation_leaves_none(n, r, now))
 		return REASON_EVACUATED;
-	return r->upstream ? REASON_NO_UPSTREAM : home_refusal(r);
+	return home_refusal(r);
 }
 
 /* Sends the call, to another upstream's gate if a gate is unreachable. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -7,9 +7,9 @@
 #include <xxhash.h>
 
 #include "admin/admin.h"
-#include "node/known_cold.h"
 #include "control/evacuations/evacuations.h"
 #include "node/evacuation.h"
+#include "node/known_cold.h"
 #include "node/listeners.h"
 #include "platform/platform.h"
 
