--- a/review/build.sh
+++ b/review/build.sh
@@ -5,7 +5,7 @@
 make -s -j8 BUILD=target target/tools/platform_store \
 	target/tools/platform_upstream
 mkdir -p target/review
-for source in review/standins/*.c; do
+for source in review/*.c; do
 	gcc -O2 -Wall -Wextra -D_GNU_SOURCE -o \
 		"target/review/$(basename "$source" .c)" "$source"
 done
