--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,68 +1,59 @@
 #!/usr/bin/env bash
-# Some clients of one host send long bodies at the same time. The platform
-# ends a process that needs more memory than the host's limit.
+# A new version of the configuration adds a tenant whose name has 66 bytes.
 CASE=5
 . "$(dirname "$0")/../common.bash"
-MEMORY_KB=$((260 * 1024)) # limits.memory_mb of the site
-BODY=15000000		  # max_body_bytes is 67,108,864
-SENDERS=24		  # a host has about 30 clients
-SEND_RATE=4000000	  # bytes a second
-WAITING=8		  # requests that wait for an answer meanwhile
+NAME=Rete-Sportello-Legale-Trinacria-Ufficio-Accoglienza-Palermo-Centro
+[ "$TROUBLE" = 1 ] || NAME=Rete-Sportello-Legale-Trinacria
+CONFIG_MS=2000 # config_s of the site
+WATCH_MS=12000
 
 start_store
 start_node a1 a one
 start_node b1 b one
 put_document 3
-start_upstream u1 a1 one 2000
-start_upstream u2 b1 one 2000
-wait_for 20 serves a1 || cannot_run "a1 does not serve"
-wait_for 20 serves b1 || cannot_run "b1 does not serve"
-
-[ "$TROUBLE" = 1 ] || SENDERS=0
+start_upstream u1 a1 one 5
+start_upstream u2 b1 one 5
+wait_for 15 serves a1 || cannot_run "a1 does not serve"
+wait_for 15 serves b1 || cannot_run "b1 does not serve"
 sleep 4
-record "started_ms=$(now_ms) senders=$SENDERS body_bytes=$BODY"
-CLIENT_PIDS=()
-for ((i = 1; i <= SENDERS; i++)); do
-	request a1 "/r/long$i" -X POST --body-bytes $BODY --send-rate $SEND_RATE \
-		-H "Mulberryferry-Attempt-Id: 000000000000e$(printf %03d $i)" \
-		>"$WORK/sender$i" &
-	CLIENT_PIDS+=($!)
-	PIDS+=($!)
-done
-peak=0 killed=0
-for ((t = 0; t < 100; t++)); do
-	if [ "$t" = 0 ]; then
-		for ((i = 1; i <= WAITING; i++)); do
-			request a1 "/once/$i" -X POST --warm "/r/0" \
-				-H "Mulberryferry-Attempt-Id: 000000000000d$(printf %03d $i)" \
-				>"$WORK/waiting$i" &
-			CLIENT_PIDS+=($!)
-			PIDS+=($!)
-		done
-	fi
-	rss=$(sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$pid_a1/status" 2>/dev/null)
-	[ "${rss:-0}" -gt "$peak" ] && peak=$rss
-	if [ "${rss:-0}" -gt "$MEMORY_KB" ] && [ "$killed" = 0 ]; then
-		killed=1
-		record "the platform ends a1 at_ms=$(now_ms) memory_kb=$rss"
-		kill -KILL "$pid_a1"
-	fi
-	sleep 0.05
-done
-wait "${CLIENT_PIDS[@]}"
-record "peak_kb=$peak limit_kb=$MEMORY_KB"
-for ((i = 1; i <= SENDERS; i++)); do
-	record "sender $i: $(cat "$WORK/sender$i")"
-done
-for ((i = 1; i <= WAITING; i++)); do
-	record "waiting $i: $(cat "$WORK/waiting$i")"
+
+sed -e 's/"version": 3/"version": 4/' \
+	-e "s/\[\"acc\"/[\"$NAME\", [\"key-2\"], 1, 1000, 500], [\"acc\"/" \
+	"$WORK/document.json" >"$WORK/second.json"
+client "$STORE" /standin/document -H "Host: store" -X PUT \
+	--body "$WORK/second.json" | grep -q "status=20" ||
+	cannot_run "the store did not take version 4"
+acknowledged=$(now_ms)
+record "version=4 acknowledged_ms=$acknowledged name_bytes=${#NAME}"
+
+# ask NODE KEY NAME: one request; sets STATUS.
+ask() {
+	local callers="callers_$1" answer
+	n=$((n + 1))
+	answer=$(client "${!callers}" "/r/$n" -H "Host: $HOST" \
+		-H "Authorization: Bearer $2" -H "Mulberryferry-Deadline-Ms: 5000" \
+		-H "Mulberryferry-Attempt-Id: $(printf %016x $n)")
+	STATUS=$(sed -n 's/.* status=\([0-9]*\) .*/\1/p' <<<"$answer")
+	record "after_ms=$(($(now_ms) - acknowledged)) node=$1 key=$2 $answer"
+}
+n=0 late=0 broken=0 refused=0 asked=0
+while [ $(($(now_ms) - acknowledged)) -lt $WATCH_MS ]; do
+	for node in a1 b1; do
+		sent=$(($(now_ms) - acknowledged))
+		ask $node key-2
+		if [ $sent -gt $CONFIG_MS ]; then
+			late=$((late + 1))
+			[ "$STATUS" = 401 ] && broken=$((broken + 1))
+		fi
+		ask $node key-1
+		asked=$((asked + 1))
+		[ "$STATUS" = 503 ] && refused=$((refused + 1))
+	done
+	sleep 0.5
 done
-grep -h "run POST" "$WORK"/u?.out >>"$RECORD"
-answered=$(cat "$WORK"/waiting? | grep -c "status=200 .*end=complete")
-closed=$(cat "$WORK"/waiting? | grep -c "end=closed\|end=reset")
-ran=$(grep -h "run POST /once" "$WORK"/u?.out | wc -l)
-record "answered=$answered closed=$closed ran=$ran killed=$killed"
-[ $((answered + closed)) = $WAITING ] || cannot_run "not every request was sent"
-[ "$killed" = 1 ] && [ "$closed" -gt 3 ] && [ "$ran" -gt 3 ] &&
-	verdict 1 "LOST: the process outgrew its memory, $closed of $WAITING requests that ran were closed without an answer"
-verdict 0 "held: peak $peak KB, $closed of $WAITING requests closed"
+grep -h event=document-refused "$WORK"/?1.log | tail -n 2 >>"$RECORD"
+record "new_key_asked_later_than_config_s=$late answered_401=$broken"
+record "old_key_asked=$asked answered_503=$refused"
+[ $late -gt 10 ] || cannot_run "only $late requests"
+[ $broken = 0 ] && verdict 0 "held: $late requests with the new key, none was answered 401"
+verdict 1 "CONFIG: $broken of $late requests with the new key got 401 later than config_s; $refused of $asked with the old key got 503"
