--- a/review/build.sh
+++ b/review/build.sh
@@ -13,9 +13,9 @@
 # place of 16.
 sed 's/\\"slots\\":16,/\\"slots\\":344,/' tools/platform_upstream.c \
 	>target/review/wide_upstream.c
-# The project's upstream, which fails requests with "grey=STATUS" in the target
-# after it ran them, by a status of its own.
-sed 's/^\t\tprint_run(m);/\t\tprint_run(m);\n\t\tif (strstr(m->target, "grey="))\n\t\t\tanswer.status = atoi(strstr(m->target, "grey=") + 5);/' \
+# The project's upstream, which runs every request and fails each third one that
+# has "grey=STATUS" in its target, by that status.
+sed 's/^\t\tprint_run(m);/\t\tstatic unsigned int greys;\n\n\t\tprint_run(m);\n\t\tif (strstr(m->target, "grey=") \&\& ++greys % 3 == 0)\n\t\t\tanswer.status = atoi(strstr(m->target, "grey=") + 5);/' \
 	tools/platform_upstream.c >target/review/grey_upstream.c
 libs="libwebsockets json-c libsodium libxxhash gsl"
 for name in wide_upstream grey_upstream; do
