--- a/review/pipeline.c
+++ b/review/pipeline.c
@@ -28,7 +28,7 @@
 
 static struct conn conns[CONNS_MAX];
 static int count;
-static unsigned long next_id = 1;
+static unsigned long next_id;
 
 static int64_t now_ms(clockid_t id)
 {
@@ -151,6 +151,8 @@
 
 	if (argc != 5)
 		return 2;
+	/* Each process numbers its attempts from another start. */
+	next_id = ((unsigned long)getpid() << 32) + 1;
 	pipes = atoi(argv[2]);
 	depth = atoi(argv[3]);
 	once = atoi(argv[4]);
