Keep acknowledged leaves of upstreams across processes of their node

Cause: a leave was a mark on the entry of an upstream that the process knew. A process that had just started dropped it and answered 200; a heartbeat sent before the leave and delivered after it then made the upstream ready. By the same cause the mark was lost with the process that had it, by SIGTERM or SIGKILL, and, within one process, 10 s after the last heartbeat.

Now a leave is a record of its own: the instance, the start of its process and the sequence number that it covers. It is acknowledged once the store or another member keeps it, and the next process reads both before it takes a process from before its own start for ready.

Ruled out: that the process before the restart was asked for the leave (the leave of the case comes after the restart); that the announcement is ordered wrongly (sequence and start were right, nothing was left to compare with).

--- a/src/control/control.h
+++ b/src/control/control.h
@@ -32,6 +32,9 @@
 	void *ctx;
 	/* Called when a member or its upstreams changed. */
 	void (*changed)(void *ctx, const struct member_info *m, int64_t now);
+	/* Departures that an earlier process of this host told; or NULL. */
+	void (*departed)(void *ctx, const struct departure *d, size_t n,
+			 int64_t now);
 };
 
 struct members *members_new(const struct members_options *o, int64_t now);
@@ -42,6 +45,18 @@
 /* Replaces the announced upstreams of this host; gossips them at once. */
 void members_set_upstreams(struct members *m, const struct upstream_info *u,
 			   size_t n, int64_t now);
+/*
+ * Replaces the departures that this host tells, at most DEPARTURES_MAX. Returns
+ * the version of its record that has them.
+ */
+uint32_t members_set_departures(struct members *m, const struct departure *d,
+				size_t n, int64_t now);
+/* Sends this host's record to some members, so that they confirm it. */
+void members_ask_confirmation(struct members *m);
+/* The newest version of this host's record that another member confirmed. */
+uint32_t members_confirmed_version(const struct members *m);
+/* Whether another member has answered, or the store shows that none is there. */
+bool members_have_answered(const struct members *m);
 /* Probes seeds at once if no other live member is known. */
 void members_join(struct members *m, int64_t now);
 /* Begins a planned stop: others send no new work to this host. */
--- a/src/control/members/members_gossip.c
+++ b/src/control/members/members_gossip.c
@@ -62,23 +62,36 @@
 	size_t bytes;
 };
 
-/* Appends a member's record or claim; false when the datagram is full. */
-static bool append_change(struct change_list *list, struct member *b)
+/* b: the member whose queued change the record is, or NULL. */
+static bool append_record(struct change_list *list,
+			  const struct member_info *info, struct member *b)
 {
-	struct member_info *info = &list->m->changes[list->n];
-	size_t bytes;
+	size_t bytes = member_info_wire_size(info);
 
-	if (list->n == CHANGES_MAX)
-		return false;
-	member_describe(b, info);
-	bytes = member_info_wire_size(info);
-	if (list->bytes + bytes > DATAGRAM_MAX - HEADER_BYTES)
+	if (list->n == CHANGES_MAX ||
+	    list->bytes + bytes > DATAGRAM_MAX - HEADER_BYTES)
 		return false;
+	list->m->changes[list->n] = *info;
 	list->bytes += bytes;
 	list->items[list->n++] = b;
 	return true;
 }
 
+/* Appends a member's record or claim; false when the datagram is full. */
+static bool append_change(struct change_list *list, struct member *b)
+{
+	struct member_info info;
+
+	member_describe(b, &info);
+	return append_record(list, &info, b);
+}
+
+/* Appends what the receiver's earlier process told, for the receiver alone. */
+static void append_former(struct change_list *list, const struct member *to)
+{
+	append_record(list, to->former, NULL);
+}
+
 /* Whether b is neither the receiver nor already the first selected change. */
 static bool is_unselected(const struct change_list *list,
 			  const struct member *b, const struct member *to)
@@ -88,9 +101,10 @@
 
 /*
  * Selects the changes for one datagram. First what the receiver needs: the
- * record of self if the receiver is unknown or dead here, and a suspicion or
- * death of the receiver itself, so that it can refute it. Then queued changes,
- * those with the fewest sends first.
+ * record of self if the receiver is unknown or dead here, a suspicion or
+ * death of the receiver itself, so that it can refute it, and departures that
+ * its earlier process told. Then queued changes, those with the fewest sends
+ * first.
  */
 static void select_changes(struct change_list *list, const struct addr *address)
 {
@@ -102,6 +116,8 @@
 		append_change(list, m->self);
 	if (to && (to->suspect || to->info.state == MEMBER_DEAD))
 		append_change(list, to);
+	if (to && member_has_former(to))
+		append_former(list, to);
 	for (i = 0; i < UPDATE_SENDS_MAX; i++) {
 		for (b = m->updates[i]; b; b = b->update_next)
 			if (is_unselected(list, b, to) &&
@@ -131,7 +147,7 @@
 	if (m->options.io.datagram(m->options.io.ctx, to, &msg) < 0)
 		return -1;
 	for (i = 0; i < list.n; i++)
-		if (list.items[i]->update_queued)
+		if (list.items[i] && list.items[i]->update_queued)
 			count_send(m, list.items[i]);
 	return (int)list.bytes + HEADER_BYTES;
 }
--- a/src/control/members/members_impl.h
+++ b/src/control/members/members_impl.h
@@ -17,6 +17,7 @@
 #define CHANGES_MAX 40	    /* in one datagram */
 #define UPDATE_SENDS_MAX 40 /* most sends of one change */
 #define RELAYS_MAX 64	    /* concurrent probes for other members */
+#define SHOWN_MAX 16	    /* unanswered probes that confirm self */
 #define STORED_SEEDS_MAX 64
 #define PROBE_PERIOD_US USEC_PER_SEC
 #define PAUSE_MIN_US (2 * USEC_PER_SEC) /* gap between ticks that is a pause */
@@ -38,11 +39,16 @@
 
 struct member {
 	struct member_info info; /* first: members_next() casts it back */
-	UT_hash_handle hh;	 /* key: info.node_addr */
-	uint64_t hash;		 /* of info.node_addr */
-	uint64_t data_centre;	 /* hash of its name */
-	uint64_t digest;	 /* XORed into its bucket's digest */
-	int64_t state_since_us;	 /* start of this state */
+	/*
+	 * Departures that an earlier process of the member told, until its
+	 * present one tells them too; NULL: none.
+	 */
+	struct member_info *former;
+	UT_hash_handle hh;	/* key: info.node_addr */
+	uint64_t hash;		/* of info.node_addr */
+	uint64_t data_centre;	/* hash of its name */
+	uint64_t digest;	/* XORed into its bucket's digest */
+	int64_t state_since_us; /* start of this state */
 	struct member *bucket_prev;
 	struct member *bucket_next;
 	struct member *update_prev;
@@ -63,6 +69,12 @@
 	uint64_t requester_sequence;
 };
 
+/* A probe whose ack confirms a version of the record of self. */
+struct shown_record {
+	uint64_t sequence;
+	uint32_t version;
+};
+
 enum seed_state {
 	SEED_NONE,
 	SEED_PENDING, /* a store operation is in progress */
@@ -114,6 +126,11 @@
 	uint64_t last_sequence;
 	struct relay relays[RELAYS_MAX];
 	uint32_t next_relay;
+	/* Probes that carried the record of self, and its version in each. */
+	struct shown_record shown[SHOWN_MAX];
+	uint32_t next_shown;
+	uint32_t confirmed_version; /* newest that another member has */
+	bool heard;		    /* another member has answered */
 
 	int64_t started_us;
 	int64_t last_tick_us;
@@ -150,6 +167,13 @@
 void member_describe(const struct member *b, struct member_info *info);
 bool claim_apply(const struct member *b, struct member_info *claim);
 
+/* members_departures.c */
+void member_keep_departures(struct member *b, const struct member_info *before);
+bool member_has_former(const struct member *b);
+void members_hear_departures(struct members *m, const struct member_info *info,
+			     int64_t now);
+void members_hear_ack(struct members *m, uint64_t sequence);
+
 /* members_merge.c */
 void members_merge(struct members *m, const struct member_info *items, size_t n,
 		   bool forward, int64_t now);
--- a/src/control/members/members_merge.c
+++ b/src/control/members/members_merge.c
@@ -58,6 +58,8 @@
 {
 	struct member_info *self = &m->self->info;
 
+	if (info->incarnation != self->incarnation && info->departure_count)
+		members_hear_departures(m, info, now);
 	if (info->incarnation < self->incarnation ||
 	    (info->incarnation == self->incarnation &&
 	     info->version < self->version))
--- a/src/control/members/members_probe.c
+++ b/src/control/members/members_probe.c
@@ -152,6 +152,8 @@
 		relay_probe(m, msg);
 		break;
 	case PEER_PROBE_ACK:
+		if (sequence)
+			members_hear_ack(m, sequence);
 		if (m->probing && sequence == m->probe_sequence)
 			m->probing = false;
 		else if (sequence)
--- a/src/control/members/members_pull.c
+++ b/src/control/members/members_pull.c
@@ -64,23 +64,29 @@
 	response->bytes = 0;
 }
 
-static void add_member(struct pull_response *response, const struct member *b)
+static void add_record(struct pull_response *response,
+		       const struct member_info *info)
 {
-	struct member_info info;
-	size_t bytes;
+	size_t bytes = member_info_wire_size(info);
 
-	member_describe(b, &info);
-	bytes = member_info_wire_size(&info);
 	if (bytes > response->bytes_left)
 		return;
 	if (response->n == CHUNK_MEMBERS ||
 	    response->bytes + bytes > CHUNK_BYTES)
 		send_chunk(response, true);
-	response->items[response->n++] = info;
+	response->items[response->n++] = *info;
 	response->bytes += bytes;
 	response->bytes_left -= bytes;
 }
 
+static void add_member(struct pull_response *response, const struct member *b)
+{
+	struct member_info info;
+
+	member_describe(b, &info);
+	add_record(response, &info);
+}
+
 static bool is_gone(const struct member *b)
 {
 	return b->info.state == MEMBER_DEAD || b->info.state == MEMBER_LEFT;
@@ -108,6 +114,19 @@
 	}
 }
 
+/* Adds the departures that an earlier process of the requester told. */
+static void add_requester(struct pull_response *response)
+{
+	const struct member *b =
+		member_find(response->m, &response->request->from);
+
+	if (b && member_has_former(b))
+		add_record(response, b->former);
+	else if (b && b->info.departure_count &&
+		 b->info.incarnation != response->request->incarnation)
+		add_record(response, &b->info);
+}
+
 /*
  * Whether the requester is joining. It knows few members, so most of its
  * buckets are empty; it gets all members, without the limit of RESPONSE_BYTES.
@@ -134,6 +153,7 @@
 	if (!response.items)
 		return;
 	response.bytes_left = is_joining(msg) ? SIZE_MAX : RESPONSE_BYTES;
+	add_requester(&response);
 	add_differing(&response, true);
 	add_differing(&response, false);
 	if (response.n)
--- a/src/control/members/members_table.c
+++ b/src/control/members/members_table.c
@@ -127,13 +127,15 @@
 void member_update(struct members *m, struct member *b,
 		   const struct member_info *info, int64_t now)
 {
-	enum member_state before = b->info.state;
+	struct member_info old = b->info;
+	enum member_state before = old.state;
 
 	m->counts[before]--;
 	m->counts[info->state]++;
 	if (before != info->state)
 		b->state_since_us = now;
 	b->info = *info;
+	member_keep_departures(b, &old);
 	b->data_centre = name_hash(info->data_centre);
 	update_digest(m, b);
 	update_status_set(m, b);
@@ -190,5 +192,6 @@
 	set_remove(b, SET_STATUS);
 	set_remove(b, SET_PROBES);
 	table_delete(m, b);
+	free(b->former);
 	free(b);
 }
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "node/gates.h"
+#include "node/leaving.h"
 #include "platform/platform.h"
 
 /* An upstream that has not announced itself for this long is gone. */
@@ -315,6 +316,7 @@
 		   !said_leaving(u, now)) {
 		u->info.state = UPSTREAM_READY;
 		u->leaving_us = 0;
+		u->leave_ticket = 0;
 		log_upstream("upstream-stays", &u->info);
 		gates_publish_upstreams(n, now);
 	}
@@ -337,42 +339,113 @@
 	log_emit(&line);
 }
 
-void gates_announce_platform(struct node *n,
-			     const struct upstream_announcement *announcement,
-			     int64_t now)
+/*
+ * Records a leave for good. Without a start time it is that of the process that
+ * is known, or of all that started before now.
+ */
+static uint64_t withdraw(struct node *n, struct local_upstream *u,
+			 const struct upstream_announcement *announcement,
+			 int64_t now)
 {
-	struct local_upstream *u = find_instance(n, announcement->instance);
-	bool same;
+	int64_t started_ms = announcement->started_ms;
 
-	if (announcement->gone) {
-		if (!u || (announcement->started_ms &&
-			   announcement->started_ms != u->started_ms))
-			return;
+	if (!started_ms)
+		started_ms =
+			u ? u->started_ms : clock_wall_us() / USEC_PER_MSEC;
+	if (u && u->started_ms <= started_ms) {
 		start_leaving(n, u, now);
 		u->withdrawn = true;
-		return;
 	}
-	if (addr_is_set(&n->settings.upstream) &&
-	    !addr_equal(&n->settings.upstream, &announcement->info.addr)) {
+	return leaving_add(n->leaving, announcement->instance, started_ms,
+			   DEPARTED_FOR_GOOD, now);
+}
+
+/* Records that the process drains, once until it is ready again. */
+static uint64_t record_draining(struct node *n, struct local_upstream *u,
+				int64_t now)
+{
+	if (!u->leave_ticket)
+		u->leave_ticket = leaving_add(n->leaving, u->instance,
+					      u->started_ms, u->sequence, now);
+	return u->leave_ticket;
+}
+
+static bool is_of_other_host(const struct node *n, const struct addr *a)
+{
+	return addr_is_set(&n->settings.upstream) &&
+	       !addr_equal(&n->settings.upstream, a);
+}
+
+/* Returns why an announcement is ignored, or NULL. */
+static const char *why_ignored(struct node *n, const struct local_upstream *u,
+			       bool same,
+			       const struct upstream_announcement *announcement)
+{
+	if (is_address_taken_over(n, announcement))
+		return "a newer process is known at the address";
+	if (same && announcement->sequence <= u->sequence)
+		return "late";
+	if ((same && (u->withdrawn || u->info.state == UPSTREAM_GONE)) ||
+	    leaving_covers(n->leaving, announcement->instance,
+			   announcement->started_ms, announcement->sequence))
+		return "the process has already left";
+	return NULL;
+}
+
+uint64_t
+gates_announce_platform(struct node *n,
+			const struct upstream_announcement *announcement,
+			int64_t now)
+{
+	struct local_upstream *u = find_instance(n, announcement->instance);
+	const char *why;
+	bool same;
+
+	if (announcement->gone)
+		return withdraw(n, u, announcement, now);
+	if (is_of_other_host(n, &announcement->info.addr)) {
 		log_ignored_announcement(announcement,
 					 "address of another host");
-		return;
+		return 0;
 	}
 	same = u && u->started_ms == announcement->started_ms &&
 	       !strcmp(u->info.service, announcement->info.service);
-	if (is_address_taken_over(n, announcement))
-		log_ignored_announcement(
-			announcement,
-			"a newer process is known at the address");
-	else if (same && announcement->sequence <= u->sequence)
-		log_ignored_announcement(announcement, "late");
-	else if (same && (u->withdrawn || u->info.state == UPSTREAM_GONE))
-		log_ignored_announcement(announcement,
-					 "the process has already left");
-	else if (same)
+	why = why_ignored(n, u, same, announcement);
+	if (why) {
+		log_ignored_announcement(announcement, why);
+		return 0;
+	}
+	if (announcement->info.state == UPSTREAM_READY &&
+	    leaving_holds(n->leaving, announcement))
+		return 0;
+	if (same)
 		update_upstream(n, u, announcement, now);
 	else
 		replace_upstream(n, announcement, now);
+	u = find_instance(n, announcement->instance);
+	if (!u || announcement->info.state != UPSTREAM_LEAVING)
+		return 0;
+	return record_draining(n, u, now);
+}
+
+/* An earlier process of this node acknowledged their leave. */
+void gates_apply_leaves(struct node *n, int64_t now)
+{
+	int64_t drain_us = n->settings.promises.drain_us;
+	struct local_upstream *u;
+	uint64_t h = 0;
+	void *item;
+
+	while ((h = table_next(&n->local_upstreams, h, &item))) {
+		u = item;
+		if (u->info.state != UPSTREAM_READY || !u->instance[0] ||
+		    !leaving_covers(n->leaving, u->instance, u->started_ms,
+				    u->sequence))
+			continue;
+		start_leaving(n, u, now);
+		/* When it was acknowledged is not known. */
+		u->leaving_us = now - drain_us;
+	}
 }
 
 void gates_mark_unreachable(struct node *n, uint64_t upstream, int64_t now)
--- a/src/node/gates.h
+++ b/src/node/gates.h
@@ -15,6 +15,8 @@
  * announces itself again.
  */
 void gates_mark_unreachable(struct node *n, uint64_t upstream, int64_t now);
+/* Withdraws the upstreams that turned out to have left. */
+void gates_apply_leaves(struct node *n, int64_t now);
 /* Applies what an upstream says of itself in an answer. */
 void gates_heard(struct node *n, struct local_upstream *u,
 		 const struct message *answer, int64_t now);
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "admin/admin.h"
+#include "node/leaving.h"
 #include "platform/platform.h"
 
 #define UNREAD_DIVISOR 2   /* of the memory for bodies: unread by callers */
@@ -61,8 +62,15 @@
 		answer_status(n->services, exchange, rc < 0 ? 400 : 404, "");
 		return;
 	}
-	gates_announce_platform(n, &announcement, now);
-	answer_status(n->services, exchange, 200, "{}");
+	leaving_acknowledge(n->leaving, exchange,
+			    gates_announce_platform(n, &announcement, now),
+			    now);
+}
+
+void listeners_answer_announcement(struct node *n, uint64_t exchange,
+				   int status)
+{
+	answer_status(n->services, exchange, status, "{}");
 }
 
 static void on_ready(void *ctx, uint64_t exchange, struct message *msg,
--- a/src/node/listeners.h
+++ b/src/node/listeners.h
@@ -6,6 +6,9 @@
 
 /* Opens the HTTP servers and the links; -1 with err set. */
 int listeners_open(struct node *n, struct error *err);
+/* Answers an announcement of an upstream with an empty object. */
+void listeners_answer_announcement(struct node *n, uint64_t exchange,
+				   int status);
 /* Logs the addresses listened on. */
 void listeners_log(const struct node *n);
 /* Closes the gates and the links; net_close() closes the HTTP servers. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -10,6 +10,7 @@
 #include "control/evacuations/evacuations.h"
 #include "node/evacuation.h"
 #include "node/known_cold.h"
+#include "node/leaving.h"
 #include "node/listeners.h"
 #include "platform/platform.h"
 
@@ -111,6 +112,14 @@
 		directory_update(n->directory, m, now);
 }
 
+static void departed(void *ctx, const struct departure *d, size_t count,
+		     int64_t now)
+{
+	struct node *n = ctx;
+
+	leaving_hear(n->leaving, d, count, now);
+}
+
 /* Applies the limits on callers if the configuration sets all of them. */
 static void limit_callers(struct node *n)
 {
@@ -159,6 +168,7 @@
 	notes_store_replaced(n->notes, now);
 	quota_store_replaced(n->quota, now);
 	claims_store_replaced(n->claims, now);
+	leaving_store_replaced(n->leaving, now);
 }
 
 static void quota_wake(void *ctx, const char *account, int64_t now)
@@ -175,6 +185,7 @@
 	claims_tick(n->claims, now);
 	poison_gossip_tick(n->poison_gossip, now);
 	limit_retry(n, NULL, now);
+	leaving_tick(n->leaving, now);
 	gates_tick(n, now);
 	if (stop_requested && !n->stopping)
 		node_stop(n, now);
@@ -242,6 +253,7 @@
 		.seed = node_random(n),
 		.ctx = n,
 		.changed = member_changed,
+		.departed = departed,
 	};
 
 	memcpy(o.self.host, s->host, sizeof(o.self.host));
@@ -325,10 +337,12 @@
 	n->quota = quota_new(&quota, now);
 	n->claims = claims_new(&claims, now);
 	n->notes = notes_new(&notes, now);
+	n->leaving = leaving_new(n, now);
 	poison.members = n->members;
 	poison.poison = n->poison;
 	n->poison_gossip = poison_gossip_new(&poison);
-	if (!n->poison_gossip || !n->notes || !n->quota || !n->claims)
+	if (!n->poison_gossip || !n->notes || !n->quota || !n->claims ||
+	    !n->leaving)
 		return error_set(err, ERROR_MEMORY, "start", NULL,
 				 "out of memory");
 	store_on_replaced(n->store, n, store_replaced);
@@ -477,7 +491,8 @@
 		if (busy || !node_refuses_requests(n, now))
 			return;
 		quota_leave(n->quota, gates_any_ready(n), now);
-		if (!quota_drained(n->quota) || !claims_idle(n->claims))
+		if (!quota_drained(n->quota) || !claims_idle(n->claims) ||
+		    leaving_is_busy(n->leaving))
 			return;
 	}
 	members_left(n->members, now);
@@ -516,6 +531,7 @@
 	if (n->store)
 		store_close(n->store);
 	secret_free(n->secret);
+	leaving_free(n->leaving);
 	listeners_close(n);
 	calls_free(n);
 	free_requests(n);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -40,6 +40,7 @@
 	bool withdrawn;	  /* said it is gone; later announcements are ignored */
 	bool unreachable; /* cleared by its next announcement */
 	int64_t leaving_us; /* when it began to leave; 0: it is not leaving */
+	uint64_t leave_ticket;	 /* of the leave that it announced; 0: none */
 	int64_t said_leaving_us; /* in its latest such answer; 0: never */
 	enum end_probe end_probe;
 	uint64_t ended_incarnation; /* its process has ended; 0: it runs */
@@ -121,6 +122,7 @@
 struct cold_service;
 struct directory;
 struct identities;
+struct leaving;
 
 struct node {
 	struct settings settings;
@@ -136,6 +138,7 @@
 	struct store *store;
 	struct members *members;
 	struct notes *notes;
+	struct leaving *leaving;
 	struct evacuations *evacuations; /* NULL: not used */
 	struct secret *secret;		 /* NULL if the settings contain it */
 	struct quota *quota;
@@ -211,10 +214,12 @@
 /*
  * Applies an announcement of the platform, which may arrive out of order. A
  * stale one, or one for the address of another host, is logged and ignored.
+ * Returns the ticket of a leave that it tells, or 0; see leaving_acknowledge.
  */
-void gates_announce_platform(struct node *n,
-			     const struct upstream_announcement *announcement,
-			     int64_t now);
+uint64_t
+gates_announce_platform(struct node *n,
+			const struct upstream_announcement *announcement,
+			int64_t now);
 /* Runs and drops queued calls; removes unresponsive upstreams. */
 void gates_tick(struct node *n, int64_t now);
 /* Adjusts the limits and cutoffs of all gates; every GATE_STEP_US. */
--- a/src/wire/peer_members.c
+++ b/src/wire/peer_members.c
@@ -6,11 +6,14 @@
 #define MEMBER_FIELDS 9
 #define UPSTREAM_FIELDS 5
 #define UPSTREAM_COLD_FIELDS 1 /* absent in older versions */
-#define MEMBERS_MAX 1024       /* in one message */
+#define MEMBER_DEPARTURES 1    /* absent in older versions, or if empty */
+#define DEPARTURE_FIELDS 3
+#define MEMBERS_MAX 1024 /* in one message */
 
 #define TEXT_HEADER_SIZE 2 /* of a text shorter than NAME_SIZE or an address */
 #define MEMBER_FIXED_SIZE 20   /* heads, incarnation, version, state */
 #define UPSTREAM_FIXED_SIZE 17 /* head, slots, connections, state, cold */
+#define DEPARTURE_SIZE 28      /* head and three numbers */
 
 /* Returns an upper bound of the bytes that write_member writes. */
 size_t member_info_wire_size(const struct member_info *m)
@@ -23,6 +26,8 @@
 		n += UPSTREAM_FIXED_SIZE + 2 * TEXT_HEADER_SIZE +
 		     strlen(m->upstreams[i].service) +
 		     addr_size(&m->upstreams[i].addr);
+	if (m->departure_count)
+		n += 1 + m->departure_count * (size_t)DEPARTURE_SIZE;
 	return n;
 }
 
@@ -37,11 +42,25 @@
 	write_uint(w, u->cold_ms);
 }
 
+static void write_departures(struct writer *w, const struct member_info *m)
+{
+	const struct departure *d = m->departures;
+
+	write_array(w, m->departure_count);
+	for (; d < m->departures + m->departure_count; d++) {
+		write_array(w, DEPARTURE_FIELDS);
+		write_uint(w, d->instance);
+		write_uint(w, (uint64_t)d->started_ms);
+		write_uint(w, d->sequence);
+	}
+}
+
 static void write_member(struct writer *w, const struct member_info *m)
 {
 	size_t i;
 
-	write_array(w, MEMBER_FIELDS);
+	write_array(w, MEMBER_FIELDS +
+			       (m->departure_count ? MEMBER_DEPARTURES : 0));
 	write_text(w, m->host);
 	write_text(w, m->data_centre);
 	write_text(w, m->region);
@@ -53,6 +72,8 @@
 	write_array(w, m->upstream_count);
 	for (i = 0; i < m->upstream_count; i++)
 		write_upstream(w, &m->upstreams[i]);
+	if (m->departure_count)
+		write_departures(w, m);
 }
 
 /* Writes a list of members. */
@@ -84,6 +105,23 @@
 	r->failed |= sub.failed;
 }
 
+static void read_departures(struct reader *r, struct member_info *m)
+{
+	struct reader list, sub;
+	size_t i, n = reader_list(r, &list, DEPARTURES_MAX);
+
+	for (i = 0; i < n; i++) {
+		reader_array(&list, &sub, DEPARTURE_FIELDS);
+		m->departures[i].instance = read_uint(&sub, UINT64_MAX);
+		m->departures[i].started_ms =
+			(int64_t)read_uint(&sub, INT64_MAX);
+		m->departures[i].sequence = read_uint(&sub, UINT64_MAX);
+		r->failed |= sub.failed;
+	}
+	m->departure_count = (uint8_t)n;
+	r->failed |= list.failed;
+}
+
 static void read_member(struct reader *r, struct member_info *m)
 {
 	struct reader sub, list;
@@ -102,6 +140,8 @@
 	for (i = 0; i < n; i++)
 		read_upstream(&list, &m->upstreams[i]);
 	m->upstream_count = (uint8_t)n;
+	if (!sub.failed && sub.n >= MEMBER_FIELDS + MEMBER_DEPARTURES)
+		read_departures(&sub, m);
 	r->failed |= sub.failed || list.failed;
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -203,6 +203,20 @@
 
 #define UPSTREAMS_PER_HOST_MAX 8
 
+/*
+ * Processes of one upstream that have left, or began to leave: those that
+ * started before started_ms, and the one that started then, as far as it
+ * announced itself until sequence.
+ */
+struct departure {
+	uint64_t instance;  /* hash of the id that the upstream goes by */
+	int64_t started_ms; /* wall time */
+	uint64_t sequence;  /* DEPARTED_FOR_GOOD: it will not return */
+};
+
+#define DEPARTED_FOR_GOOD UINT64_MAX
+#define DEPARTURES_MAX 4 /* per host */
+
 enum member_state {
 	MEMBER_ALIVE,
 	MEMBER_SUSPECT,
@@ -226,6 +240,8 @@
 	enum member_state state;
 	struct upstream_info upstreams[UPSTREAMS_PER_HOST_MAX];
 	uint8_t upstream_count;
+	struct departure departures[DEPARTURES_MAX];
+	uint8_t departure_count;
 };
 
 /* Returns an upper bound of the encoded size of a member, in bytes. */
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -177,3 +177,29 @@
 	curl -sf -o /dev/null -X DELETE "http://$STORE/standin/evacuate/$1" ||
 		fail "end the evacuation of $1"
 }
+
+# restart_platform_node NAME SIGNAL: ends the node by the signal and starts it
+# again at its addresses.
+restart_platform_node() {
+	local pid="pid_$1" l var
+	kill -"$2" "${!pid}"
+	wait "${!pid}" 2>/dev/null
+	cat "$WORK/$1.log" >>"$WORK/$1.all"
+	for l in callers services ready nodes admin; do
+		var="${l}_$1"
+		sed -i "s/\"$l\": \"[^\"]*\"/\"$l\": \"${!var}\"/" \
+			"$WORK/$1.json"
+	done
+	run_node "$1" "$BIN" node --settings "$WORK/$1.json"
+	wait_for 10 grep -q event=listening "$WORK/$1.log" ||
+		fail "$1 did not start again: $(cat "$WORK/$1.log")"
+}
+
+# tell NODE INSTANCE CALL BODY: sends a heartbeat or deregistration to the node
+# and prints the status.
+tell() {
+	local services="services_$1"
+	curl -s -o /dev/null -w '%{http_code}' -m 2 -d "$4" \
+		-H "Content-Type: application/json" \
+		"http://${!services}/mulberryferry/instances/$2/$3"
+}
--- a/test/test_fuzz.c
+++ b/test/test_fuzz.c
@@ -150,6 +150,8 @@
 	addr_parse(&members[0].node_addr, "10.0.0.1:7000");
 	members[0].upstream_count = 1;
 	copy_name(members[0].upstreams[0].service, NAME_SIZE, "history");
+	members[0].departure_count = 1;
+	members[0].departures[0].started_ms = 5;
 	m.probe.changes = members;
 	m.probe.change_count = 2;
 	assert_int_equal(peer_msg_encode(&m, &out), 0);
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -32,6 +32,7 @@
 	bool paused;
 	uint64_t incarnation;
 	bool saw_local_death;
+	struct departure heard; /* told by an earlier process of this node */
 };
 
 /* A simulated network with faults, in one process. */
@@ -110,6 +111,16 @@
 		node->saw_local_death = true;
 }
 
+static void departed(void *ctx, const struct departure *d, size_t n,
+		     int64_t now)
+{
+	struct node *node = ctx;
+
+	assert_int_equal(n, 1);
+	node->heard = *d;
+	members_set_departures(node->m, d, n, now);
+}
+
 static void node_start(int i, bool use_store, const struct addr *seeds,
 		       size_t seed_count)
 {
@@ -121,6 +132,7 @@
 		.seed = (uint64_t)i + 1,
 		.ctx = node,
 		.changed = changed,
+		.departed = departed,
 	};
 
 	addr_parse(&node->addr, "10.0.0.1:0");
@@ -684,9 +696,58 @@
 	sim_end();
 }
 
+static bool has_departure(int at, int of)
+{
+	const struct member_info *info =
+		members_find(sim.nodes[at].m, &sim.nodes[of].addr);
+
+	return info && info->departure_count == 1;
+}
+
+/*
+ * A leave that only other members know, as the store was out, was lost when
+ * the process that had acknowledged it was killed: each later process must
+ * hear of it, and a confirmation must mean that another member has it.
+ */
+static void departures_reach_later_processes(void **state)
+{
+	struct departure d = {77, 1234, DEPARTED_FOR_GOOD};
+	struct addr seed;
+	uint32_t version;
+	int round, i, holders = 0;
+
+	(void)state;
+	sim_start(6, 1, false);
+	addr_parse(&seed, "10.0.0.1:1000");
+	sim.loss = 0.2;
+	RUN_UNTIL(views_agree(), 30);
+	version = members_set_departures(sim.nodes[2].m, &d, 1, sim.now);
+	assert_true(members_confirmed_version(sim.nodes[2].m) < version);
+	while (members_confirmed_version(sim.nodes[2].m) < version) {
+		members_ask_confirmation(sim.nodes[2].m);
+		run(0.1);
+	}
+	for (i = 0; i < 6; i++)
+		holders += i != 2 && has_departure(i, 2);
+	assert_true(holders > 0);
+	for (round = 0; round < 3; round++) {
+		node_kill(2);
+		memset(&sim.nodes[2].heard, 0, sizeof(d));
+		run(round * 20); /* the last time, it was declared dead */
+		node_start(2, false, &seed, 1);
+		RUN_UNTIL(sim.nodes[2].heard.instance == d.instance, 5);
+		assert_memory_equal(&sim.nodes[2].heard, &d, sizeof(d));
+		RUN_UNTIL(has_departure(0, 2) && has_departure(5, 2), 5);
+		assert_null(member_find(sim.nodes[0].m, &sim.nodes[2].addr)
+				    ->former);
+	}
+	sim_end();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(departures_reach_later_processes),
 		cmocka_unit_test(nodes_join_from_settings),
 		cmocka_unit_test(nodes_join_from_the_store),
 		cmocka_unit_test(lost_store_responses_leave_one_lease_each),
--- a/test/test_wire.c
+++ b/test/test_wire.c
@@ -23,6 +23,8 @@
 	addr_parse(&m.admin, "[fe80::1]:7001");
 	copy_name(m.upstreams[0].service, NAME_SIZE, "history");
 	m.upstreams[0].slots = 90;
+	m.departure_count = 1;
+	m.departures[0] = (struct departure){7, INT64_MAX, DEPARTED_FOR_GOOD};
 	return m;
 }
 
