Answer requests without entering their handlers, and keep table items in place

Cause: http_server_respond went on with the next requests of the connection before it returned, so that request_start could add a request while request_answer held a pointer into the table. A table that was just full moved all its items, and free_request read and freed through the old pointer.

Now responding calls no handler: the next request, the end of the connection and the bound on unread output are left to an alarm of the event loop, and a table grows by blocks, so that its items stay where they are. Either alone would have prevented the crash; the first also keeps an answer from ending other requests, the second covers whoever else holds a pointer while items are added.

Ruled out: memory or a limit exhausted (one connection with 40 requests is enough), and an answer delivered twice (AddressSanitizer names free_request and table_add).

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -80,10 +80,13 @@
 	__attribute__((format(printf, 2, 3)));
 void buffer_free(struct buffer *b);
 
+#define TABLE_BLOCK_MIN 16U /* items in the first block; a power of two */
+#define TABLE_BLOCKS 28	    /* each after the first doubles the table */
+
 /*
  * A table of items addressed by handles. A handle holds a generation and an
  * index, so that it becomes invalid when its item is removed; zero is never
- * a valid handle.
+ * a valid handle. An item stays at its address until it is removed.
  */
 struct table {
 	size_t item_size;
@@ -91,12 +94,12 @@
 	uint32_t max;
 	uint32_t count;
 	uint32_t free_head;
-	uint8_t *items;
+	uint32_t block_count;
+	uint8_t *blocks[TABLE_BLOCKS];
 };
 
 void table_init(struct table *t, size_t item_size, uint32_t max);
 void table_free(struct table *t);
-int table_copy(struct table *to, const struct table *from);
 uint64_t table_add(struct table *t, void **item);
 void *table_get(const struct table *t, uint64_t handle);
 void table_remove(struct table *t, uint64_t handle);
--- a/src/base/table.c
+++ b/src/base/table.c
@@ -3,7 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TABLE_MIN 16
 #define NO_SLOT UINT32_MAX
 
 /* Header of each item; generation is odd while the slot is in use. */
@@ -17,9 +16,19 @@
 	return sizeof(struct slot) + (t->item_size + 7) / 8 * 8;
 }
 
+/* Slots before block b: each block after the first doubles their number. */
+static uint32_t block_start(uint32_t b)
+{
+	return b ? TABLE_BLOCK_MIN << (b - 1) : 0;
+}
+
 static struct slot *slot_at(const struct table *t, uint32_t i)
 {
-	return (struct slot *)(t->items + (size_t)i * stride(t));
+	uint32_t n = i / TABLE_BLOCK_MIN;
+	uint32_t b = n ? 32 - (uint32_t)__builtin_clz(n) : 0;
+
+	return (struct slot *)(t->blocks[b] +
+			       (size_t)(i - block_start(b)) * stride(t));
 }
 
 static uint64_t make_handle(uint32_t generation, uint32_t i)
@@ -39,45 +48,32 @@
 /* Frees the slots, but not what the items point to. */
 void table_free(struct table *t)
 {
-	free(t->items);
-	t->items = NULL;
+	uint32_t b;
+
+	for (b = 0; b < TABLE_BLOCKS; b++)
+		free(t->blocks[b]);
+	memset(t->blocks, 0, sizeof(t->blocks));
+	t->block_count = 0;
 	t->size = 0;
 	t->count = 0;
 	t->free_head = NO_SLOT;
 }
 
-/*
- * Copies all slots, so that handles of from are valid in to as well. Returns -1
- * when out of memory.
- */
-int table_copy(struct table *to, const struct table *from)
-{
-	size_t len = (size_t)from->size * stride(from);
-
-	*to = *from;
-	if (!len)
-		return 0;
-	to->items = malloc(len);
-	if (!to->items)
-		return -1;
-	memcpy(to->items, from->items, len);
-	return 0;
-}
-
+/* Adds a block, so that the slots in use stay where they are. */
 static int grow(struct table *t)
 {
-	uint32_t size = t->size ? t->size * 2 : TABLE_MIN;
-	uint8_t *p;
+	uint32_t size = t->size ? t->size * 2 : TABLE_BLOCK_MIN;
 	uint32_t i;
+	uint8_t *p;
 
 	if (size > t->max)
 		size = t->max;
-	if (size <= t->size)
+	if (size <= t->size || t->block_count == TABLE_BLOCKS)
 		return -1;
-	p = realloc(t->items, (size_t)size * stride(t));
+	p = malloc((size_t)(size - t->size) * stride(t));
 	if (!p)
 		return -1;
-	t->items = p;
+	t->blocks[t->block_count++] = p;
 	for (i = size; i-- > t->size;) {
 		slot_at(t, i)->generation = 0;
 		slot_at(t, i)->next_free = t->free_head;
@@ -89,7 +85,7 @@
 
 /*
  * Adds a zeroed item and returns its handle, or 0 when the table is full or
- * out of memory. May move all items, which invalidates pointers to them.
+ * out of memory. The other items stay where they are.
  */
 uint64_t table_add(struct table *t, void **item)
 {
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -231,7 +231,10 @@
 		if (!r->in_flight || now < r->deadline_us + EXPIRE_GRACE_US)
 			continue;
 		place_cancel(n, r, now);
-		request_refuse(n, r, REASON_DEADLINE, OUTCOME_UNKNOWN, now);
+		r = request_get(n, h);
+		if (r)
+			request_refuse(n, r, REASON_DEADLINE, OUTCOME_UNKNOWN,
+				       now);
 	}
 }
 
@@ -244,7 +247,9 @@
 		return;
 	outcome = r->in_flight ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
 	place_cancel(n, r, now);
-	request_refuse(n, r, REASON_CANCELLED, outcome, now);
+	r = request_get(n, handle);
+	if (r)
+		request_refuse(n, r, REASON_CANCELLED, outcome, now);
 }
 
 /*
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -46,9 +46,14 @@
 	char peer[ADDR_TEXT_SIZE];
 	struct exchange *first; /* oldest, or NULL if none is open */
 	uint32_t exchange_count;
-	struct buffer input;	 /* received, not parsed yet */
-	bool request_pending;	 /* complete in the reader, not dispatched */
-	bool processing;	 /* process_requests is running */
+	struct buffer input;  /* received, not parsed yet */
+	bool request_pending; /* complete in the reader, not dispatched */
+	bool processing;      /* process_requests is running */
+	bool broken;	      /* a response could not be written */
+	bool last_sent;	      /* the response that closes it was written */
+	struct server_conn *resume_prev;
+	struct server_conn *resume_next;
+	bool resume_due;	 /* listed in http_server.resumed */
 	bool no_more_requests;	 /* further input is discarded */
 	bool lingering;		 /* to be closed once all output is written */
 	size_t unread;		 /* bytes of unread output, when last looked */
@@ -64,6 +69,10 @@
 	struct table exchanges;	   /* of struct exchange * */
 	struct server_conn *conns; /* least recently active first */
 	uint32_t connections;
+	/* Connections to go on with, from the event loop. */
+	struct server_conn *resumed;
+	struct net_alarm resume_alarm;
+	bool resume_scheduled;
 	size_t unread_most; /* unread output of all connections, at most */
 	bool accept_paused;
 	bool draining;
@@ -127,6 +136,8 @@
 
 	tcp_close(&c->tcp);
 	DL_DELETE(s->conns, c);
+	if (c->resume_due)
+		DL_DELETE2(s->resumed, c, resume_prev, resume_next);
 	s->connections--;
 	if (s->accept_paused) {
 		s->accept_paused = false;
@@ -146,22 +157,31 @@
 		close_conn(c);
 }
 
-/* Sends responses that are ready, in the order of their requests. */
-static void send_responses(struct server_conn *c)
+/*
+ * Sends responses that are ready, in the order of their requests, up to one
+ * that closes the connection. Calls no handler.
+ */
+static void write_responses(struct server_conn *c)
 {
 	struct exchange *e;
-	bool close_after = false;
-	int rc = 0;
 
-	while (!close_after && !rc && (e = c->first) && e->has_response) {
-		rc = tcp_write(&c->tcp, e->response.data, e->response.len);
-		close_after = e->close_after;
+	while (!c->broken && !c->last_sent && (e = c->first) &&
+	       e->has_response) {
+		c->broken = tcp_write(&c->tcp, e->response.data,
+				      e->response.len) < 0;
+		c->last_sent = e->close_after;
+		c->no_more_requests |= e->close_after;
 		remove_exchange(e);
 		mark_active(c);
 	}
-	if (rc < 0)
+}
+
+/* Closes the connection if a response could not be written or was the last. */
+static void end_after_responses(struct server_conn *c)
+{
+	if (c->broken) {
 		close_conn(c);
-	else if (close_after) {
+	} else if (c->last_sent && !c->lingering) {
 		end_exchanges(c);
 		close_after_write(c);
 	}
@@ -208,7 +228,8 @@
 		      status, phrase);
 	http_write_response(&e->response, &m, false, true);
 	message_free(&m);
-	send_responses(c);
+	write_responses(c);
+	end_after_responses(c);
 }
 
 /* Passes the complete request in the reader to the request handler. */
@@ -273,7 +294,7 @@
 	if (c->processing)
 		return;
 	c->processing = true;
-	while (tcp_is_open(&c->tcp) && !c->no_more_requests) {
+	while (tcp_is_open(&c->tcp) && !c->no_more_requests && !c->broken) {
 		if (!c->request_pending && !parse_input(c))
 			break;
 		if (must_wait(c))
@@ -288,6 +309,49 @@
 						 c->input.len < INPUT_MAX);
 }
 
+static void limit_unread(struct server_conn *c);
+
+/*
+ * Goes on with connections after responses: closes those that are done, and
+ * dispatches requests that waited.
+ */
+static void resume_conns(struct net_alarm *alarm, int64_t now)
+{
+	struct http_server *s =
+		(struct http_server *)((char *)alarm -
+				       offsetof(struct http_server,
+						resume_alarm));
+	struct server_conn *c;
+
+	(void)now;
+	s->resume_scheduled = false;
+	while ((c = s->resumed)) {
+		DL_DELETE2(s->resumed, c, resume_prev, resume_next);
+		c->resume_due = false;
+		limit_unread(c);
+		if (!tcp_is_open(&c->tcp))
+			continue;
+		end_after_responses(c);
+		if (tcp_is_open(&c->tcp))
+			process_requests(c);
+	}
+}
+
+/* Has resume_conns called from the event loop for this connection too. */
+static void schedule_resume(struct server_conn *c)
+{
+	struct http_server *s = c->server;
+
+	if (!c->resume_due)
+		DL_APPEND2(s->resumed, c, resume_prev, resume_next);
+	c->resume_due = true;
+	if (s->resume_scheduled)
+		return;
+	s->resume_scheduled = true;
+	net_alarm_set(s->net, &s->resume_alarm, net_now(), net_now(),
+		      resume_conns);
+}
+
 static void on_data(struct tcp *t, const uint8_t *data, size_t len)
 {
 	struct server_conn *c = t->owner;
@@ -491,6 +555,7 @@
 
 	while (s->conns)
 		close_conn(s->conns);
+	net_alarm_cancel(&s->resume_alarm);
 	tcp_listener_close(&s->listener);
 	table_free(&s->exchanges);
 	free(s);
@@ -550,7 +615,8 @@
 /*
  * Sends a complete response; m is copied. Returns -1 if the exchange has
  * ended, or if the response can't be written; the latter closes the
- * connection.
+ * connection. What that leads to, such as the next request of the connection,
+ * is left to the event loop: no handler is called before this returns.
  */
 int http_server_respond(struct http_server *s, uint64_t exchange,
 			const struct message *m)
@@ -565,16 +631,14 @@
 	c = e->conn;
 	e->has_response = true;
 	e->close_after |= s->draining;
-	if (http_write_response(&e->response, m, e->head, e->close_after) < 0) {
-		close_conn(c);
-		return -1;
-	}
-	send_responses(c);
-	if (tcp_is_open(&c->tcp))
-		process_requests(c);
-	if (tcp_is_open(&c->tcp))
-		limit_unread(c);
-	return 0;
+	if (http_write_response(&e->response, m, e->head, e->close_after) < 0)
+		c->broken = true;
+	else
+		write_responses(c);
+	if (c->broken || c->last_sent || tcp_queued_memory(&c->tcp) ||
+	    (!c->processing && (c->request_pending || c->input.len)))
+		schedule_resume(c);
+	return c->broken ? -1 : 0;
 }
 
 /* Closes each connection, also new ones, after its next response. */
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -65,7 +65,8 @@
 void http_server_addr(const struct http_server *s, struct addr *a);
 /*
  * Sends a complete response with Content-Length; m is copied. Returns -1 if
- * the exchange has ended or the response can't be written.
+ * the exchange has ended or the response can't be written. No handler is called
+ * before it returns.
  */
 int http_server_respond(struct http_server *s, uint64_t exchange,
 			const struct message *m);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -332,6 +332,11 @@
 	if (result.outcome == OUTCOME_DONE && r->response->status < 500)
 		route_stats_add_sub_calls(n, c->head.route, c->sub_calls);
 	cancel_sub_calls(n, tag, now);
+	/* Ending the sub-calls may have ended the call or its upstream. */
+	c = gates_call_get(n, tag);
+	u = gates_upstream(n, upstream);
+	if (!c)
+		return;
 	if (u && r->status == HTTP_CONNECTION_LOST &&
 	    upstream_end_hold(n, u, c, now) == 0)
 		return;
@@ -601,7 +606,9 @@
 	record_call(n, c, DECISION_CANCELLED, REASON_CANCELLED,
 		    now - c->arrived_us);
 	cancel_sub_calls(n, call, now);
-	call_free(n, c);
+	c = gates_call_get(n, call);
+	if (c)
+		call_free(n, c);
 	gates_dispatch(n, upstream, now);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -520,6 +520,8 @@
 /* Frees the node. Connections that are still open are closed. */
 void node_close(struct node *n)
 {
+	/* First: calls that it ends are reported to the controllers. */
+	listeners_close(n);
 	if (n->notes)
 		notes_free(n->notes);
 	if (n->quota)
@@ -532,10 +534,8 @@
 		store_close(n->store);
 	secret_free(n->secret);
 	leaving_free(n->leaving);
-	listeners_close(n);
 	calls_free(n);
 	free_requests(n);
-	/* Gates ask for the evacuations when their pools close. */
 	evacuations_free(n->evacuations);
 	if (n->directory)
 		directory_free(n->directory);
--- a/src/store/etcd_watch.c
+++ b/src/store/etcd_watch.c
@@ -77,7 +77,7 @@
 	uint8_t *start, *end;
 	size_t left;
 
-	/* Callbacks may move the watch in the table, so detach its buffer. */
+	/* Callbacks may stop the watch, so detach its buffer. */
 	lines = w->partial_line;
 	memset(&w->partial_line, 0, sizeof(w->partial_line));
 	start = lines.data;
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -26,6 +26,43 @@
 	table_free(&t);
 }
 
+/*
+ * A table that grew moved its items: who held a pointer while a handler added
+ * one read freed memory.
+ */
+static void table_items_keep_their_addresses(void **state)
+{
+	enum {
+		COUNT = 1000,
+		MAX = 1003
+	};
+	uint64_t handles[COUNT], h = 0;
+	int *items[COUNT], i, n = 0;
+	struct table t;
+	void *item;
+
+	(void)state;
+	table_init(&t, sizeof(int), MAX);
+	for (i = 0; i < COUNT; i++) {
+		handles[i] = table_add(&t, &item);
+		items[i] = item;
+		*items[i] = i;
+	}
+	for (i = 0; i < COUNT; i++) {
+		assert_ptr_equal(table_get(&t, handles[i]), items[i]);
+		assert_int_equal(*items[i], i);
+	}
+	for (; (h = table_next(&t, h, &item)); n++)
+		assert_ptr_equal(item, items[n]);
+	assert_int_equal(n, COUNT);
+	while (table_add(&t, &item))
+		n++;
+	assert_int_equal(n, MAX);
+	table_free(&t);
+	assert_int_equal(table_add(&t, &item) >> 32, 1);
+	table_free(&t);
+}
+
 static void addr_parse_and_format_round_trip(void **state)
 {
 	static const char *const good[] = {"127.0.0.1:80", "[::1]:65535"};
@@ -101,6 +138,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(table_rejects_stale_handles),
+		cmocka_unit_test(table_items_keep_their_addresses),
 		cmocka_unit_test(addr_parse_and_format_round_trip),
 		cmocka_unit_test(log_values_are_escaped),
 		cmocka_unit_test(buffer_append_enforces_limit),
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -547,6 +547,113 @@
 	free(c);
 }
 
+#define DEPTH 80 /* requests sent at once on a connection */
+
+/* Answers what is held, a few at a time; no handler may be called meanwhile. */
+static struct {
+	struct http_server *server;
+	uint64_t held[DEPTH];
+	int n, answered, gone;
+	bool responding;
+	bool drains; /* after the first answer */
+} deep;
+
+static void hold_deep(void *ctx, uint64_t exchange, struct message *msg,
+		      const char *peer, int64_t now)
+{
+	(void)ctx;
+	(void)msg;
+	(void)peer;
+	(void)now;
+	assert_false(deep.responding);
+	deep.held[deep.n++] = exchange;
+}
+
+static void abandon_deep(void *ctx, uint64_t exchange, int64_t now)
+{
+	(void)ctx;
+	(void)exchange;
+	(void)now;
+	assert_false(deep.responding);
+	deep.gone++;
+}
+
+static void answer_deep(void *ctx, int64_t now)
+{
+	struct message m = {.status = 200};
+	int i;
+
+	(void)ctx;
+	(void)now;
+	for (i = 0; i < 3 && deep.answered < deep.n; i++) {
+		m.body.len = 0;
+		buffer_printf(&m.body, "<%d>", deep.answered);
+		deep.responding = true;
+		if (deep.drains)
+			http_server_drain(deep.server);
+		http_server_respond(deep.server, deep.held[deep.answered++],
+				    &m);
+		deep.responding = false;
+	}
+	message_free(&m);
+}
+
+static void run_deep(struct client *c, bool drains)
+{
+	struct http_server_options o = {.body_limit = BODY_LIMIT,
+					.connections_max = 4,
+					.on_request = hold_deep,
+					.on_abandoned = abandon_deep};
+	struct server_log server_log = {0};
+	struct error err;
+
+	memset(&deep, 0, sizeof(deep));
+	deep.drains = drains;
+	server_log.net = net_open(&err);
+	addr_parse(&o.listen, "127.0.0.1:0");
+	deep.server = http_server_open(server_log.net, &o, &err);
+	http_server_addr(deep.server, &c->to);
+	net_every(server_log.net, 5 * USEC_PER_MSEC, answer_deep, NULL);
+	run_client(&server_log, c);
+	net_close(server_log.net);
+}
+
+/*
+ * A response went on with the next requests of its connection, or reported
+ * others as abandoned, before it returned: the tables of its caller changed
+ * under the pointers that it held, and the process crashed.
+ */
+static void responding_calls_no_handler(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct buffer sends = {0};
+	const char *at;
+	char part[16];
+	int i;
+
+	(void)state;
+	for (i = 0; i < DEPTH; i++)
+		buffer_printf(&sends, "%s /%d HTTP/1.1\r\n" H "%s\r\n",
+			      i % 9 == 8 ? "POST" : "GET", i,
+			      i == DEPTH - 1 ? END : "");
+	buffer_append(&sends, "", 1, SIZE_MAX);
+	c->sends = (char *)sends.data;
+	run_deep(c, false);
+	assert_int_equal(deep.answered, DEPTH);
+	assert_int_equal(deep.gone, 0);
+	for (i = 0, at = c->reply; i < DEPTH; i++) {
+		snprintf(part, sizeof(part), "<%d>", i);
+		at = strstr(at, part);
+		assert_non_null(at);
+	}
+	run_deep(c, true);
+	assert_true(deep.gone > 0);
+	assert_non_null(strstr(c->reply, "<0>"));
+	assert_null(strstr(c->reply, "<1>"));
+	buffer_free(&sends);
+	free(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -555,6 +662,7 @@
 		cmocka_unit_test(disconnected_caller_is_reported),
 		cmocka_unit_test(drain_serves_open_and_new_requests),
 		cmocka_unit_test(pipelined_responses_keep_request_order),
+		cmocka_unit_test(responding_calls_no_handler),
 		cmocka_unit_test(connections_are_bounded_and_counted),
 		cmocka_unit_test(idle_connections_are_closed_at_the_limit),
 	};
