Tell the system's second try from a copy of the refusal of its first

Another operator's callers were told "not run" of requests that an upstream ran, after a faulty upstream had written an earlier refusal once more on a kept connection.

Cause: responses were attributed by the id that they repeat. A second try of the system has the id of the first, and mostly the same connection, the one used last; so the copy was the answer to it. A response without an id was taken for that to the request at hand, also on a connection that had carried others.

Now a connection does not carry a request again that failed on it: it remembers 16 ids and is closed at the 17th failure. A response without an id counts only on a connection that has carried no other request.

Ruled out: a copy under another id (skipped, as before), and one that arrives while the connection is idle (it is closed, as before).

--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -11,6 +11,9 @@
 /* An idle connection is closed this long before the peer's Keep-Alive ends. */
 #define KEEP_ALIVE_MARGIN_US (1500 * USEC_PER_MSEC)
 
+/* The peer may respond to a failed request once more: see carried_before. */
+#define STATUS_FAILED 400
+
 /* A slow peer may take this many times as long as for its last response. */
 #define SILENCE_FACTOR 4
 #define NEW_CONN_FACTOR 2 /* and on a new connection again as many */
@@ -173,6 +176,46 @@
 	return got && strcmp(got, call->expected_id) != 0;
 }
 
+/*
+ * Whether nothing tells the response from a late one to an earlier request of
+ * the connection.
+ */
+static bool is_unattributed(const struct pool_conn *c, const struct message *m)
+{
+	const struct pool_call *call = c->call;
+
+	return c->reused && call->expected_id[0] &&
+	       !message_header(m, call->options.echo_header);
+}
+
+/* Remembers a request that failed; false if the connection can't any more. */
+static bool remember_failure(struct pool_conn *c, const struct pool_call *call,
+			     int status)
+{
+	if (status < STATUS_FAILED || !call->expected_id[0])
+		return true;
+	if (c->failed_count == FAILED_IDS_MAX)
+		return false;
+	c->failed_ids[c->failed_count++] = name_hash(call->expected_id);
+	return true;
+}
+
+/*
+ * Whether a request with this id failed on the connection: a copy of its
+ * response would be taken for that to the second try.
+ */
+static bool carried_before(const struct pool_conn *c,
+			   const struct pool_call *call)
+{
+	uint64_t id = name_hash(call->expected_id);
+	uint8_t i;
+
+	for (i = 0; call->expected_id[0] && i < c->failed_count; i++)
+		if (c->failed_ids[i] == id)
+			return true;
+	return false;
+}
+
 static int64_t idle_until(const struct pool_conn *c, int64_t now)
 {
 	int64_t idle_us = c->pool->options.idle_timeout_us;
@@ -213,6 +256,7 @@
 		    tcp_all_written(&c->tcp);
 
 	memset(&c->reader.message, 0, sizeof(c->reader.message));
+	keep = remember_failure(c, call, m.status) && keep;
 	c->pool->response_us = net_now() - call->sent_us;
 	call->conn = NULL;
 	release_conn(c, keep);
@@ -233,6 +277,15 @@
 	return m->status < 200 || is_stray(c->call, m);
 }
 
+static void end_response(struct pool_conn *c, bool extra)
+{
+	if (is_unattributed(c, &c->reader.message))
+		fail_call(c->call, HTTP_MALFORMED,
+			  "response that names no request");
+	else
+		finish_response(c, extra);
+}
+
 static void on_data(struct tcp *t, const uint8_t *data, size_t len)
 {
 	struct pool_conn *c = t->owner;
@@ -265,7 +318,7 @@
 		 c->reader.message.status > 599)
 		fail_call(c->call, HTTP_MALFORMED, "status out of range");
 	else if (rc == HTTP_READ_COMPLETE && !is_skipped_response(c))
-		finish_response(c, len > 0);
+		end_response(c, len > 0);
 }
 
 static void on_ended(struct tcp *t, enum tcp_end how)
@@ -284,7 +337,7 @@
 	if (how == TCP_PEER_CLOSED &&
 	    http_reader_eof(&c->reader) == HTTP_READ_COMPLETE &&
 	    !is_skipped_response(c)) {
-		finish_response(c, true);
+		end_response(c, true);
 		return;
 	}
 	fail_call(call, HTTP_CONNECTION_LOST,
@@ -302,13 +355,18 @@
 					   .ended = on_ended,
 					   .drained = on_drained};
 
-/* Returns the most recently used idle connection still open, or NULL. */
-static struct pool_conn *take_idle(struct http_pool *p, int64_t now)
+/*
+ * Returns the most recently used idle connection that is still open and may
+ * carry the call, or NULL. Closes those that may not.
+ */
+static struct pool_conn *take_idle(struct http_pool *p,
+				   const struct pool_call *call, int64_t now)
 {
 	struct pool_conn *c;
 
 	while ((c = p->idle)) {
-		if (now >= c->idle_until_us || tcp_has_input(&c->tcp)) {
+		if (now >= c->idle_until_us || carried_before(c, call) ||
+		    tcp_has_input(&c->tcp)) {
 			close_conn(c, false);
 			continue;
 		}
@@ -404,7 +462,7 @@
 /* Assigns a connection to the call; returns false if none is available. */
 static bool start_call(struct http_pool *p, struct pool_call *call)
 {
-	struct pool_conn *c = take_idle(p, net_now());
+	struct pool_conn *c = take_idle(p, call, net_now());
 
 	if (!c && p->conn_count >= p->options.connections_max)
 		return false;
--- a/src/net/http_pool_impl.h
+++ b/src/net/http_pool_impl.h
@@ -24,6 +24,9 @@
 	bool resent;  /* over another connection, after silence */
 };
 
+/* Failed requests that a connection remembers; then it is closed. */
+#define FAILED_IDS_MAX 16
+
 struct pool_conn {
 	struct pool_conn *prev;
 	struct pool_conn *next;
@@ -31,7 +34,9 @@
 	struct pool_call *call; /* NULL: idle */
 	struct tcp tcp;
 	struct http_reader reader;
-	bool reused;			  /* has completed a call before */
+	bool reused;			     /* has completed a call before */
+	uint64_t failed_ids[FAILED_IDS_MAX]; /* hashes, of failed requests */
+	uint8_t failed_count;
 	int64_t used_us;		  /* when it last completed one */
 	struct net_alarm connect_timeout; /* limits connect time */
 	int64_t idle_until_us;
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -126,7 +126,10 @@
 	int64_t deadline_us;
 	/*
 	 * A response whose value of this header differs from the request's
-	 * belongs to another request and is skipped.
+	 * belongs to another request and is skipped. One without the header
+	 * counts only on a connection that carried no other request, else it is
+	 * malformed. A request that failed is not sent again on the same
+	 * connection.
 	 */
 	const char *echo_header;
 	/*
--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -33,6 +33,9 @@
 	enum ending ending;
 };
 
+/* To the second request of a connection; NULL: the same as to the first. */
+static const char *second_answer;
+
 struct peer {
 	int fd;
 	struct addr addr;
@@ -66,6 +69,11 @@
 
 	for (i = 0; i < n && read_head(fd); i++) {
 		p->requests++;
+		if (i && second_answer) {
+			if (write(fd, second_answer, strlen(second_answer)) < 0)
+				break;
+			continue;
+		}
 		if (i && s->ending == RESPOND_IN_PART)
 			len /= 2;
 		if (write(fd, s->answer, len) < 0)
@@ -146,6 +154,7 @@
 	struct peer *wait_closed;
 	bool cancel_on_body_data;
 	bool stream;
+	const char *ids; /* of the calls, one letter each; NULL: none */
 };
 
 static void start_call(struct call_sequence *r, int64_t now);
@@ -199,9 +208,16 @@
 		.done = call_done,
 		.on_body_data = r->stream ? call_body_data : NULL,
 	};
+	struct header id = {(char *)"id", (char[]){0, 0}};
 	struct error err;
 	int done = r->done;
 
+	if (r->ids) {
+		id.value[0] = r->ids[done];
+		m.headers = &id;
+		m.header_count = 1;
+		c.echo_header = "id";
+	}
 	snprintf(m.method, sizeof(m.method), "%s", r->method);
 	r->call = http_call_start(r->pool, &c, now, &err);
 	assert_int_not_equal(r->call, 0);
@@ -411,6 +427,86 @@
 	assert_int_equal(peer.requests, 2);
 }
 
+#define REFUSAL(id) "HTTP/1.1 503 No\r\n" id "Content-Length: 0\r\n\r\n"
+#define ANSWER(id, body) HEAD id "Content-Length: 5\r\n\r\n" body
+
+/*
+ * A peer wrote an earlier refusal once more on a kept connection, and the next
+ * request got it: as "not run", though the peer was running it. The system's
+ * own second try has the id of the first.
+ */
+static void repeated_refusals_answer_no_request(void **state)
+{
+	static const struct {
+		const char *name, *ids, *second;
+		struct script scripts[2];
+		enum http_call_status status;
+		int http_status;
+		const char *body;
+	} cases[] = {
+		{"of the same id",
+		 "AA",
+		 REFUSAL("id: A\r\n") ANSWER("id: A\r\n", "wrong"),
+		 {{REFUSAL("id: A\r\n"), RESPOND_TWICE},
+		  {ANSWER("id: A\r\n", "right"), HOLD}},
+		 HTTP_COMPLETED,
+		 200,
+		 "right"},
+		{"of another id",
+		 "AB",
+		 REFUSAL("id: A\r\n") ANSWER("id: B\r\n", "right"),
+		 {{REFUSAL("id: A\r\n"), RESPOND_TWICE}},
+		 HTTP_COMPLETED,
+		 200,
+		 "right"},
+		{"without an id",
+		 "AB",
+		 REFUSAL("") ANSWER("id: B\r\n", "right"),
+		 {{REFUSAL("id: A\r\n"), RESPOND_TWICE}},
+		 HTTP_MALFORMED,
+		 0,
+		 ""},
+		{"success without an id",
+		 "AB",
+		 ANSWER("", "first"),
+		 {{ANSWER("id: A\r\n", "first"), RESPOND_TWICE}},
+		 HTTP_MALFORMED,
+		 0,
+		 ""},
+		{"once, without an id",
+		 "A",
+		 NULL,
+		 {{REFUSAL(""), HOLD}},
+		 HTTP_COMPLETED,
+		 503,
+		 ""},
+	};
+	struct peer peer;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct call_sequence r = {.method = "POST",
+					  .deadline_us = LONG_US,
+					  .ids = cases[i].ids,
+					  .remaining =
+						  (int)strlen(cases[i].ids)};
+
+		second_answer = cases[i].second;
+		peer_start(&peer, cases[i].scripts,
+			   cases[i].scripts[1].answer ? 2 : 1);
+		run_calls(&r, &peer.addr);
+		peer_stop(&peer);
+		if (r.status != cases[i].status)
+			print_error("case: %s got %d\n", cases[i].name,
+				    r.status);
+		assert_int_equal(r.status, cases[i].status);
+		assert_int_equal(r.http_status, cases[i].http_status);
+		assert_string_equal(r.body, cases[i].body);
+	}
+	second_answer = NULL;
+}
+
 /*
  * A connection that went silent while it was idle: a request that may be
  * repeated waited on it until its deadline.
@@ -646,6 +742,7 @@
 		cmocka_unit_test(
 			no_call_is_lost_when_peer_closes_idle_connection),
 		cmocka_unit_test(surplus_response_is_discarded),
+		cmocka_unit_test(repeated_refusals_answer_no_request),
 		cmocka_unit_test(idle_connection_is_reused),
 		cmocka_unit_test(large_responses_wait_for_memory),
 		cmocka_unit_test(silent_connection_is_replaced),
--- /dev/null
+++ b/tools/platform_faulty.c
@@ -0,0 +1,166 @@
+/*
+ * Stand-in for a faulty upstream of the users' platform, byte by byte. Sends no
+ * heartbeats. What it does follows from the target of a request:
+ *
+ *   .../cut-N     sends the first N bytes of its answer and closes
+ *   .../repeat    refuses the first try of an id, and writes the refusal once
+ *                 more before the next answer on the same connection
+ *   .../unnamed   as repeat, without an id the second time
+ *   any other     answers
+ */
+#include <netinet/in.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define CONNS_MAX 64
+#define HEAD_MAX 4096
+#define IDS_MAX 4096
+#define ID_SIZE 100
+#define RUN_US 50000 /* a run lasts so long */
+
+struct conn {
+	int fd;
+	char head[HEAD_MAX];
+	size_t len;
+	char again[HEAD_MAX]; /* to be written before the next answer */
+};
+
+static struct conn conns[CONNS_MAX];
+static size_t conn_count;
+static char refused[IDS_MAX][ID_SIZE];
+static size_t refused_count;
+
+static int listen_any(void)
+{
+	struct sockaddr_in sa = {.sin_family = AF_INET};
+	socklen_t len = sizeof(sa);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (fd < 0 || bind(fd, (struct sockaddr *)&sa, len) < 0 ||
+	    listen(fd, CONNS_MAX) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&sa, &len) < 0)
+		return -1;
+	printf("listening=127.0.0.1:%d\n", ntohs(sa.sin_port));
+	fflush(stdout);
+	return fd;
+}
+
+static void read_id(const char *head, char id[ID_SIZE])
+{
+	static const char name[] = "\r\nmulberryferry-attempt-id: ";
+	const char *p = strcasestr(head, name);
+	size_t n = 0;
+
+	for (p = p ? p + strlen(name) : ""; *p && *p != '\r' && n < ID_SIZE - 1;
+	     p++)
+		id[n++] = *p;
+	id[n] = 0;
+}
+
+/* Whether it refused the id before; remembers it otherwise. */
+static int was_refused(const char *id)
+{
+	size_t i;
+
+	for (i = 0; i < refused_count; i++)
+		if (!strcmp(refused[i], id))
+			return 1;
+	if (refused_count < IDS_MAX)
+		snprintf(refused[refused_count++], ID_SIZE, "%s", id);
+	return 0;
+}
+
+static void write_refusal(char *to, const char *id)
+{
+	snprintf(to, HEAD_MAX,
+		 "HTTP/1.1 503 Full\r\n%s%s%s"
+		 "Mulberryferry-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		 id ? "Mulberryferry-Attempt-Id: " : "", id ? id : "",
+		 id ? "\r\n" : "");
+}
+
+static int send_text(struct conn *c, const char *text, size_t len)
+{
+	return send(c->fd, text, len, MSG_NOSIGNAL) == (ssize_t)len ? 0 : -1;
+}
+
+/* Answers one request; -1 if the connection is to be closed. */
+static int answer(struct conn *c)
+{
+	char id[ID_SIZE], text[HEAD_MAX];
+	const char *cut = strstr(c->head, "/cut-");
+	int unnamed = strstr(c->head, "/unnamed") != NULL;
+	int repeats = unnamed || strstr(c->head, "/repeat") != NULL;
+	size_t len;
+
+	read_id(c->head, id);
+	if (repeats && !was_refused(id)) {
+		write_refusal(text, id);
+		write_refusal(c->again, unnamed ? NULL : id);
+		return send_text(c, text, strlen(text));
+	}
+	printf("run %s\n", id);
+	fflush(stdout);
+	send_text(c, c->again, strlen(c->again));
+	c->again[0] = 0;
+	if (repeats)
+		usleep(RUN_US);
+	len = (size_t)snprintf(
+		text, sizeof(text),
+		"HTTP/1.1 200 OK\r\nMulberryferry-Attempt-Id: %s\r\n"
+		"Mulberryferry-Response-Signature: 1.2\r\n"
+		"Content-Length: 5\r\n\r\nhello",
+		id);
+	if (cut && (size_t)atol(cut + strlen("/cut-")) < len)
+		len = (size_t)atol(cut + strlen("/cut-"));
+	return send_text(c, text, len) < 0 || cut ? -1 : 0;
+}
+
+/* Reads from a connection; -1 if it has ended. */
+static int serve(struct conn *c)
+{
+	ssize_t n = recv(c->fd, c->head + c->len, HEAD_MAX - 1 - c->len, 0);
+	char *end;
+
+	if (n <= 0)
+		return -1;
+	c->len += (size_t)n;
+	c->head[c->len] = 0;
+	end = strstr(c->head, "\r\n\r\n");
+	if (!end)
+		return c->len < HEAD_MAX - 1 ? 0 : -1;
+	c->len = 0;
+	return answer(c);
+}
+
+int main(void)
+{
+	struct pollfd fds[CONNS_MAX + 1];
+	int listener = listen_any();
+	size_t i;
+
+	while (listener >= 0) {
+		fds[0] = (struct pollfd){.fd = listener, .events = POLLIN};
+		for (i = 0; i < conn_count; i++)
+			fds[i + 1] = (struct pollfd){.fd = conns[i].fd,
+						     .events = POLLIN};
+		if (poll(fds, conn_count + 1, -1) < 0)
+			return EXIT_FAILURE;
+		for (i = conn_count; i-- > 0;)
+			if (fds[i + 1].revents && serve(&conns[i]) < 0) {
+				close(conns[i].fd);
+				conns[i] = conns[--conn_count];
+			}
+		if (fds[0].revents && conn_count < CONNS_MAX) {
+			memset(&conns[conn_count], 0, sizeof(*conns));
+			conns[conn_count].fd = accept(listener, NULL, NULL);
+			conn_count += conns[conn_count].fd >= 0;
+		}
+	}
+	return EXIT_FAILURE;
+}
