Test answers that end after each of their bytes

Another operator's callers got a 200 with an empty or short body, framed as whole, from an upstream that stopped in the middle of its answer's head. It does not happen here: a head is parsed once its final empty line has come, so that what ends before it is lost, and a body that ends before its length or its last chunk is too. Only a body without either ends with its connection.

--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -507,6 +507,61 @@
 	second_answer = NULL;
 }
 
+/*
+ * A peer that stopped within the head of its answer and closed: the answer was
+ * passed on as whole, with an empty or short body. Ends each answer after each
+ * of its bytes.
+ */
+static void answers_that_end_early_are_not_whole(void **state)
+{
+	static const struct {
+		const char *answer;
+		size_t head; /* of an answer that ends with its connection */
+	} cases[] = {
+		{HEAD "id: A\r\n" FIVE "hello", 0},
+		{HEAD "Content-Length: 0\r\nid: A\r\n\r\n", 0},
+		{CHUNKED "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n", 0},
+		{CHUNKED "5;x=y\r\nhello\r\n0\r\nid: A\r\n\r\n", 0},
+		{"HTTP/1.1 100 Continue\r\n\r\n" ANSWER("id: A\r\n", "hello"),
+		 0},
+		{REFUSAL("id: Z\r\n") ANSWER("id: A\r\n", "hello"), 0},
+		{"HTTP/1.1 204 None\r\nid: A\r\n\r\n", 0},
+		{HEAD "Connection: close\r\n\r\nhello",
+		 strlen(HEAD "Connection: close\r\n\r\n")},
+		{"HTTP/1.0 200 OK\r\n\r\nhello",
+		 strlen("HTTP/1.0 200 OK\r\n\r\n")},
+	};
+	static const enum ending endings[] = {CLOSE, RESET};
+	struct script script;
+	struct peer peer;
+	char part[200];
+	size_t i, len, e;
+	bool ends_well;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(*cases); i++)
+		for (len = 0; len < 2 * strlen(cases[i].answer); len++) {
+			struct call_sequence r = {.method = "GET",
+						  .deadline_us = LONG_US,
+						  .ids = "A",
+						  .remaining = 1};
+
+			e = len % 2;
+			snprintf(part, sizeof(part), "%.*s", (int)(len / 2),
+				 cases[i].answer);
+			script = (struct script){part, endings[e]};
+			ends_well = endings[e] == CLOSE && cases[i].head &&
+				    len / 2 >= cases[i].head;
+			peer_start(&peer, &script, 1);
+			run_calls(&r, &peer.addr);
+			peer_stop(&peer);
+			if ((r.status == HTTP_COMPLETED) != ends_well)
+				print_error("case %zu ended after %zu\n", i,
+					    len / 2);
+			assert_int_equal(r.status == HTTP_COMPLETED, ends_well);
+		}
+}
+
 /*
  * A connection that went silent while it was idle: a request that may be
  * repeated waited on it until its deadline.
@@ -743,6 +798,7 @@
 			no_call_is_lost_when_peer_closes_idle_connection),
 		cmocka_unit_test(surplus_response_is_discarded),
 		cmocka_unit_test(repeated_refusals_answer_no_request),
+		cmocka_unit_test(answers_that_end_early_are_not_whole),
 		cmocka_unit_test(idle_connection_is_reused),
 		cmocka_unit_test(large_responses_wait_for_memory),
 		cmocka_unit_test(silent_connection_is_replaced),
--- a/test/upstream_faulty.sh
+++ b/test/upstream_faulty.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # A faulty upstream wrote an earlier refusal once more on a kept connection, and
 # a caller was told "not run" of a request that ran, or it ran a second time
-# elsewhere.
+# elsewhere. Another stopped within its answer, which must not look whole.
 cd "$(dirname "$0")/.."
 . test/harness.bash
 BIN=${BIN_OF_FAULTY:-$BUILD/mulberryferry-san}
@@ -66,4 +66,16 @@
 	fail "too few second tries reached the upstream"
 echo "ok a repeated refusal tells nobody that a request did not run ($refusals true ones)"
 
+whole=$(printf '%s\r\n' 'HTTP/1.1 200 OK' 'Mulberryferry-Attempt-Id: bbbb0000' \
+	'Mulberryferry-Response-Signature: 1.2' 'Content-Length: 5' '' | wc -c)
+whole=$((whole + 5)) # "hello"
+for ((n = 0; n < whole; n += 3)); do
+	beat
+	status=$(issue "/once/cut-$n" "$(printf 'bbbb%04x' "$n")")
+	[ "$status" = 502 ] ||
+		fail "an answer that ended after $n bytes got $status"
+done
+[ "$(issue "/once/cut-$whole" bbbbffff)" = 200 ] ||
+	fail "a whole answer is not passed on"
+echo "ok answers that end early are not passed on as whole"
 echo "upstream faulty passed"
