Let no queued call through to an upstream after its drain

Nothing was seen by callers; found by reading the paths related to a forgotten leave. A node that is suspended while calls wait for a leaving upstream ran them when it resumed, later than drain_s: the bound was kept where calls are taken and by a timer, and dispatching came before the timer's check.

Now gates_dispatch itself lets nothing through, as for an evacuated data centre. queued_calls_do_not_run_after_the_drain fails on the sources before (test_gates.c:209) and passes.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -446,11 +446,21 @@
 		drop_queued(n, u->handle, reason, now);
 }
 
+/* Why the gate of an upstream lets no call through, or REASON_NONE. */
+static enum reason gate_closed_reason(const struct node *n,
+				      const struct local_upstream *u,
+				      int64_t now)
+{
+	if (u && u->leaving_us && !gates_accepts(n, u, now))
+		return REASON_NO_UPSTREAM;
+	return evacuation_gate_reason(n, now);
+}
+
 /* Drops the calls that the gate rejects, then runs those that it admits. */
 void gates_dispatch(struct node *n, uint64_t upstream, int64_t now)
 {
 	struct local_upstream *u = gates_upstream(n, upstream);
-	enum reason closed = evacuation_gate_reason(n, now);
+	enum reason closed = gate_closed_reason(n, u, now);
 	struct gate_drop drop;
 	struct call *c;
 	int64_t waited_us;
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -561,8 +561,6 @@
 		upstream_cold_update(n, item, now);
 		gates_dispatch(n, h, now);
 		u = gates_upstream(n, h);
-		if (u && u->leaving_us && !gates_accepts(n, u, now))
-			gates_drop_queued(n, h, now);
 		if (!u || now - u->last_update_us < ANNOUNCE_TIMEOUT_US)
 			continue;
 		if (u->info.state != UPSTREAM_GONE) {
--- a/test/test_gates.c
+++ b/test/test_gates.c
@@ -4,6 +4,7 @@
 #include <stddef.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <cmocka.h>
 
@@ -165,6 +166,52 @@
 	node_close(n);
 }
 
+static void submit(struct node *n, int64_t now)
+{
+	struct call_head head = {.service = "s", .deadline_ms = 10000};
+	struct message m = {.method = "GET"};
+
+	m.target = strdup("/");
+	addr_parse(&head.upstream, UPSTREAM_ADDR);
+	gates_submit(n, REPLY_LINK, 0, &head, &m, now);
+	message_free(&m);
+}
+
+/*
+ * A node that was suspended while an upstream drained ran the calls that had
+ * waited in its queue, later than drain_s, before it dropped them.
+ */
+static void queued_calls_do_not_run_after_the_drain(void **state)
+{
+	struct upstream_announcement announcement =
+		announcement_of("a", 100, 1);
+	struct node *n = open_node();
+	int64_t now = clock_monotonic_us();
+	struct local_upstream *u;
+	struct gate_report r;
+	uint64_t ran;
+	int i;
+
+	(void)state;
+	n->config = config_new();
+	announcement.info.slots = 2;
+	gates_announce_platform(n, &announcement, now);
+	u = upstream_at_address(n);
+	announcement.gone = true;
+	gates_announce_platform(n, &announcement, now);
+	for (i = 0; i < 6; i++)
+		submit(n, now + 1450 * USEC_PER_MSEC);
+	gate_report(u->gate, &r);
+	assert_true(r.running > 0 && r.queued > 0);
+	ran = counter_get(COUNTER_UPSTREAM_RUNS);
+	gate_set_slots(u->gate, 10, now + 1450 * USEC_PER_MSEC);
+	gates_dispatch(n, u->handle, now + 2050 * USEC_PER_MSEC);
+	assert_int_equal(counter_get(COUNTER_UPSTREAM_RUNS), ran);
+	gate_report(u->gate, &r);
+	assert_int_equal(r.queued, 0);
+	node_close(n);
+}
+
 /*
  * An announcement from before the upstream began to leave undid what its
  * answer had said.
@@ -348,6 +395,7 @@
 		cmocka_unit_test(announcements_for_other_hosts_are_ignored),
 		cmocka_unit_test(
 			leaving_upstream_refuses_calls_before_drain_ends),
+		cmocka_unit_test(queued_calls_do_not_run_after_the_drain),
 		cmocka_unit_test(
 			leaving_said_in_an_answer_outlasts_a_late_announcement),
 		cmocka_unit_test(malformed_limits_are_refused),
