Soak upstreams that leave, with late heartbeats, across restarts of nodes

The stand-in upstream deregisters, repeats its last heartbeat as if it were late, and starts again under its id. The soak lets one leave every fourth fault, in turn, and fails if a request ran later than drain_s after the acknowledgement.

--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -8,7 +8,8 @@
 # promises: no request ran twice, each one answered with 200 ran, none answered
 # with 429, 503, 408 or 421 ran, no upstream got more than its limit allows, the
 # request that crashes was run three times more at most, later than 3 s after the
-# third end, and the newest configuration is in force. Prints a summary and keeps no files;
+# third end, none reached an upstream later than drain_s after its leave was
+# acknowledged, and the newest configuration is in force. Prints a summary and keeps no files;
 # ends only the processes that it started.
 # With SOAK_COLD=1, upstreams also become cold again, which crashes them if many
 # requests arrive before their heartbeat, and none may get more than its cold rate
@@ -25,6 +26,8 @@
 NODES=(a1 a2 b1 b2)
 CALLERS=6
 declare -A ENDING=()
+LEAVE_MS=5000      # from the leave of an upstream to its end
+LEFT_AFTER_MS=2300 # drain_s, and some time for the request to arrive
 LIMIT=20      # requests a second that an upstream names
 LIMIT_MAX=$((LIMIT * 6 + 5)) # most requests in 4 s
 LIMIT_AFTER_MS=3000 # from then on the limit holds
@@ -206,6 +209,24 @@
 		if (n - first > most) most = n - first} END {print most + 0}'
 }
 
+# runs_after_leave: prints the runs of upstreams that had left. One that was
+# suspended reads requests long after they arrived.
+runs_after_leave() {
+	local n
+	for n in "${NODES[@]}"; do
+		[ -z "$COLD" ] && grep -q "^fault 5 $n " "$WORK/faults" &&
+			continue
+		sed -n 's/^\(left\) at_ms=\([0-9]*\)$/\1 \2/p
+			s/^\(run\) .* at_ms=\([0-9]*\) .*/\1 \2/p
+			s/^\(listening\)=.*/\1 0/p' "$WORK/up_$n.out" |
+			awk -v a=$LEFT_AFTER_MS -v n=$n '
+			$1 == "listening" {left = 0}
+			$1 == "left" {left = $2}
+			$1 == "run" && left && $2 > left + a {
+				print n, "ran", $2 - left, "ms after its leave"}'
+	done
+}
+
 # most_cold NODE: prints the most runs of its upstream in a second while cold.
 most_cold() {
 	sed -n 's/^\(cold\) at_ms=\([0-9]*\)$/\1 \2/p
@@ -288,8 +309,13 @@
 	callers+=($!)
 fi
 end=$((SECONDS + SECONDS_OF_FAULTS))
+rounds=0
 while [ "$SECONDS" -lt "$end" ]; do
 	inject_fault
+	# In turn, so that the other faults of a seed stay the same.
+	rounds=$((rounds + 1))
+	[ $((rounds % 4)) = 1 ] &&
+		upstream_says "${NODES[rounds / 4 % 4]}" leave_ms=$LEAVE_MS
 	start_ended
 	draw 900
 	pause_ms $((100 + DRAWN))
@@ -363,9 +389,12 @@
 [ "$(late_runs)" -le $LATE_RUNS_MAX ] ||
 	fail "seed $SEED: a request that crashes ran $(late_runs) times too" \
 		"late; $(cat "$WORK/faults" "$WORK"/*.log | grep "^fault\|poison")"
+after=$(runs_after_leave)
+[ -z "$after" ] || fail "seed $SEED: $after; $(cat "$WORK/faults")"
 [ -s "$WORK/status-200" ] || fail "seed $SEED: nothing was served"
 echo "seed=$SEED faults=$(wc -l <"$WORK/faults")" \
 	"requests=$(wc -l <"$WORK/seen") ran=$(wc -l <"$WORK/ran")" \
 	"served=$(wc -l <"$WORK/status-200")" \
 	"ended=$(cat "$WORK"/up_*.out | grep -c '^crash ') late=$(late_runs)" \
+	"left=$(cat "$WORK"/up_*.out | grep -c '^left ')" \
 	"not_run=$(cat "$WORK"/status-{429,503,408,421} | wc -l)"
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -46,9 +46,11 @@
 	uint32_t full;		 /* refuse every request */
 	uint32_t omit_signature; /* answer without a signature */
 	uint32_t draining;
-	uint32_t crash;	  /* at the next tick */
-	uint32_t leaving; /* say so in answers, not in heartbeats */
-	char limit[32];	  /* requests a second named in answers, or empty */
+	uint32_t crash;	   /* at the next tick */
+	uint32_t leaving;  /* say so in answers, not in heartbeats */
+	uint32_t leave_ms; /* deregister now, and end after that time */
+	int64_t left_us;   /* since when it has deregistered; 0: it has not */
+	char limit[32];	   /* requests a second named in answers, or empty */
 	const char *program;
 	const char *crash_on;  /* part of a target; NULL: none */
 	const char *spare;     /* account whose requests crash nothing */
@@ -174,12 +176,11 @@
 }
 
 /*
- * Ends this process as a crash would: all connections are lost at once. Another
- * one with the next instance takes its place and address after down_ms.
+ * Ends this process: all connections are lost at once. Another one takes its
+ * place and address after down_ms.
  */
-static void crash(void)
+static void restart(const char *instance, const char *down_ms)
 {
-	char instance[NAME_SIZE];
 	char *args[] = {(char *)upstream.program,
 			"--listen",
 			upstream.addr,
@@ -188,13 +189,13 @@
 			"--service",
 			(char *)upstream.service,
 			"--instance",
-			instance,
+			(char *)instance,
 			"--work-ms",
 			(char *)upstream.work_ms,
 			"--down-ms",
 			(char *)upstream.down_ms,
 			"--start-after-ms",
-			(char *)upstream.down_ms,
+			(char *)down_ms,
 			"--crash-on",
 			(char *)(upstream.crash_on ? upstream.crash_on : ""),
 			"--spare",
@@ -209,6 +210,15 @@
 			(char *)upstream.cold_per_s,
 			NULL};
 
+	execv("/proc/self/exe", args);
+	abort();
+}
+
+/* Ends as by a crash; the next process has another instance. */
+static void crash(void)
+{
+	char instance[NAME_SIZE];
+
 	snprintf(instance, sizeof(instance), "%.32s.%lld",
 		 strtok((char *)upstream.instance, "."),
 		 (long long)(clock_wall_us() / USEC_PER_MSEC));
@@ -216,8 +226,7 @@
 	       (long long)(clock_wall_us() / USEC_PER_MSEC));
 	fflush(stdout);
 	lose_connections();
-	execv("/proc/self/exe", args);
-	abort();
+	restart(instance, upstream.down_ms);
 }
 
 static int64_t cold_left_us(int64_t now)
@@ -276,6 +285,7 @@
 		set_fault(m->target, "unsigned=", &upstream.omit_signature);
 		set_fault(m->target, "draining=", &upstream.draining);
 		set_fault(m->target, "leaving=", &upstream.leaving);
+		set_fault(m->target, "leave_ms=", &upstream.leave_ms);
 		set_limit(m->target);
 		set_fault(m->target, "crash=", &upstream.crash);
 	} else if (!strcmp(m->target, HEALTH_PATH)) {
@@ -322,6 +332,46 @@
 	(void)now;
 }
 
+static void leave_done(void *ctx, uint64_t tag, struct http_call_result *r,
+		       int64_t now)
+{
+	(void)ctx;
+	(void)tag;
+	(void)now;
+	if (r->status != HTTP_COMPLETED || r->response->status != 200)
+		return;
+	printf("left at_ms=%lld\n",
+	       (long long)(clock_wall_us() / USEC_PER_MSEC));
+	fflush(stdout);
+}
+
+/*
+ * Deregisters, and sends its last heartbeat again and again from then on, as if
+ * it were late. Starts again under its id after leave_ms.
+ */
+static void leave(int64_t now)
+{
+	struct message m = {.method = "POST"};
+	struct http_call call = {.request = &m,
+				 .deadline_us = now + USEC_PER_SEC,
+				 .done = leave_done};
+	char target[256];
+
+	if (upstream.left_us &&
+	    now - upstream.left_us >= upstream.leave_ms * USEC_PER_MSEC)
+		restart(upstream.instance, "0");
+	if (upstream.left_us)
+		return;
+	upstream.left_us = now;
+	snprintf(target, sizeof(target),
+		 "/mulberryferry/instances/%s/deregister", upstream.instance);
+	m.target = target;
+	buffer_printf(&m.body, "{\"born\":%lld}",
+		      (long long)upstream.started_ms);
+	http_call_start(upstream.node, &call, now, NULL);
+	buffer_free(&m.body);
+}
+
 static void send_heartbeat(int64_t now)
 {
 	struct message m = {.method = "POST"};
@@ -333,6 +383,8 @@
 	snprintf(target, sizeof(target),
 		 "/mulberryferry/instances/%s/heartbeat", upstream.instance);
 	m.target = target;
+	if (!upstream.left_us)
+		upstream.sequence++;
 	buffer_printf(&m.body,
 		      "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z\","
 		      "\"version\":\"v1\",\"slots\":16,\"state\":\"%s\","
@@ -341,7 +393,7 @@
 		      upstream.service, upstream.addr,
 		      upstream.draining ? "draining" : "ready",
 		      (double)cold_left_us(now) / USEC_PER_SEC,
-		      (unsigned long long)++upstream.sequence,
+		      (unsigned long long)upstream.sequence,
 		      (long long)upstream.started_ms);
 	http_call_start(upstream.node, &call, now, NULL);
 	buffer_free(&m.body);
@@ -356,6 +408,8 @@
 		net_stop(upstream.net);
 	if (upstream.crash)
 		crash();
+	if (upstream.leave_ms)
+		leave(now);
 	if (turns_cold) {
 		turns_cold = 0;
 		begin_cold(now);
@@ -450,7 +504,8 @@
 	.options = options,
 	.parser = parse_option,
 	.doc = "Stand-in for an upstream of the users' platform.\v"
-	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1&crash=1 "
+	       "GET /standin/faults?full=0|1&unsigned=0|1&draining=0|1&crash=1&"
+	       "leave_ms=N "
 	       "sets faults. A request with bytes=N in its target is answered "
 	       "with "
 	       "N "
