Let a repeated drain wait until the first one is kept

A heartbeat that repeated a drain was acknowledged at once, also while neither the store nor another member kept the drain yet; the process after a kill would not have known of it. It waits for the ticket of the first now. a_repeated_drain_waits_for_the_same_ticket fails on the sources before (test_gates.c:187) and passes.

--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -413,7 +413,10 @@
 	why = why_ignored(n, u, same, announcement);
 	if (why) {
 		log_ignored_announcement(announcement, why);
-		return 0;
+		/* The leave that it repeats may not be kept yet. */
+		return same && announcement->info.state == UPSTREAM_LEAVING
+			       ? u->leave_ticket
+			       : 0;
 	}
 	if (announcement->info.state == UPSTREAM_READY &&
 	    leaving_holds(n->leaving, announcement))
--- a/test/test_gates.c
+++ b/test/test_gates.c
@@ -166,6 +166,38 @@
 	node_close(n);
 }
 
+/*
+ * A heartbeat that repeats a drain was acknowledged at once, before anything
+ * but this process kept the drain.
+ */
+static void a_repeated_drain_waits_for_the_same_ticket(void **state)
+{
+	struct upstream_announcement announcement =
+		announcement_of("a", 100, 1);
+	struct node *n = open_node();
+	int64_t now = clock_monotonic_us();
+	uint64_t ticket;
+
+	(void)state;
+	assert_int_equal(gates_announce_platform(n, &announcement, now), 0);
+	announcement.sequence = 2;
+	announcement.info.state = UPSTREAM_LEAVING;
+	ticket = gates_announce_platform(n, &announcement, now);
+	assert_true(ticket > 0);
+	assert_int_equal(gates_announce_platform(n, &announcement, now),
+			 ticket);
+	announcement.sequence = 3;
+	assert_int_equal(gates_announce_platform(n, &announcement, now),
+			 ticket);
+	announcement.sequence = 4;
+	announcement.info.state = UPSTREAM_READY;
+	assert_int_equal(gates_announce_platform(n, &announcement, now), 0);
+	announcement.sequence = 5;
+	announcement.info.state = UPSTREAM_LEAVING;
+	assert_true(gates_announce_platform(n, &announcement, now) > ticket);
+	node_close(n);
+}
+
 static void submit(struct node *n, int64_t now)
 {
 	struct call_head head = {.service = "s", .deadline_ms = 10000};
@@ -395,6 +427,7 @@
 		cmocka_unit_test(announcements_for_other_hosts_are_ignored),
 		cmocka_unit_test(
 			leaving_upstream_refuses_calls_before_drain_ends),
+		cmocka_unit_test(a_repeated_drain_waits_for_the_same_ticket),
 		cmocka_unit_test(queued_calls_do_not_run_after_the_drain),
 		cmocka_unit_test(
 			leaving_said_in_an_answer_outlasts_a_late_announcement),
