--- a/test/platform.bash
+++ b/test/platform.bash
@@ -203,3 +203,32 @@
 		-H "Content-Type: application/json" \
 		"http://${!services}/mulberryferry/instances/$2/$3"
 }
+
+# put_entry KEY VALUE: writes an entry as another writer would.
+put_entry() {
+	{
+		printf '{"expected_revision":[],"deletes":[],"writes":[{"key":"%s","value":"' "$1"
+		printf %s "$2" | base64 -w 0
+		printf '"}]}'
+	} | curl -sf -o /dev/null -m 5 -d @- "http://$STORE/mulberryferry/kv-txn" ||
+		fail "cannot write $1"
+}
+
+VERSION=3 # of the document in force
+# all_follow WHAT: a1 and b1 run, put the next version in force and serve.
+all_follow() {
+	local n pid
+	VERSION=$((VERSION + 1))
+	put_document $VERSION one '"key-1"'
+	for n in a1 b1; do
+		pid="pid_$n"
+		kill -0 "${!pid}" 2>/dev/null ||
+			fail "$1: $n ended: $(tail -n 3 "$WORK/$n.log")"
+		grep "Sanitizer\|runtime error" "$WORK/$n.log" && fail "$1: $n"
+		wait_for 10 grep -q "config-in-force number=$VERSION " \
+			"$WORK/$n.log" || fail "$1: $n does not follow"
+		wait_for 10 status_is 200 $n /r/0 -H "$(key key-1)" ||
+			fail "$1: $n does not serve: $(cat "$WORK/body")" \
+				"$(tail -n 3 "$WORK/$n.log")"
+	done
+}
--- a/test/store_odd_entries.sh
+++ b/test/store_odd_entries.sh
@@ -15,42 +15,13 @@
 	'10.0.0.1:99999999999999999999' '10.0.0.1:-1' '[::1]:' ':' ''
 	"$(printf '\xff\x00\xfe' | tr '\0' 'x')" '{"version":-1}')
 
-# put KEY VALUE: writes an entry as another writer would.
-put() {
-	{
-		printf '{"expected_revision":[],"deletes":[],"writes":[{"key":"%s","value":"' "$1"
-		printf %s "$2" | base64 -w 0
-		printf '"}]}'
-	} | curl -sf -o /dev/null -m 5 -d @- "http://$STORE/mulberryferry/kv-txn" ||
-		fail "cannot write $1"
-}
-
-VERSION=3
-# all_follow WHAT: all nodes run, put the next version in force and serve.
-all_follow() {
-	local n pid
-	VERSION=$((VERSION + 1))
-	put_document $VERSION one '"key-1"'
-	for n in a1 b1; do
-		pid="pid_$n"
-		kill -0 "${!pid}" 2>/dev/null ||
-			fail "$1: $n ended: $(tail -n 3 "$WORK/$n.log")"
-		grep "Sanitizer\|runtime error" "$WORK/$n.log" && fail "$1: $n"
-		wait_for 10 grep -q "config-in-force number=$VERSION " \
-			"$WORK/$n.log" || fail "$1: $n does not follow"
-		wait_for 10 status_is 200 $n /r/0 -H "$(key key-1)" ||
-			fail "$1: $n does not serve: $(cat "$WORK/body")" \
-				"$(tail -n 3 "$WORK/$n.log")"
-	done
-}
-
 start_two_hosts
 sleep 2 # until the parts of the account limits are written
 for value in "${ODD[@]}"; do
 	for entry in seeds/a/9 seeds/odd quota/p/odd quota/s/odd \
 		departures/odd \
 		quota/s/10.0.0.1:65536/acc quota/s/10.0.0.1:0/acc departures/a1; do
-		put "$entry" "$value"
+		put_entry "$entry" "$value"
 	done
 done
 # Only operators write those below op/.
