Count bodies of requests while they are read

Cause: a body was compared with the memory for bodies only once complete.

Change: a body reserves its length at its head, until its answer. One that does not fit is refused with 503 as not run, and the rest of it is discarded before the connection closes, so that the answer arrives whole.

Ruled out: waiting unread, as the caller's deadline would run on in silence.

--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -68,6 +68,13 @@
 /* Whether no byte of the next message has been read. */
 bool http_reader_idle(const struct http_reader *r);
 
+/*
+ * Raises the memory reserved for the body of a request from *held to size;
+ * returns -1 and leaves *held if it exceeds what net_limit_requests allows.
+ */
+int request_memory_hold(struct net *net, size_t *held, size_t size);
+void request_memory_release(struct net *net, size_t *held);
+
 int http_write_response(struct buffer *out, const struct message *m, bool head,
 			bool close);
 int http_write_request(struct buffer *out, const struct message *m,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -12,6 +12,8 @@
 /* A lingering connection is closed after this time if all output is written. */
 #define LINGER_US USEC_PER_SEC
 #define TIMEOUT_CHECK_US (250 * USEC_PER_MSEC)
+/* A rejected peer that goes on sending is cut after this time. */
+#define DISCARD_MAX_US (10 * USEC_PER_SEC)
 /* A peer that reads nothing of its response for this long has given up. */
 #define READ_STALL_US (15 * USEC_PER_SEC)
 
@@ -22,6 +24,7 @@
 #define DEFAULT_IDLE_TIMEOUT_US (75 * USEC_PER_SEC)
 
 #define STATUS_TIMEOUT 408
+#define STATUS_UNAVAILABLE 503
 
 struct server_conn;
 
@@ -35,6 +38,7 @@
 	bool close_after; /* close the connection after this one */
 	bool has_response;
 	struct buffer response;
+	size_t body_held; /* see request_memory_hold */
 };
 
 struct server_conn {
@@ -53,9 +57,12 @@
 	bool last_sent;	      /* the response that closes it was written */
 	struct server_conn *resume_prev;
 	struct server_conn *resume_next;
-	bool resume_due;	 /* listed in http_server.resumed */
-	bool no_more_requests;	 /* further input is discarded */
-	bool lingering;		 /* to be closed once all output is written */
+	bool resume_due;       /* listed in http_server.resumed */
+	bool no_more_requests; /* further input is discarded */
+	bool lingering;	       /* to be closed once all output is written */
+	bool discards; /* and once the peer has sent the rest of its request */
+	int64_t discards_until_us;
+	size_t body_held;	 /* for the request in the reader */
 	size_t unread;		 /* bytes of unread output, when last looked */
 	int64_t unread_since_us; /* since when it has not changed */
 	int64_t state_since_us;	 /* idle or reading a request since */
@@ -94,6 +101,7 @@
 	DL_DELETE(c->first, e);
 	c->exchange_count--;
 	table_remove(&c->server->exchanges, e->handle);
+	request_memory_release(c->server->net, &e->body_held);
 	buffer_free(&e->response);
 	free(e);
 }
@@ -144,9 +152,19 @@
 		tcp_listener_set_accepting(&s->listener, true);
 	}
 	end_exchanges(c);
+	request_memory_release(s->net, &c->body_held);
 	net_free_later(s->net, c, free_conn);
 }
 
+/* Ends a lingering connection whose output is written. */
+static void end_output(struct server_conn *c)
+{
+	if (c->discards)
+		tcp_end_output(&c->tcp);
+	else
+		close_conn(c);
+}
+
 /* Closes the connection once all output is written. */
 static void close_after_write(struct server_conn *c)
 {
@@ -154,7 +172,7 @@
 	c->no_more_requests = true;
 	c->state_since_us = net_now();
 	if (tcp_all_written(&c->tcp))
-		close_conn(c);
+		end_output(c);
 }
 
 /*
@@ -206,7 +224,11 @@
 	return e;
 }
 
-/* Sends an error response without calling the handler and stops reading. */
+/*
+ * Sends an error response without calling the handler. The rest of the request
+ * is discarded: a close with unread input would reset the connection, and the
+ * peer could lose the response.
+ */
 static void reject(struct server_conn *c, int status)
 {
 	const struct http_server *s = c->server;
@@ -217,9 +239,15 @@
 	if (!e)
 		return;
 	c->no_more_requests = true;
+	c->discards = true;
+	c->discards_until_us = net_now() + DISCARD_MAX_US;
+	message_free(&c->reader.message);
+	request_memory_release(s->net, &c->body_held);
 	e->close_after = true;
 	e->has_response = true;
 	message_add_header(&m, "content-type", "application/problem+json");
+	if (status == STATUS_UNAVAILABLE)
+		message_add_header(&m, "retry-after", "1");
 	if (s->options.outcome_header)
 		message_add_header(&m, s->options.outcome_header, "not-run");
 	buffer_printf(&m.body,
@@ -246,6 +274,8 @@
 	c->no_more_requests |= e->close_after;
 	memset(&c->reader.message, 0, sizeof(c->reader.message));
 	http_reader_reset(&c->reader, false);
+	e->body_held = c->body_held;
+	c->body_held = 0;
 	s->options.on_request(s->options.ctx, e->handle, &m, c->peer,
 			      net_now());
 	message_free(&m);
@@ -266,6 +296,38 @@
 	       strcmp(method, "HEAD") != 0;
 }
 
+/*
+ * Reserves memory for the body of the request being read: its announced length,
+ * or what has arrived of one without. Returns -1 if there is not enough.
+ */
+static int hold_body(struct server_conn *c)
+{
+	struct buffer *body = &c->reader.message.body;
+	int64_t left = http_reader_body_left(&c->reader);
+	size_t size = body->len;
+
+	if (!c->reader.in_body)
+		return 0;
+	if (left > 0)
+		size += (size_t)left;
+	if (request_memory_hold(c->server->net, &c->body_held, size) < 0)
+		return -1;
+	return left > 0 ? buffer_reserve(body, size) : 0;
+}
+
+static void refuse_body(struct server_conn *c)
+{
+	struct log_line line;
+
+	counter_add(COUNTER_REFUSED, 1);
+	log_start(&line, LOG_WARNING, "body-refused");
+	log_str(&line, "peer", c->peer);
+	log_int(&line, "held", (int64_t)c->server->net->requests_held);
+	log_str(&line, "why", "memory");
+	log_emit(&line);
+	reject(c, STATUS_UNAVAILABLE);
+}
+
 /* Parses buffered input; returns true once a request is complete. */
 static bool parse_input(struct server_conn *c)
 {
@@ -283,6 +345,10 @@
 		reject(c, c->reader.error_status);
 		return false;
 	}
+	if (hold_body(c) < 0) {
+		refuse_body(c);
+		return false;
+	}
 	if (rc == HTTP_READ_COMPLETE)
 		c->request_pending = true;
 	return rc == HTTP_READ_COMPLETE;
@@ -357,8 +423,11 @@
 	struct server_conn *c = t->owner;
 
 	/* Discarded: unread data on close would reset the connection. */
-	if (c->no_more_requests)
+	if (c->no_more_requests) {
+		if (c->discards)
+			c->state_since_us = net_now();
 		return;
+	}
 	if (!c->first && http_reader_idle(&c->reader) && !c->input.len)
 		mark_active(c);
 	if (buffer_append(&c->input, data, len, SIZE_MAX) < 0) {
@@ -379,7 +448,7 @@
 	struct server_conn *c = t->owner;
 
 	if (c->lingering)
-		close_conn(c);
+		end_output(c);
 }
 
 static const struct tcp_handler handler = {
@@ -392,6 +461,12 @@
 	       !tcp_has_input(&c->tcp);
 }
 
+/* Whether only the rest of a rejected request is to come. */
+static bool only_discards(const struct server_conn *c)
+{
+	return c->discards && c->lingering && tcp_all_written(&c->tcp);
+}
+
 /* Closes the connection idle for longest; returns false if none is idle. */
 static bool close_longest_idle(struct http_server *s)
 {
@@ -399,7 +474,7 @@
 
 	DL_FOREACH(s->conns, c)
 	{
-		if (!is_idle(c))
+		if (!is_idle(c) && !only_discards(c))
 			continue;
 		close_conn(c);
 		return true;
@@ -439,7 +514,8 @@
 	int64_t age = now - c->state_since_us;
 
 	if (c->lingering)
-		return age >= LINGER_US && tcp_all_written(&c->tcp);
+		return (age >= LINGER_US && tcp_all_written(&c->tcp)) ||
+		       (c->discards && now >= c->discards_until_us);
 	if (c->first || c->request_pending)
 		return false;
 	if (!http_reader_idle(&c->reader))
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -78,6 +78,13 @@
 void http_server_drain(struct http_server *s);
 uint32_t http_server_connections(const struct http_server *s);
 
+/*
+ * Limits the memory for bodies of requests, from the first byte of the body to
+ * the response, over all servers. A request that does not fit is refused with
+ * 503 as not run. Large ones leave a part of it to the others.
+ */
+void net_limit_requests(struct net *net, size_t max);
+
 /*
  * Limits the memory for large responses that pools with bodies_wait receive at
  * once. A response that would exceed it is read on when there is room.
--- a/src/net/net_impl.h
+++ b/src/net/net_impl.h
@@ -47,8 +47,10 @@
 	struct net_vhost *vhosts;
 	struct http_pool *pools;
 	struct listen_probe *probes;
-	size_t bodies_max;  /* see net_limit_bodies; 0: no limit */
-	size_t bodies_held; /* reserved for large responses */
+	size_t requests_max;  /* see net_limit_requests; 0: no limit */
+	size_t requests_held; /* reserved for bodies of requests */
+	size_t bodies_max;    /* see net_limit_bodies; 0: no limit */
+	size_t bodies_held;   /* reserved for large responses */
 	struct pool_conn *bodies_waiting;
 	struct net_deferred_free *deferred_frees; /* after this iteration */
 	volatile bool stopping; /* also set by other threads and signals */
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -221,6 +221,13 @@
 		ev_io_stop(t->net->loop, &t->readable);
 }
 
+/* All queued bytes must have been sent. */
+void tcp_end_output(struct tcp *t)
+{
+	if (tcp_is_open(t))
+		shutdown(t->fd, SHUT_WR);
+}
+
 /* Closes without calling ended; no effect on a closed connection. */
 void tcp_close(struct tcp *t)
 {
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -41,6 +41,8 @@
 	       const struct tcp_handler *handler, void *owner);
 int tcp_write(struct tcp *t, const void *data, size_t len);
 void tcp_set_reading(struct tcp *t, bool on);
+/* Sends an end of file; received data still goes to the handler. */
+void tcp_end_output(struct tcp *t);
 void tcp_close(struct tcp *t);
 bool tcp_is_open(const struct tcp *t);
 bool tcp_all_written(const struct tcp *t);
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -237,6 +237,7 @@
 				  .on_cancelled = on_cancelled,
 				  .on_peer_msg = on_peer_message};
 
+	net_limit_requests(n->net, n->settings.memory_limit);
 	net_limit_bodies(n->net, n->settings.memory_limit / RECEIVED_DIVISOR);
 	if (open_http(n, err) < 0)
 		return -1;
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -18,7 +18,7 @@
 	["open", "$HOST", "/open/", $open]${EXTRA_ROUTES:-}]},
 	"services": {"columns": ["name", "max_connections"${COLD_COLUMNS:-}],
 	"rows": [["one", 64${COLD_VALUES:-}], ["two", 64${COLD_VALUES:-}]]},
-	"limits": {"max_header_bytes": 16384, "max_body_bytes": 100000,
+	"limits": {"max_header_bytes": 16384, "max_body_bytes": ${MAX_BODY:-100000},
 	"header_timeout_s": 3, "idle_timeout_s": 15},
 	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
 	"burst"], "rows": [["acc", [$3], 1, 1000, 200],
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -654,6 +654,70 @@
 	free(c);
 }
 
+/* Sends what is given and reads to the end of file into the client's reply. */
+static void finish(struct client *c, int fd, const char *sends)
+{
+	send_all(fd, sends, strlen(sends));
+	read_reply(c, fd);
+	close(fd);
+}
+
+#define LONG_HEAD "POST /a HTTP/1.1\r\nContent-Length: 20\r\n" H END
+
+static void *share_memory(void *arg)
+{
+	struct client *c = arg;
+	int first = connect_to(&c->to), second = connect_to(&c->to), third, i;
+	char byte;
+
+	send_all(first, LONG_HEAD "a", strlen(LONG_HEAD) + 1);
+	usleep(100000);
+	finish(c, second,
+	       "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" H END
+	       "5\r\nabcde\r\n7\r\nabcdefg\r\n");
+	assert_non_null(strstr(c->reply, "HTTP/1.1 503 "));
+	third = connect_to(&c->to);
+	send_all(third, LONG_HEAD "a", strlen(LONG_HEAD) + 1);
+	assert_int_equal(recv(third, &byte, 1, MSG_PEEK), 1);
+	for (i = 0; i < 5; i++) {
+		send_all(third, "aa", 2);
+		usleep(20000);
+	}
+	finish(c, third, "");
+	assert_non_null(strstr(c->reply, "HTTP/1.1 503 "));
+	assert_non_null(strstr(c->reply, "retry-after: "));
+	assert_non_null(strstr(c->reply, "\"outcome\":\"not-run\"}"));
+	finish(c, first, "aaaaaaaaaaaaaaaaaaa");
+	assert_non_null(strstr(c->reply, "HTTP/1.1 200 "));
+	finish(c, connect_to(&c->to), LONG_HEAD "bbbbbbbbbbbbbbbbbbbb");
+	assert_non_null(strstr(c->reply, "HTTP/1.1 200 "));
+	net_stop(c->net);
+	return NULL;
+}
+
+/*
+ * Bodies that were still being read counted for nothing: callers that sent some
+ * at once took the process over its memory. Now one that does not fit gets a
+ * whole 503, also while its caller goes on sending.
+ */
+static void bodies_being_read_share_memory(void **state)
+{
+	struct client *c = calloc(1, sizeof(*c));
+	struct server_log server_log;
+	pthread_t thread;
+
+	(void)state;
+	open_server(&server_log, &c->to);
+	net_limit_requests(server_log.net, 30);
+	c->net = server_log.net;
+	assert_int_equal(pthread_create(&thread, NULL, share_memory, c), 0);
+	net_run(server_log.net);
+	pthread_join(thread, NULL);
+	assert_int_equal(server_log.requests, 2);
+	net_close(server_log.net);
+	free(c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -663,6 +727,7 @@
 		cmocka_unit_test(drain_serves_open_and_new_requests),
 		cmocka_unit_test(pipelined_responses_keep_request_order),
 		cmocka_unit_test(responding_calls_no_handler),
+		cmocka_unit_test(bodies_being_read_share_memory),
 		cmocka_unit_test(connections_are_bounded_and_counted),
 		cmocka_unit_test(idle_connections_are_closed_at_the_limit),
 	};
