Answer 502 for once-only requests that ran and failed with a refusal's status

Cause: an answer without Mulberryferry-Not-Executed was passed on whatever its status, and 408, 421, 429 and 503 promise callers that nothing ran.

Change: the entry answers such requests 502. A 421 is one of another process only if it says that it did not run the request or names that process.

Evidence: test/platform.sh, fail_status 503, 429, 408, 421: failed before (the status was passed on; 421: 503 and a second run), passes now.

--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -148,20 +148,23 @@
 	return status == 429 || status == 503 || reason == REASON_CLAIM_RUNNING;
 }
 
+/* Whether callers take a status for the promise that nothing ran. */
+static bool implies_not_run(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /*
  * Returns the status to send where callers learn the outcome from it. Statuses
  * that imply that the request did not run are sent only when that is certain.
  */
 static int status_for_outcome(int status, enum outcome outcome)
 {
-	bool implies_not_run = status == 408 || status == 421 ||
-			       status == 429 || status == 503;
-
 	if (status == STATUS_CANCELLED)
 		status = 504;
 	if (outcome == OUTCOME_NOT_RUN)
 		return status >= 500 ? 503 : status;
-	return implies_not_run ? 502 : status;
+	return implies_not_run(status) ? 502 : status;
 }
 
 /*
@@ -201,10 +204,27 @@
 	return FILTER_END;
 }
 
-/* Ends a request with the complete answer of an upstream. */
+/*
+ * Whether an upstream's answer would tell the caller of a once-only request that
+ * it did not run, although the upstream did not say so.
+ */
+static bool denies_run(const struct node *n, const struct request *r,
+		       const struct message *answer)
+{
+	return n->headers->status_implies_outcome && request_runs_once(r) &&
+	       implies_not_run(answer->status);
+}
+
+/*
+ * Ends a request with the complete answer of an upstream, or with a refusal of
+ * this node where the answer could not be understood as it was meant.
+ */
 enum filter_result request_answer(struct node *n, struct request *r,
 				  struct message *answer, int64_t now)
 {
+	if (denies_run(n, r, answer))
+		return request_refuse(n, r, REASON_UPSTREAM_FAILED,
+				      OUTCOME_UNKNOWN, now);
 	settle_claim(n, r, OUTCOME_DONE, answer, now);
 	record_end(n, r, DECISION_ANSWERED, REASON_NONE, OUTCOME_DONE,
 		   answer->status, now);
--- a/src/filter/interface_headers.h
+++ b/src/filter/interface_headers.h
@@ -12,6 +12,7 @@
 	const char *outcome;	   /* whether a refused request ran */
 	const char *account;	   /* client account, sent to upstreams */
 	const char *instance;	   /* process that alone may run the request */
+	const char *answering;	   /* process that refuses it by a 421 */
 	const char *caller;	   /* service on the caller's host */
 	const char *not_run;	   /* set by upstreams that did not run it */
 	const char *success_proof; /* set on every 2xx answer of an upstream */
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -227,6 +227,22 @@
 	bool replaced; /* another process now listens on the address */
 };
 
+/*
+ * Whether another process has the address: the answer names it. A 421 of the
+ * upstream itself says nothing of that.
+ */
+static bool is_of_another_process(const struct interface_headers *headers,
+				  const struct call *c, const struct message *m)
+{
+	const char *answering, *expected;
+
+	if (!headers->instance || m->status != STATUS_MISDIRECTED)
+		return false;
+	answering = message_header(m, headers->answering);
+	expected = message_header(&c->message, headers->instance);
+	return answering && expected && strcmp(answering, expected) != 0;
+}
+
 /*
  * Derives the outcome from a complete answer. An upstream may state that it
  * did not run the call. A success without the header that proves it comes
@@ -238,7 +254,7 @@
 {
 	struct call_result result = {.outcome = OUTCOME_DONE};
 
-	if (headers->instance && m->status == STATUS_MISDIRECTED) {
+	if (is_of_another_process(headers, c, m)) {
 		result.outcome = OUTCOME_NOT_RUN;
 		result.reason = REASON_NO_UPSTREAM;
 		result.replaced = true;
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -67,6 +67,24 @@
 	fail "a sub-call carries an account"
 echo "ok a sub-call inherits from the request that makes it, and ends with it"
 
+# An upstream that ran a request and failed with a status that means "not run",
+# without saying so, had its answer passed on: callers sent the request again.
+for status in 503 429 408 421; do
+	upstream_fault u1 fail_status=$status
+	upstream_fault slow fail_status=$status
+	expect 502 a1 /once/8 -X POST -H "$(key key-1)" \
+		-H "Mulberryferry-Attempt-Id: fails$status"
+	[ "$(cat "$WORK"/u1.out "$WORK"/slow.out | grep -c fails$status)" = 1 ] ||
+		fail "a once-only request that failed with $status ran again"
+	expect $status a1 /r/8 -H "$(key key-1)"
+done
+upstream_fault u1 fail_status=500
+upstream_fault slow fail_status=500
+expect 500 a1 /once/8 -X POST -H "$(key key-1)"
+upstream_fault u1 fail_status=0
+upstream_fault slow fail_status=0
+echo "ok no failure of a once-only request passes for not run"
+
 upstream_fault u1 unsigned=1
 upstream_fault slow unsigned=1
 expect 502 a1 /once/7 -X POST -H "$(key key-1)" \
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -45,6 +45,7 @@
 	size_t run_count;
 	uint32_t full;		 /* refuse every request */
 	uint32_t omit_signature; /* answer without a signature */
+	uint32_t fail_status;	 /* of answers to what it ran; 0: success */
 	uint32_t draining;
 	uint32_t crash;	   /* at the next tick */
 	uint32_t leaving;  /* say so in answers, not in heartbeats */
@@ -283,6 +284,7 @@
 	if (!strncmp(m->target, "/standin/", strlen("/standin/"))) {
 		set_fault(m->target, "full=", &upstream.full);
 		set_fault(m->target, "unsigned=", &upstream.omit_signature);
+		set_fault(m->target, "fail_status=", &upstream.fail_status);
 		set_fault(m->target, "draining=", &upstream.draining);
 		set_fault(m->target, "leaving=", &upstream.leaving);
 		set_fault(m->target, "leave_ms=", &upstream.leave_ms);
@@ -304,6 +306,8 @@
 		if (is_too_many(now) || crashes(m))
 			crash();
 		fill_body(&answer.body, m->target);
+		if (upstream.fail_status)
+			answer.status = (int)upstream.fail_status;
 		if (!upstream.omit_signature)
 			add_header(&answer, "mulberryferry-response-signature",
 				   "1.2");
