Keep room for the header fields that nodes set

Cause: a message took 100 fields, whoever set them, and a field that did not fit was left out without a word.

Change: 4,096 fields, of which 16 are kept for nodes; a call whose fields can't be set is refused as not run.

The stand-in takes heads of 64 KB.

--- a/src/filter/identity.c
+++ b/src/filter/identity.c
@@ -147,9 +147,11 @@
 	memcpy(r->id, r->root, sizeof(r->id));
 	r->admit_hash = make_admit_hash(n, r, now);
 	remove_reserved_headers(n->headers, &r->message);
-	if (n->headers->caller)
-		message_add_header(&r->message, n->headers->caller,
-				   n->settings.service);
+	if (n->headers->caller &&
+	    message_add_header(&r->message, n->headers->caller,
+			       n->settings.service) < 0)
+		return request_refuse(n, r, REASON_OVERLOADED, OUTCOME_NOT_RUN,
+				      now);
 	if (given && !r->id_from_caller && n->headers->context)
 		return request_refuse(n, r, REASON_BAD_REQUEST, OUTCOME_NOT_RUN,
 				      now);
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -104,6 +104,8 @@
 		return -1;
 	if (!strcmp(name, "keep-alive"))
 		parse_keep_alive(r, value);
+	if (r->message.header_count >= HEADERS_MAX - HEADERS_OF_NODE_MAX)
+		return -1;
 	if (!is_hop_by_hop(name) &&
 	    message_add_header(&r->message, name, value) < 0)
 		return -1;
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -365,33 +365,34 @@
 	gates_dispatch(n, upstream, now);
 }
 
-static void set_header(struct message *m, const char *name, const char *value)
+static int set_header(struct message *m, const char *name, const char *value)
 {
 	if (!name)
-		return;
+		return 0;
 	message_remove_header(m, name);
-	if (value[0])
-		message_add_header(m, name, value);
+	return value[0] ? message_add_header(m, name, value) : 0;
 }
 
-static void add_call_headers(const struct interface_headers *headers,
-			     const struct local_upstream *u, struct call *c,
-			     int64_t now)
+/* Returns -1 if one could not be set: the call must not run without it. */
+static int add_call_headers(const struct interface_headers *headers,
+			    const struct local_upstream *u, struct call *c,
+			    int64_t now)
 {
 	char ms[24];
 
 	snprintf(ms, sizeof(ms), "%lld",
 		 (long long)((c->deadline_us - now) / USEC_PER_MSEC));
-	set_header(&c->message, headers->request, c->head.request);
-	set_header(&c->message, headers->deadline_ms, ms);
-	set_header(&c->message, headers->context, c->token);
-	set_header(&c->message, headers->instance, u->instance);
+	if (set_header(&c->message, headers->request, c->head.request) < 0 ||
+	    set_header(&c->message, headers->deadline_ms, ms) < 0 ||
+	    set_header(&c->message, headers->context, c->token) < 0 ||
+	    set_header(&c->message, headers->instance, u->instance) < 0)
+		return -1;
 	/*
 	 * A sub-call is made by a service, not by the client account. Its
 	 * account is used for fairness between accounts only.
 	 */
-	set_header(&c->message, headers->account,
-		   c->head.depth ? "" : c->head.account);
+	return set_header(&c->message, headers->account,
+			  c->head.depth ? "" : c->head.account);
 }
 
 static void run_call(struct node *n, struct local_upstream *u, struct call *c,
@@ -410,7 +411,11 @@
 	if (n->headers->status_implies_outcome)
 		http.echo_header = n->headers->request;
 	c->started_us = now;
-	add_call_headers(n->headers, u, c, now);
+	if (add_call_headers(n->headers, u, c, now) < 0) {
+		gate_done(u->gate, c->handle, GATE_FAILED, now);
+		end_call(n, c, OUTCOME_NOT_RUN, REASON_OVERLOADED, NULL, now);
+		return;
+	}
 	c->http_call = http_call_start(u->pool, &http, now, &err);
 	record_call(n, c, DECISION_RUN, REASON_NONE, waited_us);
 	latency_add(LATENCY_QUEUE, waited_us);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -11,7 +11,9 @@
 
 #define FRAME_PAYLOAD_MAX (16 * 1024) /* body bytes in one frame */
 #define FRAME_MAX (64 * 1024)	      /* a sealed frame of any kind */
-#define HEADERS_MAX 100
+/* Each has five bytes at least, so heads of 16 KB hold fewer. */
+#define HEADERS_MAX 4096
+#define HEADERS_OF_NODE_MAX 16 /* of these, kept for those that nodes set */
 #define HEADER_BYTES_MAX (32 * 1024)
 #define DATAGRAM_MAX 1200
 #define PEER_BYTES_MAX (48 * 1024) /* text or bytes in one peer message */
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -67,6 +67,32 @@
 	fail "a sub-call carries an account"
 echo "ok a sub-call inherits from the request that makes it, and ends with it"
 
+# With 96 or more fields of a caller, those that nodes set were left out.
+for count in 90 95 96 97 200 1500; do
+	fields=()
+	for ((i = 0; i < count; i++)); do
+		fields+=(-H "p$i: v")
+	done
+	for node in a1 b1; do
+		expect 200 $node /r/many -H "$(key key-1)" "${fields[@]}" \
+			-H "Mulberryferry-Attempt-Id: fields$count$node"
+		line=$(grep -h "fields$count$node " "$WORK/u1.out" "$WORK/slow.out")
+		for expected in "mulberryferry-tenant=acc" "authorization=-" \
+			"mulberryferry-caller-service=front"; do
+			[[ $line == *" $expected"* ]] ||
+				fail "$count fields: $expected is not in $line"
+		done
+		[[ $line != *"expected-instance=- "* ]] ||
+			fail "$count fields: no expected instance in $line"
+	done
+done
+fields=()
+for ((i = 0; i < 3000; i++)); do
+	fields+=(-H "p$i: v")
+done
+expect 431 a1 /r/many -H "$(key key-1)" "${fields[@]}"
+echo "ok the number of header fields of a caller leaves out none of ours"
+
 # An upstream that ran a request and failed with a status that means "not run",
 # without saying so, had its answer passed on: callers sent the request again.
 for status in 503 429 408 421; do
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -13,6 +13,9 @@
 #include "net/net.h"
 
 #define HEALTH_PATH "/health"
+#define HEAD_MAX (64 * 1024)
+#define HEAD_TIMEOUT_US (10 * USEC_PER_SEC)
+#define IDLE_TIMEOUT_US (75 * USEC_PER_SEC)
 #define BODY_MAX (16 * 1024 * 1024)
 #define CONNECTIONS_MAX 1024
 #define HEARTBEAT_INTERVAL_US (300 * USEC_PER_MSEC)
@@ -525,6 +528,11 @@
 
 int main(int argc, char **argv)
 {
+	static const struct http_limits limits = {
+		.head_bytes = HEAD_MAX,
+		.body_bytes = BODY_MAX,
+		.head_timeout_us = HEAD_TIMEOUT_US,
+		.idle_timeout_us = IDLE_TIMEOUT_US};
 	struct http_server_options o = {.body_limit = BODY_MAX,
 					.connections_max = CONNECTIONS_MAX,
 					.on_request = on_request,
@@ -550,6 +558,7 @@
 		fprintf(stderr, "platform_upstream: %s\n", err.text);
 		return EXIT_FAILURE;
 	}
+	http_server_set_limits(upstream.server, &limits);
 	http_server_addr(upstream.server, &o.listen);
 	addr_format(&o.listen, upstream.addr);
 	printf("listening=%s\n", upstream.addr);
