Take no request with a key for a call of an upstream

Cause: where the interface has no context header, the id alone made a request a call of a service, which skips the key filter.

Change: one that carries a key is a caller's; one without gets past the key filter only on routes that need no key.

--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -23,13 +23,16 @@
 
 /*
  * Without a context header, the parent is found by request id: a sub-call's id
- * is that of its parent followed by a dot and a suffix.
+ * is that of its parent followed by a dot and a suffix. Callers may choose such
+ * ids too, but only they send a key.
  */
 static struct call *parent_by_request_id(struct node *n,
 					 const struct request *r)
 {
 	const char *dot = strrchr(r->id, '.');
 
+	if (message_header(&r->message, "authorization"))
+		return NULL;
 	return dot ? gates_call_by_request(n, r->id, (size_t)(dot - r->id))
 		   : NULL;
 }
--- a/src/filter/key.c
+++ b/src/filter/key.c
@@ -54,7 +54,9 @@
 {
 	const char *authorization;
 
-	if (r->origin == ORIGIN_SERVICE)
+	/* An id alone does not replace the key that a route asks for. */
+	if (r->origin == ORIGIN_SERVICE &&
+	    (n->headers->context || r->route->anonymous))
 		return FILTER_NEXT;
 	authorization = message_header(&r->message, "authorization");
 	if (authorization && !r->route->anonymous)
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -57,15 +57,26 @@
 	grep -q "root$i " "$WORK/slow.out" && break
 	wait "$root_pid"
 done
+[ $i -lt 50 ] || fail "no request reached the slow upstream"
+# A caller's next try, with the id of its first one, a dot and a number, was taken
+# for a sub-call: it ran without account and with the key, or without any key.
+expect 401 b1 /r/6 -H "Mulberryferry-Attempt-Id: root$i.2"
+expect 401 b1 /r/6 -H "$(key unknown)" -H "Mulberryferry-Attempt-Id: root$i.3"
+request b1 /r/6 -H "$(key key-1)" -H "Mulberryferry-Attempt-Id: root$i.4" >/dev/null &
+next_pid=$!
 # The sub-call takes as long as its parent but started later, so it is ended
 # when its parent ends.
 expect 504 b1 /open/6 -H "Mulberryferry-Attempt-Id: root$i.child"
-wait "$root_pid"
+wait "$root_pid" "$next_pid"
 wait_for 5 grep -qs "request=root$i.child root=root$i " "$WORK/b1.log" ||
 	fail "sub-call not recognised as one: $(grep "root$i" "$WORK"/*.log)"
 grep "root$i.child" "$WORK"/u1.out "$WORK"/slow.out | grep -q "tenant=-" ||
 	fail "a sub-call carries an account"
 echo "ok a sub-call inherits from the request that makes it, and ends with it"
+line=$(grep -h "root$i.4 " "$WORK/u1.out" "$WORK/slow.out")
+[[ $line == *" mulberryferry-tenant=acc "*" authorization=- "* ]] ||
+	fail "a next try ran as $line"
+echo "ok a dotted id of a caller replaces neither key nor account"
 
 # With 96 or more fields of a caller, those that nodes set were left out.
 for count in 90 95 96 97 200 1500; do
