Hold names of any length

Cause: one name that did not fit into 64 bytes refused the whole document.

Change: a longer name is held as its beginning and its hash, the same on all hosts, and the document keeps the long one, which upstreams get.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -122,6 +122,8 @@
 uint64_t name_hash(const char *name);
 uint64_t pair_hash(uint64_t a, uint64_t b);
 int copy_name(char *to, size_t size, const char *from);
+void name_fit(char to[NAME_SIZE], const char *from);
+bool name_is_fitted(const char *name);
 
 int64_t clock_monotonic_us(void);
 int64_t clock_wall_us(void);
--- a/src/conf/build.c
+++ b/src/conf/build.c
@@ -67,6 +67,27 @@
 	return put_copy(c, SECTION_ACCOUNTS, a, sizeof(*a));
 }
 
+/* Adds the long name of an account, or the same one if only it looks so. */
+int config_add_long_name(struct config *c, const char *account,
+			 const char *long_name)
+{
+	size_t size = sizeof(struct long_name) + strlen(long_name) + 1;
+	struct long_name *l = calloc(1, size);
+	void *item;
+	int rc = -1;
+
+	if (!l)
+		return -1;
+	copy_name(l->account, sizeof(l->account), account);
+	memcpy(l->text, long_name, strlen(long_name) + 1);
+	item = item_new(l, size);
+	if (item)
+		rc = section_put(&c->long_names, item);
+	item_put(item);
+	free(l);
+	return rc;
+}
+
 int config_add_key(struct config *c, const struct access_key *k)
 {
 	return put_copy(c, SECTION_KEYS, k, sizeof(*k));
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -235,6 +235,11 @@
 /* Lookups return NULL if there is no such item. */
 const struct service *config_service(const struct config *c, const char *name);
 const struct account *config_account(const struct config *c, const char *name);
+/*
+ * Returns the name that an account has outside: its own, or the long one that
+ * it stands for; NULL if that is not known here.
+ */
+const char *config_long_name(const struct config *c, const char *account);
 const struct route *config_route(const struct config *c, const char *name);
 const struct route *config_match(const struct config *c, const char *method,
 				 const char *path);
@@ -270,6 +275,8 @@
 int config_add_account(struct config *c, const struct account *a);
 int config_add_key(struct config *c, const struct access_key *k);
 void config_set_limits(struct config *c, const struct caller_limits *l);
+int config_add_long_name(struct config *c, const char *account,
+			 const char *long_name);
 int config_publish(struct config *c, uint64_t number, const char *release,
 		   const void *source, size_t len);
 
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -71,6 +71,12 @@
 	char last[NAME_SIZE];
 };
 
+/* The name of an account that does not fit into NAME_SIZE. */
+struct long_name {
+	char account[NAME_SIZE];
+	char text[];
+};
+
 struct config {
 	uint32_t refs;
 	uint64_t number;
@@ -81,6 +87,7 @@
 	struct section keys_by_hash;
 	struct section operators_by_hash;
 	struct section routes_by_host_prefix;
+	struct section long_names;
 	struct caller_limits limits;
 	uint32_t lowest_rank; /* of all accounts; the largest number */
 	bool account_homes;   /* see config_has_account_homes */
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -45,6 +45,7 @@
 	section_free(&c->keys_by_hash);
 	section_free(&c->operators_by_hash);
 	section_free(&c->routes_by_host_prefix);
+	section_free(&c->long_names);
 	buffer_free(&c->source);
 	trie_put(c->trie);
 	free(c);
@@ -68,6 +69,7 @@
 	section_copy(&n->keys_by_hash, &c->keys_by_hash);
 	section_copy(&n->operators_by_hash, &c->operators_by_hash);
 	section_copy(&n->routes_by_host_prefix, &c->routes_by_host_prefix);
+	section_copy(&n->long_names, &c->long_names);
 	memset(&n->source, 0, sizeof(n->source));
 	trie_get(n->trie);
 	return n;
@@ -184,6 +186,15 @@
 	return section_find(&c->by_name[SECTION_ACCOUNTS], name);
 }
 
+const char *config_long_name(const struct config *c, const char *account)
+{
+	const struct long_name *known = section_find(&c->long_names, account);
+
+	if (known)
+		return known->text;
+	return name_is_fitted(account) ? NULL : account;
+}
+
 const struct route *config_route(const struct config *c, const char *name)
 {
 	return section_find(&c->by_name[SECTION_ROUTES], name);
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -373,11 +373,25 @@
 	return value[0] ? message_add_header(m, name, value) : 0;
 }
 
+/*
+ * Returns the name of the call's account as upstreams know it; NULL if only a
+ * configuration that is not in force here has it. A sub-call is made by a
+ * service, not by the client account, which counts for fairness only.
+ */
+static const char *account_of_call(const struct node *n, const struct call *c)
+{
+	if (c->head.depth || !c->head.account[0])
+		return "";
+	return config_long_name(n->config, c->head.account);
+}
+
 /* Returns -1 if one could not be set: the call must not run without it. */
-static int add_call_headers(const struct interface_headers *headers,
+static int add_call_headers(const struct node *n,
 			    const struct local_upstream *u, struct call *c,
 			    int64_t now)
 {
+	const struct interface_headers *headers = n->headers;
+	const char *account = account_of_call(n, c);
 	char ms[24];
 
 	snprintf(ms, sizeof(ms), "%lld",
@@ -387,12 +401,8 @@
 	    set_header(&c->message, headers->context, c->token) < 0 ||
 	    set_header(&c->message, headers->instance, u->instance) < 0)
 		return -1;
-	/*
-	 * A sub-call is made by a service, not by the client account. Its
-	 * account is used for fairness between accounts only.
-	 */
-	return set_header(&c->message, headers->account,
-			  c->head.depth ? "" : c->head.account);
+	return account ? set_header(&c->message, headers->account, account)
+		       : -1;
 }
 
 static void run_call(struct node *n, struct local_upstream *u, struct call *c,
@@ -411,7 +421,7 @@
 	if (n->headers->status_implies_outcome)
 		http.echo_header = n->headers->request;
 	c->started_us = now;
-	if (add_call_headers(n->headers, u, c, now) < 0) {
+	if (add_call_headers(n, u, c, now) < 0) {
 		gate_done(u->gate, c->handle, GATE_FAILED, now);
 		end_call(n, c, OUTCOME_NOT_RUN, REASON_OVERLOADED, NULL, now);
 		return;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -114,6 +114,46 @@
 	config_put(c);
 }
 
+/* A name that did not fit refused the whole document. */
+static void long_names_are_kept(void **state)
+{
+	char name[201], text[1024], other[NAME_SIZE];
+	const struct access_key *k;
+	uint8_t hash[KEY_HASH_SIZE];
+	struct config *c;
+	size_t len;
+
+	(void)state;
+	for (len = 1; len < sizeof(name); len++) {
+		memset(name, 'n', len);
+		name[len] = 0;
+		snprintf(text, sizeof(text),
+			 "{\"version\":1,\"tenants\":{\"columns\":[\"name\","
+			 "\"api_keys\"],\"rows\":[[\"%s\",[\"k\"]]]}}",
+			 name);
+		c = read_document(text);
+		assert_non_null(c);
+		key_hash(hash, "k");
+		k = config_key(c, hash);
+		assert_string_equal(config_long_name(c, k->account), name);
+		assert_int_equal(name_is_fitted(k->account), len >= NAME_SIZE);
+		config_put(c);
+	}
+	name_fit(other, name);
+	name[199] = 'm';
+	name_fit(text, name);
+	assert_string_not_equal(other, text);
+	/* Cut between characters, and not known to another configuration. */
+	memset(name, 'n', 45);
+	memcpy(name + 45, "\xc3\xa9", 2);
+	name_fit(other, name);
+	assert_int_equal(other[45], '~');
+	c = config_new();
+	assert_null(config_long_name(c, other));
+	assert_string_equal(config_long_name(c, "short"), "short");
+	config_put(c);
+}
+
 static const char *const bad_documents[] = {
 	"",
 	"[]",
@@ -532,6 +572,7 @@
 		cmocka_unit_test(document_is_decoded),
 		cmocka_unit_test(prefixes_match_whole_path_segments),
 		cmocka_unit_test(account_priority_raises_shed_class),
+		cmocka_unit_test(long_names_are_kept),
 		cmocka_unit_test(malformed_documents_are_refused),
 		cmocka_unit_test(unknown_route_kind_is_named),
 		cmocka_unit_test(home_regions_are_decoded),
