Cut callers that pause before callers that read

Cause: unread answers had an eighth of the host's memory, counted in buffers of up to twice their content, and the oldest answer was cut first.

Change: a quarter, in buffers of the exact size; callers that have read nothing for a second go first. Bodies of requests take less beside them.

--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -70,9 +70,11 @@
 
 /*
  * Raises the memory reserved for the body of a request from *held to size;
- * returns -1 and leaves *held if it exceeds what net_limit_requests allows.
+ * returns -1 and leaves *held if that exceeds what net_limit_requests allows
+ * beside the bytes of responses that are unread.
  */
-int request_memory_hold(struct net *net, size_t *held, size_t size);
+int request_memory_hold(struct net *net, size_t *held, size_t size,
+			size_t unread);
 void request_memory_release(struct net *net, size_t *held);
 
 int http_write_response(struct buffer *out, const struct message *m, bool head,
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -14,6 +14,8 @@
 #define TIMEOUT_CHECK_US (250 * USEC_PER_MSEC)
 /* A rejected peer that goes on sending is cut after this time. */
 #define DISCARD_MAX_US (10 * USEC_PER_SEC)
+/* One that has read nothing for this long is cut first if memory is short. */
+#define READ_PAUSE_US USEC_PER_SEC
 /* A peer that reads nothing of its response for this long has given up. */
 #define READ_STALL_US (15 * USEC_PER_SEC)
 
@@ -310,7 +312,8 @@
 		return 0;
 	if (left > 0)
 		size += (size_t)left;
-	if (request_memory_hold(c->server->net, &c->body_held, size) < 0)
+	if (request_memory_hold(c->server->net, &c->body_held, size,
+				c->server->unread_most) < 0)
 		return -1;
 	return left > 0 ? buffer_reserve(body, size) : 0;
 }
@@ -548,20 +551,17 @@
 	return total;
 }
 
-/*
- * Closes connections until unread responses fit into memory again, first those
- * whose response was written first: whoever reads has it by then.
- */
-static void cut_slow_readers(struct http_server *s)
+/* Closes those that have read nothing since until unread responses fit. */
+static void cut_readers_since(struct http_server *s, int64_t since_us)
 {
 	struct server_conn *c, *next;
 
-	s->unread_most = unread_total(s);
 	DL_FOREACH_SAFE(s->conns, c, next)
 	{
 		if (s->unread_most <= s->options.unread_max)
 			return;
-		if (!tcp_queued_memory(&c->tcp))
+		if (!tcp_queued_memory(&c->tcp) ||
+		    c->unread_since_us > since_us)
 			continue;
 		log_slow_reader(c, "memory", s->unread_most);
 		s->unread_most -= tcp_queued_memory(&c->tcp);
@@ -569,6 +569,18 @@
 	}
 }
 
+/*
+ * Closes connections until unread responses fit into memory again: first those
+ * whose peers pause, then those whose response was written first, as whoever
+ * reads has it by then.
+ */
+static void cut_slow_readers(struct http_server *s)
+{
+	s->unread_most = unread_total(s);
+	cut_readers_since(s, net_now() - READ_PAUSE_US);
+	cut_readers_since(s, INT64_MAX);
+}
+
 /* Counts the output that c holds; the exact total is only added up if needed.
  */
 static void limit_unread(struct server_conn *c)
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -202,6 +202,10 @@
 		return -1;
 	if (!t->connecting && !ev_is_active(&t->writable))
 		sent = send_now(t, data, len);
+	/* Grown step by step, a large answer takes up to twice its size. */
+	if (sent >= 0 && (size_t)sent < len && !t->out.len &&
+	    buffer_reserve(&t->out, len - (size_t)sent) < 0)
+		return -1;
 	if (sent < 0 || buffer_append(&t->out, (const uint8_t *)data + sent,
 				      len - (size_t)sent, OUT_MAX) < 0)
 		return -1;
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -7,8 +7,9 @@
 #include "node/leaving.h"
 #include "platform/platform.h"
 
-#define UNREAD_DIVISOR 2   /* of the memory for bodies: unread by callers */
-#define RECEIVED_DIVISOR 4 /* and of large answers that upstreams send */
+/* Parts of the memory for bodies, beside unread answers of up to all of it. */
+#define REQUESTS_DIVISOR 4 /* 3/4 for bodies of requests, until the answer */
+#define RECEIVED_DIVISOR 4 /* large answers that upstreams send */
 #define ANNOUNCEMENT_PATH "/mulberryferry/v1/announcement"
 #define LOCAL_CONNECTIONS_MAX 4096
 #define ADMIN_CONNECTIONS_MAX 256
@@ -197,8 +198,7 @@
 	struct http_server_options o = {.listen = s->callers,
 					.body_limit = s->body_limit,
 					.connections_max = s->connections_max,
-					.unread_max = s->memory_limit /
-						      UNREAD_DIVISOR,
+					.unread_max = s->memory_limit,
 					.outcome_header = n->headers->outcome,
 					.ctx = n,
 					.on_request = on_caller,
@@ -237,7 +237,9 @@
 				  .on_cancelled = on_cancelled,
 				  .on_peer_msg = on_peer_message};
 
-	net_limit_requests(n->net, n->settings.memory_limit);
+	net_limit_requests(n->net,
+			   n->settings.memory_limit -
+				   n->settings.memory_limit / REQUESTS_DIVISOR);
 	net_limit_bodies(n->net, n->settings.memory_limit / RECEIVED_DIVISOR);
 	if (open_http(n, err) < 0)
 		return -1;
--- /dev/null
+++ b/test/slow_answers.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# Callers with small receive buffers that read their answers, but slowly.
+cd "$(dirname "$0")/.."
+. test/harness.bash
+. test/platform.bash
+
+HOST_LIMITS="\"host_limits\": {\"memory_mb\": 260, \"descriptors\": 4100},
+	\"limits\": {\"body_bytes\": 16777216},"
+
+# read_slowly NODE NAME PATH [OPTIONS]: a once-only request; the line about its
+# answer goes to WORK/NAME.
+read_slowly() {
+	local callers="callers_$1"
+	"$TOOLS/slow_reader" --to "${!callers}" --method POST "$3" \
+		--header "Host: $HOST" --header "$(key key-1)" \
+		--header "Content-Length: 0" "${@:4}" >"$WORK/$2" &
+	readers+=($!)
+}
+
+# all_whole COUNT WHAT: waits for the readers and checks each answer.
+all_whole() {
+	local whole
+	wait "${readers[@]}"
+	readers=()
+	whole=$(cat "$WORK"/reader* | awk '{sub(".*=", "", $2); sub(".*=", "", $3)}
+		$1 == "status=200" && $2 == $3 {n++} END {print n + 0}')
+	[ "$whole" = "$1" ] || fail "$whole of $1 $2 were whole:" \
+		"$(cat "$WORK"/reader* | sort | uniq -c)"
+	rm "$WORK"/reader*
+	echo "ok $whole $2 are whole"
+}
+
+start_two_hosts
+readers=()
+
+# Readers that went on all the while were cut off at an eighth of the host's
+# memory, by the order in which their answers were written.
+for i in $(seq 34); do
+	read_slowly a1 "reader$i" "/once/bytes=1500000" --rate 300000
+done
+all_whole 34 "answers of steady readers"
+
+echo "slow answers passed"
