Let callers pause for as long as the node means to wait

Cause: TCP_USER_TIMEOUT of 3 s, which also counts while the peer has no room.

Change: just above READ_STALL_US for callers, 60 s for upstreams, whose calls have deadlines; 3 s as before for the store and probes.

Evidence: test/slow_answers.sh failed before (0 of 8 whole) and passes.

--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -428,6 +428,8 @@
 		free(c);
 		return NULL;
 	}
+	if (p->options.pause_us)
+		tcp_allow_pauses(&c->tcp, p->options.pause_us);
 	http_reader_init(&c->reader, &o);
 	if (p->options.connect_timeout_us)
 		net_alarm_set(p->net, &c->connect_timeout, net_now(),
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -503,6 +503,7 @@
 	DL_APPEND(s->conns, c);
 	s->connections++;
 	tcp_adopt(&c->tcp, s->net, fd, &handler, c);
+	tcp_allow_pauses(&c->tcp, READ_STALL_US + TIMEOUT_CHECK_US);
 	/* Leave further ones in the backlog rather than reset them. */
 	if (s->connections >= s->options.connections_max &&
 	    !close_longest_idle(s)) {
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -104,6 +104,8 @@
 	int64_t idle_timeout_us;    /* or less, as Keep-Alive says */
 	int64_t connect_timeout_us; /* then HTTP_UNREACHABLE; 0: no limit */
 	bool bodies_wait;	    /* for memory; see net_limit_bodies */
+	/* The peer may read nothing for so long; 0: a few seconds. */
+	int64_t pause_us;
 	void *ctx;
 	/*
 	 * A request sent at sent_us met silence; see silence_us. May be NULL,
--- a/src/net/tcp.c
+++ b/src/net/tcp.c
@@ -14,7 +14,8 @@
 #define BACKLOG 1024
 /*
  * Ends a connection whose data stays unacknowledged this long
- * (TCP_USER_TIMEOUT): a cut network path gives no other sign.
+ * (TCP_USER_TIMEOUT): a cut network path gives no other sign. It also ends one
+ * whose peer has no room for data; see tcp_allow_pauses.
  */
 #define USER_TIMEOUT_MS 3000
 #define RELEASE_MIN (256 * 1024) /* bytes sent of a queue, to free them */
@@ -28,6 +29,16 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 }
 
+/* Lets the peer read nothing for a time, which must be bounded elsewhere. */
+void tcp_allow_pauses(struct tcp *t, int64_t longest_us)
+{
+	int ms = (int)(longest_us / USEC_PER_MSEC);
+
+	if (tcp_is_open(t))
+		setsockopt(t->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms,
+			   sizeof(ms));
+}
+
 /* Closes the connection and calls the ended handler. */
 static void report_end(struct tcp *t, enum tcp_end how)
 {
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -39,6 +39,7 @@
 		const struct tcp_handler *handler, void *owner);
 void tcp_adopt(struct tcp *t, struct net *net, int fd,
 	       const struct tcp_handler *handler, void *owner);
+void tcp_allow_pauses(struct tcp *t, int64_t longest_us);
 int tcp_write(struct tcp *t, const void *data, size_t len);
 void tcp_set_reading(struct tcp *t, bool on);
 /* Sends an end of file; received data still goes to the handler. */
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -16,6 +16,8 @@
 #define QUEUE_PER_SLOT 16
 #define QUEUE_MIN 256
 #define COLD_START_US (3 * USEC_PER_SEC)
+/* Without reading a request; the deadlines of its calls end them sooner. */
+#define UPSTREAM_PAUSE_US (60 * USEC_PER_SEC)
 #define IDLE_TIMEOUT_US (30 * USEC_PER_SEC)
 /* The upstream is on this host: if it takes longer to connect, it is down. */
 #define CONNECT_TIMEOUT_US (400 * USEC_PER_MSEC)
@@ -97,6 +99,7 @@
 		.idle_timeout_us = IDLE_TIMEOUT_US,
 		.connect_timeout_us = CONNECT_TIMEOUT_US,
 		.bodies_wait = true,
+		.pause_us = UPSTREAM_PAUSE_US,
 	};
 	struct gate_options gate = {
 		.slots = u->info.slots,
--- a/test/slow_answers.sh
+++ b/test/slow_answers.sh
@@ -40,4 +40,12 @@
 done
 all_whole 34 "answers of steady readers"
 
+# The kernel's time-out for data that is not acknowledged ended readers that had
+# no room for 3 s, where the node means to wait for 15 s.
+for i in $(seq 8); do
+	read_slowly a1 "reader$i" "/once/bytes=30000" \
+		--pause-at 1000 --pause-ms 6000
+done
+all_whole 8 "answers of readers that paused for 6 s"
+
 echo "slow answers passed"
