Wait at a planned stop until answers were taken

Cause: a stop waits for requests and calls, which end when their answer is handed over; what the server and the links had not sent was dropped.

Change: it waits for these too, within the grace, and counts what it cuts.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -740,3 +740,13 @@
 {
 	return s->connections;
 }
+
+uint32_t http_server_unsent(const struct http_server *s)
+{
+	const struct server_conn *c;
+	uint32_t n = 0;
+
+	DL_FOREACH(s->conns, c)
+	n += !tcp_all_written(&c->tcp);
+	return n;
+}
--- a/src/net/links.c
+++ b/src/net/links.c
@@ -282,3 +282,15 @@
 {
 	return l->up;
 }
+
+uint32_t links_unsent_answers(const struct links *l)
+{
+	const struct stream *s;
+	const struct link *link;
+	uint32_t n = 0;
+
+	DL_FOREACH(l->all, link)
+	for (s = link->streams; s; s = s->hh.next)
+		n += !s->outgoing && s->answered;
+	return n;
+}
--- a/src/net/net.h
+++ b/src/net/net.h
@@ -77,6 +77,8 @@
  */
 void http_server_drain(struct http_server *s);
 uint32_t http_server_connections(const struct http_server *s);
+/* Connections whose peers have not taken all of their responses yet. */
+uint32_t http_server_unsent(const struct http_server *s);
 
 /*
  * Limits the memory for bodies of requests, from the first byte of the body to
@@ -270,5 +272,7 @@
 int links_datagram(struct links *l, const struct addr *to,
 		   struct peer_msg *msg);
 uint32_t links_count(const struct links *l);
+/* Answers that were given and not completely sent yet. */
+uint32_t links_unsent_answers(const struct links *l);
 
 #endif
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -454,6 +454,13 @@
 	return n->stopping && now - n->stopping_since_us >= CALLER_DRAIN_US;
 }
 
+/* Answers on their way to callers, upstreams and other nodes. */
+static uint32_t unsent_answers(const struct node *n)
+{
+	return http_server_unsent(n->callers) +
+	       http_server_unsent(n->services) + links_unsent_answers(n->links);
+}
+
 static void log_stopped(struct node *n, int64_t now)
 {
 	struct log_line line;
@@ -463,6 +470,7 @@
 	log_int(&line, "refused", (int64_t)counter_get(COUNTER_REFUSED));
 	log_int(&line, "cut_requests", n->requests.count);
 	log_int(&line, "cut_calls", n->calls.count);
+	log_int(&line, "cut_answers", unsent_answers(n));
 	log_int(&line, "took_ms", (now - n->stopping_since_us) / USEC_PER_MSEC);
 	log_emit(&line);
 }
@@ -482,7 +490,7 @@
 /* Ends the planned stop once all work is finished or the grace time is over. */
 void node_stop_step(struct node *n, int64_t now)
 {
-	bool busy = n->requests.count || n->calls.count;
+	bool busy = n->requests.count || n->calls.count || unsent_answers(n);
 
 	if (!n->gates_closing &&
 	    now - n->stopping_since_us >= GATE_CLOSE_DELAY_US)
--- a/test/slow_answers.sh
+++ b/test/slow_answers.sh
@@ -48,4 +48,17 @@
 done
 all_whole 8 "answers of readers that paused for 6 s"
 
+# A planned stop waited until each request had its answer, not until the caller
+# had taken it: it was cut, and the stop said that nothing was.
+for i in $(seq 4); do
+	read_slowly a1 "reader$i" "/once/bytes=1500000" --rate 300000
+	read_slowly b1 "reader-b$i" "/once/bytes=1500000" --rate 300000
+done
+sleep 0.5 # until the answers have begun
+kill -TERM "$pid_a1"
+all_whole 8 "answers of readers during a stop"
+wait_for 5 grep -q event=stopped "$WORK/a1.log" || fail "a1 did not stop"
+grep -q "event=stopped .*cut_requests=0 cut_calls=0 cut_answers=0" \
+	"$WORK/a1.log" || fail "$(grep event=stopped "$WORK/a1.log")"
+
 echo "slow answers passed"
--- a/test/stop.sh
+++ b/test/stop.sh
@@ -111,7 +111,7 @@
 	wait "${!pid}"
 	grep -q "Sanitizer\|runtime error" "$WORK/$n.log" &&
 		fail "$n: $(grep -A9 'Sanitizer\|runtime error' "$WORK/$n.log")"
-	[ "$(field "$WORK/$n.log" stopped cut_calls)" = 0 ] ||
+	[ "$(field "$WORK/$n.log" stopped cut_calls)$(field "$WORK/$n.log" stopped cut_answers)" = 00 ] ||
 		fail "$n: $(grep event=stopped "$WORK/$n.log")"
 	cut=$((cut + $(field "$WORK/$n.log" stopped cut_requests)))
 	restart "$n"
