Repair parts of account limits and seeds that another writer overwrote

Cause: an entry that can't be read was taken for an absent one, so no write to it could succeed; and the holder of a seed never looked at its value.

Change: a damaged entry keeps its revision. Holders write their slices again, a pool is counted from the slices under compare, and the slice of a node that is gone gets the rest. A damaged seed is overwritten; a node that knows no other asks the one that probes it.

--- a/src/control/members/members.c
+++ b/src/control/members/members.c
@@ -120,6 +120,8 @@
 	/* Detect a pause first: messages may have been queued during it. */
 	if (now - m->last_tick_us > PAUSE_MIN_US)
 		members_tick(m, now);
+	if (msg->kind == PEER_PROBE)
+		members_met(m, &msg->from, now);
 	switch (msg->kind) {
 	case PEER_PROBE:
 	case PEER_PROBE_ACK:
--- a/src/control/members/members_impl.h
+++ b/src/control/members/members_impl.h
@@ -206,11 +206,13 @@
 
 /* members_join.c */
 void members_join_tick(struct members *m, int64_t now);
+void members_met(struct members *m, const struct addr *peer, int64_t now);
 
 /* members_seed.c */
 struct seed_lease *seed_lease_new(struct members *m);
 void seed_lease_tick(struct seed_lease *s, int64_t now);
 void seed_lease_list(struct seed_lease *s, int64_t now);
+void seed_lease_met_others(struct seed_lease *s);
 void seed_lease_release(struct seed_lease *s, int64_t now);
 void seed_lease_store_replaced(struct seed_lease *s, int64_t now);
 int members_rank(const struct members *m, uint64_t topic, int most);
--- a/src/control/members/members_join.c
+++ b/src/control/members/members_join.c
@@ -55,8 +55,10 @@
 	m->join_due_us = now + (!alone	   ? SEED_PROBE_PERIOD_US
 				: starting ? START_JOIN_PERIOD_US
 					   : JOIN_PERIOD_US);
-	if (alone && m->seed_lease)
+	if (m->seed_lease && alone)
 		seed_lease_list(m->seed_lease, now);
+	else if (m->seed_lease)
+		seed_lease_met_others(m->seed_lease);
 	for (i = 0; i < (alone ? JOIN_PROBES : 1); i++)
 		try_seed(m, alone && i == 0, now);
 }
@@ -69,3 +71,15 @@
 	m->join_due_us = now;
 	members_join_tick(m, now);
 }
+
+/*
+ * A node that knows no other asks one that probes it: that one took it for the
+ * process before, and the seeds in the store may be lost.
+ */
+void members_met(struct members *m, const struct addr *peer, int64_t now)
+{
+	if (m->local.n || m->remote.n || m->stored_seed_count)
+		return;
+	m->stored_seeds[m->stored_seed_count++] = *peer;
+	members_join(m, now);
+}
--- a/src/control/members/members_seed.c
+++ b/src/control/members/members_seed.c
@@ -59,21 +59,47 @@
 						       : RETRY_US);
 }
 
-static void add_stored_seed(struct members *m, const struct store_entry *e)
+/* Returns -1 if another writer has damaged the entry. */
+static int read_entry(const struct store_entry *e, struct addr *a)
 {
 	char text[ADDR_TEXT_SIZE];
-	struct addr a;
 
-	if (m->stored_seed_count == STORED_SEEDS_MAX || e->len >= sizeof(text))
-		return;
+	if (e->len >= sizeof(text))
+		return -1;
 	memcpy(text, e->value, e->len);
 	text[e->len] = 0;
-	if (addr_parse(&a, text) < 0 ||
+	return addr_parse(a, text);
+}
+
+static void add_stored_seed(struct members *m, const struct store_entry *e)
+{
+	struct addr a;
+
+	if (m->stored_seed_count == STORED_SEEDS_MAX || read_entry(e, &a) < 0 ||
 	    addr_equal(&a, &m->self->info.node_addr))
 		return;
 	m->stored_seeds[m->stored_seed_count++] = a;
 }
 
+static bool is_own_entry(const struct seed_lease *s,
+			 const struct store_entry *e)
+{
+	return !strcmp(e->key, s->key) && e->len == strlen(s->value) &&
+	       !memcmp(e->value, s->value, e->len);
+}
+
+/* Gives up the seed that another writer has overwritten, to write it again. */
+static void check_held(struct seed_lease *s, const struct store_entry *e,
+		       int64_t now)
+{
+	if (s->state != SEED_HELD || strcmp(e->key, s->key) ||
+	    is_own_entry(s, e))
+		return;
+	s->state = SEED_NONE;
+	s->conflicts = 0;
+	s->due_us = now;
+}
+
 static void on_listed(struct seed_lease *s, const struct store_result *r,
 		      int64_t now)
 {
@@ -83,8 +109,10 @@
 	if (r->outcome != STORE_DONE)
 		return;
 	m->stored_seed_count = 0;
-	for (i = 0; i < r->n; i++)
+	for (i = 0; i < r->n; i++) {
 		add_stored_seed(m, &r->entries[i]);
+		check_held(s, &r->entries[i], now);
+	}
 	if (!s->listed)
 		s->due_us = now + jittered(m, FIRST_TRY_US);
 	s->listed = true;
@@ -92,6 +120,12 @@
 		members_join(m, now);
 }
 
+/* Lets the next reads follow one another quickly. */
+void seed_lease_met_others(struct seed_lease *s)
+{
+	s->list_wait_us = LIST_MIN_US;
+}
+
 /* Reads the seeds of all data centres from the store, when it is due. */
 void seed_lease_list(struct seed_lease *s, int64_t now)
 {
@@ -113,13 +147,6 @@
 	s->due_us = now + KEEP_ALIVE_PERIOD_US;
 }
 
-static bool is_own_entry(const struct seed_lease *s,
-			 const struct store_entry *e)
-{
-	return !strcmp(e->key, s->key) && e->len == strlen(s->value) &&
-	       !memcmp(e->value, s->value, e->len);
-}
-
 /* After a lost response, the key shows whether the write took effect. */
 static void on_read_back(struct seed_lease *s, const struct store_result *r,
 			 int64_t now)
@@ -155,14 +182,16 @@
 		   int64_t now)
 {
 	struct store_op op = {.kind = STORE_GET, .key = s->key};
+	struct addr holder;
 
 	if (r->outcome == STORE_DONE) {
 		set_held(s, now);
 	} else if (r->outcome == STORE_UNKNOWN) {
 		submit(s, &op, STEP_READ_BACK, now);
 	} else if (r->outcome == STORE_CONFLICT && r->n &&
-		   is_own_entry(s, &r->entries[0])) {
-		/* Under a lease that was lost: the entry needs ours. */
+		   (is_own_entry(s, &r->entries[0]) ||
+		    read_entry(&r->entries[0], &holder) < 0)) {
+		/* Under a lease that was lost, or damaged: it needs ours. */
 		put_entry(s, r->entries[0].mod_revision, now);
 	} else {
 		/* Ranks change, so this index may be held by another node. */
--- a/src/control/quota/quota.c
+++ b/src/control/quota/quota.c
@@ -40,7 +40,8 @@
 	addr_format(&o->self, q->self);
 	q->rng = gsl_rng_alloc(gsl_rng_taus2);
 	q->reclaim = reclaim_new();
-	if (!q->rng || !q->reclaim) {
+	q->repair = repair_new();
+	if (!q->rng || !q->reclaim || !q->repair) {
 		quota_free(q);
 		return NULL;
 	}
@@ -69,6 +70,7 @@
 		config_put(q->config);
 	if (q->reclaim)
 		reclaim_free(q->reclaim);
+	free(q->repair);
 	if (q->rng)
 		gsl_rng_free(q->rng);
 	free(q);
--- a/src/control/quota/quota_impl.h
+++ b/src/control/quota/quota_impl.h
@@ -128,6 +128,7 @@
 	uint32_t share;
 	uint64_t incarnation;
 	int64_t mod_revision; /* 0: the key does not exist */
+	bool damaged;	      /* by another writer: its share is not known */
 	/* A slice only: the node that may take it under this revision. */
 	bool has_standby;
 	struct addr standby;
@@ -158,6 +159,8 @@
 	uint32_t proposed_share;
 	bool creates_pool;
 	int64_t next_write_us;
+	bool uncounted; /* a slice was lost: the pool has to be counted */
+	int64_t damaged_since_us; /* when that was found; 0: it is not so */
 	uint32_t failures;
 
 	/* The nodes that should hold slices and lend to the other nodes. */
@@ -237,6 +240,7 @@
 };
 
 struct reclaim;
+struct repair;
 
 struct quota {
 	struct quota_options o;
@@ -269,6 +273,7 @@
 	bool leaving;
 	bool returns_slices; /* to the pool, while leaving */
 	struct reclaim *reclaim;
+	struct repair *repair;
 };
 
 struct quota_account *quota_find(struct quota *q, const char *name);
@@ -294,6 +299,8 @@
 		       char key[STORE_KEY_SIZE]);
 void ledger_adopt_slice(struct quota *q, struct account_group *g,
 			const struct ledger_record *r, int64_t now);
+int ledger_split_key(const char *key, struct addr *node, const char **group);
+bool ledger_holder_runs(const struct quota *q, const struct addr *node);
 int ledger_parse(struct ledger_record *r, const struct store_entry *e);
 void ledger_format(const struct ledger_record *r, char text[LEDGER_TEXT_SIZE]);
 void ledger_renew(struct quota *q, int64_t now);
@@ -323,6 +330,10 @@
 void standby_tick(struct quota *q, int64_t now);
 void standby_store_replaced(struct quota *q);
 
+/* Entries that another writer has overwritten. */
+struct repair *repair_new(void);
+bool repair_group(struct quota *q, struct account_group *g, int64_t now);
+
 /* Reclaims slices of hosts that are no longer alive. */
 struct reclaim *reclaim_new(void);
 void reclaim_free(struct reclaim *r);
--- a/src/control/quota/quota_ledger.c
+++ b/src/control/quota/quota_ledger.c
@@ -46,13 +46,15 @@
 	snprintf(key, STORE_KEY_SIZE, POOL_PREFIX "%s", group);
 }
 
-/* Parses a pool or slice; returns -1 if the value is malformed. */
+/* Parses a pool or slice; returns -1 if another writer has damaged it. */
 int ledger_parse(struct ledger_record *r, const struct store_entry *e)
 {
 	struct json_tokener *tok = json_tokener_new();
 	struct json_object *o = NULL, *share, *incarnation, *standby;
 	int rc = -1;
 
+	*r = (struct ledger_record){.mod_revision = e->mod_revision,
+				    .damaged = true};
 	if (!tok)
 		return -1;
 	if (e->value && e->len < INT32_MAX)
@@ -65,7 +67,7 @@
 		r->incarnation = 0;
 		if (json_object_object_get_ex(o, "incarnation", &incarnation))
 			r->incarnation = json_object_get_uint64(incarnation);
-		r->mod_revision = e->mod_revision;
+		r->damaged = false;
 		r->has_standby =
 			json_object_object_get_ex(o, "standby", &standby) &&
 			json_object_is_type(standby, json_type_string) &&
@@ -106,10 +108,31 @@
 	g->next_write_us = now + wait;
 }
 
-/* Uses the share of this node's slice as read, if this process wrote it. */
+/*
+ * Whether this process certainly holds the share that it uses: no other node
+ * could have reclaimed or taken it before its slice was damaged.
+ */
+static bool holds_share(const struct account_group *g, int64_t now)
+{
+	return g->share && g->share == g->slice.share &&
+	       now - g->confirmed_us < g->hold_us / 2 &&
+	       !standby_lease_lost(g, now);
+}
+
+/*
+ * Uses the share of this node's slice as read, if this process wrote it. A
+ * slice that is damaged is to be written again with the share in use.
+ */
 void ledger_adopt_slice(struct quota *q, struct account_group *g,
 			const struct ledger_record *r, int64_t now)
 {
+	if (r->damaged && holds_share(g, now)) {
+		g->slice.mod_revision = r->mod_revision;
+		g->slice.incarnation = 0;
+		g->slice.has_standby = false;
+		standby_slice_changed(g);
+		return;
+	}
 	g->slice = *r;
 	quota_refill_all(g, now);
 	if (!r->mod_revision || r->incarnation != q->o.incarnation)
@@ -367,10 +390,12 @@
 static void update_group(struct quota *q, struct account_group *g, int64_t now)
 {
 	if (g->writing || now < g->next_write_us ||
-	    now < q->ledger_settled_us || (!g->active_us && !g->slice.share) ||
-	    waits_for_holder(q, g, now))
+	    now < q->ledger_settled_us || waits_for_holder(q, g, now) ||
+	    repair_group(q, g, now) || (!g->active_us && !g->slice.share))
 		return;
 	choose_desired(q, g, now);
+	if (g->pool.damaged || g->uncounted)
+		g->desired_share = g->slice.share;
 	if (!needs_write(q, g))
 		return;
 	if (g->pool.mod_revision && !g->pool.share &&
--- a/src/control/quota/quota_reclaim.c
+++ b/src/control/quota/quota_reclaim.c
@@ -51,7 +51,8 @@
 	free(r);
 }
 
-static int split_key(const char *key, struct addr *node, const char **group)
+/* Splits the key of a slice; returns -1 if it names no node. */
+int ledger_split_key(const char *key, struct addr *node, const char **group)
 {
 	char text[ADDR_TEXT_SIZE];
 	const char *p = key + strlen(SLICE_PREFIX);
@@ -69,7 +70,7 @@
 	return addr_parse(node, text);
 }
 
-static bool holder_alive(struct quota *q, const struct addr *node)
+bool ledger_holder_runs(const struct quota *q, const struct addr *node)
 {
 	const struct member_info *m = members_find(q->o.members, node);
 
@@ -82,12 +83,19 @@
 	struct reclaim *r = q->reclaim;
 	struct ledger_record record;
 	struct orphaned_slice *s;
+	struct account_group *g;
 	const char *group;
 	struct addr node;
 
-	if (split_key(e->key, &node, &group) < 0 ||
-	    ledger_parse(&record, e) < 0 || holder_alive(q, &node))
+	if (ledger_split_key(e->key, &node, &group) < 0 ||
+	    ledger_holder_runs(q, &node))
 		return;
+	if (ledger_parse(&record, e) < 0) {
+		g = group_find(q, group);
+		if (g)
+			g->uncounted = true;
+		return;
+	}
 	HASH_FIND_STR(r->slices, e->key, s);
 	if (!s) {
 		s = calloc(1, sizeof(*s));
@@ -189,6 +197,11 @@
 			ledger_parse(&slice, &r->entries[i]);
 		else
 			ledger_parse(&s->pool, &r->entries[i]);
+	/* Read again at the next take: a node that wants share counts it. */
+	if (s->pool.damaged) {
+		s->pool = (struct ledger_record){0};
+		s->unchanged_since_us = now;
+	}
 	/* The holder is alive after all, or another node took the half. */
 	if (slice.mod_revision != s->slice.mod_revision)
 		s->unchanged_since_us = now;
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -612,6 +612,100 @@
 	fleet_close(&f);
 }
 
+#define LEDGER_KEYS_MAX 64
+
+struct ledger_keys {
+	char text[LEDGER_KEYS_MAX][STORE_KEY_SIZE];
+	size_t n;
+};
+
+static void keep_keys(void *ctx, uint64_t tag, const struct store_result *r,
+		      int64_t now)
+{
+	struct ledger_keys *keys = ctx;
+	size_t i;
+
+	(void)tag;
+	(void)now;
+	for (i = 0; i < r->n && keys->n < LEDGER_KEYS_MAX; i++)
+		copy_name(keys->text[keys->n++], STORE_KEY_SIZE,
+			  r->entries[i].key);
+}
+
+/* Another writer puts odd values in the place of pools and slices. */
+static void overwrite_ledger(struct fleet *f, const char *prefix)
+{
+	struct store *s = store_open_memory(f->memory);
+	struct ledger_keys keys = {0};
+	struct store_done done = {.ctx = &keys, .fn = keep_keys};
+	struct store_op op = {.kind = STORE_LIST,
+			      .timeout_us = USEC_PER_SEC,
+			      .list.prefix = prefix};
+	struct store_write write = {.value = "[[[", .len = 3};
+	size_t i, n;
+
+	store_submit(s, &op, &done, f->now);
+	store_tick(s, f->now);
+	n = keys.n;
+	assert_true(n > 0);
+	for (i = 0; i < n; i++) {
+		write.key = keys.text[i];
+		op = (struct store_op){
+			.kind = STORE_TXN,
+			.timeout_us = USEC_PER_SEC,
+			.txn = {.writes = &write, .write_count = 1}};
+		store_submit(s, &op, &done, f->now);
+		store_tick(s, f->now);
+	}
+	store_close(s);
+}
+
+static void run_overwritten(uint32_t groups, const char *prefix, bool all)
+{
+	struct fleet_options o = default_options;
+	struct fleet f;
+	size_t i;
+
+	o.nodes = RESTORE_NODES;
+	o.groups = groups;
+	o.demand_per_s = 2 * o.rate;
+	o.hold_us = 60 * USEC_PER_SEC;
+	o.step_us = 20 * USEC_PER_MSEC;
+	fleet_open(&f, &o);
+	fleet_run(&f, 8 * USEC_PER_SEC);
+	overwrite_ledger(&f, prefix);
+	for (i = 0; i < (all ? o.nodes : 2); i++)
+		fleet_restart(&f, i);
+	fleet_run(&f, 3 * o.hold_us);
+	assert_within_limit(&f, prefix);
+	fleet_reset_counts(&f);
+	fleet_run(&f, 5 * USEC_PER_SEC);
+	assert_within_limit(&f, prefix);
+	if ((double)f.taken < o.rate * 5 * SHARE_BACK)
+		fail_msg("groups %u, %s, %s: %d tokens in 5 s", groups, prefix,
+			 all ? "all" : "two", (int)f.taken);
+	fleet_close(&f);
+}
+
+/*
+ * Entries of the ledger that another writer had overwritten were never written
+ * again: a process that started later refused the account for good.
+ */
+static void overwritten_ledger_is_repaired(void **state)
+{
+	static const char *const prefixes[] = {"quota/", "quota/p/",
+					       "quota/s/"};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(prefixes) / sizeof(*prefixes); i++) {
+		run_overwritten(0, prefixes[i], false);
+		run_overwritten(0, prefixes[i], true);
+		run_overwritten(4, prefixes[i], false);
+		run_overwritten(4, prefixes[i], true);
+	}
+}
+
 /*
  * Hosts are restarted in turn, as in a rollout. Slices stay with their hosts,
  * so a restart costs one read of its own slices and, if it holds any, one
@@ -661,6 +755,7 @@
 			refusals_tell_lost_answers_from_missing_tokens),
 		cmocka_unit_test(spending_stays_within_limit_after_restore),
 		cmocka_unit_test(shares_stay_in_use_after_restore),
+		cmocka_unit_test(overwritten_ledger_is_repaired),
 		cmocka_unit_test(rolling_restarts_cost_few_store_calls),
 		cmocka_unit_test(dead_holders_slice_is_reclaimed_by_halves),
 		cmocka_unit_test(short_hold_reclaims_share_within_minutes),
