Look up long names without a configuration

A gate may get a call before it has a configuration; the lookup of the account's long name would then read a null pointer.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -237,7 +237,7 @@
 const struct account *config_account(const struct config *c, const char *name);
 /*
  * Returns the name that an account has outside: its own, or the long one that
- * it stands for; NULL if that is not known here.
+ * it stands for; NULL if that is not known here. c may be NULL.
  */
 const char *config_long_name(const struct config *c, const char *account);
 const struct route *config_route(const struct config *c, const char *name);
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -188,7 +188,8 @@
 
 const char *config_long_name(const struct config *c, const char *account)
 {
-	const struct long_name *known = section_find(&c->long_names, account);
+	const struct long_name *known =
+		c ? section_find(&c->long_names, account) : NULL;
 
 	if (known)
 		return known->text;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -152,6 +152,9 @@
 	assert_null(config_long_name(c, other));
 	assert_string_equal(config_long_name(c, "short"), "short");
 	config_put(c);
+	/* A gate may get calls before it has a configuration. */
+	assert_null(config_long_name(NULL, other));
+	assert_string_equal(config_long_name(NULL, "short"), "short");
 }
 
 static const char *const bad_documents[] = {
