Follow lists of account shares that the store cuts short

A store may return less of a list than was asked for and say that the rest follows. Lists of slices were taken for whole then: a count of a pool could miss slices, and reclaiming never saw those behind the first page. Found by reading the diff; no run shows a failure, as owners take no more than their part of a pool. overwritten_ledger_is_repaired has lists of one entry now, and passes with and without this change.

--- a/src/control/quota/quota_impl.h
+++ b/src/control/quota/quota_impl.h
@@ -301,6 +301,7 @@
 			const struct ledger_record *r, int64_t now);
 int ledger_split_key(const char *key, struct addr *node, const char **group);
 bool ledger_holder_runs(const struct quota *q, const struct addr *node);
+bool ledger_list_goes_on(const struct store_result *r, size_t page);
 int ledger_parse(struct ledger_record *r, const struct store_entry *e);
 void ledger_format(const struct ledger_record *r, char text[LEDGER_TEXT_SIZE]);
 void ledger_renew(struct quota *q, int64_t now);
--- a/src/control/quota/quota_ledger.c
+++ b/src/control/quota/quota_ledger.c
@@ -46,6 +46,15 @@
 	snprintf(key, STORE_KEY_SIZE, POOL_PREFIX "%s", group);
 }
 
+/*
+ * Whether the rest of a list follows after the last entry. Stores may return
+ * less than the page that was asked for.
+ */
+bool ledger_list_goes_on(const struct store_result *r, size_t page)
+{
+	return r->n && (r->more || r->n == page);
+}
+
 /* Parses a pool or slice; returns -1 if another writer has damaged it. */
 int ledger_parse(struct ledger_record *r, const struct store_entry *e)
 {
@@ -463,7 +472,7 @@
 		g->desired_share = g->slice.share;
 		g->not_owner_since_us = now;
 	}
-	if (r->n == LIST_PAGE) {
+	if (ledger_list_goes_on(r, LIST_PAGE)) {
 		copy_name(q->list_after, sizeof(q->list_after),
 			  r->entries[r->n - 1].key);
 		return;
--- a/src/control/quota/quota_reclaim.c
+++ b/src/control/quota/quota_reclaim.c
@@ -145,9 +145,9 @@
 	}
 	for (i = 0; i < result->n; i++)
 		track_slice(q, &result->entries[i], now);
-	if (result->n == SCAN_PAGE)
+	if (ledger_list_goes_on(result, SCAN_PAGE))
 		copy_name(r->after, sizeof(r->after),
-			  result->entries[SCAN_PAGE - 1].key);
+			  result->entries[result->n - 1].key);
 	else
 		end_scan(q, r, now);
 }
--- a/src/control/quota/quota_repair.c
+++ b/src/control/quota/quota_repair.c
@@ -191,9 +191,9 @@
 	}
 	for (i = 0; i < result->n; i++)
 		count_slice(q, &result->entries[i], now);
-	if (result->n == LIST_PAGE) {
+	if (ledger_list_goes_on(result, LIST_PAGE)) {
 		copy_name(r->after, sizeof(r->after),
-			  result->entries[LIST_PAGE - 1].key);
+			  result->entries[result->n - 1].key);
 		list_slices(q, now);
 	} else if (r->awaits) {
 		log_repair("account-slice-awaited", r->group, unaccounted(r));
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -660,8 +660,10 @@
 	store_close(s);
 }
 
-static void run_overwritten(uint32_t groups, const char *prefix, bool all)
+static void run_overwritten(uint32_t groups, const char *prefix, bool all,
+			    uint32_t list_max)
 {
+	struct store_faults faults = {.list_max = list_max};
 	struct fleet_options o = default_options;
 	struct fleet f;
 	size_t i;
@@ -676,6 +678,7 @@
 	overwrite_ledger(&f, prefix);
 	for (i = 0; i < (all ? o.nodes : 2); i++)
 		fleet_restart(&f, i);
+	fleet_store_faults(&f, &faults);
 	fleet_run(&f, 3 * o.hold_us);
 	assert_within_limit(&f, prefix);
 	fleet_reset_counts(&f);
@@ -699,10 +702,13 @@
 
 	(void)state;
 	for (i = 0; i < sizeof(prefixes) / sizeof(*prefixes); i++) {
-		run_overwritten(0, prefixes[i], false);
-		run_overwritten(0, prefixes[i], true);
-		run_overwritten(4, prefixes[i], false);
-		run_overwritten(4, prefixes[i], true);
+		run_overwritten(0, prefixes[i], false, 0);
+		run_overwritten(0, prefixes[i], true, 0);
+		run_overwritten(4, prefixes[i], false, 0);
+		run_overwritten(4, prefixes[i], true, 0);
+		/* The store returns less of a list than was asked for. */
+		run_overwritten(0, prefixes[i], false, 1);
+		run_overwritten(4, prefixes[i], false, 1);
 	}
 }
 
