--- a/src/control/members/members_join.c
+++ b/src/control/members/members_join.c
@@ -73,13 +73,12 @@
 }
 
 /*
- * A node that knows no other asks one that probes it: that one took it for the
- * process before, and the seeds in the store may be lost.
+ * A node that still knows no other after its start asks one that probes it: that
+ * one took it for the process before, and the seeds in the store may be lost.
+ * Earlier it reads the seeds, which let groups that formed separately merge.
  */
 void members_met(struct members *m, const struct addr *peer, int64_t now)
 {
-	if (m->local.n || m->remote.n || m->stored_seed_count)
-		return;
-	m->stored_seeds[m->stored_seed_count++] = *peer;
-	members_join(m, now);
+	if (!m->local.n && !m->remote.n && now - m->started_us >= START_US)
+		members_pull(m, peer, now);
 }
