--- a/review/stand-2/clients.c
+++ b/review/stand-2/clients.c
@@ -12,6 +12,7 @@
  *   body=N     bytes of its body
  *   times=N    requests that a client sends over its connection, each after the
  *              answer to the one before
+ *   rate=KB    kilobytes of a long answer that it reads in a second
  *   ahead=N    requests that it sends before it reads the first answer
  */
 #include <pthread.h>
@@ -25,7 +26,7 @@
 #include "stand.h"
 
 static const char *outbound, *host, *key, *deadline, *method, *path, *prefix;
-static int leave_ms, body_bytes, times = 1, ahead = 1;
+static int leave_ms, body_bytes, times = 1, ahead = 1, kb_per_s;
 static const char *body;
 
 static bool send_one(struct conn *c, int n)
@@ -54,9 +55,12 @@
 {
 	char got[128];
 
+	m->body_len = 0;
 	if (http_read(c, m) != 1) {
 		record("client %s%06x %s", prefix, n,
-		       leave_ms ? "leaves" : "no-answer");
+		       leave_ms	       ? "leaves"
+		       : m->body_len ? "broken-answer"
+				     : "no-answer");
 		return false;
 	}
 	http_header(m, "Mulberryferry-Attempt-Id", got, sizeof(got));
@@ -90,6 +94,7 @@
 	if (!c || !m)
 		exit(2);
 	c->fd = dial(outbound, leave_ms ? leave_ms : atoi(deadline) + 500);
+	c->kb_per_s = kb_per_s;
 	if (c->fd < 0)
 		record("client %s%06x no-connection", prefix, n * times);
 	while (c->fd >= 0 && i < times && exchange(c, m, n * times + i))
@@ -124,6 +129,7 @@
 		if (sscanf(argv[i], "leave=%d", &leave_ms) != 1 &&
 		    sscanf(argv[i], "body=%d", &body_bytes) != 1 &&
 		    sscanf(argv[i], "ahead=%d", &ahead) != 1 &&
+		    sscanf(argv[i], "rate=%d", &kb_per_s) != 1 &&
 		    sscanf(argv[i], "times=%d", &times) != 1)
 			return 2;
 	if (times < ahead)
--- a/review/stand-2/stand.c
+++ b/review/stand-2/stand.c
@@ -147,7 +147,9 @@
 {
 	char text[32];
 	char *end;
-	size_t head, body;
+	size_t head, body, read = 0;
+	int64_t start;
+	bool slowly;
 	int rc;
 
 	while (!(end = memmem(c->in, c->len, "\r\n\r\n", 4))) {
@@ -165,14 +167,21 @@
 		       : 0;
 	m->body_len = body;
 	drop(c, head);
+	slowly = body >= BODY_MAX && c->kb_per_s;
 	if (body >= BODY_MAX)
 		sleep_ms(c->pause_ms);
+	start = now_ms();
 	while (body) {
 		if (!c->len && receive(c) <= 0)
 			return -1;
 		head = c->len < body ? c->len : body;
 		body -= head;
+		read += head;
 		drop(c, head);
+		if (slowly)
+			sleep_ms(start + (int64_t)(read / 1000) * 1000 /
+						 c->kb_per_s -
+				 now_ms());
 	}
 	return 1;
 }
--- a/review/stand-2/stand.h
+++ b/review/stand-2/stand.h
@@ -21,6 +21,7 @@
 	char in[HEAD_MAX + BODY_MAX];
 	size_t len;
 	int pause_ms; /* before it reads the rest of a body of BODY_MAX or more */
+	int kb_per_s; /* at which it reads that rest; 0: at once */
 };
 
 int64_t now_ms(void);
