--- a/review/stand-2/common.bash
+++ b/review/stand-2/common.bash
@@ -20,6 +20,10 @@
 		kill -KILL "${PIDS[i]}" 2>/dev/null
 		wait "${PIDS[i]}" 2>/dev/null
 	done
+	# Clients, if the script ends before them.
+	for i in $(jobs -p); do
+		kill -KILL "$i" 2>/dev/null
+	done
 	rm -rf "$WORK"
 }
 trap end_all EXIT
@@ -63,11 +67,12 @@
 # watch_memory NODE: as the platform does, kills the node once it holds more than
 # the memory_mb of its settings.
 watch_memory() {
-	local name=$1 pid="pid_$1" pages
+	local name=$1 pid="pid_$1" pages page_kb
 	pid=${!pid}
+	page_kb=$(($(getconf PAGESIZE) / 1024))
 	while read -r _ pages _ <"/proc/$pid/statm"; do
-		if ((pages * 4 > 260 * 1024)); then
-			note "platform kills $name: $((pages / 256)) MB"
+		if ((pages * page_kb > 260 * 1024)); then
+			note "platform kills $name: $((pages * page_kb / 1024)) MB"
 			kill -KILL "$pid"
 			return
 		fi
