--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -23,7 +23,7 @@
 sleep 2
 
 note "traffic begins"
-clients n1 key-1 5000 2000 5 GET /r/plain aa &
+clients n1 key-1 5000 3600 3 GET /r/plain aa &
 PLAIN=$!
 sleep 4
 if [ "$TROUBLE" != 0 ]; then
@@ -48,6 +48,12 @@
 grep -o 'backend b[1-6] runs [0-9a-f]*' "$RECORD" | sort -u |
 	awk '{n[$4]++} END {for (id in n) if (n[id] > 1) print id, n[id]}' |
 	sort >"$WORK/over"
+# What the lossy backends ran while they lost answers, and what they lost of it.
+awk '/answer_lost begins/ {on = 1} /answer_lost ends/ {on = 0}
+	on && $2 == "backend" && $3 ~ /^b[123]$/ {n[$4]++}
+	END {printf "lost %d of %d\n", n["loses-answer"], n["runs"]}' "$RECORD" \
+	>"$WORK/dose"
+note "answers of the lossy backends: $(cat "$WORK/dose")"
 ran=$(grep -c 'backend b[1-6] runs ' "$RECORD")
 lost=$(grep -c ' loses-answer ' "$RECORD")
 over=$(wc -l <"$WORK/over")
