Return no retries to a request that it did not lend

Seen by callers: requests of a route with max_attempts 1 ran on two and three upstreams while answers of runs that had made calls were lost.

Cause: without a context header, a sub-call has the retries of its own route. When it ended, those were added to its parent's allowance, the gate reported the sum, and the entry added it to the request's own. Nothing compared it with what was lent.

Evidence: the line of a retry now has the allowance and the gate's report.

Change: allowance_return() takes back what a borrower has left, once and no more than it was lent, both at the end of a sub-call and from a gate's answer; so it also holds beside gates of an older build.

--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -85,7 +85,8 @@
 				      now);
 	inherit(r, parent);
 	make_sub_id(r, parent);
-	r->allowance = allowance_lend(&parent->allowance);
+	r->borrowed = allowance_lend(&parent->allowance);
+	r->allowance = r->borrowed;
 	if (parent->head.account[0]) {
 		r->account = config_account(r->config, parent->head.account);
 		if (!r->account)
--- a/src/filter/end.c
+++ b/src/filter/end.c
@@ -40,6 +40,9 @@
 	struct known_upstream *u = directory_get(n->directory, r->upstream);
 
 	fill_request_names(&d, r);
+	if (kind == DECISION_RETRIED)
+		snprintf(d.inputs, sizeof(d.inputs), "allowance=%u reported=%u",
+			 r->allowance, r->reported);
 	if (peer)
 		snprintf(d.peer, sizeof(d.peer), "%s", peer);
 	else if (u)
@@ -87,7 +90,7 @@
 	}
 }
 
-/* Frees a request and returns its unused allowance to the parent call. */
+/* Frees a request and returns what it borrowed of its parent's allowance. */
 static void free_request(struct node *n, struct request *r)
 {
 	struct call *parent = gates_call_get(n, r->parent);
@@ -95,7 +98,8 @@
 	if (parent) {
 		if (r->refuse_reason)
 			parent->sub_reason = r->refuse_reason;
-		parent->allowance += r->allowance;
+		allowance_return(&parent->allowance, &r->borrowed,
+				 r->allowance);
 		parent->open_sub_calls--;
 	}
 	identity_remove(n, r);
--- a/src/filter/filter.h
+++ b/src/filter/filter.h
@@ -62,7 +62,10 @@
 	int64_t limit_wait_until_us;
 	uint16_t admit_hash;
 	enum shed_class cls;
-	uint8_t allowance;
+	uint8_t allowance; /* retries left */
+	uint8_t borrowed;  /* of them, from the parent call */
+	uint8_t lent;	   /* to the attempt in flight */
+	uint8_t reported;  /* as left by the gate's last answer */
 	uint8_t depth;
 	uint8_t attempt;
 	uint8_t reroutes;	/* attempts that reached no upstream */
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -130,12 +130,13 @@
 	fill_head(&head, r, u, n->headers->context != NULL, now);
 	record_tried(r);
 	r->sent_us = now;
+	r->lent = head.allowance;
 	/* Recorded first: send_call may already record the gate's decision. */
 	request_record(n, r, DECISION_PLACED, REASON_NONE, NULL, 0);
 	load_sent(&u->load, now);
 	if (send_call(n, r, u, &head, now, &err) < 0) {
 		log_error(LOG_WARNING, "place", &err);
-		r->allowance += head.allowance;
+		allowance_return(&r->allowance, &r->lent, r->lent);
 		load_failed(&u->load, now);
 		return -1;
 	}
@@ -317,7 +318,8 @@
 	if (head->outcome != OUTCOME_NOT_RUN)
 		r->may_have_run = true;
 	r->runs += head->runs;
-	r->allowance += head->allowance_left;
+	r->reported = head->allowance_left;
+	allowance_return(&r->allowance, &r->lent, r->reported);
 	if (parent) {
 		if (head->bottleneck)
 			call_record_admission(parent, head->bottleneck,
--- a/src/policy/policy.h
+++ b/src/policy/policy.h
@@ -222,6 +222,7 @@
 		       double rejected_share, uint32_t calls_after);
 
 uint8_t allowance_lend(uint8_t *left);
+void allowance_return(uint8_t *left, uint8_t *lent, uint8_t unused);
 void retry_ratio_init(struct retry_ratio *r, uint32_t percent);
 void retry_ratio_call(struct retry_ratio *r);
 bool retry_ratio_take(struct retry_ratio *r);
--- a/src/policy/retry.c
+++ b/src/policy/retry.c
@@ -10,10 +10,7 @@
 #define BACKOFF_BASE_US (5 * USEC_PER_MSEC)
 #define BACKOFF_MAX_US (200 * USEC_PER_MSEC)
 
-/*
- * Moves half of an allowance, rounded up, to a sub-call and returns it. The
- * caller adds the unspent part back to left, so the sum never grows.
- */
+/* Moves half of an allowance, rounded up, to a borrower and returns it. */
 uint8_t allowance_lend(uint8_t *left)
 {
 	uint8_t lent = (uint8_t)((*left + 1) / 2);
@@ -22,6 +19,17 @@
 	return lent;
 }
 
+/*
+ * Adds what a borrower has left to the lender's allowance, once and no more
+ * than it was lent: retries from elsewhere, such as those of its own route, and
+ * whatever else a peer reports are not the lender's. So the sum never grows.
+ */
+void allowance_return(uint8_t *left, uint8_t *lent, uint8_t unused)
+{
+	*left = (uint8_t)(*left + (unused < *lent ? unused : *lent));
+	*lent = 0;
+}
+
 /* percent is the number of retries allowed per hundred calls. */
 void retry_ratio_init(struct retry_ratio *r, uint32_t percent)
 {
--- a/tools/platform_faulty.c
+++ b/tools/platform_faulty.c
@@ -1,11 +1,12 @@
 /*
  * Stand-in for a faulty upstream of the users' platform, byte by byte. Sends no
- * heartbeats. What it does follows from the target of a request:
+ * heartbeats; makes its calls to the address that it is given. What it does follows from the target of a request:
  *
  *   .../cut-N     sends the first N bytes of its answer and closes
  *   .../repeat    refuses the first try of an id, and writes the refusal once
  *                 more before the next answer on the same connection
  *   .../unnamed   as repeat, without an id the second time
+ *   .../call-lost makes a call to /sub/ and closes without an answer
  *   any other     answers
  */
 #include <netinet/in.h>
@@ -33,6 +34,7 @@
 static size_t conn_count;
 static char refused[IDS_MAX][ID_SIZE];
 static size_t refused_count;
+static struct sockaddr_in node; /* of its host; port 0: none */
 
 static int listen_any(void)
 {
@@ -89,6 +91,28 @@
 	return send(c->fd, text, len, MSG_NOSIGNAL) == (ssize_t)len ? 0 : -1;
 }
 
+/* Makes the first call of a request through the node, and reads the answer. */
+static void make_call(const char *id)
+{
+	char text[HEAD_MAX];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int len = snprintf(text, sizeof(text),
+			   "GET /sub/x HTTP/1.1\r\nHost: h.example\r\n"
+			   "Mulberryferry-Attempt-Id: %s.1\r\n"
+			   "Mulberryferry-Deadline-Ms: 1000\r\n"
+			   "Connection: close\r\n\r\n",
+			   id);
+
+	if (fd < 0)
+		return;
+	if (connect(fd, (struct sockaddr *)&node, sizeof(node)) == 0 &&
+	    send(fd, text, (size_t)len, MSG_NOSIGNAL) == len &&
+	    recv(fd, text, sizeof(text), 0) > 0)
+		printf("called %s %.12s\n", id, text);
+	fflush(stdout);
+	close(fd);
+}
+
 /* Answers one request; -1 if the connection is to be closed. */
 static int answer(struct conn *c)
 {
@@ -108,6 +132,10 @@
 	fflush(stdout);
 	send_text(c, c->again, strlen(c->again));
 	c->again[0] = 0;
+	if (strstr(c->head, "/call-lost")) {
+		make_call(id);
+		return -1;
+	}
 	if (repeats)
 		usleep(RUN_US);
 	len = (size_t)snprintf(
@@ -138,12 +166,23 @@
 	return answer(c);
 }
 
-int main(void)
+static void parse_node(const char *text)
+{
+	const char *port = strrchr(text, ':');
+
+	node.sin_family = AF_INET;
+	node.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	node.sin_port = htons((uint16_t)(port ? atoi(port + 1) : 0));
+}
+
+int main(int argc, char **argv)
 {
 	struct pollfd fds[CONNS_MAX + 1];
 	int listener = listen_any();
 	size_t i;
 
+	if (argc > 1)
+		parse_node(argv[1]);
 	while (listener >= 0) {
 		fds[0] = (struct pollfd){.fd = listener, .events = POLLIN};
 		for (i = 0; i < conn_count; i++)
