Return the retries lent to calls that no gate took

Seen by callers: requests placed at a host that had just ended were answered 502, not-run, although their route allows a retry.

Cause: what a call is lent comes back in its gate's answer. A call that was never sent has none, and a refusal by the link itself said 0.

Change: both return all of it. No gate can have spent it, so the sum of the chain does not grow. After the head was sent, it stays lost as before.

--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -60,6 +60,7 @@
 		      int64_t now)
 {
 	struct node *n = ctx;
+	const struct request *r = request_get(n, tag);
 	struct answer_head lost = {.outcome = OUTCOME_UNKNOWN,
 				   .reason = REASON_LINK_LOST};
 
@@ -67,10 +68,13 @@
 		place_answered(n, tag, result->head, result->answer, now);
 		return;
 	}
-	if (result->status == LINK_NOT_SENT)
+	if (result->status == LINK_NOT_SENT) {
 		lost.outcome = OUTCOME_NOT_RUN;
-	else
+		/* No gate can spend what was lent. */
+		lost.allowance_left = r ? r->lent : 0;
+	} else {
 		lost.runs = 1;
+	}
 	place_answered(n, tag, &lost, NULL, now);
 }
 
--- a/src/net/link_receive.c
+++ b/src/net/link_receive.c
@@ -21,12 +21,14 @@
 	return id && (id % 2 == 1) != l->opener;
 }
 
-static void refuse(struct link *l, uint32_t id, enum reason reason)
+/* Answers a call that reached no gate, with the retries that it was lent. */
+static void refuse(struct link *l, const struct frame *call, enum reason reason)
 {
-	struct frame f = {.kind = FRAME_ANSWER, .stream = id};
+	struct frame f = {.kind = FRAME_ANSWER, .stream = call->stream};
 
 	f.answer.head.outcome = OUTCOME_NOT_RUN;
 	f.answer.head.reason = reason;
+	f.answer.head.allowance_left = call->call.head.allowance;
 	f.answer.head.admission =
 		(struct admission){{ADMIT_ALL, ADMIT_ALL, ADMIT_ALL}};
 	f.answer.message.status = reason_status(reason);
@@ -58,13 +60,13 @@
 			err, "call with an invalid or reused stream id");
 	l->last_peer_id = f->stream;
 	if (f->call.body_len > l->links->options.body_limit) {
-		refuse(l, f->stream, REASON_BODY_TOO_LARGE);
+		refuse(l, f, REASON_BODY_TOO_LARGE);
 		return 0;
 	}
 	if (HASH_COUNT(l->streams) - l->calls >= LINK_STREAMS_MAX ||
 	    l->incoming_bytes >= LINK_INCOMING_BYTES_MAX ||
 	    !(s = stream_new(l, f->stream, false))) {
-		refuse(l, f->stream, REASON_OVERLOADED);
+		refuse(l, f, REASON_OVERLOADED);
 		return 0;
 	}
 	s->head_received = true;
--- a/test/test_links.c
+++ b/test/test_links.c
@@ -17,6 +17,7 @@
 #define TICKS_MAX 20000 /* ticks of 1 ms before a test fails */
 #define BODY_LIMIT (4 * 1024 * 1024)
 #define HELD_MAX 64
+#define ALLOWANCE 2 /* lent with each call */
 #define REFUSE "/refuse"
 #define HELLO_SIZE 40 /* sizes of the handshake messages */
 #define REPLY_SIZE 114
@@ -47,6 +48,7 @@
 	enum link_status status;
 	enum reason reason;
 	enum outcome outcome;
+	uint8_t allowance_left;
 	size_t body_len;
 	char echo[16];
 };
@@ -132,6 +134,7 @@
 	}
 	p->reason = r->head->reason;
 	p->outcome = r->head->outcome;
+	p->allowance_left = r->head->allowance_left;
 	p->body_len = r->answer->body.len;
 	if (message_header(r->answer, "echo"))
 		snprintf(p->echo, sizeof(p->echo), "%s",
@@ -200,7 +203,7 @@
 static uint64_t call(const struct addr *to, uint64_t tag, const char *target,
 		     size_t body_len, struct error *err)
 {
-	struct call_head head = {.service = "history"};
+	struct call_head head = {.service = "history", .allowance = ALLOWANCE};
 	struct message m = {.method = "POST"};
 	struct link_call c = {.to = *to, .head = &head, .message = &m};
 	uint64_t handle;
@@ -413,6 +416,7 @@
 	assert_int_equal(fixture.reports[0].status, LINK_ANSWERED);
 	assert_int_equal(fixture.reports[0].reason, REASON_BODY_TOO_LARGE);
 	assert_int_equal(fixture.reports[0].outcome, OUTCOME_NOT_RUN);
+	assert_int_equal(fixture.reports[0].allowance_left, ALLOWANCE);
 	assert_int_equal(fixture.b.calls, 0);
 	call(&fixture.b.addr, 2, "/4194305", 0, NULL);
 	run_until(&fixture.reported, 2);
@@ -431,6 +435,7 @@
 	run_until(&fixture.reported, 1);
 	assert_int_equal(fixture.reports[0].outcome, OUTCOME_NOT_RUN);
 	assert_int_equal(fixture.reports[0].reason, REASON_OVERLOADED);
+	assert_int_equal(fixture.reports[0].allowance_left, ALLOWANCE);
 	link_of(&fixture.b)->incoming_bytes = 0;
 	call(&fixture.b.addr, 2, "/1", 100000, NULL);
 	run_until(&fixture.reported, 2);
