Refuse answers that HTTP/1.1 does not allow

Seen by callers: an upstream answered with status 000, and the client got 200 and what the body of that answer held.

Cause: a status below 200 was skipped as an interim answer without a body, so the body was read as the next answer. http_parser takes any number of up to three digits for a status, and does not check the line ends of chunks.

Change: http_strict.c checks the status line of an answer and each byte of the framing of chunks; the reader refuses transfer codings other than chunked, bodies announced where there are none, and 101. Trailers are no longer added to the headers, where one could have passed for an upstream's signature. The checks of framing hold for requests too.

--- a/src/net/http_impl.h
+++ b/src/net/http_impl.h
@@ -1,7 +1,7 @@
 /*
  * Reading and writing of HTTP/1.1 messages, shared by the HTTP server and the
- * client pool. http_parser does the framing; http_reader.c also rejects
- * messages that http_parser accepts although RFC 9112 forbids them.
+ * client pool. http_parser does the framing; http_strict.c and http_reader.c
+ * also reject messages that http_parser accepts although RFC 9112 forbids them.
  */
 #ifndef NET_HTTP_IMPL_H
 #define NET_HTTP_IMPL_H
@@ -25,6 +25,35 @@
 	void (*body_data)(void *ctx, const void *data, size_t len);
 };
 
+enum chunk_state {
+	CHUNK_SIZE_START,
+	CHUNK_SIZE,
+	CHUNK_SIZE_SPACE,
+	CHUNK_EXTENSION,
+	CHUNK_SIZE_LF,
+	CHUNK_DATA,
+	CHUNK_DATA_CR,
+	CHUNK_DATA_LF,
+	/* After the last chunk. */
+	CHUNK_LINE_START,
+	CHUNK_TRAILER_NAME,
+	CHUNK_TRAILER_VALUE,
+	CHUNK_TRAILER_LF,
+	CHUNK_END_LF,
+	CHUNK_END,
+	CHUNK_BAD,
+};
+
+/* Where in the chunks of a body the bytes read so far end; initially zero. */
+struct chunk_check {
+	enum chunk_state state;
+	uint64_t left; /* bytes of the current chunk */
+	size_t line;   /* bytes of its line, or of all trailers */
+};
+
+int chunk_check_feed(struct chunk_check *c, const uint8_t *data, size_t len);
+bool http_head_is_strict(const struct buffer *head, bool response);
+
 /* Parses successive messages from the bytes of one connection. */
 struct http_reader {
 	struct http_reader_options options;
@@ -34,6 +63,9 @@
 	struct buffer value;
 	struct buffer target;
 	struct buffer connection; /* values of Connection, comma-separated */
+	struct chunk_check chunks;
+	uint32_t codings; /* lines of Transfer-Encoding */
+	bool chunked;	  /* the last of these says so and nothing else */
 	struct message message;
 	bool in_value;
 	bool in_body;
--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -314,9 +314,6 @@
 	if (rc == HTTP_READ_ERROR)
 		fail_call(c->call, read_error_status(&c->reader),
 			  "malformed response");
-	else if (rc == HTTP_READ_COMPLETE && !is_skipped_response(c) &&
-		 c->reader.message.status > 599)
-		fail_call(c->call, HTTP_MALFORMED, "status out of range");
 	else if (rc == HTTP_READ_COMPLETE && !is_skipped_response(c))
 		end_response(c, len > 0);
 }
--- a/src/net/http_reader.c
+++ b/src/net/http_reader.c
@@ -11,6 +11,7 @@
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TOO_LARGE 413
 #define STATUS_HEADERS_TOO_LARGE 431
+#define STATUS_SWITCHING 101
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 
@@ -85,6 +86,16 @@
 		r->keep_alive_s = strtol(p + strlen("timeout="), NULL, 10);
 }
 
+/* The value may end in white space. */
+static bool is_chunked(const char *value)
+{
+	static const char name[] = "chunked";
+	size_t len = strlen(name);
+
+	return !strncasecmp(value, name, len) &&
+	       !value[len + strspn(value + len, " \t")];
+}
+
 /* Stores the header just read, unless it is hop-by-hop. */
 static int end_header(struct http_reader *r)
 {
@@ -102,6 +113,10 @@
 	    (append_text(&r->connection, value, r->value.len) < 0 ||
 	     append_text(&r->connection, ",", 1) < 0))
 		return -1;
+	if (!strcmp(name, "transfer-encoding")) {
+		r->codings++;
+		r->chunked = is_chunked(value);
+	}
 	if (!strcmp(name, "keep-alive"))
 		parse_keep_alive(r, value);
 	if (r->message.header_count >= HEADERS_MAX - HEADERS_OF_NODE_MAX)
@@ -121,10 +136,13 @@
 	return append_text(&r->target, at, len);
 }
 
+/* Trailers are dropped: they are no headers (RFC 9110, 6.5.1). */
 static int on_header_field(http_parser *p, const char *at, size_t len)
 {
 	struct http_reader *r = p->data;
 
+	if (r->in_body)
+		return 0;
 	r->headers_too_large |= end_header(r) < 0;
 	return r->headers_too_large ? -1 : append_text(&r->name, at, len);
 }
@@ -133,6 +151,8 @@
 {
 	struct http_reader *r = p->data;
 
+	if (r->in_body)
+		return 0;
 	r->in_value = true;
 	return append_text(&r->value, at, len);
 }
@@ -208,6 +228,29 @@
 	       status == STATUS_NOT_MODIFIED;
 }
 
+/*
+ * Whether the framing is one that this node asked for or can pass on: chunked
+ * is the only transfer coding, in HTTP/1.1 alone (RFC 9112, 6.1), a response
+ * that has no body announces none, and there is no switch of protocols.
+ */
+static bool framing_is_strict(const struct http_reader *r)
+{
+	const struct http_parser *p = &r->parser;
+	bool announced = p->content_length && p->content_length != UINT64_MAX;
+	int status = (int)p->status_code;
+
+	if (r->codings &&
+	    (r->codings > 1 || !r->chunked || !(p->flags & F_CHUNKED) ||
+	     p->http_major != 1 || !p->http_minor))
+		return false;
+	if (!r->options.responses)
+		return true;
+	if (status == STATUS_SWITCHING)
+		return false;
+	return (status >= 200 && status != STATUS_NO_CONTENT) ||
+	       (!r->codings && !announced);
+}
+
 /* Returns the bytes left of a body whose length was announced, or -1. */
 int64_t http_reader_body_left(const struct http_reader *r)
 {
@@ -225,6 +268,8 @@
 	r->headers_too_large |= end_header(r) < 0;
 	if (r->headers_too_large)
 		return -1;
+	if (!framing_is_strict(r))
+		return -1;
 	drop_connection_headers(r);
 	if (!(p->flags & F_CHUNKED) && p->content_length != UINT64_MAX &&
 	    p->content_length > r->options.body_limit &&
@@ -309,6 +354,9 @@
 	r->value.len = 0;
 	r->target.len = 0;
 	r->connection.len = 0;
+	memset(&r->chunks, 0, sizeof(r->chunks));
+	r->codings = 0;
+	r->chunked = false;
 	r->in_value = false;
 	r->in_body = false;
 	r->no_body = no_body;
@@ -328,45 +376,6 @@
 	return HTTP_READ_ERROR;
 }
 
-static bool is_token(char c)
-{
-	return isalnum((unsigned char)c) || (c && strchr("!#$%&'*+-.^_`|~", c));
-}
-
-/* RFC 9112 5.1: no space before the colon; 5.2: no obsolete line folding. */
-static bool header_is_strict(const char *line, size_t len)
-{
-	size_t i = 0;
-
-	while (i < len && is_token(line[i]))
-		i++;
-	return i && i < len && line[i] == ':';
-}
-
-/*
- * Whether every line ends in CRLF and has no other CR, LF or NUL, and every
- * header line passes header_is_strict.
- */
-static bool head_is_strict(const struct buffer *head)
-{
-	const char *line = (const char *)head->data;
-	const char *last = line + head->len - 2; /* the empty line */
-	const char *end;
-	bool first = true;
-
-	if (memchr(line, 0, head->len))
-		return false;
-	for (; line < last; line = end + 2, first = false) {
-		end = memchr(line, '\r', (size_t)(last - line));
-		if (!end || end[1] != '\n' ||
-		    memchr(line, '\n', (size_t)(end - line)))
-			return false;
-		if (!first && !header_is_strict(line, (size_t)(end - line)))
-			return false;
-	}
-	return true;
-}
-
 static enum http_read_result execute(struct http_reader *r, const uint8_t *data,
 				     size_t len, size_t *used)
 {
@@ -424,7 +433,7 @@
 		return read_error(r, STATUS_HEADERS_TOO_LARGE);
 	*used = end - before;
 	r->head.len = end;
-	if (!head_is_strict(&r->head))
+	if (!http_head_is_strict(&r->head, r->options.responses))
 		return read_error(r, STATUS_BAD_REQUEST);
 	rc = execute(r, r->head.data, r->head.len, &unused);
 	r->head.len = 0;
@@ -446,6 +455,9 @@
 	}
 	if (rc != HTTP_READ_MORE || !r->in_body || *used == len)
 		return rc;
+	if (r->chunked &&
+	    chunk_check_feed(&r->chunks, data + *used, len - *used) < 0)
+		return read_error(r, STATUS_BAD_REQUEST);
 	rc = execute(r, data + *used, len - *used, &consumed);
 	*used += consumed;
 	return rc;
--- a/test/upstream_faulty.sh
+++ b/test/upstream_faulty.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # A faulty upstream wrote an earlier refusal once more on a kept connection, and
 # a caller was told "not run" of a request that ran, or it ran a second time
-# elsewhere. Another stopped within its answer, which must not look whole.
+# elsewhere. Another stopped within its answer, which must not look whole. A third
+# answered with a status of 000, and what its body held was passed on as the answer.
 cd "$(dirname "$0")/.."
 . test/harness.bash
 BIN=${BIN_OF_FAULTY:-$BUILD/mulberryferry-san}
@@ -78,4 +79,15 @@
 [ "$(issue "/once/cut-$whole" bbbbffff)" = 200 ] ||
 	fail "a whole answer is not passed on"
 echo "ok answers that end early are not passed on as whole"
+i=0
+for code in 000 001 099 20 0200 2000 600 999 101 -20; do
+	beat
+	i=$((i + 1))
+	status=$(issue "/once/status-$code" "$(printf 'dddd%04x' $i)")
+	[ "$status" = 502 ] || fail "an answer of status $code got $status," \
+		"$(cat "$WORK/body")"
+	[ "$(grep -c "^run $(printf 'dddd%04x' $i)" "$WORK/u1.out")" = 1 ] ||
+		fail "status $code: the request ran again"
+done
+echo "ok a status that HTTP does not allow is no answer"
 echo "upstream faulty passed"
--- a/tools/platform_faulty.c
+++ b/tools/platform_faulty.c
@@ -6,6 +6,7 @@
  *   .../repeat    refuses the first try of an id, and writes the refusal once
  *                 more before the next answer on the same connection
  *   .../unnamed   as repeat, without an id the second time
+ *   .../status-X  answers with the status X, and a whole answer as the body
  *   .../call-lost makes a call to /sub/ and closes without an answer
  *   any other     answers
  */
@@ -113,11 +114,36 @@
 	close(fd);
 }
 
+static size_t write_answer(char *to, const char *id)
+{
+	return (size_t)snprintf(to, HEAD_MAX,
+				"HTTP/1.1 200 OK\r\n"
+				"Mulberryferry-Attempt-Id: %s\r\n"
+				"Mulberryferry-Response-Signature: 1.2\r\n"
+				"Content-Length: 5\r\n\r\nhello",
+				id);
+}
+
+/* Sends an answer whose status is that of the target. */
+static int send_status(struct conn *c, const char *status, const char *id)
+{
+	char text[HEAD_MAX], body[HEAD_MAX];
+	size_t len = write_answer(body, id);
+	int n = snprintf(text, sizeof(text),
+			 "HTTP/1.1 %.*s None\r\nMulberryferry-Attempt-Id: "
+			 "%s\r\nContent-Length: %zu\r\n\r\n",
+			 (int)strcspn(status, " "), status, id, len);
+
+	send_text(c, text, (size_t)n);
+	return send_text(c, body, len);
+}
+
 /* Answers one request; -1 if the connection is to be closed. */
 static int answer(struct conn *c)
 {
 	char id[ID_SIZE], text[HEAD_MAX];
 	const char *cut = strstr(c->head, "/cut-");
+	const char *status = strstr(c->head, "/status-");
 	int unnamed = strstr(c->head, "/unnamed") != NULL;
 	int repeats = unnamed || strstr(c->head, "/repeat") != NULL;
 	size_t len;
@@ -138,12 +164,9 @@
 	}
 	if (repeats)
 		usleep(RUN_US);
-	len = (size_t)snprintf(
-		text, sizeof(text),
-		"HTTP/1.1 200 OK\r\nMulberryferry-Attempt-Id: %s\r\n"
-		"Mulberryferry-Response-Signature: 1.2\r\n"
-		"Content-Length: 5\r\n\r\nhello",
-		id);
+	if (status)
+		return send_status(c, status + strlen("/status-"), id);
+	len = write_answer(text, id);
 	if (cut && (size_t)atol(cut + strlen("/cut-")) < len)
 		len = (size_t)atol(cut + strlen("/cut-"));
 	return send_text(c, text, len) < 0 || cut ? -1 : 0;
