End calls whose upstream sends answers to nothing without end

Seen by callers: interim answers and answers to other requests were read until the deadline of the request, then 504.

Cause: they are skipped, and nothing counted them.

Change: after 32 of them the call fails as malformed, 502 or sent again.

--- a/src/net/http_pool.c
+++ b/src/net/http_pool.c
@@ -17,6 +17,8 @@
 /* A slow peer may take this many times as long as for its last response. */
 #define SILENCE_FACTOR 4
 #define NEW_CONN_FACTOR 2 /* and on a new connection again as many */
+/* Beyond these, a peer sends responses to nothing without end. */
+#define SKIPPED_MAX 32
 
 static void free_call(struct pool_call *call)
 {
@@ -304,6 +306,11 @@
 		len -= used;
 		if (rc != HTTP_READ_COMPLETE || !is_skipped_response(c))
 			break;
+		if (c->call->skipped++ == SKIPPED_MAX) {
+			fail_call(c->call, HTTP_MALFORMED,
+				  "responses to no request");
+			return;
+		}
 		http_reader_reset(&c->reader, c->call->no_body);
 	}
 	/* A body data handler may have cancelled the call. */
--- a/src/net/http_pool_impl.h
+++ b/src/net/http_pool_impl.h
@@ -17,11 +17,12 @@
 	struct buffer request;	  /* serialised; freed once it is not needed */
 	int64_t sent_us;	  /* last time */
 	char expected_id[REQUEST_ID_SIZE];
-	bool no_body; /* is a HEAD request */
-	bool queued;  /* in the waiting list of its pool */
-	bool failed;  /* could not be started; start_waiting reports it */
-	bool sent;    /* a byte may have been sent */
-	bool resent;  /* over another connection, after silence */
+	uint8_t skipped; /* interim and other calls' responses read for it */
+	bool no_body;	 /* is a HEAD request */
+	bool queued;	 /* in the waiting list of its pool */
+	bool failed;	 /* could not be started; start_waiting reports it */
+	bool sent;	 /* a byte may have been sent */
+	bool resent;	 /* over another connection, after silence */
 };
 
 /* Failed requests that a connection remembers; then it is closed. */
--- a/tools/platform_faulty.c
+++ b/tools/platform_faulty.c
@@ -7,6 +7,7 @@
  *                 more before the next answer on the same connection
  *   .../unnamed   as repeat, without an id the second time
  *   .../status-X  answers with the status X, and a whole answer as the body
+ *   .../endless-X sends bytes without end, see floods
  *   .../call-lost makes a call to /sub/ and closes without an answer
  *   any other     answers
  */
@@ -18,14 +19,41 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define CONNS_MAX 64
+#define CONNS_MAX 512
 #define HEAD_MAX 4096
 #define IDS_MAX 4096
 #define ID_SIZE 100
 #define RUN_US 50000 /* a run lasts so long */
 
+#define FLOOD_SIZE 65536
+#define OK "HTTP/1.1 200 OK\r\n"
+#define CHUNKED OK "Transfer-Encoding: chunked\r\n\r\n"
+#define LONG_TEXT \
+	"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"
+
+/* What is sent once, then again and again. */
+static const struct flood {
+	const char *name, *first, *again;
+} floods[] = {
+	{"/endless-noise", "", LONG_TEXT},
+	{"/endless-line", OK "X: ", LONG_TEXT},
+	{"/endless-head", OK, "X: " LONG_TEXT "\r\n"},
+	{"/endless-body", OK "\r\n", LONG_TEXT},
+	{"/endless-length", OK "Content-Length: 15000000\r\n\r\n", LONG_TEXT},
+	{"/endless-surplus", OK "Content-Length: 0\r\n\r\n", LONG_TEXT},
+	{"/endless-chunks", CHUNKED, "3f\r\n" LONG_TEXT "\r\n"},
+	{"/endless-size", CHUNKED, "0"},
+	{"/endless-extension", CHUNKED "3f;", LONG_TEXT},
+	{"/endless-trailers", CHUNKED "0\r\n", "X: " LONG_TEXT "\r\n"},
+	{"/endless-interim", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	{"/endless-others", "",
+	 OK "Mulberryferry-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n"},
+};
+
 struct conn {
 	int fd;
+	const struct flood *flood; /* that it is sending, or NULL */
+	size_t flooded;		   /* bytes of the current repetition */
 	char head[HEAD_MAX];
 	size_t len;
 	char again[HEAD_MAX]; /* to be written before the next answer */
@@ -172,6 +200,32 @@
 	return send_text(c, text, len) < 0 || cut ? -1 : 0;
 }
 
+static const struct flood *find_flood(const char *head)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(floods) / sizeof(*floods); i++)
+		if (strstr(head, floods[i].name))
+			return &floods[i];
+	return NULL;
+}
+
+/* Sends as much of the flood as the connection takes; -1 if it has ended. */
+static int send_flood(struct conn *c)
+{
+	size_t len = strlen(c->flood->again), n = 0;
+	char text[FLOOD_SIZE];
+	ssize_t sent;
+
+	for (n = 0; n < sizeof(text); n++)
+		text[n] = c->flood->again[(c->flooded + n) % len];
+	sent = send(c->fd, text, n, MSG_NOSIGNAL | MSG_DONTWAIT);
+	if (sent < 0)
+		return -1;
+	c->flooded = (c->flooded + (size_t)sent) % len;
+	return 0;
+}
+
 /* Reads from a connection; -1 if it has ended. */
 static int serve(struct conn *c)
 {
@@ -186,6 +240,9 @@
 	if (!end)
 		return c->len < HEAD_MAX - 1 ? 0 : -1;
 	c->len = 0;
+	c->flood = find_flood(c->head);
+	if (c->flood)
+		return send_text(c, c->flood->first, strlen(c->flood->first));
 	return answer(c);
 }
 
@@ -209,12 +266,15 @@
 	while (listener >= 0) {
 		fds[0] = (struct pollfd){.fd = listener, .events = POLLIN};
 		for (i = 0; i < conn_count; i++)
-			fds[i + 1] = (struct pollfd){.fd = conns[i].fd,
-						     .events = POLLIN};
+			fds[i + 1] = (struct pollfd){
+				.fd = conns[i].fd,
+				.events = conns[i].flood ? POLLOUT : POLLIN};
 		if (poll(fds, conn_count + 1, -1) < 0)
 			return EXIT_FAILURE;
 		for (i = conn_count; i-- > 0;)
-			if (fds[i + 1].revents && serve(&conns[i]) < 0) {
+			if (fds[i + 1].revents &&
+			    (conns[i].flood ? send_flood(&conns[i])
+					    : serve(&conns[i])) < 0) {
 				close(conns[i].fd);
 				conns[i] = conns[--conn_count];
 			}
