Take no requests late in a planned stop

Seen by callers: requests that came late in the grace of a stop ran and were cut at its end, unsafe ones too (report of another operator).

Cause: a stopping node goes on taking the calls that upstreams make for running requests. On the users' platform these have no key, so all requests without a key were taken. A gate ran the calls of nodes that had not heard of the stop, and with a grace of three seconds or less nobody was refused.

Change: what no running request made, and calls over links, are refused, not run, once callers are; that is after half of the grace at the latest. What is taken during a stop has its deadline 0.2 s before the end, so that the upstream ends it with an answer.

--- a/src/filter/context.c
+++ b/src/filter/context.c
@@ -57,7 +57,7 @@
  * A sub-call inherits account, class, admission hash, deadline and, with a
  * context header, a part of the retry allowance from its parent call. The
  * parent is found by context token, or by request id where the interface has
- * no context header. Roots pass unchanged.
+ * no context header. Roots pass unchanged, until a planned stop refuses them.
  */
 enum filter_result filter_context(struct node *n, struct request *r,
 				  int64_t now)
@@ -67,8 +67,11 @@
 
 	if (!n->headers->context) {
 		parent = parent_by_request_id(n, r);
-		if (!parent)
+		if (!parent && !node_refuses_requests(n, now))
 			return FILTER_NEXT;
+		if (!parent)
+			return request_refuse(n, r, REASON_STOPPING,
+					      OUTCOME_NOT_RUN, now);
 		r->origin = ORIGIN_SERVICE;
 		inherit(r, parent);
 		if (parent->head.account[0])
--- a/src/filter/place.c
+++ b/src/filter/place.c
@@ -162,6 +162,7 @@
 /* Sends the call, to another upstream's gate if a gate is unreachable. */
 enum filter_result filter_place(struct node *n, struct request *r, int64_t now)
 {
+	r->deadline_us = node_last_deadline(n, r->deadline_us);
 	if (now + USEC_PER_MSEC >= r->deadline_us)
 		return request_refuse(n, r, REASON_DEADLINE, OUTCOME_NOT_RUN,
 				      now);
--- a/src/node/call_table.c
+++ b/src/node/call_table.c
@@ -123,7 +123,8 @@
 	c->message = *msg;
 	memset(msg, 0, sizeof(*msg));
 	c->arrived_us = now;
-	c->deadline_us = now + head->deadline_ms * USEC_PER_MSEC;
+	c->deadline_us =
+		node_last_deadline(n, now + head->deadline_ms * USEC_PER_MSEC);
 	c->allowance = head->allowance;
 	for (i = 0; i < SHED_CLASSES; i++)
 		c->sub_call_admission.admitted[i] = ADMIT_ALL;
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -604,7 +604,10 @@
 		return handle;
 	}
 	c->upstream = u->handle;
-	if (!gates_is_home(n, &c->head))
+	/* Its entry has not heard of the stop yet, and can go elsewhere. */
+	if (kind == REPLY_LINK && node_refuses_requests(n, now))
+		why = REASON_STOPPING;
+	else if (!gates_is_home(n, &c->head))
 		why = REASON_NO_HOME_UPSTREAM;
 	else
 		why = evacuation_gate_reason(n, now);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -25,11 +25,13 @@
 /* Callers check readiness every second and leave after two failures. */
 #define CALLER_DRAIN_US (3 * USEC_PER_SEC)
 /*
- * Time from the start of a stop until the gates close to other nodes. The
- * nodes learn of it by gossip within some tens of milliseconds; the margin
+ * The gates close to other nodes this long before callers are refused. The
+ * nodes learn of it by gossip within some tens of milliseconds; the rest
  * allows for a lost round.
  */
-#define GATE_CLOSE_DELAY_US (CALLER_DRAIN_US - 500 * USEC_PER_MSEC)
+#define GATE_CLOSE_LEAD_US (500 * USEC_PER_MSEC)
+/* Before the end of a stop, for the answers of what reached its deadline. */
+#define STOP_ANSWER_US (200 * USEC_PER_MSEC)
 
 static volatile sig_atomic_t stop_requested;
 static volatile sig_atomic_t reload_requested;
@@ -444,14 +446,33 @@
 	log_emit(&line);
 }
 
+/* Time for callers to leave; half of the grace is for what they sent before. */
+static int64_t caller_drain_us(const struct node *n)
+{
+	int64_t half_us = n->settings.stop_grace_us / 2;
+
+	return half_us < CALLER_DRAIN_US ? half_us : CALLER_DRAIN_US;
+}
+
 /*
  * Whether callers have had time to notice the planned stop. New requests are
  * refused from then on; otherwise a steady stream of them would keep the node
- * from stopping.
+ * from stopping, and the last ones would be cut at its end.
  */
 bool node_refuses_requests(const struct node *n, int64_t now)
 {
-	return n->stopping && now - n->stopping_since_us >= CALLER_DRAIN_US;
+	return n->stopping && now - n->stopping_since_us >= caller_drain_us(n);
+}
+
+/*
+ * Returns the deadline of what is passed on during a planned stop: early enough
+ * for its answer, be it that of a missed deadline, to leave before the end.
+ */
+int64_t node_last_deadline(const struct node *n, int64_t deadline_us)
+{
+	int64_t last_us = n->stop_at_us - STOP_ANSWER_US;
+
+	return n->stopping && last_us < deadline_us ? last_us : deadline_us;
 }
 
 /* Answers on their way to callers, upstreams and other nodes. */
@@ -493,7 +514,8 @@
 	bool busy = n->requests.count || n->calls.count || unsent_answers(n);
 
 	if (!n->gates_closing &&
-	    now - n->stopping_since_us >= GATE_CLOSE_DELAY_US)
+	    now - n->stopping_since_us >=
+		    caller_drain_us(n) - GATE_CLOSE_LEAD_US)
 		close_gates(n, now);
 	if (now < n->stop_at_us) {
 		if (busy || !node_refuses_requests(n, now))
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -191,6 +191,7 @@
 void node_stop(struct node *n, int64_t now);
 /* Whether new requests are refused because of a planned stop. */
 bool node_refuses_requests(const struct node *n, int64_t now);
+int64_t node_last_deadline(const struct node *n, int64_t deadline_us);
 /* Advances a planned stop: closes the gates, then ends the event loop. */
 void node_stop_step(struct node *n, int64_t now);
 /*
--- a/test/test_gates.c
+++ b/test/test_gates.c
@@ -371,6 +371,35 @@
 	node_close(n);
 }
 
+/*
+ * Guards against calls that come late in the grace of a planned stop, run, and
+ * are cut at its end.
+ */
+static void late_calls_are_refused_in_a_planned_stop(void **state)
+{
+	struct upstream_announcement announcement =
+		announcement_of("a", 100, 1);
+	struct node *n = open_node();
+	int64_t now = clock_monotonic_us();
+	int64_t half_us = 2 * USEC_PER_SEC;
+	struct call *c;
+	void *item;
+
+	(void)state;
+	n->config = config_new();
+	n->settings.stop_grace_us = 2 * half_us;
+	gates_announce_platform(n, &announcement, now);
+	node_stop(n, now);
+	submit(n, now + half_us - USEC_PER_MSEC);
+	assert_int_equal(n->calls.count, 1);
+	table_next(&n->calls, 0, &item);
+	c = item;
+	assert_true(c->deadline_us < now + 2 * half_us);
+	submit(n, now + half_us);
+	assert_int_equal(n->calls.count, 1);
+	node_close(n);
+}
+
 /*
  * With an overload deep in a chain, the calls between it and the entry fail
  * because their sub-calls do. Each must get the reason of its sub-call, so
@@ -435,6 +464,7 @@
 		cmocka_unit_test(announcement_clears_unreachable),
 		cmocka_unit_test(restarted_gate_admits_without_ramp_up),
 		cmocka_unit_test(planned_stop_closes_gate_last),
+		cmocka_unit_test(late_calls_are_refused_in_a_planned_stop),
 		cmocka_unit_test(sub_call_failures_are_reported_up_the_chain),
 	};
 
