Let the replay model return retries as nodes do

The model added what an attempt had left by itself, so it could not show the fault of docs/incidents/returned-retries.md.

--- a/test/replay_calls.c
+++ b/test/replay_calls.c
@@ -367,7 +367,8 @@
 		      m->now);
 	cutoffs_merge(n->cutoffs, model_service(m, a.hop), account,
 		      &a.head.admission, m->now);
-	hop_call->allowance += a.head.allowance_left;
+	allowance_return(&hop_call->allowance, &hop_call->lent,
+			 a.head.allowance_left);
 	hop_call->current = 0;
 	if (a.head.outcome != OUTCOME_DONE) {
 		hop_call_failed(m, a.root, a.parent, a.head.outcome,
