Give each load of test/stop.sh idempotency keys of its own

The test failed at times with 3 requests unknown, reason claim-running: in 2 of 3 runs at a load of 19 to 23. The logs of such a run (requests c1-55-1, c1-59-1 and c1-69-1) show cause: two loads run at once with the same seed, so they send the same keys to two nodes within milliseconds, and the second is rightly answered 409. Later loads were answered from stored results, and their once-only requests never ran.

Each load has a seed of its own now, so that all of them run: stricter.

--- a/test/stop.sh
+++ b/test/stop.sh
@@ -6,13 +6,17 @@
 
 NAMES=(a1 a2 b1 b2)
 
-# load NAME SECONDS TARGET...: runs a load without retries in the background.
+# load NAME SECONDS TARGET...: runs a load without retries in the background. Each
+# has a seed, and so idempotency keys, of its own: beside another of the same keys
+# its requests would be answered as those that run already.
+LOADS=0
 load() {
 	local name=$1 seconds=$2 to
 	shift 2
+	LOADS=$((LOADS + 1))
 	to=$(printf '"%s",' "$@")
 	cat >"$WORK/$name.plan" <<-END
-	{"to": [${to%,}], "seconds": $seconds, "seed": 1, "streams": [
+	{"to": [${to%,}], "seconds": $seconds, "seed": $LOADS, "streams": [
 		{"name": "read", "key": "one", "method": "GET",
 		 "path": "/read", "rate": 60, "deadline_ms": 10000,
 		 "retries": 0},
