--- a/tools/platform_faulty.c
+++ b/tools/platform_faulty.c
@@ -1,6 +1,7 @@
 /*
  * Stand-in for a faulty upstream of the users' platform, byte by byte. Sends no
- * heartbeats; makes its calls to the address that it is given. What it does follows from the target of a request:
+ * heartbeats, and makes its calls to the address that it is given. What it does
+ * follows from the target of a request:
  *
  *   .../cut-N     sends the first N bytes of its answer and closes
  *   .../repeat    refuses the first try of an id, and writes the refusal once
