Let test_http_pool wait for the peer before it counts requests

The peer's thread had not run by then, though the request lay in its socket; the test stopped it and counted 0. With the thread held for 100 ms the test fails at this line in each run, and passes now. What it asks stays: one request, no fewer and no more.

--- a/test/test_http_pool.c
+++ b/test/test_http_pool.c
@@ -42,7 +42,7 @@
 	pthread_t thread;
 	const struct script *scripts; /* one per connection, in order */
 	size_t n;
-	int requests;
+	atomic_int requests;
 	atomic_int closed; /* connections closed */
 };
 
@@ -126,6 +126,15 @@
 	assert_int_equal(pthread_create(&p->thread, NULL, peer_main, p), 0);
 }
 
+/* A call may have reached its deadline before the peer's thread has run. */
+static void wait_for_request(struct peer *p)
+{
+	int i;
+
+	for (i = 0; i < LONG_US / 1000 && !p->requests; i++)
+		usleep(1000);
+}
+
 static void peer_stop(struct peer *p)
 {
 	shutdown(p->fd, SHUT_RDWR);
@@ -336,6 +345,7 @@
 
 		peer_start(&peer, &script, 1);
 		run_calls(&r, &peer.addr);
+		wait_for_request(&peer);
 		peer_stop(&peer);
 		if (r.status != responses[i].status)
 			print_error("case: %s got %d\n", responses[i].name,
