--- a/test/stop_late.sh
+++ b/test/stop_late.sh
@@ -24,7 +24,7 @@
 }
 SENT=()
 
-# One request runs while the node stops, so that it doesn't end early.
+# Sends requests all through the stop, so that the node has work until its end.
 run_until_stopped() {
 	while kill -0 "$pid_a1" 2>/dev/null; do
 		i=$((i + 1))
