--- a/review/stand-3/clients3.c
+++ b/review/stand-3/clients3.c
@@ -2,12 +2,15 @@
  * Stand-in for clients: each keeps its connection and sends one request after
  * the other, GAP_MS after the last one was sent or as soon as it has ended.
  *
- *   clients3 ADDR NAME COUNT SECONDS GAP_MS METHOD TARGET BODY_BYTES DEADLINE_MS [DEPTH]
+ *   clients3 ADDR NAME COUNT SECONDS GAP_MS METHOD TARGET BODY_BYTES DEADLINE_MS
+ *            [DEPTH [READ_RATE]]
  *
  * With DEPTH, a client sends so many requests at once, then reads the answers
  * in order: the first to TARGET, the others to the target that follows it after
- * a comma. Prints a line for each request: what it got, or that the connection
- * was closed without an answer.
+ * a comma. With READ_RATE, it reads so many bytes a millisecond, and has a
+ * small window. Prints a line for each request: the status, with a plus if the
+ * answer was signed; "part" if the connection ended within the answer; "closed"
+ * if it ended before; "nothing" if the client gave up.
  */
 #include "net3.h"
 
@@ -64,7 +67,7 @@
 	struct head h;
 	char id[64], got[64], text[16];
 	int i, status;
-	bool lost = false;
+	bool lost = false, ended = false;
 
 	for (i = 0; i < depth && !lost; i++) {
 		request_id(id, client, (*n)++);
@@ -72,11 +75,16 @@
 	}
 	for (i = 0; i < depth; i++) {
 		request_id(id, client, from + (unsigned)i);
-		if (read_head(c, &h, until_ms) < 0 ||
-		    read_body(c, h.body, until_ms) < 0) {
+		if (ended || read_head(c, &h, until_ms) < 0) {
 			report(id, sent_ms,
 			       now_ms() >= until_ms ? "nothing" : "closed");
-			return -1;
+			ended = true;
+			continue;
+		}
+		if (read_body(c, h.body, until_ms) < 0) {
+			report(id, sent_ms, "part");
+			ended = true;
+			continue;
 		}
 		status = atoi(h.text + 9);
 		header(&h, "mulberryferry-response-signature", got,
@@ -87,7 +95,7 @@
 		if (!strcmp(got, "close"))
 			return -1;
 	}
-	return lost ? -1 : 0;
+	return lost || ended ? -1 : 0;
 }
 
 static void *client(void *arg)
@@ -138,6 +146,8 @@
 	deadline_ms = atoi(argv[9]);
 	if (argc > 10)
 		depth = atoi(argv[10]);
+	if (argc > 11)
+		read_rate = strtoul(argv[11], NULL, 10);
 	body = calloc(1, body_bytes + 1);
 	if (!body || count > 512)
 		return 2;
