--- a/review/stand-3/common.bash
+++ b/review/stand-3/common.bash
@@ -100,6 +100,34 @@
 	done
 }
 
+# restart_node NAME: starts it again, at the addresses that it had.
+restart_node() {
+	local name=$1 l a
+	for l in callers services ready nodes; do
+		a="${l}_$name"
+		sed -i "s/\"$l\": \"[^\"]*\"/\"$l\": \"${!a}\"/" "$WORK/$name.json"
+	done
+	"$BIN" node --settings "$WORK/$name.json" >>"$WORK/$name.log" 2>&1 &
+	PIDS+=($!)
+	eval "pid_$name=$!"
+}
+
+# is_ready NODE: whether it answers the platform's question with 200.
+is_ready() {
+	local ready="ready_$1"
+	[ "$(curl -s -o /dev/null -w '%{http_code}' -m 1 \
+		"http://${!ready}/mulberryferry/ready")" = 200 ]
+}
+
+# put_entry KEY VALUE: writes an entry to the store, as another writer does.
+put_entry() {
+	curl -sf -o /dev/null -X POST -H "Content-Type: application/json" -d "{
+		\"expected_revision\": [], \"writes\": [{\"key\": \"$1\",
+		\"value\": \"$(printf %s "$2" | base64 -w 0)\"}],
+		\"deletes\": []}" "http://$STORE/mulberryferry/kv-txn" ||
+		cannot "entry $1"
+}
+
 # start_backend NAME NODE SERVICE SLOTS WORK_MS [LOSE]
 start_backend() {
 	local services="services_$2"
