--- a/review/stand-3/common.bash
+++ b/review/stand-3/common.bash
@@ -135,7 +135,8 @@
 	wait_for 5 test -s "$WORK/$1.out" || cannot "$1 did not start"
 }
 
-# put_config VERSION ROUTES SERVICES: rows as in the protocol's columns.
+# put_config VERSION ROUTES SERVICES: rows as in the protocol's columns. QUOTA
+# may hold the rate and the burst of the one tenant.
 put_config() {
 	cat <<-END | curl -sf -o /dev/null -X PUT --data-binary @- \
 		"http://$STORE/standin/document" || cannot "configuration $1"
@@ -147,7 +148,7 @@
 	"limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
 	"header_timeout_s": 3, "idle_timeout_s": 15},
 	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
-	"burst"], "rows": [["acc", ["key-1"], 1, 0, 0]]}}
+	"burst"], "rows": [["acc", ["key-1"], 1, ${QUOTA:-0, 0}]]}}
 	END
 }
 
