--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,88 +1,73 @@
 #!/usr/bin/env bash
-# Case 13: an entry of another writer makes a second holder of a part of a
-# tenant's quota; see claim.txt.
+# Case 13: a configuration has a long prefix, and doesn't come into force; see
+# claim.txt.
 CASE=$(dirname "$0")
 cd "$CASE/../.." || exit 2
 CASE=review/13
 . review/stand-3/common.bash
 
-NODES="a1 a2 b1 b2 c1 c2"
-RATE=300 BURST=300
-BOUND=$(((RATE * 5 + BURST) * 11 / 10 + 20)) # in any 5 s
-QUOTA="$RATE, $BURST"
+NODES="a1 a2 b1 b2"
+zones=(a b a b)
+i=0
+# What the new version adds: a route whose host and prefix have 260 bytes.
+PREFIX=/reports/
+[ "$TROUBLE" = 0 ] || while [ ${#PREFIX} -lt 250 ]; do
+	PREFIX="${PREFIX}by-region-and-quarter/"
+done
 
 start_store
 for n in $NODES; do
-	start_node $n ${n%?} one
+	start_node $n ${zones[i++]} $([[ $n = a* ]] && echo one || echo two)
 done
-put_config 3 '["r", "h.example", "/r/", "safe", 3, 1, 1, "one", 1, false, null]' \
-	'["one", "/health", 730]'
-for n in $NODES; do
-	start_backend o_$n $n one 105 5
+SERVICES='["one", "/health", 730], ["two", "/health", 730]'
+put_config 3 '["r", "h.example", "/r/", "safe", 3, 1, 1, "one", 2, false, null]' \
+	"$SERVICES"
+for n in a1 a2; do
+	start_backend o_$n $n one 105 20
+done
+for n in b1 b2; do
+	start_backend t_$n $n two 105 20
 done
 for n in $NODES; do
 	wait_for 20 serves $n /r/probe || cannot "$n does not serve"
 done
+sleep 4 # until all machines are in touch (stability_s is 3)
 
-# slices: prints the keys of the parts that nodes hold.
-slices() {
-	curl -sf "http://$STORE/mulberryferry/kv-range?prefix=quota/s/" |
-		grep -o 'quota\\*/s\\*/[^"]*' | tr -d '\\'
-}
-
-three_parts() {
-	[ "$(slices | wc -l)" -eq 3 ]
-}
-
-# press NAME SECONDS: 150 requests a second at each node.
-press() {
-	local n
-	for n in $NODES; do
-		clients $1_$n $n 30 "$2" 200 GET /r/x 0 1500
-	done
-	sleep $(($2 + 2))
-}
-
-wait_for 20 three_parts || cannot "the parts are not held: $(slices)"
-key=$(slices | grep '@a$')
-other=a1
-[ "${key#quota/s/$nodes_a1/}" = "$key" ] || other=a2
-other_nodes="nodes_$other"
-press before 8
-if [ "$TROUBLE" != 0 ]; then
-	put_entry "quota/s/${!other_nodes}/${key##*/}" '{"share":"720720000"}'
-	echo "odd entry at quota/s/${!other_nodes}/${key##*/}" >>"$WORK/events"
-fi
-pid="pid_$other"
-kill -KILL "${!pid}" 2>/dev/null
-echo "$other killed, at_ms=$(date +%s%3N)" >>"$WORK/events"
-sleep 1.1
-restart_node $other
-sleep 8 # stability_s is 3
-wait_for 10 serves $other /r/probe || cannot "$other does not serve again"
-echo "parts held: $(slices | tr '\n' ' ')" >>"$WORK/events"
-press after 12
+for n in $NODES; do
+	clients read_$n $n 5 14 100 GET /r/x 0 2500
+done
+sleep 3
+# The next version moves the route to the other service, and adds one.
+put_config 4 '["r", "h.example", "/r/", "safe", 3, 1, 1, "two", 2, false, null],
+	["reports", "h.example", "'"$PREFIX"'", "safe", 3, 1, 2, "two", 2, false,
+	null]' "$SERVICES"
+acknowledged=$($STANDS/clients3 now)
+sleep 13
 
-# most NAME: the most requests of these clients that ran in any 5 s.
-most() {
-	cat "$WORK"/o_*.out | sed -n "s/^run at_ms=\([0-9]*\) id=$1_.*/\1/p" |
-		sort -n | awk '{t[NR] = $1; while (t[NR] - t[from + 1] >= 5000) from++
-			if (NR - from > most) most = NR - from}
-			END {print most + 0}'
-}
-before=$(most before) after=$(most after)
+# Requests sent later than config_s (2 s) after that, and run by the old service.
+cat "$WORK"/o_*.out | sed -n 's/^run .* id=\([^ ]*\) .*/\1/p' | sort >"$WORK/old"
+cat "$WORK"/read_*.out |
+	sed -n 's/^request id=\([^ ]*\) sent_ms=\([0-9]*\) .*/\1 \2/p' |
+	awk -v t=$((acknowledged + 2000)) '$2 > t {print $1}' | sort >"$WORK/late"
+stale=$(comm -12 "$WORK/old" "$WORK/late" | wc -l)
 {
 	echo "TROUBLE=$TROUBLE"
-	cat "$WORK/events"
-	for phase in before after; do
-		echo "requests $phase, by what they got:"
-		cat "$WORK"/${phase}_*.out | sed 's/.*got=//' | sort | uniq -c
+	echo "host and prefix of the added route: $((9 + ${#PREFIX})) bytes"
+	echo "version 4 acknowledged at $acknowledged ms"
+	echo "requests by what they got, per second from then on:"
+	cat "$WORK"/read_*.out |
+		sed -n 's/.* sent_ms=\([0-9]*\) .*got=\(.*\)/\1 \2/p' |
+		awk -v t=$acknowledged '$1 >= t {print int(($1 - t) / 1000), $2}' |
+		sort -n | uniq -c
+	echo "runs at the old service after config_s:" \
+		"$(comm -12 "$WORK/old" "$WORK/late" | head -n 5 | tr '\n' ' ')..."
+	grep -h "event=document-refused" "$WORK/a1.log" | sed 's/.*event=/a1: /' |
+		sort | uniq -c
+	for n in $NODES; do
+		is_ready $n || echo "$n says that it is not ready"
 	done
-	grep -h "event=account-share " "$WORK"/??.log | sed 's/.*event=//' |
-		tail -n 12
-	echo "most that ran in 5 s: $before before, $after after" \
-		"(the rule allows $BOUND)"
+	echo "run as only version 3 allows, sent 2 s after version 4 and later:" \
+		"$stale (the rule allows none)"
 } >"$CASE/record.txt"
 tail -n 1 "$CASE/record.txt"
-[ "$before" -gt 500 ] || cannot "too little ran before"
-[ "$after" -le $BOUND ]
+[ "$stale" -eq 0 ]
--- a/review/stand-3/clients3.c
+++ b/review/stand-3/clients3.c
@@ -5,7 +5,9 @@
  *   clients3 ADDR NAME COUNT SECONDS GAP_MS METHOD TARGET BODY_BYTES DEADLINE_MS
  *            [DEPTH [READ_RATE]]
  *
- * With DEPTH, a client sends so many requests at once, then reads the answers
+ *   clients3 now
+ *
+ * The latter prints the clock of all records here. With DEPTH, a client sends so many requests at once, then reads the answers
  * in order: the first to TARGET, the others to the target that follows it after
  * a comma. With READ_RATE, it reads so many bytes a millisecond, and has a
  * small window. Prints a line for each request: the status, with a plus if the
@@ -129,6 +131,8 @@
 	char *comma;
 	int i;
 
+	if (argc == 2 && !strcmp(argv[1], "now"))
+		return printf("%lld\n", (long long)now_ms()) < 0;
 	if (argc < 10)
 		return 2;
 	addr = argv[1];
