--- a/review/stand-3/common.bash
+++ b/review/stand-3/common.bash
@@ -136,7 +136,7 @@
 }
 
 # put_config VERSION ROUTES SERVICES: rows as in the protocol's columns. QUOTA
-# may hold the rate and the burst of the one tenant.
+# may hold the rate and the burst of the one tenant, MAX_BODY a limit.
 put_config() {
 	cat <<-END | curl -sf -o /dev/null -X PUT --data-binary @- \
 		"http://$STORE/standin/document" || cannot "configuration $1"
@@ -145,7 +145,7 @@
 	"max_attempts", "allow_anonymous", "traffic_split"], "rows": [$2]},
 	"services": {"columns": ["name", "health_path", "max_connections"],
 	"rows": [$3]},
-	"limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+	"limits": {"max_header_bytes": 16384, "max_body_bytes": ${MAX_BODY:-67108864},
 	"header_timeout_s": 3, "idle_timeout_s": 15},
 	"tenants": {"columns": ["name", "api_keys", "priority", "rate_per_s",
 	"burst"], "rows": [["acc", ["key-1"], 1, ${QUOTA:-0, 0}]]}}
