--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -59,6 +59,10 @@
 		sed -n 's/.* sent_ms=\([0-9]*\) .*got=\(.*\)/\1 \2/p' |
 		awk -v t=$acknowledged '$1 >= t {print int(($1 - t) / 1000), $2}' |
 		sort -n | uniq -c
+	echo "sent: $(cat "$WORK"/read_*.out | wc -l), answered with success:" \
+		"$(cat "$WORK"/read_*.out | grep -c 'got=200+')," \
+		"run by the old service: $(wc -l <"$WORK/old")," \
+		"by the new one: $(cat "$WORK"/t_*.out | grep -c '^run ')"
 	echo "runs at the old service after config_s:" \
 		"$(comm -12 "$WORK/old" "$WORK/late" | head -n 5 | tr '\n' ' ')..."
 	grep -h "event=document-refused" "$WORK/a1.log" | sed 's/.*event=/a1: /' |
