Hold prefixes of any length, and splits of any number of services

Cause: a route held host and prefix in 256 bytes, and a row that did not fit refused the document. The array of a split's services had the same effect from nine services on, and weights were rounded, so that parts of 0.3 each got nothing but by default: 0 of 40 requests at the first.

Now what does not fit is held as a hash, and looked up only at lengths that some route has. A split is an item of its own with fractions as weights.

--- a/src/conf/build.c
+++ b/src/conf/build.c
@@ -1,8 +1,12 @@
 /* Builds a configuration that does not come from notes. */
 #include "conf/conf_impl.h"
 
+#include <sodium.h>
+#include <stdlib.h>
 #include <string.h>
 
+#define HOST_PREFIX_HASH_SIZE 16
+
 /* Records that an item replaces another of its name, for config_check. */
 static void note_repeat(struct config *c, enum section_kind kind,
 			const void *new)
@@ -41,11 +45,92 @@
 	return put_copy(c, SECTION_SERVICES, s, sizeof(*s));
 }
 
+/*
+ * Writes the key of a host and a prefix: both, or a hash where they do not fit.
+ * The hash has no slash, so it is not the key of others that fit.
+ */
+void host_prefix_key(char key[PATTERN_SIZE], const char *host, size_t host_len,
+		     const char *path, size_t len)
+{
+	uint8_t hash[HOST_PREFIX_HASH_SIZE];
+	crypto_generichash_state state;
+
+	if (host_len < PATTERN_SIZE && len < PATTERN_SIZE - host_len) {
+		memcpy(key, host, host_len);
+		memcpy(key + host_len, path, len);
+		key[host_len + len] = 0;
+		return;
+	}
+	crypto_generichash_init(&state, NULL, 0, sizeof(hash));
+	crypto_generichash_update(&state, (const uint8_t *)host, host_len);
+	crypto_generichash_update(&state, (const uint8_t *)path, len);
+	crypto_generichash_final(&state, hash, sizeof(hash));
+	sodium_bin2hex(key, PATTERN_SIZE, hash, sizeof(hash));
+}
+
+void route_set_host_prefix(struct route *r, const char *host,
+			   const char *prefix)
+{
+	size_t host_len = strlen(host), len = strlen(prefix);
+
+	host_prefix_key(r->host_prefix, host, host_len, prefix, len);
+	r->host_prefix_len = host_len + len;
+}
+
+/* Whether some route has a host and prefix of so many bytes together. */
+bool config_has_host_prefix_len(const struct config *c, size_t len)
+{
+	return len / 8 < c->host_prefix_lens.len &&
+	       c->host_prefix_lens.data[len / 8] >> len % 8 & 1;
+}
+
+static int add_host_prefix_len(struct config *c, size_t len)
+{
+	struct buffer *lens = &c->host_prefix_lens;
+	static const uint8_t none[64];
+
+	while (lens->len <= len / 8)
+		if (buffer_append(lens, none, sizeof(none), SIZE_MAX) < 0)
+			return -1;
+	lens->data[len / 8] |= (uint8_t)(1 << len % 8);
+	return 0;
+}
+
+int config_add_split(struct config *c, struct route *r,
+		     const struct weighted_service *parts, size_t n)
+{
+	size_t size = sizeof(struct split) + n * sizeof(*parts), i;
+	struct split *s = calloc(1, size), *item;
+	int rc;
+
+	if (!s)
+		return -1;
+	memcpy(s->host_prefix, r->host_prefix, sizeof(s->host_prefix));
+	memcpy(s->parts, parts, n * sizeof(*parts));
+	s->n = n;
+	for (i = 0; i < n; i++)
+		s->total += parts[i].weight;
+	item = item_new(s, size);
+	free(s);
+	if (!item)
+		return -1;
+	r->split = item;
+	rc = section_put(&c->splits, item);
+	item_put(item);
+	return rc;
+}
+
 int config_add_route(struct config *c, const struct route *r)
 {
+	size_t len = r->host_prefix_len;
 	void *item;
 	int rc;
 
+	if (!len)
+		len = strlen(r->host_prefix);
+	if (add_host_prefix_len(c, len) < 0)
+		return -1;
+
 	if (section_find(&c->routes_by_host_prefix, r->host_prefix))
 		return -1;
 	item = item_new(r, sizeof(*r));
--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -142,7 +142,15 @@
 /* A service that gets a share of a route's requests, by weight. */
 struct weighted_service {
 	char service[NAME_SIZE];
-	uint32_t weight;
+	double weight;
+};
+
+/* The services that share the requests of a route; see config_add_split. */
+struct split {
+	char host_prefix[PATTERN_SIZE]; /* of the route */
+	size_t n;
+	double total; /* of the weights; 0: the first service gets all */
+	struct weighted_service parts[];
 };
 
 /* Effect of running a request a second time. */
@@ -152,8 +160,6 @@
 	EFFECT_NOT_IDEMPOTENT, /* a repeat has effect: run at most once */
 };
 
-#define ROUTE_SERVICES_MAX 8
-
 struct route {
 	char name[NAME_SIZE];
 	char team[NAME_SIZE];
@@ -165,11 +171,10 @@
 	bool anonymous; /* accepts requests without a key */
 	int64_t deadline_us;
 	uint32_t retries; /* allowance of a root for its entire chain */
-	/* Host and path prefix; see config_match_host_prefix. */
+	/* Host and path prefix, or a hash; see route_set_host_prefix. */
 	char host_prefix[PATTERN_SIZE];
-	/* If there are none, all requests go to service. */
-	struct weighted_service weighted_services[ROUTE_SERVICES_MAX];
-	size_t weighted_count;
+	size_t host_prefix_len;	   /* without the hash; 0: of host_prefix */
+	const struct split *split; /* NULL: all requests go to service */
 	enum route_effect effect;
 	int64_t target_us; /* target latency of a response; 0: unknown */
 	struct region_set home;
@@ -271,6 +276,15 @@
  * and prefix.
  */
 int config_add_service(struct config *c, const struct service *s);
+/* Sets the host and path prefix of a route, which may have any length. */
+void route_set_host_prefix(struct route *r, const char *host,
+			   const char *prefix);
+/*
+ * Splits the requests of a route, which has its host and prefix and is added
+ * afterwards, among n services. Each weight is finite and at least 0.
+ */
+int config_add_split(struct config *c, struct route *r,
+		     const struct weighted_service *parts, size_t n);
 int config_add_route(struct config *c, const struct route *r);
 int config_add_account(struct config *c, const struct account *a);
 int config_add_key(struct config *c, const struct access_key *k);
--- a/src/conf/conf_impl.h
+++ b/src/conf/conf_impl.h
@@ -87,6 +87,8 @@
 	struct section keys_by_hash;
 	struct section operators_by_hash;
 	struct section routes_by_host_prefix;
+	struct buffer host_prefix_lens; /* bitmap of the lengths in use */
+	struct section splits;		/* by host_prefix */
 	struct section long_names;
 	struct caller_limits limits;
 	uint32_t lowest_rank; /* of all accounts; the largest number */
@@ -99,6 +101,9 @@
 	struct release releases[RELEASES_KEPT]; /* ring, indexed by number */
 };
 
+bool config_has_host_prefix_len(const struct config *c, size_t len);
+void host_prefix_key(char key[PATTERN_SIZE], const char *host, size_t host_len,
+		     const char *path, size_t len);
 struct config *config_clone(const struct config *c);
 int config_put_item(struct config *c, enum section_kind kind, void *item);
 int config_remove_item(struct config *c, enum section_kind kind,
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -45,7 +45,9 @@
 	section_free(&c->keys_by_hash);
 	section_free(&c->operators_by_hash);
 	section_free(&c->routes_by_host_prefix);
+	section_free(&c->splits);
 	section_free(&c->long_names);
+	buffer_free(&c->host_prefix_lens);
 	buffer_free(&c->source);
 	trie_put(c->trie);
 	free(c);
@@ -69,10 +71,16 @@
 	section_copy(&n->keys_by_hash, &c->keys_by_hash);
 	section_copy(&n->operators_by_hash, &c->operators_by_hash);
 	section_copy(&n->routes_by_host_prefix, &c->routes_by_host_prefix);
+	section_copy(&n->splits, &c->splits);
 	section_copy(&n->long_names, &c->long_names);
 	memset(&n->source, 0, sizeof(n->source));
+	memset(&n->host_prefix_lens, 0, sizeof(n->host_prefix_lens));
 	trie_get(n->trie);
-	return n;
+	if (buffer_append(&n->host_prefix_lens, c->host_prefix_lens.data,
+			  c->host_prefix_lens.len, SIZE_MAX) == 0)
+		return n;
+	config_put(n);
+	return NULL;
 }
 
 /* Returns the index by key hash of a kind, or NULL if it has none. */
@@ -210,26 +218,22 @@
 
 /*
  * Returns the route with the longest prefix of the path on a host, or NULL.
- * Prefixes end with a slash, so a lookup is made for each slash in the path.
+ * Prefixes end with a slash, so a lookup is made for each slash in the path
+ * that ends a prefix as long as that of some route.
  */
 const struct route *config_match_host_prefix(const struct config *c,
 					     const char *host, const char *path)
 {
 	size_t host_len = strcspn(host, ":"), len = strcspn(path, "?#");
 	const struct route *r = NULL;
-	char host_prefix[PATTERN_SIZE];
+	char key[PATTERN_SIZE];
 
-	if (host_len >= sizeof(host_prefix))
-		return NULL;
-	if (len > sizeof(host_prefix) - 1 - host_len)
-		len = sizeof(host_prefix) - 1 - host_len;
-	memcpy(host_prefix, host, host_len);
-	memcpy(host_prefix + host_len, path, len);
 	for (; !r && len; len--) {
-		if (path[len - 1] != '/')
+		if (path[len - 1] != '/' ||
+		    !config_has_host_prefix_len(c, host_len + len))
 			continue;
-		host_prefix[host_len + len] = 0;
-		r = section_find(&c->routes_by_host_prefix, host_prefix);
+		host_prefix_key(key, host, host_len, path, len);
+		r = section_find(&c->routes_by_host_prefix, key);
 	}
 	return r;
 }
--- a/src/conf/config_check.c
+++ b/src/conf/config_check.c
@@ -51,29 +51,28 @@
 static void check_services(const struct config *c, const struct route *r,
 			   struct findings *f)
 {
-	const struct weighted_service *w = r->weighted_services;
+	const struct split *s = r->split;
 	char item[NAME_SIZE + 16];
-	uint64_t total = 0;
 	size_t i;
 
-	if (!r->weighted_count)
+	if (!s) {
 		check_service(c, r, r->service, f);
-	for (i = 0; i < r->weighted_count; i++) {
-		check_service(c, r, w[i].service, f);
-		total += w[i].weight;
+		return;
 	}
+	for (i = 0; i < s->n; i++)
+		check_service(c, r, s->parts[i].service, f);
 	route_item(item, r->name);
-	if (r->weighted_count && !total)
+	if (s->total <= 0)
 		findings_add(f, FINDING_WEIGHT_ZERO, item,
 			     "all weights are 0, so service %s gets all "
 			     "requests",
 			     r->service);
-	for (i = 0; total && i < r->weighted_count; i++)
-		if (!w[i].weight)
+	for (i = 0; s->total > 0 && i < s->n; i++)
+		if (s->parts[i].weight <= 0)
 			findings_add(f, FINDING_WEIGHT_ZERO, item,
 				     "service %s has weight 0 and gets no "
 				     "requests",
-				     w[i].service);
+				     s->parts[i].service);
 }
 
 /*
--- a/src/conf/config_compare.c
+++ b/src/conf/config_compare.c
@@ -100,15 +100,22 @@
 	size_t i, len = 0;
 
 	text[0] = 0;
-	for (i = 0; i < r->weighted_count && len < 128; i++)
-		len += (size_t)snprintf(text + len, 128 - len, "%s%s:%u",
-					i ? "," : "",
-					r->weighted_services[i].service,
-					r->weighted_services[i].weight);
-	if (!r->weighted_count)
+	for (i = 0; r->split && i < r->split->n && len < 128; i++)
+		len += (size_t)snprintf(
+			text + len, 128 - len, "%s%s:%g", i ? "," : "",
+			r->split->parts[i].service, r->split->parts[i].weight);
+	if (!r->split)
 		snprintf(text, 128, "none");
 }
 
+static bool same_split(const struct split *a, const struct split *b)
+{
+	if (!a || !b)
+		return a == b;
+	return a->n == b->n &&
+	       !memcmp(a->parts, b->parts, a->n * sizeof(*a->parts));
+}
+
 static void compare_routes(const struct route *old, const struct route *new,
 			   const char *item, struct findings *f)
 {
@@ -116,9 +123,7 @@
 
 	compare_fields(route_fields, COUNT(route_fields), (const char *)old,
 		       (const char *)new, item, f);
-	if (old->weighted_count == new->weighted_count &&
-	    !memcmp(old->weighted_services, new->weighted_services,
-		    sizeof(old->weighted_services)))
+	if (same_split(old->split, new->split))
 		return;
 	format_split(old, from);
 	format_split(new, to);
--- a/src/filter/route.c
+++ b/src/filter/route.c
@@ -2,20 +2,31 @@
 
 #include "node/node.h"
 
+/* Of the 64 bits of a random number, as many as a double holds exactly. */
+#define RANDOM_SHIFT 11
+#define RANDOM_RANGE 0x1p53
+
 /* Picks one of the services that share the route, at random by weight. */
 static const char *pick_service(struct node *n, const struct route *route)
 {
-	uint64_t total = 0, point;
+	const struct split *s = route->split;
+	const char *service = route->service;
+	double point;
 	size_t i;
 
-	for (i = 0; i < route->weighted_count; i++)
-		total += route->weighted_services[i].weight;
-	if (!total)
-		return route->service;
-	point = node_random(n) % total;
-	for (i = 0; point >= route->weighted_services[i].weight; i++)
-		point -= route->weighted_services[i].weight;
-	return route->weighted_services[i].service;
+	if (!s || s->total <= 0)
+		return service;
+	point = (double)(node_random(n) >> RANDOM_SHIFT) / RANDOM_RANGE *
+		s->total;
+	for (i = 0; i < s->n; i++) {
+		if (s->parts[i].weight <= 0)
+			continue;
+		service = s->parts[i].service;
+		if (point < s->parts[i].weight)
+			break;
+		point -= s->parts[i].weight;
+	}
+	return service;
 }
 
 const struct route *route_find(const struct config *c, const struct message *m)
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -50,9 +50,9 @@
 	assert_int_equal(config_number(c), 7);
 	r = config_match_host_prefix(c, "h.example", "/a/b/c?x=/a/");
 	assert_string_equal(r->name, "long");
-	assert_int_equal(r->weighted_count, 2);
-	assert_string_equal(r->weighted_services[1].service, "two");
-	assert_int_equal(r->weighted_services[1].weight, 10);
+	assert_int_equal(r->split->n, 2);
+	assert_string_equal(r->split->parts[1].service, "two");
+	assert_int_equal(r->split->parts[1].weight, 10);
 	assert_int_equal(r->effect, EFFECT_IDEMPOTENT);
 	assert_int_equal(r->retries, 1);
 	assert_int_equal(r->target_us, 1200000);
@@ -157,6 +157,77 @@
 	assert_string_equal(config_long_name(NULL, "short"), "short");
 }
 
+#define LONG_PREFIX_MAX 2000
+
+/* A long prefix refused the whole document, or matched other paths. */
+static void long_prefixes_are_kept(void **state)
+{
+	static char prefix[LONG_PREFIX_MAX + 4], path[sizeof(prefix) + 4],
+		text[2 * sizeof(prefix) + 512];
+	struct config *c;
+	size_t len;
+
+	(void)state;
+	for (len = 200; len < LONG_PREFIX_MAX; len += len < 300 ? 1 : 100) {
+		memset(prefix, 'p', len);
+		prefix[0] = prefix[len - 1] = '/';
+		prefix[len] = 0;
+		snprintf(text, sizeof(text),
+			 "{\"version\":1,\"routes\":{\"columns\":[\"name\","
+			 "\"host\",\"prefix\",\"route_kind\",\"service\"],"
+			 "\"rows\":[[\"long\",\"h\",\"%s\",\"safe\",\"s\"],"
+			 "[\"root\",\"h\",\"/\",\"safe\",\"s\"]]}}",
+			 prefix);
+		c = read_document(text);
+		assert_non_null(c);
+		snprintf(path, sizeof(path), "%sx/", prefix);
+		assert_string_equal(
+			config_match_host_prefix(c, "h:80", path)->name,
+			"long");
+		path[len / 2] = 'q';
+		assert_string_equal(
+			config_match_host_prefix(c, "h", path)->name, "root");
+		path[len - 1] = 0;
+		assert_string_equal(
+			config_match_host_prefix(c, "h", path)->name, "root");
+		assert_null(config_match_host_prefix(c, "g", path));
+		config_put(c);
+	}
+}
+
+/* A split of many services, or a fraction as weight, lost the document. */
+static void splits_have_no_bound(void **state)
+{
+	static char text[20000];
+	const struct split *s;
+	struct config *c;
+	size_t n, len, i;
+
+	(void)state;
+	for (n = 1; n < 300; n += n < 12 ? 1 : 50) {
+		len = (size_t)snprintf(
+			text, sizeof(text),
+			"{\"version\":1,\"routes\":{\"columns\":[\"name\","
+			"\"host\",\"prefix\",\"route_kind\","
+			"\"traffic_split\"],\"rows\":[[\"r\",\"h\",\"/\","
+			"\"safe\",[");
+		for (i = 0; i < n; i++)
+			len += (size_t)snprintf(
+				text + len, sizeof(text) - len,
+				"%s{\"service\":\"s%zu\",\"weight\":0.25}",
+				i ? "," : "", i);
+		snprintf(text + len, sizeof(text) - len, "]]]}}");
+		c = read_document(text);
+		assert_non_null(c);
+		s = config_route(c, "r")->split;
+		assert_int_equal(s->n, n);
+		assert_true(s->total == 0.25 * (double)n);
+		snprintf(text, sizeof(text), "s%zu", n - 1);
+		assert_string_equal(s->parts[n - 1].service, text);
+		config_put(c);
+	}
+}
+
 static const char *const bad_documents[] = {
 	"",
 	"[]",
@@ -576,6 +647,8 @@
 		cmocka_unit_test(prefixes_match_whole_path_segments),
 		cmocka_unit_test(account_priority_raises_shed_class),
 		cmocka_unit_test(long_names_are_kept),
+		cmocka_unit_test(long_prefixes_are_kept),
+		cmocka_unit_test(splits_have_no_bound),
 		cmocka_unit_test(malformed_documents_are_refused),
 		cmocka_unit_test(unknown_route_kind_is_named),
 		cmocka_unit_test(home_regions_are_decoded),
