--- a/src/filter/route.c
+++ b/src/filter/route.c
@@ -54,6 +54,8 @@
 		r->cls = r->route->shed;
 	/* Without a context header, a sub-call inherits no allowance. */
 	if (r->origin == ORIGIN_CALLER || !n->headers->context)
-		r->allowance = (uint8_t)r->route->retries;
+		r->allowance = r->route->retries < UINT8_MAX
+				       ? (uint8_t)r->route->retries
+				       : UINT8_MAX;
 	return FILTER_NEXT;
 }
