Give limits that a version leaves out their defaults

A version without one of the limits left all four of the version before in force: a body of 101 bytes got 413 from a limit of 100 that was withdrawn. limit_callers set nothing unless all four were there. Now each that is missing has the listener's default, and a limit of the head is held to what a call to another host can carry.

test/config_bounds.sh fails with 413 at "a limit that is left out" with the sources before, and passes with these.

--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -638,6 +638,19 @@
 		tcp_listener_set_accepting(&s->listener, true);
 }
 
+static void set_limits(struct http_server *s, const struct http_limits *l)
+{
+	s->limits = *l;
+	if (!l->head_bytes)
+		s->limits.head_bytes = DEFAULT_HEAD_BYTES;
+	if (!l->body_bytes)
+		s->limits.body_bytes = s->options.body_limit;
+	if (!l->head_timeout_us)
+		s->limits.head_timeout_us = DEFAULT_HEAD_TIMEOUT_US;
+	if (!l->idle_timeout_us)
+		s->limits.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US;
+}
+
 static void server_release(void *ctx)
 {
 	struct http_server *s = ctx;
@@ -665,11 +678,7 @@
 	}
 	s->net = net;
 	s->options = *o;
-	s->limits = (struct http_limits){
-		.head_bytes = DEFAULT_HEAD_BYTES,
-		.body_bytes = o->body_limit,
-		.head_timeout_us = DEFAULT_HEAD_TIMEOUT_US,
-		.idle_timeout_us = DEFAULT_IDLE_TIMEOUT_US};
+	set_limits(s, &(struct http_limits){0});
 	s->listener.fd = -1;
 	s->listener.owner = s;
 	s->listener.accepted = accepted;
@@ -682,16 +691,16 @@
 	return tcp_listen(&s->listener, net, &o->listen, err) < 0 ? NULL : s;
 }
 
-/* Sets the limits for new and open connections. */
+/* Sets the limits for new and open connections; 0: the default. */
 void http_server_set_limits(struct http_server *s, const struct http_limits *l)
 {
 	struct server_conn *c;
 
-	s->limits = *l;
+	set_limits(s, l);
 	DL_FOREACH(s->conns, c)
 	{
-		c->reader.options.head_limit = l->head_bytes;
-		c->reader.options.body_limit = l->body_bytes;
+		c->reader.options.head_limit = s->limits.head_bytes;
+		c->reader.options.body_limit = s->limits.body_bytes;
 	}
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -131,9 +131,8 @@
 				.head_timeout_us = c->head_timeout_us,
 				.idle_timeout_us = c->idle_timeout_us};
 
-	if (!c->head_bytes || !c->body_bytes || !c->head_timeout_us ||
-	    !c->idle_timeout_us)
-		return;
+	if (l.head_bytes > HEADER_BYTES_MAX)
+		l.head_bytes = HEADER_BYTES_MAX;
 	if (l.body_bytes > n->settings.body_limit)
 		l.body_bytes = n->settings.body_limit;
 	http_server_set_limits(n->callers, &l);
--- a/test/config_bounds.sh
+++ b/test/config_bounds.sh
@@ -183,6 +183,11 @@
 	"header_timeout_s": 0.5, "idle_timeout_s": 0.5}' takes "small limits"
 answers 413 /r/x -d "$(long 101)"
 answers 431 /r/x -H "X-Long: $(long 600)"
+LIMITS='{"max_header_bytes": 16384, "header_timeout_s": 3,
+	"idle_timeout_s": 15}' takes "a limit that is left out"
+answers 200 /r/x -d "$(long 101)"
+LIMITS=null takes "no limits"
+answers 200 /r/x -H "X-Long: $(long 600)" -d "$(long 101)"
 
 for n in 1e9 1e10 1e300 1e400; do
 	RATE=$n BURST=$n takes "rate_per_s and burst of $n"
