Let limits without a burst pass their rate

A tenant with rate_per_s 100 and no burst, or one below 1, had every request refused; with 5 the seventh of 20 requests in turn at two hosts. What an account may save is its burst, split over hosts, and a part below one token grants none. Now it is at least one token and a quarter of a second of the rate, which is half of what QUOTA allows over its window.

test/config_bounds.sh fails with 429 at "burst 5" and at "no burst" with the program before, and passes with this one.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -259,6 +259,12 @@
  */
 enum shed_class config_shed_class(const struct config *c, const struct route *r,
 				  const struct account *a);
+/*
+ * Returns how many requests an account may save. In a configuration that is not
+ * from notes a burst may be missing: with less than this, requests that come
+ * unevenly, or at several hosts, would be refused below the rate.
+ */
+double config_usable_burst(const struct config *c, const struct account *a);
 /* Returns the route with the longest path prefix on a host, or NULL. */
 const struct route *config_match_host_prefix(const struct config *c,
 					     const char *host,
--- a/src/conf/config.c
+++ b/src/conf/config.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define BURST_MIN_S 0.25 /* of the rate, kept beside the first request */
+
 /* Returns an empty configuration with number 0, or NULL when out of memory. */
 struct config *config_new(void)
 {
@@ -248,6 +250,13 @@
 	return cls > SHED_LAST ? SHED_LAST : (enum shed_class)cls;
 }
 
+double config_usable_burst(const struct config *c, const struct account *a)
+{
+	double least = 1 + a->rate * BURST_MIN_S;
+
+	return c->source.len && a->burst < least ? least : a->burst;
+}
+
 const struct caller_limits *config_limits(const struct config *c)
 {
 	return &c->limits;
--- a/src/control/quota/quota.c
+++ b/src/control/quota/quota.c
@@ -146,6 +146,7 @@
 {
 	const struct account *conf = NULL;
 	struct quota_account *a, *next;
+	double burst;
 
 	if (q->config)
 		config_put(q->config);
@@ -163,9 +164,10 @@
 		}
 		if (!a)
 			return;
-		set_limits(a, conf->rate, conf->burst, now);
+		burst = config_usable_burst(c, conf);
+		set_limits(a, conf->rate, burst, now);
 		if (!a->group->multi_account)
-			a->group->burst = conf->burst;
+			a->group->burst = burst;
 	}
 }
 
--- a/test/config_bounds.sh
+++ b/test/config_bounds.sh
@@ -192,6 +192,13 @@
 for n in 1e9 1e10 1e300 1e400; do
 	RATE=$n BURST=$n takes "rate_per_s and burst of $n"
 done
+for n in 5 0.5 0; do
+	RATE=100 BURST=$n takes "burst $n"
+	for i in $(seq 10); do
+		answers 200 /r/b$i
+	done
+done
+RATE=100 BURST=null takes "no burst"
 RATE=5e-324 BURST=100 takes "rate_per_s 5e-324"
 RATE=0.25 BURST=40 takes "rate_per_s 0.25"
 
