Hold heartbeats that may be older than a leave nobody remembers

Cause: a leave counted as kept once one other process had it, and a new process took the past for known once the store and any member had answered, though these may have started after the leave. A store that goes back to an older copy has the same effect, also with two of three processes killed.

Now most of up to seven guardians have to confirm a leave, and a new process believes the past only if most of them, older than itself, have answered. Otherwise it holds heartbeats of upstreams that started before it, and names an address of its own for the later ones: what arrives there was sent after its start, which a late heartbeat can't have been.

--- a/src/conf/config_check.c
+++ b/src/conf/config_check.c
@@ -208,7 +208,7 @@
 		if (!a->unlimited && a->burst < 1)
 			findings_add(f, FINDING_BURST_BELOW_ONE, item,
 				     "its rate is %g a second, but a burst of "
-				     "%g never admits a whole request",
+				     "%g is below a whole request",
 				     a->rate, a->burst);
 	}
 	section_free(&with_key);
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -51,10 +51,23 @@
  */
 uint32_t members_set_departures(struct members *m, const struct departure *d,
 				size_t n, int64_t now);
-/* Sends this host's record to some members, so that they confirm it. */
+/*
+ * Guardians are a few other members that keep what this host tells for its next
+ * process. Returns their number.
+ */
+size_t members_guardian_count(const struct members *m);
+/* Sends this host's record to its guardians, so that they confirm it. */
 void members_ask_confirmation(struct members *m);
-/* The newest version of this host's record that another member confirmed. */
+/* The newest version of this host's record that most guardians confirmed. */
 uint32_t members_confirmed_version(const struct members *m);
+/* Asks the guardians what an earlier process of this host told. */
+void members_ask_witnesses(struct members *m);
+/*
+ * Whether most guardians have run since long before this process, and told what
+ * they have heard from earlier ones: then one of them knows all that most
+ * guardians had confirmed.
+ */
+bool members_have_witnesses(const struct members *m);
 /* Whether another member has answered, or the store shows that none is there. */
 bool members_have_answered(const struct members *m);
 /* Probes seeds at once if no other live member is known. */
--- a/src/control/departures/departures.c
+++ b/src/control/departures/departures.c
@@ -6,9 +6,12 @@
 
 /* How long an announcement of a process that left may still be on its way. */
 #define KEEP_US (600 * USEC_PER_SEC)
-/* Members are asked to keep what the store has not taken after this time. */
-#define ASK_AFTER_US (50 * USEC_PER_MSEC)
 #define ASK_PERIOD_US (100 * USEC_PER_MSEC)
+/* The store alone is enough if no guardian confirms for this long. */
+#define STORE_ALONE_US (200 * USEC_PER_MSEC)
+#define WITNESS_PERIOD_US (50 * USEC_PER_MSEC)
+/* Those that have not answered by then are not asked again. */
+#define WITNESS_WAIT_US (10 * USEC_PER_SEC)
 /* Longest wait at the start for both the store and a member. */
 #define START_WAIT_US (2 * USEC_PER_SEC)
 
@@ -23,6 +26,7 @@
 	d->started_us = now;
 	d->read_due = o->store != NULL;
 	d->known = !o->store;
+	d->certain = !o->store;
 	departures_store_init(d);
 	return d;
 }
@@ -104,6 +108,7 @@
 	item->added_us = now;
 	item->ticket = ++d->last_ticket;
 	d->changed_us = now;
+	d->store_alone = false;
 	return item;
 }
 
@@ -135,8 +140,8 @@
 
 bool departures_are_kept(const struct departures *d, uint64_t ticket)
 {
-	return !d->o.store || ticket <= d->stored_ticket ||
-	       ticket <= d->confirmed_ticket;
+	return !d->o.store || ticket <= d->confirmed_ticket ||
+	       (d->store_alone && ticket <= d->stored_ticket);
 }
 
 bool departures_cover(const struct departures *d, uint64_t instance,
@@ -156,6 +161,11 @@
 	return d->known;
 }
 
+bool departures_certain(const struct departures *d)
+{
+	return d->certain;
+}
+
 void departures_store_replaced(struct departures *d, int64_t now)
 {
 	d->read_due = d->o.store != NULL;
@@ -175,13 +185,20 @@
 		tell_members(d, now);
 }
 
-/* Has members keep what the store has not taken. */
+/*
+ * Has the guardians keep the departures, as the store may be out, or come back
+ * from an older copy.
+ */
 static void ask_members(struct departures *d, int64_t now)
 {
+	if (d->confirmed_ticket >= d->last_ticket)
+		return;
 	if (members_confirmed_version(d->o.members) >= d->told_version)
 		d->confirmed_ticket = d->told_ticket;
-	if (departures_are_kept(d, d->last_ticket) ||
-	    now - d->changed_us < ASK_AFTER_US || now < d->ask_due_us)
+	if (!members_guardian_count(d->o.members) ||
+	    now - d->changed_us >= STORE_ALONE_US)
+		d->store_alone = true;
+	if (departures_are_kept(d, d->last_ticket) || now < d->ask_due_us)
 		return;
 	d->ask_due_us = now + ASK_PERIOD_US;
 	members_ask_confirmation(d->o.members);
@@ -203,6 +220,30 @@
 	d->o.learnt(d->o.ctx, now);
 }
 
+/*
+ * An earlier process may have acknowledged what only its guardians keep, and
+ * all of these may have ended with it.
+ */
+static void check_certain(struct departures *d, int64_t now)
+{
+	struct log_line line;
+
+	if (d->certain || !d->known)
+		return;
+	if (members_have_witnesses(d->o.members)) {
+		d->certain = true;
+		log_start(&line, LOG_INFO, "departures-certain");
+		log_int(&line, "after_ms",
+			(now - d->started_us) / USEC_PER_MSEC);
+		log_emit(&line);
+		d->o.learnt(d->o.ctx, now);
+	} else if (now >= d->witness_due_us &&
+		   now - d->started_us < WITNESS_WAIT_US) {
+		d->witness_due_us = now + WITNESS_PERIOD_US;
+		members_ask_witnesses(d->o.members);
+	}
+}
+
 void departures_tick(struct departures *d, int64_t now)
 {
 	expire(d, now);
@@ -210,4 +251,5 @@
 	if (d->last_ticket)
 		ask_members(d, now);
 	check_known(d, now);
+	check_certain(d, now);
 }
--- a/src/control/departures/departures.h
+++ b/src/control/departures/departures.h
@@ -1,7 +1,8 @@
 /*
  * Departures: upstreams of this host that have left, as acknowledged to them.
  * An acknowledgement binds the later processes of this host too, so it is given
- * only once the store or another member keeps the departure.
+ * only once most guardians keep the departure, or the store where these do not
+ * answer.
  */
 #ifndef CONTROL_DEPARTURES_DEPARTURES_H
 #define CONTROL_DEPARTURES_DEPARTURES_H
@@ -36,8 +37,13 @@
 /* Whether an announcement comes from a process from before its departure. */
 bool departures_cover(const struct departures *d, uint64_t instance,
 		      int64_t started_ms, uint64_t sequence);
-/* Whether the departures that earlier processes acknowledged are known. */
+/*
+ * Whether the departures that earlier processes acknowledged are known, as far
+ * as the store and the members have them.
+ */
 bool departures_known(const struct departures *d);
+/* Whether these are all: if not, all that knew one may have ended together. */
+bool departures_certain(const struct departures *d);
 /* Takes over departures that members heard from an earlier process. */
 void departures_hear(struct departures *d, const struct departure *list,
 		     size_t n, int64_t now);
--- a/src/control/departures/departures_impl.h
+++ b/src/control/departures/departures_impl.h
@@ -18,6 +18,7 @@
 	struct kept_departure items[DEPARTURES_MAX];
 	size_t n;
 	bool known;
+	bool certain;
 	int64_t started_us;
 	/* Tickets number the changes of the table. */
 	uint64_t last_ticket;
@@ -28,6 +29,8 @@
 	uint64_t told_ticket;
 	uint64_t confirmed_ticket;
 	int64_t ask_due_us;
+	int64_t witness_due_us;
+	bool store_alone; /* it is enough for what was told last */
 
 	/* The store: all departures of this host under one key. */
 	char key[STORE_KEY_SIZE];
--- a/src/control/members/members.c
+++ b/src/control/members/members.c
@@ -134,9 +134,9 @@
 		members_pull_receive(m, msg, now);
 		break;
 	case PEER_MEMBERS:
-		m->heard = true;
 		members_merge(m, msg->members.items, msg->members.n,
 			      msg->members.n <= FORWARD_MAX, now);
+		members_hear_members(m, msg);
 		break;
 	default:
 		break;
--- a/src/control/members/members_departures.c
+++ b/src/control/members/members_departures.c
@@ -7,8 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CONFIRM_FANOUT 3
-
 /* Whether processes that left by a are all among those that left by b. */
 static bool departure_within(const struct departure *a,
 			     const struct departure *b)
@@ -116,44 +114,6 @@
 	return self.version;
 }
 
-/* Sends the record of self to some members, whose acks confirm it. */
-void members_ask_confirmation(struct members *m)
-{
-	struct shown_record *shown;
-	struct member *b;
-	int i;
-
-	for (i = 0; i < CONFIRM_FANOUT; i++) {
-		b = member_random(m);
-		if (!b)
-			return;
-		shown = &m->shown[m->next_shown++ % SHOWN_MAX];
-		shown->sequence = ++m->last_sequence;
-		shown->version = m->self->info.version;
-		gossip_enqueue(m, m->self);
-		members_send_changes(m, PEER_PROBE, &b->info.node_addr,
-				     shown->sequence, NULL);
-	}
-}
-
-/* Returns the newest version of the record of self that a member confirmed. */
-uint32_t members_confirmed_version(const struct members *m)
-{
-	return m->confirmed_version;
-}
-
-/* Learns from the ack of a probe what its sender has merged. */
-void members_hear_ack(struct members *m, uint64_t sequence)
-{
-	int i;
-
-	m->heard = true;
-	for (i = 0; i < SHOWN_MAX; i++)
-		if (m->shown[i].sequence == sequence &&
-		    m->shown[i].version > m->confirmed_version)
-			m->confirmed_version = m->shown[i].version;
-}
-
 /*
  * Whether another member has answered since the start, or the store shows that
  * there is none.
--- a/src/control/members/members_impl.h
+++ b/src/control/members/members_impl.h
@@ -17,7 +17,7 @@
 #define CHANGES_MAX 40	    /* in one datagram */
 #define UPDATE_SENDS_MAX 40 /* most sends of one change */
 #define RELAYS_MAX 64	    /* concurrent probes for other members */
-#define SHOWN_MAX 16	    /* unanswered probes that confirm self */
+#define SHOWN_MAX 64	    /* unanswered probes that confirm self */
 #define STORED_SEEDS_MAX 64
 #define PROBE_PERIOD_US USEC_PER_SEC
 #define PAUSE_MIN_US (2 * USEC_PER_SEC) /* gap between ticks that is a pause */
@@ -57,6 +57,9 @@
 	struct member *suspect_next;
 	struct member_set *sets[SET_KINDS];
 	uint32_t positions[SET_KINDS];
+	/* Of the record of self, and the process that confirmed it. */
+	uint32_t confirmed_version;
+	uint64_t confirmed_incarnation;
 	uint8_t send_count; /* of its latest change */
 	bool update_queued;
 	bool suspect;
@@ -129,8 +132,8 @@
 	/* Probes that carried the record of self, and its version in each. */
 	struct shown_record shown[SHOWN_MAX];
 	uint32_t next_shown;
-	uint32_t confirmed_version; /* newest that another member has */
-	bool heard;		    /* another member has answered */
+	bool heard;	    /* another member has answered */
+	bool knows_members; /* see members_hear_members */
 
 	int64_t started_us;
 	int64_t last_tick_us;
@@ -172,7 +175,10 @@
 bool member_has_former(const struct member *b);
 void members_hear_departures(struct members *m, const struct member_info *info,
 			     int64_t now);
-void members_hear_ack(struct members *m, uint64_t sequence);
+
+/* members_guardians.c */
+void members_hear_ack(struct members *m, const struct peer_msg *msg);
+void members_hear_members(struct members *m, const struct peer_msg *msg);
 
 /* members_merge.c */
 void members_merge(struct members *m, const struct member_info *items, size_t n,
--- a/src/control/members/members_probe.c
+++ b/src/control/members/members_probe.c
@@ -153,7 +153,7 @@
 		break;
 	case PEER_PROBE_ACK:
 		if (sequence)
-			members_hear_ack(m, sequence);
+			members_hear_ack(m, msg);
 		if (m->probing && sequence == m->probe_sequence)
 			m->probing = false;
 		else if (sequence)
--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -422,7 +422,7 @@
 			       : 0;
 	}
 	if (announcement->info.state == UPSTREAM_READY &&
-	    leaving_holds(n->leaving, announcement))
+	    leaving_holds(n->leaving, announcement, now))
 		return 0;
 	if (same)
 		update_upstream(n, u, announcement, now);
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -11,12 +11,14 @@
 #define WAITING_MAX 64
 /* An announcement counts as acknowledged if that takes less than a second. */
 #define WAIT_US (900 * USEC_PER_MSEC)
+/* No announcement takes longer to arrive. */
+#define LATE_US (5 * USEC_PER_SEC)
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
 /* An announcement that is answered once its leave is kept. */
 struct waiting {
-	uint64_t exchange;
+	struct announcement_exchange exchange;
 	uint64_t ticket;
 	int64_t until_us;
 };
@@ -24,6 +26,7 @@
 struct leaving {
 	struct node *n;
 	struct departures *departures;
+	int64_t started_us;
 	struct upstream_announcement held[UPSTREAMS_PER_HOST_MAX];
 	size_t held_count;
 	struct waiting waiting[WAITING_MAX];
@@ -67,6 +70,7 @@
 	if (!l)
 		return NULL;
 	l->n = n;
+	l->started_us = now;
 	o.ctx = l;
 	l->departures = departures_new(&o, now);
 	if (l->departures)
@@ -111,36 +115,87 @@
 				sequence);
 }
 
+/* Returns the place of the announcement that is held of an instance. */
+static size_t find_held(const struct leaving *l, const char *instance)
+{
+	size_t i = 0;
+
+	while (i < l->held_count && strcmp(l->held[i].instance, instance) != 0)
+		i++;
+	return i;
+}
+
+static bool is_newer(const struct upstream_announcement *a,
+		     const struct upstream_announcement *b)
+{
+	return a->started_ms != b->started_ms ? a->started_ms > b->started_ms
+					      : a->sequence > b->sequence;
+}
+
+/*
+ * Whether an announcement was sent since the start of this process. If its
+ * sender does not follow to the address that it is told, that is so once none
+ * from before can still arrive, and it goes on announcing itself.
+ */
+static bool
+was_sent_since_start(const struct leaving *l,
+		     const struct upstream_announcement *announcement,
+		     int64_t now)
+{
+	size_t i = find_held(l, announcement->instance);
+
+	return announcement->prompted ||
+	       (now - l->started_us >= LATE_US && i < l->held_count &&
+		is_newer(announcement, &l->held[i]));
+}
+
+bool leaving_is_uncertain(const struct leaving *l)
+{
+	return !departures_certain(l->departures);
+}
+
+static void log_held(const struct upstream_announcement *announcement)
+{
+	struct log_line line;
+
+	log_start(&line, LOG_INFO, "announcement-held");
+	log_str(&line, "instance", announcement->instance);
+	log_int(&line, "born_ms", announcement->started_ms);
+	log_int(&line, "sequence", (int64_t)announcement->sequence);
+	log_emit(&line);
+}
+
 bool leaving_holds(struct leaving *l,
-		   const struct upstream_announcement *announcement)
+		   const struct upstream_announcement *announcement,
+		   int64_t now)
 {
 	int64_t start_ms =
 		(int64_t)(l->n->incarnation / (uint64_t)USEC_PER_MSEC);
-	size_t i = 0;
+	size_t i = find_held(l, announcement->instance);
 
 	/* No earlier process knew a process that started after this one. */
-	if (departures_known(l->departures) ||
+	if (departures_certain(l->departures) ||
 	    announcement->started_ms > start_ms)
 		return false;
-	while (i < l->held_count &&
-	       strcmp(l->held[i].instance, announcement->instance) != 0)
-		i++;
+	if (departures_known(l->departures) &&
+	    was_sent_since_start(l, announcement, now))
+		return false;
 	if (i == UPSTREAMS_PER_HOST_MAX)
 		return true;
 	if (i == l->held_count)
 		l->held_count++;
-	else if (l->held[i].started_ms > announcement->started_ms ||
-		 (l->held[i].started_ms == announcement->started_ms &&
-		  l->held[i].sequence > announcement->sequence))
+	else if (!is_newer(announcement, &l->held[i]))
 		return true;
 	l->held[i] = *announcement;
+	log_held(announcement);
 	return true;
 }
 
-void leaving_acknowledge(struct leaving *l, uint64_t exchange, uint64_t ticket,
-			 int64_t now)
+void leaving_acknowledge(struct leaving *l,
+			 const struct announcement_exchange *exchange,
+			 uint64_t ticket, int64_t now)
 {
-	struct waiting w = {exchange, ticket, now + WAIT_US};
+	struct waiting w = {*exchange, ticket, now + WAIT_US};
 
 	if (departures_are_kept(l->departures, ticket))
 		listeners_answer_announcement(l->n, exchange, STATUS_OK);
@@ -183,7 +238,7 @@
 		}
 		l->waiting[i] = l->waiting[--l->waiting_count];
 		log_answer(&w, kept, now);
-		listeners_answer_announcement(l->n, w.exchange,
+		listeners_answer_announcement(l->n, &w.exchange,
 					      kept ? STATUS_OK
 						   : STATUS_UNAVAILABLE);
 	}
--- a/src/node/leaving.h
+++ b/src/node/leaving.h
@@ -8,6 +8,7 @@
 #include "node/node.h"
 
 struct leaving;
+struct announcement_exchange;
 struct upstream_announcement;
 
 /* Returns NULL when out of memory. */
@@ -27,17 +28,25 @@
 bool leaving_covers(const struct leaving *l, const char *instance,
 		    int64_t started_ms, uint64_t sequence);
 /*
- * Holds an announcement until the leaves that earlier processes of this node
- * acknowledged are known. Returns false if it need not wait.
+ * Holds an announcement until all leaves are known that earlier processes of
+ * this node may have acknowledged, or a later one is known to have been sent
+ * since the start of this process. Returns false if it need not wait.
  */
 bool leaving_holds(struct leaving *l,
-		   const struct upstream_announcement *announcement);
+		   const struct upstream_announcement *announcement,
+		   int64_t now);
+/*
+ * Whether announcements may be held, so that upstreams should send theirs to
+ * the address of this process alone.
+ */
+bool leaving_is_uncertain(const struct leaving *l);
 /*
  * Answers an announcement as soon as the leave that it told outlasts this
  * process, with an error if that takes too long. Ticket 0: at once.
  */
-void leaving_acknowledge(struct leaving *l, uint64_t exchange, uint64_t ticket,
-			 int64_t now);
+void leaving_acknowledge(struct leaving *l,
+			 const struct announcement_exchange *exchange,
+			 uint64_t ticket, int64_t now);
 /* Whether announcements wait for their answer. */
 bool leaving_is_busy(const struct leaving *l);
 
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -1,5 +1,6 @@
 #include "node/listeners.h"
 
+#include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -14,6 +15,10 @@
 #define LOCAL_CONNECTIONS_MAX 4096
 #define ADMIN_CONNECTIONS_MAX 256
 #define ADMIN_BODY_LIMIT (1024 * 1024)
+/* Below the ports that kernels give out by themselves. */
+#define ANNOUNCEMENT_PORT_MIN 10240
+#define ANNOUNCEMENT_PORTS 20000
+#define ANNOUNCEMENT_PORT_TRIES 8
 
 static void on_caller(void *ctx, uint64_t exchange, struct message *msg,
 		      const char *peer, int64_t now)
@@ -68,7 +73,8 @@
 }
 
 /* Handles a platform announcement; an invalid one changes nothing. */
-static void handle_platform_announcement(struct node *n, uint64_t exchange,
+static void handle_platform_announcement(struct node *n,
+					 const struct announcement_exchange *x,
 					 const struct message *msg, int64_t now)
 {
 	struct upstream_announcement announcement;
@@ -80,18 +86,38 @@
 	if (rc < 0)
 		log_error(LOG_WARNING, "announcement-refused", &err);
 	if (rc) {
-		answer_status(n->services, exchange, rc < 0 ? 400 : 404, "");
+		answer_status(x->server, x->id, rc < 0 ? 400 : 404, "");
 		return;
 	}
-	leaving_acknowledge(n->leaving, exchange,
+	announcement.prompted = x->server == n->announcements;
+	leaving_acknowledge(n->leaving, x,
 			    gates_announce_platform(n, &announcement, now),
 			    now);
 }
 
-void listeners_answer_announcement(struct node *n, uint64_t exchange,
+void listeners_answer_announcement(struct node *n,
+				   const struct announcement_exchange *exchange,
 				   int status)
 {
-	answer_status(n->services, exchange, status, "{}");
+	bool names_later = n->announcements && leaving_is_uncertain(n->leaving);
+	struct addr later;
+	char text[128];
+
+	if (names_later)
+		http_server_addr(n->announcements, &later);
+	platform_announcement_answer(names_later ? &later : NULL, text,
+				     sizeof(text));
+	answer_status(exchange->server, exchange->id, status, text);
+}
+
+static void on_prompted(void *ctx, uint64_t exchange, struct message *msg,
+			const char *peer, int64_t now)
+{
+	struct node *n = ctx;
+	struct announcement_exchange x = {n->announcements, exchange};
+
+	(void)peer;
+	handle_platform_announcement(n, &x, msg, now);
 }
 
 static void on_ready(void *ctx, uint64_t exchange, struct message *msg,
@@ -112,10 +138,11 @@
 		       const char *peer, int64_t now)
 {
 	struct node *n = ctx;
+	struct announcement_exchange x = {n->services, exchange};
 
 	(void)peer;
 	if (n->settings.interface == INTERFACE_PLATFORM)
-		handle_platform_announcement(n, exchange, msg, now);
+		handle_platform_announcement(n, &x, msg, now);
 	else if (!strcmp(msg->target, ANNOUNCEMENT_PATH) &&
 		 !strcmp(msg->method, "PUT"))
 		handle_announcement(n, exchange, msg, now);
@@ -192,6 +219,30 @@
 	}
 }
 
+/*
+ * Opens a listener for announcements at a random port, which earlier processes
+ * of this node hardly had. Without it, held announcements wait for longer.
+ */
+static void open_announcements(struct node *n,
+			       const struct http_server_options *services)
+{
+	struct http_server_options o = *services;
+	struct error err;
+	int i;
+
+	if (n->settings.interface != INTERFACE_PLATFORM)
+		return;
+	o.on_request = on_prompted;
+	for (i = 0; i < ANNOUNCEMENT_PORT_TRIES && !n->announcements; i++) {
+		o.listen.port =
+			(uint16_t)(ANNOUNCEMENT_PORT_MIN +
+				   randombytes_uniform(ANNOUNCEMENT_PORTS));
+		n->announcements = http_server_open(n->net, &o, &err);
+	}
+	if (!n->announcements)
+		log_error(LOG_WARNING, "listen", &err);
+}
+
 static int open_http(struct node *n, struct error *err)
 {
 	const struct settings *s = &n->settings;
@@ -213,6 +264,7 @@
 	n->services = http_server_open(n->net, &o, err);
 	if (!n->services)
 		return -1;
+	open_announcements(n, &o);
 	o.listen = s->admin;
 	o.connections_max = ADMIN_CONNECTIONS_MAX;
 	o.body_limit = ADMIN_BODY_LIMIT;
--- a/src/node/listeners.h
+++ b/src/node/listeners.h
@@ -6,8 +6,12 @@
 
 /* Opens the HTTP servers and the links; -1 with err set. */
 int listeners_open(struct node *n, struct error *err);
-/* Answers an announcement of an upstream with an empty object. */
-void listeners_answer_announcement(struct node *n, uint64_t exchange,
+/*
+ * Answers an announcement of an upstream; while announcements may be held, with
+ * the address that later ones are to be sent to.
+ */
+void listeners_answer_announcement(struct node *n,
+				   const struct announcement_exchange *exchange,
 				   int status);
 /* Logs the addresses listened on. */
 void listeners_log(const struct node *n);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -133,6 +133,8 @@
 	struct http_server *services;
 	struct http_server *admin_server;
 	struct http_server *ready; /* or NULL */
+	/* Announcements at an address that no earlier process had; or NULL. */
+	struct http_server *announcements;
 	struct admin *admin_state;
 	struct links *links;
 	struct store *store;
@@ -211,6 +213,12 @@
 /* Adds or updates an upstream of this host from its announcement. */
 void gates_announce(struct node *n, const struct upstream_info *info,
 		    int64_t now);
+/* An announcement that waits for its answer. */
+struct announcement_exchange {
+	struct http_server *server;
+	uint64_t id;
+};
+
 struct upstream_announcement;
 /*
  * Applies an announcement of the platform, which may arrive out of order. A
--- a/test/platform.bash
+++ b/test/platform.bash
@@ -205,15 +205,26 @@
 }
 
 # announce UPSTREAM NODE [SLOTS]: sends a heartbeat for an upstream of service one
-# that sends none itself.
+# that sends none itself, and another one to the address that the node names for
+# later ones.
 SEQUENCE=0
 announce() {
-	SEQUENCE=$((SEQUENCE + 1))
-	[ "$(tell "$2" "i-$1" heartbeat "{\"service\":\"one\",
-		\"address\":\"$(listening "$1")\",\"zone\":\"a\",
-		\"version\":\"v1\",\"slots\":${3:-16},\"state\":\"ready\",
-		\"cold_remaining_s\":0,\"sequence\":$SEQUENCE,
-		\"born\":1700000000000}")" = 200 ]
+	local to="services_$2" named=${!to}
+	while [ "$named" ]; do
+		SEQUENCE=$((SEQUENCE + 1))
+		to=$named
+		curl -sf -o "$WORK/announced" -m 2 -d "{\"service\":\"one\",
+			\"address\":\"$(listening "$1")\",\"zone\":\"a\",
+			\"version\":\"v1\",\"slots\":${3:-16},\"state\":\"ready\",
+			\"cold_remaining_s\":0,\"sequence\":$SEQUENCE,
+			\"born\":1700000000000}" \
+			-H "Content-Type: application/json" \
+			"http://$to/mulberryferry/instances/i-$1/heartbeat" ||
+			return 1
+		named=$(sed -n 's/.*"heartbeat_url":"\([^"]*\)".*/\1/p' \
+			"$WORK/announced")
+		[ "$named" != "$to" ] || named=
+	done
 }
 
 # put_entry KEY VALUE: writes an entry as another writer would.
--- a/test/test_members.c
+++ b/test/test_members.c
@@ -744,10 +744,91 @@
 	sim_end();
 }
 
+/*
+ * A leave was taken for kept once one member had it: with that one and the
+ * process that had acknowledged it killed, the next process believed the
+ * others, which had not heard of it.
+ */
+static void most_guardians_outlast_some_processes(void **state)
+{
+	struct departure d = {77, 1234, DEPARTED_FOR_GOOD};
+	struct addr seed;
+	uint32_t version;
+	int round, i, killed;
+
+	(void)state;
+	addr_parse(&seed, "10.0.0.1:1000");
+	for (round = 0; round < 20; round++) {
+		sim_start(12, 1, false);
+		sim.now += (round + 1) * 100 * USEC_PER_SEC;
+		RUN_UNTIL(views_agree(), 30);
+		run(12);
+		sim.loss = 0.3;
+		version =
+			members_set_departures(sim.nodes[2].m, &d, 1, sim.now);
+		for (i = 0; members_confirmed_version(sim.nodes[2].m) < version;
+		     i++) {
+			assert_in_range(i, 0, 100);
+			members_ask_confirmation(sim.nodes[2].m);
+			run(0.01);
+		}
+		killed = round % 10;
+		for (i = 11; killed; i--)
+			if (i != 2) {
+				node_kill(i);
+				killed--;
+			}
+		node_kill(2);
+		memset(&sim.nodes[2].heard, 0, sizeof(d));
+		node_start(2, false, &seed, 1);
+		for (i = 0; i < 100 && !members_have_witnesses(sim.nodes[2].m);
+		     i++) {
+			members_ask_witnesses(sim.nodes[2].m);
+			run(0.05);
+		}
+		if (members_have_witnesses(sim.nodes[2].m))
+			assert_memory_equal(&sim.nodes[2].heard, &d, sizeof(d));
+		else
+			assert_in_range(round % 10, 3, 10);
+		sim_end();
+	}
+}
+
+/* Processes that all started again do not vouch for what was before. */
+static void new_processes_are_no_witnesses(void **state)
+{
+	struct addr seed;
+	int i;
+
+	(void)state;
+	addr_parse(&seed, "10.0.0.1:1000");
+	sim_start(4, 1, false);
+	RUN_UNTIL(views_agree(), 30);
+	run(20);
+	for (i = 0; i < 4; i++)
+		node_kill(i);
+	for (i = 0; i < 4; i++)
+		node_start(i, false, &seed, i ? 1 : 0);
+	for (i = 0; i < 100; i++) {
+		members_ask_witnesses(sim.nodes[2].m);
+		run(0.1);
+		assert_false(members_have_witnesses(sim.nodes[2].m));
+	}
+	node_kill(2);
+	run(5);
+	node_start(2, false, &seed, 1);
+	run(5);
+	members_ask_witnesses(sim.nodes[2].m);
+	RUN_UNTIL(members_have_witnesses(sim.nodes[2].m), 1);
+	sim_end();
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(departures_reach_later_processes),
+		cmocka_unit_test(most_guardians_outlast_some_processes),
+		cmocka_unit_test(new_processes_are_no_witnesses),
 		cmocka_unit_test(nodes_join_from_settings),
 		cmocka_unit_test(nodes_join_from_the_store),
 		cmocka_unit_test(lost_store_responses_leave_one_lease_each),
--- a/test/upstream_departures.sh
+++ b/test/upstream_departures.sh
@@ -11,7 +11,7 @@
 
 ID=i-7f3a91c2
 DRAIN_MS=2000
-BORN=$(now_ms)
+WITNESS_S=10 # how long b1 has to run before it can vouch for a1
 SEQUENCE=0
 
 # beat STATE: prints the next heartbeat.
@@ -52,6 +52,8 @@
 	local i late
 	wait_for 15 grep -q "event=config-in-force" "$WORK/a1.log" ||
 		fail "$CASE: a1 has no configuration"
+	wait_for 5 grep -q "event=departures-certain" "$WORK/a1.log" ||
+		fail "$CASE: a1 does not know all that was acknowledged"
 	told heartbeat "$LATE"
 	sleep 1
 	while [ $(($(now_ms) - ACKNOWLEDGED)) -le $DRAIN_MS ]; do
@@ -83,11 +85,13 @@
 	--service one --instance $ID --work-ms 5
 wait_for 5 test -s "$WORK/u1.out" || fail "u1 did not start"
 CASE="first start"
+BORN=$(now_ms)
 beat ready
 wait_for 15 grep -q "event=config-in-force" "$WORK/b1.log"
 told heartbeat "$BEAT"
 wait_for 10 serves || fail "b1 does not serve"
 
+sleep $WITNESS_S
 CASE="a leave that the process after a restart acknowledged"
 restart_platform_node a1 TERM
 acknowledge leave
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/json.h"
 #include "net/net.h"
 
 #define HEALTH_PATH "/health"
@@ -37,6 +38,9 @@
 	struct http_server *server;
 	struct http_pool *node;
 	const char *node_addr;
+	struct http_pool *named; /* for heartbeats, by the node; or NULL */
+	char named_addr[ADDR_TEXT_SIZE];
+	bool named_failed;
 	const char *service;
 	const char *instance;
 	char addr[ADDR_TEXT_SIZE];
@@ -330,13 +334,49 @@
 	fflush(stdout);
 }
 
+static void leave_named_address(void)
+{
+	if (upstream.named)
+		http_pool_close(upstream.named);
+	upstream.named = NULL;
+	upstream.named_addr[0] = 0;
+}
+
+/* Sends later heartbeats to an address that the node has named. */
+static void follow(const char *text, size_t len)
+{
+	struct json_object *o = json_parse_complete(text, len);
+	const char *addr =
+		json_object_get_string(json_member(o, "heartbeat_url"));
+	struct http_pool_options pool = {.connections_max = 2,
+					 .body_limit = BODY_MAX,
+					 .idle_timeout_us = USEC_PER_SEC};
+	struct error err;
+
+	if (addr && strcmp(addr, upstream.named_addr) != 0 &&
+	    addr_parse(&pool.addr, addr) == 0) {
+		leave_named_address();
+		copy_name(upstream.named_addr, sizeof(upstream.named_addr),
+			  addr);
+		upstream.named = http_pool_open(upstream.net, &pool, &err);
+	}
+	json_object_put(o);
+}
+
+/* The tag says whether the heartbeat went to the named address. */
 static void heartbeat_done(void *ctx, uint64_t tag, struct http_call_result *r,
 			   int64_t now)
 {
+	bool done = r->status == HTTP_COMPLETED && r->response->status == 200;
+
 	(void)ctx;
-	(void)tag;
-	(void)r;
-	(void)now;
+	if (!done && tag) {
+		upstream.named_failed = true;
+		upstream.next_heartbeat_us = now;
+	} else if (done && !upstream.left_us) {
+		follow((const char *)r->response->body.data,
+		       r->response->body.len);
+	}
 }
 
 static void leave_done(void *ctx, uint64_t tag, struct http_call_result *r,
@@ -385,8 +425,17 @@
 	struct http_call call = {.request = &m,
 				 .deadline_us = now + USEC_PER_SEC,
 				 .done = heartbeat_done};
+	struct http_pool *to = upstream.node;
 	char target[256];
 
+	if (upstream.named_failed)
+		leave_named_address();
+	upstream.named_failed = false;
+	/* What it sends after its leave is late: it was sent to the node. */
+	if (upstream.named && !upstream.left_us)
+		to = upstream.named;
+	call.tag = to == upstream.named;
+
 	snprintf(target, sizeof(target),
 		 "/mulberryferry/instances/%s/heartbeat", upstream.instance);
 	m.target = target;
@@ -402,7 +451,7 @@
 		      (double)cold_left_us(now) / USEC_PER_SEC,
 		      (unsigned long long)upstream.sequence,
 		      (long long)upstream.started_ms);
-	http_call_start(upstream.node, &call, now, NULL);
+	http_call_start(to, &call, now, NULL);
 	buffer_free(&m.body);
 }
 
