Ask an upstream whether it leaves before its heartbeat is held for long

After a kill of many processes each upstream was used one heartbeat interval later, as its first heartbeat was held until one came to the address that the new process had named.

Two of seven guardians vouch for the past instead of four, as six of them have to confirm a leave, and a process that has run for long is asked for the members when a young one answered.

--- a/src/conf/conf.h
+++ b/src/conf/conf.h
@@ -137,6 +137,7 @@
 	uint32_t connections;	/* per upstream, all callers; 0: announced */
 	int64_t cold_start_us; /* an upstream is cold after its start; 0: never */
 	double cold_per_s;     /* requests a second that a cold one takes */
+	char health_path[PATTERN_SIZE]; /* of its upstreams; empty: unknown */
 };
 
 /* A service that gets a share of a route's requests, by weight. */
--- a/src/control/control.h
+++ b/src/control/control.h
@@ -58,14 +58,14 @@
 size_t members_guardian_count(const struct members *m);
 /* Sends this host's record to its guardians, so that they confirm it. */
 void members_ask_confirmation(struct members *m);
-/* The newest version of this host's record that most guardians confirmed. */
+/* The newest version of this host's record that enough guardians confirmed. */
 uint32_t members_confirmed_version(const struct members *m);
 /* Asks the guardians what an earlier process of this host told. */
 void members_ask_witnesses(struct members *m);
 /*
- * Whether most guardians have run since long before this process, and told what
- * they have heard from earlier ones: then one of them knows all that most
- * guardians had confirmed.
+ * Whether enough guardians have run since long before this process, and told
+ * what they have heard from earlier ones: then one of them knows what an earlier
+ * one took for confirmed.
  */
 bool members_have_witnesses(const struct members *m);
 /* Whether another member has answered, or the store shows that none is there. */
--- a/src/control/members/members.c
+++ b/src/control/members/members.c
@@ -136,7 +136,7 @@
 	case PEER_MEMBERS:
 		members_merge(m, msg->members.items, msg->members.n,
 			      msg->members.n <= FORWARD_MAX, now);
-		members_hear_members(m, msg);
+		members_hear_members(m, msg, now);
 		break;
 	default:
 		break;
--- a/src/control/members/members_guardians.c
+++ b/src/control/members/members_guardians.c
@@ -8,9 +8,10 @@
 #define GUARDIANS_MAX 7
 /*
  * A guardian that has run for longer than this process, by this much, has heard
- * what the process before it told. Covers clocks that differ by seconds.
+ * what the process before it told lately. What was told earlier contradicts no
+ * announcement that is still on its way.
  */
-#define WITNESS_AGE_US (10 * USEC_PER_SEC)
+#define WITNESS_AGE_US (6 * USEC_PER_SEC)
 
 struct guardians {
 	struct member *items[GUARDIANS_MAX];
@@ -50,9 +51,19 @@
 	}
 }
 
-static int majority(const struct guardians *g)
+/*
+ * So many guardians vouch for the past, and so many have to confirm what is
+ * told: any two such sets have a guardian in common. Few vouch, as many
+ * processes may end together; to confirm is asked of all of them at any time.
+ */
+static int witness_quorum(const struct guardians *g)
+{
+	return g->n / 4 + 1;
+}
+
+static int confirmation_quorum(const struct guardians *g)
 {
-	return g->n / 2 + 1;
+	return g->n + 1 - witness_quorum(g);
 }
 
 /* Returns the newest version that the present process of b has confirmed. */
@@ -114,7 +125,7 @@
 		version = confirmed_by(g.items[i]);
 		for (j = 0, n = 0; j < g.n; j++)
 			n += confirmed_by(g.items[j]) >= version;
-		if (n >= majority(&g) && version > most)
+		if (n >= confirmation_quorum(&g) && version > most)
 			most = version;
 	}
 	return most;
@@ -142,7 +153,7 @@
 	choose(m, &g);
 	for (i = 0; i < g.n; i++)
 		n += is_witness(m, g.items[i]);
-	return n >= majority(&g);
+	return n >= witness_quorum(&g);
 }
 
 /* Learns from the ack of a probe what its sender has merged. */
@@ -162,13 +173,32 @@
 	}
 }
 
+/* Asks a process that has run for long who the members are. */
+static void pull_from_older(struct members *m, int64_t now)
+{
+	struct guardians g;
+	int i;
+
+	choose(m, &g);
+	for (i = 0; i < g.n; i++)
+		if (g.items[i]->info.state == MEMBER_ALIVE &&
+		    is_older(m, g.items[i]->info.incarnation)) {
+			members_pull(m, &g.items[i]->info.node_addr, now);
+			return;
+		}
+}
+
 /*
  * Learns who the members are from a process that has run for long enough to
- * know them all.
+ * know them all; one that has not may know of such a process.
  */
-void members_hear_members(struct members *m, const struct peer_msg *msg)
+void members_hear_members(struct members *m, const struct peer_msg *msg,
+			  int64_t now)
 {
 	m->heard = true;
-	if (!msg->members.more && is_older(m, msg->incarnation))
-		m->knows_members = true;
+	if (m->knows_members || msg->members.more)
+		return;
+	m->knows_members = is_older(m, msg->incarnation);
+	if (!m->knows_members)
+		pull_from_older(m, now);
 }
--- a/src/control/members/members_impl.h
+++ b/src/control/members/members_impl.h
@@ -178,7 +178,8 @@
 
 /* members_guardians.c */
 void members_hear_ack(struct members *m, const struct peer_msg *msg);
-void members_hear_members(struct members *m, const struct peer_msg *msg);
+void members_hear_members(struct members *m, const struct peer_msg *msg,
+			  int64_t now);
 
 /* members_merge.c */
 void members_merge(struct members *m, const struct member_info *items, size_t n,
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -5,6 +5,7 @@
 
 #include "control/departures/departures.h"
 #include "node/gates.h"
+#include "node/health_check.h"
 #include "node/listeners.h"
 #include "platform/platform.h"
 
@@ -13,6 +14,7 @@
 #define WAIT_US (900 * USEC_PER_MSEC)
 /* No announcement takes longer to arrive. */
 #define LATE_US (5 * USEC_PER_SEC)
+#define CHECK_PERIOD_US (300 * USEC_PER_MSEC) /* after one without success */
 #define STATUS_OK 200
 #define STATUS_UNAVAILABLE 503
 
@@ -23,24 +25,86 @@
 	int64_t until_us;
 };
 
+/* An announcement that may be older than a leave. */
+struct held {
+	struct upstream_announcement announcement;
+	struct health_check *check;
+	int64_t check_due_us;
+};
+
 struct leaving {
 	struct node *n;
 	struct departures *departures;
 	int64_t started_us;
-	struct upstream_announcement held[UPSTREAMS_PER_HOST_MAX];
+	struct held held[UPSTREAMS_PER_HOST_MAX];
 	size_t held_count;
 	struct waiting waiting[WAITING_MAX];
 	size_t waiting_count;
 };
 
+/* Applies a held announcement, which may be held again. */
+static void release(struct leaving *l, size_t i, int64_t now)
+{
+	struct upstream_announcement announcement = l->held[i].announcement;
+
+	health_check_free(l->held[i].check);
+	l->held[i] = l->held[--l->held_count];
+	gates_announce_platform(l->n, &announcement, now);
+}
+
 /* Applies the announcements that were held. */
 static void release_held(struct leaving *l, int64_t now)
 {
-	size_t i, n = l->held_count;
+	size_t n = l->held_count;
+
+	while (n--)
+		release(l, 0, now);
+}
+
+/* Asks the upstream itself; NULL if it can't be asked yet. */
+static struct health_check *
+start_check(struct leaving *l, const struct upstream_announcement *announcement,
+	    int64_t now)
+{
+	const struct service *s =
+		l->n->config ? config_service(l->n->config,
+					      announcement->info.service)
+			     : NULL;
+	struct health_check_options o = {.net = l->n->net,
+					 .headers = l->n->headers,
+					 .addr = &announcement->info.addr,
+					 .instance = announcement->instance};
+
+	if (!s || !s->health_path[0] || !o.headers->answering)
+		return NULL;
+	o.path = s->health_path;
+	return health_check_start(&o, now);
+}
+
+/*
+ * An upstream that is leaving does not call itself healthy: what says so now has
+ * announced nothing else before.
+ */
+static void check_held(struct leaving *l, size_t i, int64_t now)
+{
+	struct held *h = &l->held[i];
+	enum health_result result;
 
-	l->held_count = 0;
-	for (i = 0; i < n; i++)
-		gates_announce_platform(l->n, &l->held[i], now);
+	if (!h->check) {
+		if (departures_known(l->departures) && now >= h->check_due_us)
+			h->check = start_check(l, &h->announcement, now);
+		return;
+	}
+	result = health_check_result(h->check);
+	if (result == HEALTH_PENDING)
+		return;
+	health_check_free(h->check);
+	h->check = NULL;
+	h->check_due_us = now + CHECK_PERIOD_US;
+	if (result != HEALTH_GOOD)
+		return;
+	h->announcement.current = true;
+	release(l, i, now);
 }
 
 static void on_learnt(void *ctx, int64_t now)
@@ -83,6 +147,8 @@
 {
 	if (!l)
 		return;
+	while (l->held_count)
+		health_check_free(l->held[--l->held_count].check);
 	departures_free(l->departures);
 	free(l);
 }
@@ -120,7 +186,8 @@
 {
 	size_t i = 0;
 
-	while (i < l->held_count && strcmp(l->held[i].instance, instance) != 0)
+	while (i < l->held_count &&
+	       strcmp(l->held[i].announcement.instance, instance) != 0)
 		i++;
 	return i;
 }
@@ -144,9 +211,9 @@
 {
 	size_t i = find_held(l, announcement->instance);
 
-	return announcement->prompted ||
+	return announcement->current ||
 	       (now - l->started_us >= LATE_US && i < l->held_count &&
-		is_newer(announcement, &l->held[i]));
+		is_newer(announcement, &l->held[i].announcement));
 }
 
 bool leaving_is_uncertain(const struct leaving *l)
@@ -183,10 +250,10 @@
 	if (i == UPSTREAMS_PER_HOST_MAX)
 		return true;
 	if (i == l->held_count)
-		l->held_count++;
-	else if (!is_newer(announcement, &l->held[i]))
+		l->held[l->held_count++] = (struct held){0};
+	else if (!is_newer(announcement, &l->held[i].announcement))
 		return true;
-	l->held[i] = *announcement;
+	l->held[i].announcement = *announcement;
 	log_held(announcement);
 	return true;
 }
@@ -229,6 +296,8 @@
 	bool kept;
 
 	departures_tick(l->departures, now);
+	for (i = l->held_count; i; i--)
+		check_held(l, i - 1, now);
 	while (i < l->waiting_count) {
 		w = l->waiting[i];
 		kept = departures_are_kept(l->departures, w.ticket);
--- a/src/node/listeners.c
+++ b/src/node/listeners.c
@@ -89,7 +89,7 @@
 		answer_status(x->server, x->id, rc < 0 ? 400 : 404, "");
 		return;
 	}
-	announcement.prompted = x->server == n->announcements;
+	announcement.current = x->server == n->announcements;
 	leaving_acknowledge(n->leaving, x,
 			    gates_announce_platform(n, &announcement, now),
 			    now);
@@ -110,8 +110,9 @@
 	answer_status(exchange->server, exchange->id, status, text);
 }
 
-static void on_prompted(void *ctx, uint64_t exchange, struct message *msg,
-			const char *peer, int64_t now)
+static void on_current_announcement(void *ctx, uint64_t exchange,
+				    struct message *msg, const char *peer,
+				    int64_t now)
 {
 	struct node *n = ctx;
 	struct announcement_exchange x = {n->announcements, exchange};
@@ -232,7 +233,7 @@
 
 	if (n->settings.interface != INTERFACE_PLATFORM)
 		return;
-	o.on_request = on_prompted;
+	o.on_request = on_current_announcement;
 	for (i = 0; i < ANNOUNCEMENT_PORT_TRIES && !n->announcements; i++) {
 		o.listen.port =
 			(uint16_t)(ANNOUNCEMENT_PORT_MIN +
--- a/test/upstream_departures_lost.sh
+++ b/test/upstream_departures_lost.sh
@@ -69,6 +69,7 @@
 	CASE="$4, store $1, $2 killed $3"
 	[ "$3" = late ] && gap=1.5
 	SEQUENCE=0 BORN=$(now_ms)
+	upstream_fault u1 draining=0
 	told heartbeat "$(beat ready)"
 	wait_for 10 serves b1 /r/0 || fail "$CASE: u1 is not used at first"
 	for i in 1 2 3; do
@@ -77,6 +78,7 @@
 	done
 	lose_store "$1"
 	sleep 0.2
+	upstream_fault u1 draining=1 # which its health says too
 	if [ "$4" = draining ]; then
 		told heartbeat "$(beat draining)"
 	else
--- a/tools/platform_upstream.c
+++ b/tools/platform_upstream.c
@@ -301,6 +301,10 @@
 		snprintf(text, sizeof(text), "%lld",
 			 (long long)(cold_left_us(now) / USEC_PER_MSEC));
 		add_header(&answer, "mulberryferry-cold-ms", text);
+		add_header(&answer, "mulberryferry-instance-id",
+			   upstream.instance);
+		if (upstream.draining || upstream.left_us)
+			answer.status = 503;
 	} else if (expected && strcmp(expected, upstream.instance) != 0) {
 		answer.status = 421;
 		add_header(&answer, "mulberryferry-instance-id",
