--- a/test/soak/soak.sh
+++ b/test/soak/soak.sh
@@ -94,6 +94,18 @@
 	ENDING[$1]=1
 }
 
+ALL_ABOVE_MS=1400 # some kills end all processes at once
+kill_nodes() { # NAME MS
+	local n
+	if [ "$2" -le $ALL_ABOVE_MS ]; then
+		stop_node "$1" KILL
+		return
+	fi
+	for n in "${NODES[@]}"; do
+		stop_node "$n" KILL
+	done
+}
+
 # Restarts the nodes whose process has ended since stop_node.
 start_ended() {
 	local n
@@ -251,7 +263,7 @@
 	echo "fault $DRAWN $node $ms" >>"$WORK/faults"
 	case $DRAWN in
 	0 | 1) suspend_process "$node" "$ms" ;;
-	2) stop_node "$node" KILL ;;
+	2) kill_nodes "$node" "$ms" ;;
 	3 | 4) stop_node "$node" TERM ;;
 	5) [ -n "$COLD" ] || suspend_process "$up" "$ms" ;;
 	6) suspend_process store "$ms" ;;
