Ask for an upstream's health only until it is believed

An upstream that was believed through a heartbeat, and not through its health, stayed in the list of those that are held, and was asked for its health every 300 ms from then on; heartbeats of upstreams in use went through the list too. Now the entry goes, and an upstream that this process knows is not held.

--- a/src/node/gates.c
+++ b/src/node/gates.c
@@ -421,7 +421,7 @@
 			       ? u->leave_ticket
 			       : 0;
 	}
-	if (announcement->info.state == UPSTREAM_READY &&
+	if (!same && announcement->info.state == UPSTREAM_READY &&
 	    leaving_holds(n->leaving, announcement, now))
 		return 0;
 	if (same)
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -42,13 +42,18 @@
 	size_t waiting_count;
 };
 
+static void drop_held(struct leaving *l, size_t i)
+{
+	health_check_free(l->held[i].check);
+	l->held[i] = l->held[--l->held_count];
+}
+
 /* Applies a held announcement, which may be held again. */
 static void release(struct leaving *l, size_t i, int64_t now)
 {
 	struct upstream_announcement announcement = l->held[i].announcement;
 
-	health_check_free(l->held[i].check);
-	l->held[i] = l->held[--l->held_count];
+	drop_held(l, i);
 	gates_announce_platform(l->n, &announcement, now);
 }
 
@@ -245,8 +250,11 @@
 	    announcement->started_ms > start_ms)
 		return false;
 	if (departures_known(l->departures) &&
-	    was_sent_since_start(l, announcement, now))
+	    was_sent_since_start(l, announcement, now)) {
+		if (i < l->held_count)
+			drop_held(l, i);
 		return false;
+	}
 	if (i == UPSTREAMS_PER_HOST_MAX)
 		return true;
 	if (i == l->held_count)
--- a/test/upstream_departures_lost.sh
+++ b/test/upstream_departures_lost.sh
@@ -145,8 +145,18 @@
 	done
 done
 
+# Heartbeats that stay at the old address keep an upstream in use.
+CASE="after a kill of all processes"
+SEQUENCE=0 BORN=$(now_ms)
+upstream_fault u1 draining=0
+kill_nodes "$NODES" up
+for ((i = 0; i < CERTAIN_S + 3; i++)); do
+	told heartbeat "$(beat ready)"
+	sleep 1
+done
+serves a1 /r/0 || fail "$CASE: u1 is not in use though it says it is ready"
+
 # With those of the other hosts running for long, one is certain at once.
-sleep $CERTAIN_S
 restart_platform_node a1 KILL
 wait_for 3 grep -q "event=departures-certain" "$WORK/a1.log" ||
 	fail "a1 is not certain though the others have run on"
