--- a/src/node/health_check.h
+++ b/src/node/health_check.h
@@ -25,7 +25,7 @@
 struct health_check *health_check_start(const struct health_check_options *o,
 					int64_t now);
 enum health_result health_check_result(const struct health_check *h);
-/* Not to be called by what the network calls; NULL is allowed. */
+/* Drops the question; NULL is allowed. */
 void health_check_free(struct health_check *h);
 
 #endif
--- a/test/long_names.sh
+++ b/test/long_names.sh
@@ -14,7 +14,7 @@
 document 4 one '"key-1"' | sed \
 	-e "s/\[\"acc\"/[\"$TENANT\", [\"key-2\"], 1, 1000, 500], [\"$OTHER\", [\"key-3\"], 1, 1000, 500], &/" \
 	-e "s/\[\"once\", /[\"$SERVICE\", \"$HOST\", \"\/long\/\", \"safe\", 2, 0.5, 2, \"$SERVICE\", 2, false], &/" \
-	-e "s/\[\"one\", 64/[\"$SERVICE\", 64], &/" >"$WORK/document.json"
+	-e "s/\[\"one\", 64/[\"$SERVICE\", 64, null], &/" >"$WORK/document.json"
 curl -sf -o /dev/null -X PUT --data-binary "@$WORK/document.json" \
 	"http://$STORE/standin/document" || fail "the document was not taken"
 wait_for 5 status_is 200 a1 /r/new -H "$(key key-2)" ||
